Name the etcd adapter after the protocol it speaks

Cause: io/platform holds the etcd v3 API; the folder for the users' own platform needs the name. Ruled out: a second meaning of one package name. Change: moved, no behaviour. Conclusion: go vet and build are clean.

--- a/internal/host/configure.go
+++ b/internal/host/configure.go
@@ -10,8 +10,8 @@
 
 	"pearlatch/core/config"
 	"pearlatch/core/membership"
+	"pearlatch/io/etcd"
 	"pearlatch/io/peer"
-	"pearlatch/io/platform"
 )
 
 const (
@@ -133,12 +133,12 @@
 	}
 	for _, e := range c.earlier {
 		if e.Number == have {
-			delta, err = platform.EncodeDelta(e, c.newest)
+			delta, err = etcd.EncodeDelta(e, c.newest)
 			c.deltas[have] = delta
 			return have, delta, err
 		}
 	}
-	delta, err = platform.EncodeRevision(c.newest)
+	delta, err = etcd.EncodeRevision(c.newest)
 	return 0, delta, err
 }
 
@@ -193,7 +193,7 @@
 // checkConfig fetches the configuration if the store has another one than it had
 // when this host last looked.
 func (h *Host) checkConfig(ctx context.Context) {
-	revision, err := h.store.Revision(ctx, platform.ConfigKey)
+	revision, err := h.store.Revision(ctx, etcd.ConfigKey)
 	if err != nil || revision == h.storeRevision.Swap(revision) {
 		return
 	}
@@ -255,7 +255,7 @@
 }
 
 func (h *Host) fetchConfig(ctx context.Context) {
-	entry, err := h.store.Get(ctx, platform.ConfigKey)
+	entry, err := h.store.Get(ctx, etcd.ConfigKey)
 	if err != nil {
 		_ = level.Warn(h.logger).Log("step", "fetch_configuration", "peer", "platform", "err", err)
 		return
@@ -263,11 +263,11 @@
 	h.takeEntry(entry)
 }
 
-func (h *Host) takeEntry(entry platform.Entry) {
+func (h *Host) takeEntry(entry etcd.Entry) {
 	if entry.Revision == 0 {
 		return
 	}
-	r, err := platform.DecodeRevision(entry.Value)
+	r, err := etcd.DecodeRevision(entry.Value)
 	if err != nil {
 		_ = level.Error(h.logger).Log("step", "fetch_configuration", "peer", "platform", "err", err)
 		return
@@ -279,10 +279,10 @@
 func (h *Host) watchConfig(ctx context.Context, wait time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	entry, err := h.store.Get(ctx, platform.ConfigKey)
+	entry, err := h.store.Get(ctx, etcd.ConfigKey)
 	if err == nil {
 		h.takeEntry(entry)
-		err = h.store.Watch(ctx, platform.ConfigKey, entry.Revision, h.takeEntry)
+		err = h.store.Watch(ctx, etcd.ConfigKey, entry.Revision, h.takeEntry)
 	}
 	if err != nil && ctx.Err() == nil {
 		pauseFor(ctx, lonelyInterval)
@@ -323,11 +323,11 @@
 
 func (h *Host) decodePulled(got *peer.Pulled) (config.Revision, error) {
 	if got.Base == 0 {
-		return platform.DecodeRevision(got.Delta)
+		return etcd.DecodeRevision(got.Delta)
 	}
 	base := h.conf.latest()
 	if base.Number != got.Base {
 		return config.Revision{}, errors.Errorf("the delta is based on revision %d", got.Base)
 	}
-	return platform.DecodeDelta(base, got.Delta)
+	return etcd.DecodeDelta(base, got.Delta)
 }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -18,9 +18,9 @@
 	"pearlatch/core/config"
 	"pearlatch/core/membership"
 	"pearlatch/io/caller"
+	"pearlatch/io/etcd"
 	"pearlatch/io/operator"
 	"pearlatch/io/peer"
-	"pearlatch/io/platform"
 	"pearlatch/io/postgres"
 	"pearlatch/io/upstream"
 )
@@ -48,7 +48,7 @@
 	settings Settings
 	logger   log.Logger
 	metrics  metrics.Registry
-	store    *platform.Etcd
+	store    *etcd.Etcd
 	operator *operator.Server
 	drains   chan struct{}
 	table    *membership.Table
@@ -112,7 +112,7 @@
 		settings:   s,
 		logger:     log.With(o.Logger, "host", s.Host),
 		metrics:    metrics.NewRegistry(),
-		store:      platform.NewEtcd(s.Platform),
+		store:      etcd.NewEtcd(s.Platform),
 		timing:     o.Membership,
 		binding:    o.Binding,
 		allRead:    o.AllRead,
--- a/internal/host/submit.go
+++ b/internal/host/submit.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"pearlatch/core/config"
+	"pearlatch/io/etcd"
 	"pearlatch/io/operator"
-	"pearlatch/io/platform"
 )
 
 const (
@@ -33,7 +33,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
 	defer cancel()
-	r, err := platform.Submit(ctx, o.store, base, author, config.Encode(doc))
+	r, err := etcd.Submit(ctx, o.store, base, author, config.Encode(doc))
 	if err != nil {
 		return config.Revision{}, err
 	}
@@ -43,7 +43,7 @@
 
 // History implements operator.Configuration.
 func (o operators) History(ctx context.Context) ([]config.Revision, error) {
-	return platform.History(ctx, o.store)
+	return etcd.History(ctx, o.store)
 }
 
 // Spread implements operator.Configuration.
--- a/internal/lab/cluster.go
+++ b/internal/lab/cluster.go
@@ -13,7 +13,7 @@
 	"pearlatch/core/membership"
 	"pearlatch/internal/host"
 	"pearlatch/internal/standin"
-	"pearlatch/io/platform"
+	"pearlatch/io/etcd"
 )
 
 // User and Password are what the lab's members and routes ask for.
@@ -95,11 +95,11 @@
 	if _, err := config.Parse(text); err != nil {
 		return errors.Wrap(err, "the lab's document")
 	}
-	value, err := platform.EncodeRevision(config.Revision{Number: c.revision, Author: "lab", At: time.Now(), Submission: "lab", Text: text})
+	value, err := etcd.EncodeRevision(config.Revision{Number: c.revision, Author: "lab", At: time.Now(), Submission: "lab", Text: text})
 	if err != nil {
 		return err
 	}
-	c.Platform.Set(platform.ConfigKey, value)
+	c.Platform.Set(etcd.ConfigKey, value)
 	return nil
 }
 
--- a/internal/lab/configbench.go
+++ b/internal/lab/configbench.go
@@ -13,7 +13,7 @@
 
 	"pearlatch/core/config"
 	"pearlatch/core/membership"
-	"pearlatch/io/platform"
+	"pearlatch/io/etcd"
 )
 
 // ConfigOptions describes the configuration bench.
@@ -195,12 +195,12 @@
 // returns how long it took from its acceptance to be in force everywhere.
 func (b *configBench) change(ctx context.Context) (time.Duration, error) {
 	text := b.document()
-	store := platform.NewEtcd(b.cluster.endpoints())
-	_, current, err := platform.Current(ctx, store)
+	store := etcd.NewEtcd(b.cluster.endpoints())
+	_, current, err := etcd.Current(ctx, store)
 	if err != nil {
 		return 0, err
 	}
-	accepted, err := platform.Submit(ctx, store, current.Number, "bench", text)
+	accepted, err := etcd.Submit(ctx, store, current.Number, "bench", text)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/lab/slopes.go
+++ b/internal/lab/slopes.go
@@ -21,8 +21,8 @@
 	"pearlatch/core/statement"
 	"pearlatch/internal/capacity"
 	"pearlatch/internal/standin"
+	"pearlatch/io/etcd"
 	"pearlatch/io/peer"
-	"pearlatch/io/platform"
 )
 
 // SlopesOptions describes the slopes bench.
@@ -117,7 +117,7 @@
 			failed = errors.Wrap(err, "document")
 			return []any{doc, slices.Clone(text)}
 		})})
-		d, err := platform.EncodeDelta(config.Revision{Number: 1, Text: text}, config.Revision{Number: 2, Text: next, Author: "operator", Submission: strings.Repeat("x", 26)})
+		d, err := etcd.EncodeDelta(config.Revision{Number: 1, Text: text}, config.Revision{Number: 2, Text: next, Author: "operator", Submission: strings.Repeat("x", 26)})
 		if err != nil || failed != nil {
 			return nil, errors.Errorf("documents of %d bytes: %v, %v", size, err, failed)
 		}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -12,7 +12,7 @@
 	"time"
 
 	"pearlatch/core/membership"
-	"pearlatch/io/platform"
+	"pearlatch/io/etcd"
 )
 
 // Platform is the platform's key-value service in memory, with its faults.
@@ -279,7 +279,7 @@
 
 func (p *Platform) get(in wireRequest) (wireResponse, bool) {
 	out := wireResponse{Header: &wireHeader{Revision: text(p.revision)}}
-	if strings.HasPrefix(string(in.Key), platform.HostsPrefix) {
+	if strings.HasPrefix(string(in.Key), etcd.HostsPrefix) {
 		out.KVs = p.listHosts()
 		return out, false
 	}
@@ -310,7 +310,7 @@
 	}
 	var out []wireKV
 	for id, h := range shown {
-		out = append(out, wireKV{Key: []byte(platform.HostsPrefix + id), Value: platform.EncodeHost(h), ModRevision: "1"})
+		out = append(out, wireKV{Key: []byte(etcd.HostsPrefix + id), Value: etcd.EncodeHost(h), ModRevision: "1"})
 	}
 	return out
 }
--- a/io/platform/submit.go
+++ b/io/etcd/submit.go
@@ -1,4 +1,4 @@
-package platform
+package etcd
 
 import (
 	"context"
--- a/io/platform/submit_test.go
+++ b/io/etcd/submit_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package etcd_test
 
 import (
 	"context"
@@ -14,13 +14,13 @@
 
 	"pearlatch/core/config"
 	"pearlatch/internal/standin"
-	"pearlatch/io/platform"
+	"pearlatch/io/etcd"
 )
 
 var nets atomic.Uint32
 
 // start runs a platform until the test ends.
-func start(t *testing.T) (*standin.Platform, *platform.Etcd) {
+func start(t *testing.T) (*standin.Platform, *etcd.Etcd) {
 	t.Helper()
 	addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 4, byte(os.Getpid()), byte(nets.Add(1))}), 2379)
 	p := standin.NewPlatform(0)
@@ -28,7 +28,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(p.Close)
-	return p, platform.NewEtcd([]netip.AddrPort{addr})
+	return p, etcd.NewEtcd([]netip.AddrPort{addr})
 }
 
 func testContext(t *testing.T) context.Context {
@@ -46,16 +46,16 @@
 	var wg sync.WaitGroup
 	errs := make([]error, 8)
 	for i := range errs {
-		wg.Go(func() { _, errs[i] = platform.Submit(ctx, store, 0, "operator", []byte{'a' + byte(i)}) })
+		wg.Go(func() { _, errs[i] = etcd.Submit(ctx, store, 0, "operator", []byte{'a' + byte(i)}) })
 	}
 	wg.Wait()
-	_, current, err := platform.Current(ctx, store)
+	_, current, err := etcd.Current(ctx, store)
 	if err != nil || current.Number != 1 {
 		t.Fatalf("revision %d, %v", current.Number, err)
 	}
 	accepted := 0
 	for i, err := range errs {
-		var conflict *platform.Conflict
+		var conflict *etcd.Conflict
 		switch {
 		case err == nil:
 			accepted++
@@ -78,12 +78,12 @@
 	ctx := testContext(t)
 	p.SetLoss(0.8)
 	for base := range uint64(20) {
-		r, err := platform.Submit(ctx, store, base, "operator", []byte{byte(base)})
+		r, err := etcd.Submit(ctx, store, base, "operator", []byte{byte(base)})
 		if err != nil || r.Number != base+1 {
 			t.Fatalf("on revision %d: revision %d, %v", base, r.Number, err)
 		}
 	}
-	list, err := platform.History(ctx, store)
+	list, err := etcd.History(ctx, store)
 	if err != nil || len(list) != 20 {
 		t.Fatalf("%d revisions in the history, %v", len(list), err)
 	}
@@ -103,15 +103,15 @@
 	p.SetLoss(1)
 	first, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
 	defer cancel()
-	_, err := platform.Submit(first, store, 0, "first", []byte("one"))
-	if !errors.Is(err, platform.ErrUnsettled) && err != nil {
+	_, err := etcd.Submit(first, store, 0, "first", []byte("one"))
+	if !errors.Is(err, etcd.ErrUnsettled) && err != nil {
 		t.Fatalf("got %v", err)
 	}
 	p.SetLoss(0)
-	if _, err := platform.Submit(ctx, store, 1, "second", []byte("two")); err != nil {
+	if _, err := etcd.Submit(ctx, store, 1, "second", []byte("two")); err != nil {
 		t.Fatal(err)
 	}
-	list, err := platform.History(ctx, store)
+	list, err := etcd.History(ctx, store)
 	if err != nil || len(list) != 2 || list[1].Author != "first" {
 		t.Fatalf("history %v, %v", list, err)
 	}
@@ -122,11 +122,11 @@
 	p.SetDown(true)
 	ctx, cancel := context.WithTimeout(testContext(t), 250*time.Millisecond)
 	defer cancel()
-	if _, err := platform.Submit(ctx, store, 0, "operator", nil); !errors.Is(err, platform.ErrUnsettled) {
+	if _, err := etcd.Submit(ctx, store, 0, "operator", nil); !errors.Is(err, etcd.ErrUnsettled) {
 		t.Fatalf("got %v", err)
 	}
 	p.SetDown(false)
-	if _, r, err := platform.Current(testContext(t), store); err != nil || r.Number != 0 {
+	if _, r, err := etcd.Current(testContext(t), store); err != nil || r.Number != 0 {
 		t.Errorf("revision %d, %v", r.Number, err)
 	}
 }
@@ -168,7 +168,7 @@
 	p.Set("/other", []byte("x"))
 	p.Set("/k", []byte("three"))
 	var got []string
-	_ = store.Watch(ctx, "/k", entry.Revision, func(e platform.Entry) {
+	_ = store.Watch(ctx, "/k", entry.Revision, func(e etcd.Entry) {
 		if got = append(got, string(e.Value)); len(got) == 2 {
 			cancel()
 		}
@@ -185,14 +185,14 @@
 	}
 	base := config.Revision{Number: 1, Text: text}
 	next := config.Revision{Number: 2, Author: "operator", Text: append([]byte("# changed\n"), text...)}
-	delta, err := platform.EncodeDelta(base, next)
+	delta, err := etcd.EncodeDelta(base, next)
 	if err != nil {
 		t.Fatal(err)
 	}
 	if len(delta) > 1<<10 {
 		t.Errorf("a changed word takes %d bytes", len(delta))
 	}
-	got, err := platform.DecodeDelta(base, delta)
+	got, err := etcd.DecodeDelta(base, delta)
 	if err != nil || string(got.Text) != string(next.Text) || got.Number != 2 {
 		t.Errorf("decoded revision %d of %d bytes, %v", got.Number, len(got.Text), err)
 	}
--- a/io/operator/api.go
+++ b/io/operator/api.go
@@ -10,7 +10,7 @@
 
 	"pearlatch/core/config"
 	"pearlatch/internal/yamlmap"
-	"pearlatch/io/platform"
+	"pearlatch/io/etcd"
 )
 
 // Configuration is the configuration as operators change it.
@@ -18,7 +18,7 @@
 	// InForce returns the revision in force on this host.
 	InForce() config.Revision
 	// Submit makes a document the next revision. The error is a
-	// yamlmap.Mistakes, a *platform.Conflict or one that says what failed.
+	// yamlmap.Mistakes, a *etcd.Conflict or one that says what failed.
 	Submit(ctx context.Context, base uint64, author string, text []byte) (config.Revision, error)
 	// History returns the revisions that the store keeps, newest first.
 	History(ctx context.Context) ([]config.Revision, error)
@@ -94,7 +94,7 @@
 
 // statusOf returns the HTTP status of a failed submission.
 func statusOf(err error) int {
-	var conflict *platform.Conflict
+	var conflict *etcd.Conflict
 	var mistakes yamlmap.Mistakes
 	switch {
 	case errors.As(err, &conflict):
--- a/io/operator/console.go
+++ b/io/operator/console.go
@@ -12,7 +12,7 @@
 	"github.com/pmezard/go-difflib/difflib"
 
 	"pearlatch/core/config"
-	"pearlatch/io/platform"
+	"pearlatch/io/etcd"
 )
 
 //go:embed templates/*.html
@@ -165,7 +165,7 @@
 	}
 	author, _, _ := r.BasicAuth()
 	accepted, err := s.config.Submit(r.Context(), base, author, text)
-	var conflict *platform.Conflict
+	var conflict *etcd.Conflict
 	switch {
 	case err == nil:
 		show(w, http.StatusOK, "accepted", "Accepted", s.spreadOf(r.Context(), accepted.Number))
@@ -176,7 +176,7 @@
 	}
 }
 
-func (s *console) conflict(ctx context.Context, base uint64, text []byte, c *platform.Conflict) conflictContent {
+func (s *console) conflict(ctx context.Context, base uint64, text []byte, c *etcd.Conflict) conflictContent {
 	out := conflictContent{Base: base, Current: c.Current, Document: string(text)}
 	before := ""
 	if list, err := s.config.History(ctx); err == nil {
--- a/io/operator/console_test.go
+++ b/io/operator/console_test.go
@@ -14,7 +14,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"pearlatch/core/config"
-	"pearlatch/io/platform"
+	"pearlatch/io/etcd"
 )
 
 // memory is a Configuration in memory.
@@ -27,7 +27,7 @@
 		return config.Revision{}, err
 	}
 	if now := m.InForce(); now.Number != base {
-		return config.Revision{}, &platform.Conflict{Current: now}
+		return config.Revision{}, &etcd.Conflict{Current: now}
 	}
 	r := config.Revision{Number: base + 1, Author: author, Text: text}
 	m.revisions = append(m.revisions, r)
