--- /dev/null
+++ b/cmd/pearlatch/gateway.go
@@ -0,0 +1,99 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/pkg/errors"
+
+	"pearlatch/internal/boottime"
+	"pearlatch/internal/gateway"
+	"pearlatch/platform"
+)
+
+// gatewayCommand runs a host on the users' platform.
+type gatewayCommand struct {
+	Settings string `long:"settings" env:"PEARLATCH_SETTINGS" required:"true" description:"settings file (YAML)"`
+}
+
+// Execute implements flags.Commander.
+func (c *gatewayCommand) Execute([]string) error {
+	s, err := platform.LoadSettings(c.Settings)
+	if err != nil {
+		return &exitError{exitUsage, err}
+	}
+	logger := log.With(log.NewJSONLogger(log.NewSyncWriter(os.Stdout)), "ts", log.DefaultTimestampUTC)
+	return runGateway(s, logger)
+}
+
+func runGateway(s *platform.Settings, logger log.Logger) error {
+	dialer := platform.Dialer{Local: s.Callers.Addr(), Who: s.Gateway.Host}
+	h := gateway.NewHost(s.Gateway, gateway.Ports{
+		Dialer: dialer, Store: platform.NewStore(s.Store, dialer), Promoter: platform.NewPromoter(s.Promotions, dialer),
+		Decode: platform.Decoder{}, Keys: platform.Keys,
+	}, logger, boottime.Now)
+	callers, err := net.Listen("tcp", s.Callers.String())
+	if err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	ready, err := net.Listen("tcp", s.Ready.String())
+	if err != nil {
+		return errors.Wrap(err, "listen for the ready question")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	accept := &platform.Callers{Host: h, Logger: logger}
+	go serveUntilClosed(logger, "callers", func() error { return accept.Serve(callers) })
+	go serveUntilClosed(logger, "ready", func() error { return http.Serve(ready, platform.ReadyHandler(h.Ready)) })
+	stopped, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		h.Run(ctx)
+	}()
+	_ = level.Info(logger).Log("event", "start", "host", s.Gateway.Host, "zone", s.Gateway.Zone)
+	<-stopped.Done()
+	drainGateway(h, accept, s.Gateway.Grace)
+	cancel()
+	<-done
+	_ = level.Info(logger).Log("event", "stop", "host", s.Gateway.Host)
+	return nil
+}
+
+func serveUntilClosed(logger log.Logger, what string, serve func() error) {
+	if err := serve(); err != nil {
+		_ = level.Error(logger).Log("event", "listener_ended", "what", what, "err", err)
+	}
+}
+
+const (
+	// rotationTime is how long the platform may take to see that a host is not
+	// ready: two questions a second apart, and the way.
+	rotationTime = 2300 * time.Millisecond
+	// endMargin is kept between the end of the last session and that of the grace.
+	endMargin = 800 * time.Millisecond
+	// drainPoll is the pause between two looks at what is left.
+	drainPoll = 50 * time.Millisecond
+)
+
+// drainGateway waits until callers are sent elsewhere, then ends sessions as they
+// become idle, and transactions at half of the grace.
+func drainGateway(h *gateway.Host, callers *platform.Callers, grace time.Duration) {
+	started := time.Now()
+	h.Stop()
+	time.Sleep(min(rotationTime, grace/3))
+	for time.Since(started) < grace-endMargin {
+		if callers.CloseIdle() == 0 {
+			return
+		}
+		time.Sleep(drainPoll)
+	}
+}
--- a/cmd/pearlatch/main.go
+++ b/cmd/pearlatch/main.go
@@ -35,6 +35,7 @@
 	add(p, "check", "Check a settings file or a configuration document", "Reports every mistake found, with line, field and reason. Exit code 2 if there is one.", &checkCommand{})
 	add(p, "dump", "Show the state of a running host", "Prints the state of the host whose operator address is given, as JSON.", &dumpCommand{})
 	add(p, "drain", "Drain a running host", "Orders the host whose operator address is given to shut down gracefully.", &drainCommand{})
+	add(p, "gateway", "Run a host on the platform of the users", "Runs a host whose members acknowledge writes themselves, until SIGTERM. The settings file may also be named by PEARLATCH_SETTINGS.", &gatewayCommand{})
 	addConfig(p)
 	add(p, "version", "Show the version", "Prints the version of the program and of the protocols it speaks.", &versionCommand{})
 	_, err := p.Parse()
--- a/core/freshness/ages.go
+++ b/core/freshness/ages.go
@@ -1,6 +1,7 @@
 package freshness
 
 import (
+	"slices"
 	"time"
 
 	"pearlatch/core/group"
@@ -70,3 +71,22 @@
 	}
 	return time.Time{}
 }
+
+// Covering returns a position that includes everything acknowledged before the
+// given time, and of those known the one that replicas reach first. It returns
+// false when the primary was not asked since.
+func (a *Ages) Covering(at time.Time) (group.Position, bool) {
+	i, _ := slices.BinarySearchFunc(a.samples, at, func(s ageSample, at time.Time) int { return s.at.Compare(at) })
+	if i == len(a.samples) {
+		return group.Position{}, false
+	}
+	return a.samples[i].position, true
+}
+
+// Latest returns when the primary was last asked, or the zero time.
+func (a *Ages) Latest() time.Time {
+	if len(a.samples) == 0 {
+		return time.Time{}
+	}
+	return a.samples[len(a.samples)-1].at
+}
--- /dev/null
+++ b/internal/gateway/config.go
@@ -0,0 +1,41 @@
+package gateway
+
+import (
+	"time"
+
+	"pearlatch/core/freshness"
+)
+
+// Config is the operators' configuration.
+type Config struct {
+	// Version only rises.
+	Version int64
+	// Routes holds routes by the database that callers name.
+	Routes map[string]Route
+	// Groups holds database groups by name.
+	Groups map[string]GroupConfig
+	// TransactionIdle is how long a transaction may rest between statements.
+	TransactionIdle time.Duration
+}
+
+// Route leads callers of a database to a group.
+type Route struct {
+	Name  string
+	Group string
+	// Class is the freshness of reads.
+	Class freshness.Class
+	// Timeout bounds a statement.
+	Timeout time.Duration
+	// Target is the latency objective of a whole operation.
+	Target time.Duration
+	// Priority is 0 for the most important.
+	Priority int
+}
+
+// GroupConfig describes a database group.
+type GroupConfig struct {
+	// Connections is the most connections that a member takes from all hosts.
+	Connections int
+	// SyncReplicas is how many replicas hold a write before it is acknowledged.
+	SyncReplicas int
+}
--- /dev/null
+++ b/internal/gateway/group.go
@@ -0,0 +1,184 @@
+package gateway
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"pearlatch/core/freshness"
+	"pearlatch/core/group"
+)
+
+// Group is a database group as one host serves it. Use newGroup.
+type Group struct {
+	name   string
+	zone   string
+	dialer Dialer
+	logger log.Logger
+	now    func() time.Time
+	// drainBound is how long a leaving primary may still get new work.
+	drainBound time.Duration
+
+	mu sync.Mutex
+	// members holds every member of the list; order holds them by ID.
+	members map[string]*member
+	order   []*member
+	// connections is the most that a member takes from all hosts; hosts is how
+	// many hosts share them.
+	connections, hosts int
+	waiters            []*waiter
+	ticking            bool
+	// leader is the ID of the primary as believed, or empty.
+	leader string
+	// ages samples the primary's position.
+	ages freshness.Ages
+	// searching is true while the members are asked who leads.
+	searching bool
+	controls  map[string]*control
+}
+
+func newGroup(name string, h *Host) *Group {
+	return &Group{
+		name: name, zone: h.settings.Zone, dialer: h.ports.Dialer, logger: log.With(h.logger, "group", name),
+		now: h.now, drainBound: h.settings.MemberDrain - leavingMargin,
+		members: map[string]*member{}, connections: 1, hosts: 1, controls: map[string]*control{},
+	}
+}
+
+// leavingMargin is kept between the last new work for a leaving primary and the
+// end of its grace, for statements that wait and for a list that lags.
+const leavingMargin = 2 * time.Second
+
+// configure takes over the group's configuration and the number of hosts.
+func (g *Group) configure(c GroupConfig, hosts int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.connections, g.hosts = max(1, c.Connections), max(1, hosts)
+	g.dispatch()
+}
+
+// update takes over the list of members.
+func (g *Group) update(list []Member) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	listed := map[string]bool{}
+	for _, each := range list {
+		listed[each.ID] = true
+		g.updateMember(each)
+	}
+	for id, m := range g.members {
+		if !listed[id] {
+			g.remove(m)
+		}
+	}
+	g.order = g.order[:0]
+	for _, m := range g.members {
+		g.order = append(g.order, m)
+	}
+	slices.SortFunc(g.order, func(a, b *member) int { return strings.Compare(a.ID, b.ID) })
+	g.dispatch()
+}
+
+func (g *Group) updateMember(each Member) {
+	m := g.members[each.ID]
+	if m == nil {
+		m = &member{}
+		g.members[each.ID] = m
+		g.log("member_listed", "member", each.ID, "addr", each.Addr, "leads", each.Leads)
+	}
+	before := m.Member
+	m.Member = each
+	if each.Leaving && !before.Leaving {
+		m.leavingAt = g.now()
+		g.log("member_leaving", "member", each.ID, "leads", each.Leads)
+		g.closeIdle(m)
+	}
+	if each.Leads && !before.Leads && g.leader != each.ID {
+		g.setLeader(each.ID, "listed")
+	}
+	if !each.Leads && before.Leads && g.leader == each.ID {
+		g.setLeader("", "listed")
+	}
+}
+
+func (g *Group) remove(m *member) {
+	g.log("member_gone", "member", m.ID, "leads", m.ID == g.leader)
+	m.gone = true
+	g.closeIdle(m)
+	delete(g.members, m.ID)
+	if g.leader == m.ID {
+		g.setLeader("", "gone")
+	}
+}
+
+// closeIdle closes connections that nobody uses, but for those to the primary.
+func (g *Group) closeIdle(m *member) {
+	if m.ID == g.leader && !m.gone {
+		return
+	}
+	for _, p := range m.idle {
+		m.open--
+		g.closeLater(p)
+	}
+	m.idle = nil
+}
+
+// setLeader changes the belief about who leads.
+func (g *Group) setLeader(id, why string) {
+	if g.leader == id {
+		return
+	}
+	g.log("leader", "member", id, "before", g.leader, "why", why)
+	g.leader = id
+	g.dispatch()
+	if id == "" {
+		go g.wantLeader()
+	}
+}
+
+// lostLeader records that the member answered that it does not lead.
+func (g *Group) lostLeader(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.leader == id {
+		g.setLeader("", "refused")
+	}
+}
+
+// observe records the primary's position at or after the given time.
+func (g *Group) observe(at time.Time, p group.Position) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if p != (group.Position{}) && at.After(g.ages.Latest()) {
+		g.ages.Observe(at, p)
+	}
+}
+
+// covering returns what a member must hold to know everything acknowledged
+// before the given time.
+func (g *Group) covering(at time.Time) (group.Position, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.ages.Covering(at)
+}
+
+// lagged records that the member's log lacks a position.
+func (g *Group) lagged(m *member, p group.Position) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m.lacks, m.lacksAt = p, g.now()
+}
+
+// took records how long a statement took on the member.
+func (g *Group) took(m *member, d time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m.observe(d)
+}
+
+func (g *Group) log(event string, fields ...any) {
+	_ = g.logger.Log(append([]any{"event", event}, fields...)...)
+}
--- /dev/null
+++ b/internal/gateway/host.go
@@ -0,0 +1,184 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+)
+
+// Settings are what a host needs to know at its start.
+type Settings struct {
+	// Host is the host's identifier, unique among live hosts.
+	Host string
+	// Zone is the availability zone that the host runs in.
+	Zone string
+	// MemberDrain is how long a leaving member still serves.
+	MemberDrain time.Duration
+	// Grace is how long a host has between the order to stop and its end.
+	Grace time.Duration
+	// PromotionTokens is true when the platform refuses promotions with an
+	// older fencing token.
+	PromotionTokens bool
+	// LeaseFloor is the shortest lease that the store grants.
+	LeaseFloor time.Duration
+}
+
+// Ports are a host's ways to the outside.
+type Ports struct {
+	Dialer   Dialer
+	Store    Store
+	Promoter Promoter
+	// Decode reads what the platform wrote into the store.
+	Decode Decoder
+	Keys   Keys
+}
+
+// Decoder reads the values of the platform's keys.
+type Decoder interface {
+	Config(value []byte) (*Config, error)
+	// Member returns the member that the key and the value describe.
+	Member(key string, value []byte) (Member, error)
+}
+
+// Keys names keys of the store.
+type Keys struct {
+	// Config holds the operators' configuration.
+	Config string
+	// Members precedes the members' entries.
+	Members string
+	// Own precedes what pearlatch keeps itself.
+	Own string
+}
+
+// Host is a running host. Use NewHost, then Run.
+type Host struct {
+	settings Settings
+	ports    Ports
+	logger   log.Logger
+	now      func() time.Time
+
+	mu     sync.Mutex
+	config *Config
+	groups map[string]*Group
+	// items holds the values of the store's keys that matter, by key.
+	items    map[string]Item
+	revision int64
+
+	sessions atomic.Int64
+	stopping atomic.Bool
+	synced   atomic.Bool
+	duties   map[string]*duty
+}
+
+// NewHost returns a host that does not run yet. now reads a clock that goes on
+// while the machine is suspended.
+func NewHost(s Settings, p Ports, logger log.Logger, now func() time.Time) *Host {
+	return &Host{
+		settings: s, ports: p, logger: log.With(logger, "host", s.Host), now: now,
+		groups: map[string]*Group{}, items: map[string]Item{}, duties: map[string]*duty{},
+	}
+}
+
+// Run keeps the host's beliefs up to date until ctx ends.
+func (h *Host) Run(ctx context.Context) {
+	var wait sync.WaitGroup
+	wait.Go(func() { h.follow(ctx) })
+	wait.Go(func() { h.register(ctx) })
+	wait.Go(func() { h.serveDuties(ctx) })
+	wait.Go(func() { h.trim(ctx) })
+	wait.Wait()
+}
+
+// Ready reports whether callers may be sent here.
+func (h *Host) Ready() bool { return h.synced.Load() && !h.stopping.Load() }
+
+// Stopping reports whether the host has been told to stop.
+func (h *Host) Stopping() bool { return h.stopping.Load() }
+
+// Stop makes the host take no new callers.
+func (h *Host) Stop() {
+	h.stopping.Store(true)
+	h.log("stopping", "sessions", h.sessions.Load())
+}
+
+// Sessions returns the number of open sessions.
+func (h *Host) Sessions() int64 { return h.sessions.Load() }
+
+// TransactionIdle returns how long a transaction may rest between statements.
+func (h *Host) TransactionIdle() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.config == nil || h.config.TransactionIdle <= 0 {
+		return defaultTransactionIdle
+	}
+	return h.config.TransactionIdle
+}
+
+// defaultTransactionIdle holds while no configuration says otherwise.
+const defaultTransactionIdle = 3 * time.Second
+
+// route finds the route of a database and its group.
+func (h *Host) route(database string) (Route, *Group, *Failure) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.config == nil {
+		return Route{}, nil, &Failure{Busy, "no configuration yet, " + retryAfter}
+	}
+	r, ok := h.config.Routes[database]
+	if !ok {
+		return Route{}, nil, &Failure{NoDatabase, database}
+	}
+	return r, h.groups[r.Group], nil
+}
+
+// trimPause is the pause between two looks at unused connections.
+const trimPause = 250 * time.Millisecond
+
+func (h *Host) trim(ctx context.Context) {
+	for sleep(ctx, trimPause) {
+		for _, g := range h.allGroups() {
+			g.trim()
+		}
+	}
+}
+
+func (h *Host) allGroups() []*Group {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := make([]*Group, 0, len(h.groups))
+	for _, g := range h.groups {
+		out = append(out, g)
+	}
+	return out
+}
+
+// sleep waits and returns false when ctx ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (h *Host) log(event string, fields ...any) {
+	_ = h.logger.Log(append([]any{"event", event}, fields...)...)
+}
+
+// logFailure writes the line of a statement that failed.
+func (h *Host) logFailure(s *Session, r Request, arrived time.Time, f *Failure) {
+	h.log("statement_failed", "request", r.ID, "database", s.database, "code", f.Code, "detail", f.Detail,
+		"took_ms", h.now().Sub(arrived).Milliseconds(), "state", s.state)
+}
+
+// logOffer writes the line of a statement whose offer to a member failed.
+func (h *Host) logOffer(s *Session, r Request, w *work, member, outcome string, err error) {
+	h.log("offer", "request", r.ID, "database", s.database, "group", w.group.name, "member", member,
+		"outcome", outcome, "writes", w.writes, "after", w.need.after, "err", err)
+}
--- /dev/null
+++ b/internal/gateway/leader.go
@@ -0,0 +1,186 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"pearlatch/core/group"
+)
+
+const (
+	// probeTimeout bounds a status question. Members answer within a few
+	// statements' time unless they are out of reach.
+	probeTimeout = 400 * time.Millisecond
+	// searchPause is the pause between two rounds of asking who leads.
+	searchPause = 60 * time.Millisecond
+	// searchRounds bounds one search: after that the next statement that needs
+	// the primary starts another.
+	searchRounds = 40
+)
+
+// control is a connection to a member for orders, opened when it is needed.
+type control struct {
+	mu   sync.Mutex
+	conn Conn
+}
+
+// command gives an order to the member over its control connection.
+func (g *Group) command(m Member, o Order, timeout time.Duration) (Status, error) {
+	g.mu.Lock()
+	c := g.controls[m.ID]
+	if c == nil {
+		c = &control{}
+		g.controls[m.ID] = c
+	}
+	g.mu.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	if c.conn != nil && !c.conn.Alive() {
+		c.close(g, m)
+	}
+	if c.conn == nil {
+		conn, err := g.dialer.Dial(ctx, m)
+		if err != nil {
+			return Status{}, err
+		}
+		c.conn = conn
+	}
+	s, err := c.conn.Control(timeout, o)
+	if err != nil {
+		c.close(g, m)
+	}
+	return s, err
+}
+
+func (c *control) close(g *Group, m Member) {
+	if err := c.conn.Close(); err != nil {
+		g.log("member_close", "member", m.ID, "err", err)
+	}
+	c.conn = nil
+}
+
+// answered is a member's answer to an order, with the time it was asked.
+type answered struct {
+	member Member
+	asked  time.Time
+	status Status
+	err    error
+}
+
+// orderAll gives an order to the members at once and returns their answers.
+func (g *Group) orderAll(members []Member, o Order, timeout time.Duration) []answered {
+	out := make([]answered, len(members))
+	var wait sync.WaitGroup
+	for i, m := range members {
+		wait.Go(func() {
+			out[i] = answered{member: m, asked: g.now()}
+			out[i].status, out[i].err = g.command(m, o, timeout)
+		})
+	}
+	wait.Wait()
+	return out
+}
+
+// list returns the members that the platform lists.
+func (g *Group) list() []Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out := make([]Member, 0, len(g.order))
+	for _, m := range g.order {
+		if !m.gone {
+			out = append(out, m.Member)
+		}
+	}
+	return out
+}
+
+// wantLeader makes sure that somebody finds out who leads.
+func (g *Group) wantLeader() {
+	g.mu.Lock()
+	known := g.leader != "" && !g.now().Before(g.leaderSuspect())
+	if known || g.searching || len(g.order) == 0 {
+		g.mu.Unlock()
+		return
+	}
+	g.searching = true
+	g.mu.Unlock()
+	go g.search()
+}
+
+// leaderSuspect returns until when the primary is suspect.
+func (g *Group) leaderSuspect() time.Time {
+	if m := g.members[g.leader]; m != nil {
+		return m.suspectUntil
+	}
+	return time.Time{}
+}
+
+// search asks the members who leads until one does.
+func (g *Group) search() {
+	defer func() {
+		g.mu.Lock()
+		g.searching = false
+		g.mu.Unlock()
+	}()
+	for range searchRounds {
+		if g.adopt(g.orderAll(g.list(), Probe{}, probeTimeout)) {
+			return
+		}
+		time.Sleep(searchPause)
+	}
+}
+
+// adopt takes over what the answers say of who leads. It returns false when none
+// of the members leads.
+func (g *Group) adopt(answers []answered) bool {
+	best := -1
+	for i, a := range answers {
+		if a.err != nil || !a.status.Leads {
+			continue
+		}
+		if best < 0 || a.status.Term > answers[best].status.Term {
+			best = i
+		}
+	}
+	if best < 0 {
+		return false
+	}
+	a := answers[best]
+	g.observe(a.asked, a.status.Received)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.setLeader(a.member.ID, "asked")
+	if m := g.members[a.member.ID]; m != nil {
+		m.suspectUntil, m.fullUntil = time.Time{}, time.Time{}
+	}
+	g.dispatch()
+	return true
+}
+
+// verify asks over the connection whether its member leads now. Its log then
+// holds everything that was acknowledged before the question.
+func (g *Group) verify(p *pooled, timeout time.Duration) (bool, error) {
+	asked := g.now()
+	s, err := p.conn.Control(timeout, Probe{})
+	if err != nil {
+		return false, err
+	}
+	if s.Leads {
+		g.observe(asked, s.Received)
+	}
+	return s.Leads, nil
+}
+
+// newest returns the highest term among the answers.
+func newest(answers []answered) group.Term {
+	var t group.Term
+	for _, a := range answers {
+		if a.err == nil {
+			t = max(t, a.status.Term, a.status.Fenced, a.status.Received.Term)
+		}
+	}
+	return t
+}
--- /dev/null
+++ b/internal/gateway/member.go
@@ -0,0 +1,61 @@
+package gateway
+
+import (
+	"time"
+
+	"pearlatch/core/group"
+	"pearlatch/core/placement"
+)
+
+// member is a member of a group as this host sees it. The group's lock guards it.
+type member struct {
+	Member
+	// idle holds open connections that nobody uses, the one used last at the end.
+	idle []*pooled
+	// open counts connections, idle ones and those in use; dialing counts those
+	// being opened.
+	open, dialing int
+	running       int
+	latency       time.Duration
+	// fullUntil is when the member may be asked again for a connection after it
+	// had none left, or could not be reached.
+	fullUntil    time.Time
+	suspectUntil time.Time
+	// lacks is a position that the member did not hold at lacksAt.
+	lacks   group.Position
+	lacksAt time.Time
+	// gone is true when the platform no longer lists the member, or its address
+	// belongs to another one.
+	gone bool
+	// leavingAt is when the member was first listed as leaving.
+	leavingAt time.Time
+}
+
+// pooled is a connection of a pool.
+type pooled struct {
+	conn   Conn
+	member *member
+	// values and shapes are what the connection holds beyond a reset.
+	values map[string]string
+	shapes map[Shape]string
+	used   time.Time
+}
+
+// usable reports whether the member may get new work.
+func (m *member) usable() bool { return !m.gone && !m.Leaving }
+
+// observe adds how long a statement took to the average.
+func (m *member) observe(d time.Duration) { m.latency = placement.Observe(m.latency, d) }
+
+// lacking reports whether the member is known not to hold the position.
+func (m *member) lacking(p group.Position, now time.Time) bool {
+	return now.Sub(m.lacksAt) < lagRetry && p.Compare(m.lacks) >= 0
+}
+
+// cost predicts how long a read takes on the member.
+func (m *member) cost(zone string, leads bool, now time.Time) time.Duration {
+	return placement.Member{
+		Latency: m.latency, Running: m.running + m.dialing, SameZone: m.Zone == zone,
+		Leads: leads, Suspect: now.Before(m.suspectUntil),
+	}.Cost()
+}
--- /dev/null
+++ b/internal/gateway/ports.go
@@ -0,0 +1,163 @@
+package gateway
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"pearlatch/core/group"
+)
+
+// Member identifies a member of a group and what the platform says of it.
+type Member struct {
+	// ID is the instance. It is never used again, unlike Addr.
+	ID    string
+	Group string
+	Addr  netip.AddrPort
+	Zone  string
+	// Slots is how many statements the member runs at once.
+	Slots int
+	// Leaving members get no new work.
+	Leaving bool
+	// Leads is true while the member says that it is the primary.
+	Leads bool
+}
+
+// Dialer opens connections to members.
+type Dialer interface {
+	// Dial connects to the member and makes sure that it is the instance named.
+	// A member that refuses answers with a *Failure.
+	Dial(ctx context.Context, m Member) (Conn, error)
+}
+
+// Conn is a connection to a member. It is used by one goroutine at a time.
+type Conn interface {
+	// Do sends the commands in one piece and returns a reply to each, up to and
+	// including the first that failed to arrive.
+	Do(timeout time.Duration, commands ...Command) ([]Reply, error)
+	// Control runs an order to the member itself.
+	Control(timeout time.Duration, o Order) (Status, error)
+	// Alive reports whether the other side has not closed the connection, as far
+	// as has arrived by now.
+	Alive() bool
+	Close() error
+}
+
+// Command is a statement for a member. Its implementations are Forward, Open,
+// Abort, Assign, Define and Reset.
+type Command interface{ isCommand() }
+
+type (
+	// Forward passes a caller's statement on.
+	Forward struct {
+		Request Request
+		// After is the position that the member must hold, or zero.
+		After group.Position
+		// Name is the connection's name of a prepared statement, for Execute.
+		Name string
+	}
+	// Open begins a transaction.
+	Open struct {
+		ReadOnly bool
+		After    group.Position
+	}
+	// Abort rolls a transaction back.
+	Abort struct{}
+	// Assign lays a session value on the connection.
+	Assign struct{ Name, Value string }
+	// Define prepares a statement under a name of the connection.
+	Define struct {
+		Name  string
+		Shape Shape
+	}
+	// Reset clears the values and prepared statements of the connection.
+	Reset struct{}
+)
+
+func (Forward) isCommand() {}
+func (Open) isCommand()    {}
+func (Abort) isCommand()   {}
+func (Assign) isCommand()  {}
+func (Define) isCommand()  {}
+func (Reset) isCommand()   {}
+
+// Order is an order to a member itself. Its implementations are Probe, Fence,
+// Release and Demote.
+type Order interface{ isOrder() }
+
+type (
+	// Probe asks for the status.
+	Probe struct{}
+	// Fence stops a replica from receiving until it is released, another member
+	// is promoted or it restarts. The term must exceed the newest one.
+	Fence struct{ Term group.Term }
+	// Release ends a fence.
+	Release struct{}
+	// Demote makes a primary of a lower term a replica.
+	Demote struct{ Term group.Term }
+)
+
+func (Probe) isOrder()   {}
+func (Fence) isOrder()   {}
+func (Release) isOrder() {}
+func (Demote) isOrder()  {}
+
+// Status is a member's answer to an Order.
+type Status struct {
+	Leads bool
+	// Received is the end of the member's log.
+	Received group.Position
+	// Term is the newest term that the member knows.
+	Term group.Term
+	// Fenced is the term of the fence that it holds.
+	Fenced group.Term
+	// Lag is how far behind the member says it is.
+	Lag time.Duration
+	// Running is how many statements it runs.
+	Running int
+	// Connections is how many connections it has from all hosts.
+	Connections int
+}
+
+// Item is a key of the store.
+type Item struct {
+	Key      string
+	Value    []byte
+	Revision int64
+	// Removed is true for an event that deletes the key.
+	Removed bool
+}
+
+// Snapshot is a set of items that was read at a revision.
+type Snapshot struct {
+	Items    []Item
+	Revision int64
+}
+
+// Store is the platform's store. An error may come after a write has taken
+// effect.
+type Store interface {
+	// List returns the items whose keys start with prefix.
+	List(ctx context.Context, prefix string) (Snapshot, error)
+	// Watch waits for changes after the revision, at most for wait, and returns
+	// them with the revision to go on from. ErrCompacted means that the changes
+	// are no longer kept.
+	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (Snapshot, error)
+	// Put writes a key that goes with its lease (0: stays), if the key's revision
+	// is still the given one (0: absent), and returns the new revision.
+	// ErrConflict means that it is not.
+	Put(ctx context.Context, key string, revision int64, value []byte, lease int64) (int64, error)
+	// Grant opens a lease; Renew and End take its number. ErrNoLease means that
+	// it has ended.
+	Grant(ctx context.Context, ttl time.Duration) (int64, error)
+	Renew(ctx context.Context, lease int64) error
+	End(ctx context.Context, lease int64) error
+}
+
+// Promoter orders promotions.
+type Promoter interface {
+	// Promote makes a member the primary of its group. ErrFenced means that a
+	// higher token was used. Any other error leaves open whether the order is
+	// carried out, also seconds later.
+	Promote(ctx context.Context, holder string, token int64, groupName, memberID string) error
+}
--- /dev/null
+++ b/internal/gateway/statement.go
@@ -0,0 +1,66 @@
+package gateway
+
+// Statement is what a caller asks for. Its implementations are Begin, Commit,
+// Rollback, Read, Write, Set, Prepare, Execute, Forget and Unknown.
+type Statement interface{ isStatement() }
+
+type (
+	// Begin starts a transaction.
+	Begin struct {
+		// ReadOnly transactions may run on a replica.
+		ReadOnly bool
+	}
+	// Commit ends a transaction and keeps its writes.
+	Commit struct{}
+	// Rollback ends a transaction and drops its writes.
+	Rollback struct{}
+	// Read is a statement that changes nothing.
+	Read struct{}
+	// Write is a statement that changes data.
+	Write struct{}
+	// Set gives a session value.
+	Set struct{ Name, Value string }
+	// Prepare gives a statement a name in the caller's session.
+	Prepare struct {
+		Name  string
+		Shape Shape
+	}
+	// Execute runs a prepared statement.
+	Execute struct {
+		// Name is the caller's name of the statement.
+		Name string
+		// Arguments stand behind the name, as the caller wrote them.
+		Arguments string
+	}
+	// Forget drops the name of a prepared statement.
+	Forget struct{ Name string }
+	// Unknown is anything else.
+	Unknown struct{}
+)
+
+func (Begin) isStatement()    {}
+func (Commit) isStatement()   {}
+func (Rollback) isStatement() {}
+func (Read) isStatement()     {}
+func (Write) isStatement()    {}
+func (Set) isStatement()      {}
+func (Prepare) isStatement()  {}
+func (Execute) isStatement()  {}
+func (Forget) isStatement()   {}
+func (Unknown) isStatement()  {}
+
+// Shape is the text of a prepared statement. Callers' names for it collide, so
+// connections that callers share know it by its shape.
+type Shape struct {
+	Writes bool
+	Text   string
+}
+
+// Request is a statement of a caller.
+type Request struct {
+	// ID is the caller's identifier of the attempt.
+	ID string
+	// Text is the statement as the caller wrote it.
+	Text      string
+	Statement Statement
+}
--- /dev/null
+++ b/internal/gateway/transaction.go
@@ -0,0 +1,252 @@
+package gateway
+
+import (
+	"context"
+	"strconv"
+	"time"
+)
+
+// transaction is an open transaction. It takes a connection with its first
+// statement, so that a caller who pauses after the start holds nothing.
+type transaction struct {
+	readOnly bool
+	started  time.Time
+	work     work
+	// conn is nil until the first statement.
+	conn *pooled
+	// answered counts statements whose answers the caller has.
+	answered int
+	// wrote is true once a write was sent to the member.
+	wrote bool
+}
+
+func shapeName(n int) string { return "p" + strconv.Itoa(n) }
+
+func (s *Session) begin(st Begin, arrived time.Time) Reply {
+	if s.state != Idle {
+		return s.failed(fail(Malformed, "a transaction is open"))
+	}
+	w, failure := s.plan(arrived, !st.ReadOnly)
+	if failure != nil {
+		return Reply{Failure: failure}
+	}
+	// What the member checks by itself when a transaction that may write begins.
+	s.tx = &transaction{readOnly: st.ReadOnly, started: arrived, work: w}
+	s.state = InTransaction
+	return Reply{}
+}
+
+// rollbackTimeout bounds the rollback on a member. A connection that takes longer
+// is closed, which rolls back as well.
+const rollbackTimeout = 300 * time.Millisecond
+
+// rollback frees the transaction's connection.
+func (t *transaction) rollback() {
+	if t.conn == nil {
+		return
+	}
+	p, g := t.conn, t.work.group
+	t.conn = nil
+	replies, err := p.conn.Do(rollbackTimeout, Abort{})
+	if err != nil || replies[0].State != Idle {
+		g.discard(p, nil)
+		return
+	}
+	p.used = g.now()
+	g.release(p)
+}
+
+func (s *Session) rollback() Reply {
+	if s.state != InTransaction {
+		return fail(Malformed, "no transaction is open")
+	}
+	s.tx.rollback()
+	s.tx, s.state = nil, Idle
+	return Reply{}
+}
+
+// Expire rolls back a transaction that rested for too long.
+func (s *Session) Expire() {
+	s.host.log("transaction_expired", "database", s.database)
+	s.failed(Reply{})
+}
+
+func (s *Session) runInTransaction(ctx context.Context, r Request, arrived time.Time, writes bool, shape *Shape) Reply {
+	t := s.tx
+	t.work.deadline = arrived.Add(t.work.route.Timeout)
+	t.work.shape = shape
+	for {
+		if t.conn == nil {
+			if failure := s.attach(ctx); failure != nil {
+				return s.failed(Reply{Failure: failure})
+			}
+		}
+		reply, next := s.tryInTransaction(r, writes)
+		if next == nil {
+			return reply
+		}
+		if !s.host.now().Before(t.work.deadline) {
+			return s.failed(fail(Aborted, "no time left, "+retryAfter))
+		}
+		next.pause(ctx)
+	}
+}
+
+// attach begins the transaction on a member.
+func (s *Session) attach(ctx context.Context) *Failure {
+	t := s.tx
+	w := &t.work
+	for {
+		w.need.deadline = w.deadline
+		p, err := w.group.acquire(ctx, w.need)
+		if err != nil {
+			return &Failure{Aborted, "no connection in time, " + retryAfter}
+		}
+		next := s.open(p)
+		if next == nil {
+			t.conn = p
+			return nil
+		}
+		if !w.group.now().Before(w.deadline) {
+			return &Failure{Aborted, "no member could begin the transaction in time, " + retryAfter}
+		}
+		next.pause(ctx)
+	}
+}
+
+// open begins the transaction on the connection. Nothing of the caller has run
+// yet, so any failure may be tried again.
+func (s *Session) open(p *pooled) *again {
+	t := s.tx
+	w, g := &t.work, t.work.group
+	if t.readOnly {
+		if next := s.prove(w, p); next != nil {
+			return next
+		}
+	}
+	layout, _ := p.layout(s.values, nil)
+	asked := g.now()
+	commands := append(layout, Open{ReadOnly: t.readOnly, After: w.need.after})
+	replies, err := p.conn.Do(patience(w.deadline.Sub(asked), false), commands...)
+	if err != nil {
+		g.discard(p, err)
+		w.need.avoid = p.member.ID
+		return &again{}
+	}
+	reply := replies[len(replies)-1]
+	if reply.Failure != nil || reply.State != InTransaction {
+		if reply.Failure == nil {
+			reply.Failure = &Failure{Busy, "the transaction did not begin"}
+		}
+		_, next := s.judge(w, p, asked, reply)
+		if next == nil {
+			next = &again{wait: busyPause}
+		}
+		return next
+	}
+	if !t.readOnly {
+		g.observe(asked, reply.Position)
+	}
+	return nil
+}
+
+// tryInTransaction runs a statement on the transaction's connection.
+func (s *Session) tryInTransaction(r Request, writes bool) (Reply, *again) {
+	t := s.tx
+	p, w, g := t.conn, &t.work, t.work.group
+	layout, name := p.layout(s.values, w.shape)
+	asked := g.now()
+	t.wrote = t.wrote || writes
+	commands := append(layout, Forward{Request: r, Name: name})
+	replies, err := p.conn.Do(max(w.deadline.Sub(asked), time.Millisecond), commands...)
+	if err != nil {
+		t.conn = nil
+		g.discard(p, err)
+		s.host.logOffer(s, r, w, p.member.ID, "broken", err)
+		if t.answered == 0 {
+			// The member rolls back what the connection began.
+			w.need.avoid = p.member.ID
+			return Reply{}, &again{}
+		}
+		return s.failed(fail(Aborted, "the connection to "+p.member.ID+" failed, "+retryAfter)), nil
+	}
+	g.took(p.member, g.now().Sub(asked))
+	p.used = g.now()
+	reply := replies[len(replies)-1]
+	if reply.Failure == nil {
+		t.answered++
+		return reply, nil
+	}
+	if reply.Failure.Code == Busy && reply.State == InTransaction {
+		return Reply{}, &again{wait: busyPause}
+	}
+	if reply.Failure.Code == ReadOnly && !t.readOnly {
+		g.lostLeader(p.member.ID)
+		if t.answered == 0 {
+			t.rollback()
+			return Reply{}, &again{}
+		}
+	}
+	return s.failed(reply), nil
+}
+
+// commit ends the transaction on its member.
+func (s *Session) commit(ctx context.Context, r Request, arrived time.Time) Reply {
+	if s.state != InTransaction {
+		return fail(Malformed, "no transaction is open")
+	}
+	t := s.tx
+	t.work.deadline = arrived.Add(t.work.route.Timeout)
+	t.work.shape = nil
+	if t.conn == nil {
+		if failure := s.attach(ctx); failure != nil {
+			s.tx, s.state = nil, Idle
+			return Reply{Failure: failure}
+		}
+	}
+	reply := s.sendCommit(ctx, r)
+	s.tx, s.state = nil, Idle
+	return reply
+}
+
+func (s *Session) sendCommit(ctx context.Context, r Request) Reply {
+	t := s.tx
+	p, w, g := t.conn, &t.work, t.work.group
+	for {
+		asked := g.now()
+		replies, err := p.conn.Do(max(w.deadline.Sub(asked), time.Millisecond), Forward{Request: r})
+		if err != nil {
+			g.discard(p, err)
+			s.host.logOffer(s, r, w, p.member.ID, "broken", err)
+			if !t.wrote {
+				return fail(Aborted, "the connection failed; nothing was written, "+retryAfter)
+			}
+			return fail(InDoubt, "the connection to "+p.member.ID+" failed after the commit was sent")
+		}
+		reply := replies[0]
+		if reply.Failure != nil && reply.Failure.Code == Busy && reply.State == InTransaction && g.now().Before(w.deadline) {
+			(&again{wait: busyPause}).pause(ctx)
+			continue
+		}
+		s.committed(p, asked, reply)
+		return reply
+	}
+}
+
+// committed settles the connection after a member's answer to a commit.
+func (s *Session) committed(p *pooled, asked time.Time, reply Reply) {
+	t, g := s.tx, s.tx.work.group
+	p.used = g.now()
+	if reply.Failure == nil && t.wrote {
+		g.observe(asked, reply.Position)
+		s.raise(reply.Position)
+	}
+	if reply.Failure != nil && reply.Failure.Code == ReadOnly {
+		g.lostLeader(p.member.ID)
+	}
+	if reply.State != Idle {
+		t.rollback()
+		return
+	}
+	g.release(p)
+}
