Promote a replica in place of a lost, cut off or leaving primary

Cause: nobody replaced a primary; groups stayed without writes. Ruled out: promoting on one replica's word (the other may have acknowledged alone). Change: a duty for each group under a lease, its token the revision of the entry; all replicas but the successor are fenced, or the primary is demoted, before the order; a new holder raises the token first and waits for late orders.

--- a/internal/gateway/duty.go
+++ b/internal/gateway/duty.go
@@ -1,8 +1,204 @@
 package gateway
 
-import "context"
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"pearlatch/core/membership"
+)
+
+const (
+	// dutyLease is the life of the duty's entry: after a holder's death, another
+	// host takes the duty this much later.
+	dutyLease = 3 * time.Second
+	// dutyRenewal is the pause between renewals: two may get lost.
+	dutyRenewal = 900 * time.Millisecond
+	// dutyStagger is how much longer each host of a lower rank waits before it
+	// takes a duty that nobody holds, so that the first one usually succeeds.
+	dutyStagger = 300 * time.Millisecond
+	// dutyPoll is the pause between looks at duties that others may leave.
+	dutyPoll = 250 * time.Millisecond
+	// takeoverPause is how long a new holder waits before its first promotion: an
+	// order that the holder before gave at the last moment is carried out by then.
+	takeoverPause = 1200 * time.Millisecond
+)
 
 // duty is this host's part in the promotions of one group.
-type duty struct{}
+type duty struct {
+	host  *Host
+	group *Group
+
+	mu    sync.Mutex
+	held  bool
+	lease int64
+	// token is the revision at which the duty's entry was last written: it rises
+	// with each holder, and with each decision of one.
+	token int64
+	// since is when the duty was taken; renewed is when its lease was last known
+	// to run.
+	since, renewed time.Time
+	// vacant is since when nobody has held the duty, or zero.
+	vacant time.Time
+	// ordered is the member named by an order under token whose outcome is open.
+	ordered string
+}
+
+func (h *Host) dutyKey(group string) string { return h.ports.Keys.Own + "duty/" + group }
+
+// serveDuties takes duties that fall to this host, and keeps those it holds.
+func (h *Host) serveDuties(ctx context.Context) {
+	duties := map[string]*duty{}
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	for sleep(ctx, dutyPoll) {
+		for _, g := range h.allGroups() {
+			d := duties[g.name]
+			if d == nil {
+				d = &duty{host: h, group: g}
+				duties[g.name] = d
+				wait.Go(func() { d.watch(ctx) })
+			}
+			d.tend(ctx)
+		}
+	}
+	for _, d := range duties {
+		d.giveUp("stopping")
+	}
+}
+
+// tend takes the duty if it falls to this host, renews it, or gives it up.
+func (d *duty) tend(ctx context.Context) {
+	h := d.host
+	h.mu.Lock()
+	entry, taken := h.items[h.dutyKey(d.group.name)]
+	rank := h.rank(d.group.name)
+	h.mu.Unlock()
+	d.mu.Lock()
+	held, token, renewed := d.held, d.token, d.renewed
+	d.mu.Unlock()
+	now := h.now()
+	switch {
+	case held && taken && entry.Revision > token:
+		d.giveUp("taken by " + string(entry.Value))
+	case held && now.Sub(renewed) > dutyRenewal:
+		d.renew(ctx)
+	case held:
+	case taken || h.stopping.Load() || !h.synced.Load():
+		d.vacant = time.Time{}
+	case d.vacant.IsZero():
+		d.vacant = now
+	case now.Sub(d.vacant) >= time.Duration(rank)*dutyStagger:
+		d.take(ctx)
+	}
+}
+
+// rank returns how many hosts come before this one for the group.
+func (h *Host) rank(group string) int {
+	var hosts []membership.Host
+	for key, i := range h.items {
+		if id, ok := strings.CutPrefix(key, h.hostsPrefix()); ok {
+			hosts = append(hosts, membership.Host{ID: id, Zone: string(i.Value)})
+		}
+	}
+	for i, each := range membership.Rank(group, hosts) {
+		if each.ID == h.settings.Host {
+			return i
+		}
+	}
+	return len(hosts)
+}
+
+func (d *duty) take(ctx context.Context) {
+	call, cancel := context.WithTimeout(ctx, leaseTimeout)
+	defer cancel()
+	asked := d.host.now()
+	lease, err := d.host.ports.Store.Grant(call, max(dutyLease, d.host.settings.LeaseFloor))
+	if err != nil {
+		d.log("duty_not_taken", "err", err)
+		d.vacant = d.host.now()
+		return
+	}
+	revision, err := d.host.ports.Store.Put(call, d.host.dutyKey(d.group.name), 0, []byte(d.host.settings.Host), lease)
+	if err != nil {
+		// Whether the entry was written or not, its lease ends now, and with it
+		// the entry: nobody acts under it.
+		d.log("duty_not_taken", "err", err)
+		d.vacant = d.host.now()
+		d.host.endLease(lease)
+		return
+	}
+	d.mu.Lock()
+	d.held, d.lease, d.token, d.since, d.renewed, d.ordered = true, lease, revision, d.host.now(), asked, ""
+	d.mu.Unlock()
+	d.vacant = time.Time{}
+	d.log("duty_taken", "token", revision)
+}
+
+func (d *duty) renew(ctx context.Context) {
+	asked := d.host.now()
+	err := d.host.renew(ctx, d.lease)
+	if errors.Is(err, ErrNoLease) {
+		d.giveUp("lease ended")
+		return
+	}
+	if err != nil {
+		d.log("duty_not_renewed", "age_ms", asked.Sub(d.renewed).Milliseconds(), "err", err)
+		return
+	}
+	d.mu.Lock()
+	d.renewed = asked
+	d.mu.Unlock()
+}
+
+func (d *duty) giveUp(why string) {
+	d.mu.Lock()
+	held, lease := d.held, d.lease
+	d.held = false
+	d.mu.Unlock()
+	if !held {
+		return
+	}
+	d.log("duty_lost", "why", why)
+	go d.host.endLease(lease)
+}
+
+// holds reports whether this host may order promotions. Where the platform checks
+// fencing tokens, a holder goes on while it can't renew: whoever takes over raises
+// the token first, and its own orders are refused from then on. That lets a
+// holder act while the store is down. Elsewhere only a running lease counts.
+func (d *duty) holds() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.held {
+		return false
+	}
+	return d.host.settings.PromotionTokens || d.host.now().Sub(d.renewed) < dutyLease-dutyRenewal
+}
+
+// renewToken takes a higher token for another decision.
+func (d *duty) renewToken(ctx context.Context) error {
+	d.mu.Lock()
+	token, lease := d.token, d.lease
+	d.mu.Unlock()
+	call, cancel := context.WithTimeout(ctx, leaseTimeout)
+	defer cancel()
+	revision, err := d.host.ports.Store.Put(call, d.host.dutyKey(d.group.name), token, []byte(d.host.settings.Host), lease)
+	if errors.Is(err, ErrConflict) || errors.Is(err, ErrNoLease) {
+		d.giveUp("entry changed")
+	}
+	if err != nil {
+		return errors.Wrap(err, "higher token")
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.token, d.ordered = revision, ""
+	return nil
+}
 
-func (h *Host) serveDuties(ctx context.Context) { <-ctx.Done() }
+func (d *duty) log(event string, fields ...any) {
+	d.group.log(event, fields...)
+}
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "github.com/pkg/errors"
+import (
+	"syscall"
+
+	"github.com/pkg/errors"
+)
 
 // Errors of the ports.
 var (
@@ -9,3 +13,9 @@
 	ErrNoLease   = errors.New("the lease has ended")
 	ErrFenced    = errors.New("a higher fencing token was used, or the member does not run")
 )
+
+// connectionRefused reports whether nothing listens at an address whose machine
+// answers: the process there has ended.
+func connectionRefused(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+}
--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -38,13 +38,15 @@
 	// searching is true while the members are asked who leads.
 	searching bool
 	controls  map[string]*control
+	// alarm wakes the holder of the group's duty when the primary is suspect.
+	alarm chan struct{}
 }
 
 func newGroup(name string, h *Host) *Group {
 	return &Group{
 		name: name, zone: h.settings.Zone, dialer: h.ports.Dialer, logger: log.With(h.logger, "group", name),
 		now: h.now, drainBound: h.settings.MemberDrain - leavingMargin,
-		members: map[string]*member{}, connections: 1, hosts: 1, controls: map[string]*control{},
+		members: map[string]*member{}, connections: 1, hosts: 1, controls: map[string]*control{}, alarm: make(chan struct{}, 1),
 	}
 }
 
@@ -139,6 +141,16 @@
 	}
 }
 
+// leaderMember returns the primary as believed, or the zero Member.
+func (g *Group) leaderMember() Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if m := g.members[g.leader]; m != nil {
+		return m.Member
+	}
+	return Member{}
+}
+
 // lostLeader records that the member answered that it does not lead.
 func (g *Group) lostLeader(id string) {
 	g.mu.Lock()
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -70,7 +70,6 @@
 	sessions atomic.Int64
 	stopping atomic.Bool
 	synced   atomic.Bool
-	duties   map[string]*duty
 }
 
 // NewHost returns a host that does not run yet. now reads a clock that goes on
@@ -78,7 +77,7 @@
 func NewHost(s Settings, p Ports, logger log.Logger, now func() time.Time) *Host {
 	return &Host{
 		settings: s, ports: p, logger: log.With(logger, "host", s.Host), now: now,
-		groups: map[string]*Group{}, items: map[string]Item{}, duties: map[string]*duty{},
+		groups: map[string]*Group{}, items: map[string]Item{},
 	}
 }
 
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -275,6 +275,10 @@
 	m.suspectUntil = now.Add(suspectTime)
 	if m.ID == g.leader {
 		go g.wantLeader()
+		select {
+		case g.alarm <- struct{}{}:
+		default:
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/gateway/promotion.go
@@ -0,0 +1,399 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"pearlatch/core/group"
+)
+
+const (
+	// watchPause is the pause between two questions to all members by the holder.
+	watchPause = 350 * time.Millisecond
+	// orderTimeout bounds an order to a member.
+	orderTimeout = 300 * time.Millisecond
+	// silentRounds is how many rounds a primary may leave unanswered. With
+	// orderTimeout it makes about 0.7 s of silence; a connection that is refused
+	// counts twice.
+	silentRounds = 2
+	// stuckTime is how long the replicas may receive nothing of what the primary
+	// has written until it counts as cut off from them.
+	stuckTime = 600 * time.Millisecond
+	// promoteTimeout bounds the call that orders a promotion.
+	promoteTimeout = 700 * time.Millisecond
+	// leadTimeout is how long a promoted member may take to lead.
+	leadTimeout = 2500 * time.Millisecond
+	// leadPoll is the pause between two looks at it.
+	leadPoll = 30 * time.Millisecond
+)
+
+// watcher is what the holder of a duty remembers between its rounds.
+type watcher struct {
+	*duty
+	// primary is the member that led last.
+	primary Member
+	// silent counts rounds without an answer of the primary.
+	silent int
+	// written is a position of the primary that no replica had received at
+	// writtenAt and has not since, or zero.
+	written   group.Position
+	writtenAt time.Time
+	raised    int64 // token under which the primary was confirmed to the platform
+}
+
+// watch looks after the group while this host holds the duty.
+func (d *duty) watch(ctx context.Context) {
+	w := &watcher{duty: d}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.group.alarm:
+		case <-time.After(watchPause):
+		}
+		if !d.holds() {
+			w.silent, w.written, w.primary = 0, group.Position{}, Member{}
+			continue
+		}
+		w.round(ctx)
+	}
+}
+
+// round asks all members and acts on the answers.
+func (w *watcher) round(ctx context.Context) {
+	answers := w.group.orderAll(w.group.list(), Probe{}, orderTimeout)
+	if w.group.adopt(answers) {
+		w.led(ctx, answers)
+		return
+	}
+	if w.primary.ID == "" {
+		w.primary = w.group.leaderMember()
+	}
+	w.silent += silence(w.primary, answers)
+	if w.silent >= silentRounds && w.settled() {
+		w.log("primary_lost", "member", w.primary.ID, "rounds", w.silent)
+		w.failover(ctx)
+	}
+}
+
+// silence returns how much a round without a primary says against the one before.
+func silence(primary Member, answers []answered) int {
+	for _, a := range answers {
+		if a.member.ID != primary.ID {
+			continue
+		}
+		switch {
+		case a.err == nil:
+			return silentRounds // it answers, and doesn't lead
+		case refusedByMember(a.err):
+			return 0 // it lives
+		case connectionRefused(a.err):
+			return silentRounds
+		}
+		return 1
+	}
+	return silentRounds // the platform no longer lists it
+}
+
+// refusedByMember reports whether the member itself answered with a refusal.
+func refusedByMember(err error) bool {
+	var f *Failure
+	return errors.As(err, &f)
+}
+
+// settled reports whether the duty has been held for long enough to order.
+func (w *watcher) settled() bool { return w.host.now().Sub(w.since) >= takeoverPause }
+
+// led acts on a round in which a primary answered.
+func (w *watcher) led(ctx context.Context, answers []answered) {
+	w.silent = 0
+	w.primary = w.group.leaderMember()
+	w.raise(ctx)
+	primary, replicas := split(w.primary.ID, answers)
+	w.releaseLeftovers(primary, replicas)
+	stuck := w.stuck(primary, replicas)
+	if !w.settled() {
+		return
+	}
+	switch {
+	case w.primary.Leaving:
+		w.handOver(ctx, replicas)
+	case stuck:
+		w.log("primary_cut_off", "member", w.primary.ID, "position", primary.status.Received)
+		w.failover(ctx)
+	}
+}
+
+// raise makes the platform refuse orders of earlier holders, by naming the
+// primary that leads anyway.
+func (w *watcher) raise(ctx context.Context) {
+	w.mu.Lock()
+	token := w.token
+	w.mu.Unlock()
+	if w.raised == token {
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, promoteTimeout)
+	defer cancel()
+	err := w.host.ports.Promoter.Promote(call, w.host.settings.Host, token, w.group.name, w.primary.ID)
+	if err != nil {
+		w.log("token_not_raised", "token", token, "err", err)
+		if errors.Is(err, ErrFenced) {
+			w.refused(ctx)
+		}
+		return
+	}
+	w.raised = token
+}
+
+// refused settles whether the duty is still ours after the platform refused its
+// token: only then a higher one is to be had.
+func (w *watcher) refused(ctx context.Context) {
+	if err := w.renewToken(ctx); err != nil {
+		w.log("duty_doubtful", "err", err)
+	}
+}
+
+func split(primary string, answers []answered) (answered, []answered) {
+	var p answered
+	var rest []answered
+	for _, a := range answers {
+		if a.member.ID == primary {
+			p = a
+			continue
+		}
+		rest = append(rest, a)
+	}
+	return p, rest
+}
+
+// stuck reports whether the replicas have received nothing of what the primary
+// wrote for too long: it waits for their acknowledgement, and so do its callers.
+func (w *watcher) stuck(primary answered, replicas []answered) bool {
+	var best group.Position
+	for _, r := range replicas {
+		if r.err == nil && r.status.Received.Compare(best) > 0 {
+			best = r.status.Received
+		}
+	}
+	now := w.host.now()
+	if w.written == (group.Position{}) || best.Compare(w.written) >= 0 {
+		w.written, w.writtenAt = group.Position{}, now
+		if primary.status.Received.Compare(best) > 0 {
+			w.written = primary.status.Received
+		}
+		return false
+	}
+	return now.Sub(w.writtenAt) > stuckTime
+}
+
+// releaseLeftovers ends fences that an earlier holder left behind.
+func (w *watcher) releaseLeftovers(primary answered, replicas []answered) {
+	var fenced []Member
+	for _, r := range replicas {
+		if r.err == nil && r.status.Fenced > primary.status.Term {
+			fenced = append(fenced, r.member)
+		}
+	}
+	if len(fenced) == 0 || !w.settled() {
+		return
+	}
+	w.log("fences_released", "members", len(fenced))
+	w.group.orderAll(fenced, Release{}, orderTimeout)
+}
+
+// failover promotes a replica in place of a primary that does not serve.
+func (w *watcher) failover(ctx context.Context) {
+	started := w.host.now()
+	members := w.group.list()
+	probes := w.group.orderAll(members, Probe{}, orderTimeout)
+	term := newest(probes) + 1
+	var replicas []Member
+	for _, m := range members {
+		if m.ID != w.primary.ID {
+			replicas = append(replicas, m)
+		}
+	}
+	demoted := make(chan group.Position, 1)
+	go func() { demoted <- w.demote(term) }()
+	fenced := w.group.orderAll(replicas, Fence{Term: term}, orderTimeout)
+	best, ok := group.Successor(<-demoted, standbys(fenced, true))
+	if !ok {
+		w.log("no_successor", "term", term, "answers", describe(fenced))
+		return
+	}
+	w.log("successor", "member", best.Member, "received", best.Received, "term", term,
+		"found_ms", w.host.now().Sub(started).Milliseconds())
+	w.promote(ctx, best.Member)
+}
+
+// demote makes the primary a replica, and returns the end of its log or the zero
+// position when it did not answer.
+func (w *watcher) demote(term group.Term) group.Position {
+	s, err := w.group.command(w.primary, Demote{Term: term}, orderTimeout)
+	if err != nil || s.Leads {
+		return group.Position{}
+	}
+	return s.Received
+}
+
+// standbys turns answers into what the choice of a successor needs.
+func standbys(answers []answered, fenced bool) []group.Standby {
+	out := make([]group.Standby, len(answers))
+	for i, a := range answers {
+		out[i] = group.Standby{
+			Member: a.member.ID, Answered: a.err == nil, Fenced: fenced && a.err == nil,
+			Received: a.status.Received, Leaving: a.member.Leaving,
+		}
+	}
+	return out
+}
+
+// describe lists answers for a log line.
+func describe(answers []answered) []string {
+	out := make([]string, len(answers))
+	for i, a := range answers {
+		out[i] = a.member.ID + " " + a.status.Received.String()
+		if a.err != nil {
+			out[i] = a.member.ID + " " + a.err.Error()
+		}
+	}
+	return out
+}
+
+// handOver replaces a leaving primary while it goes on serving: all replicas but
+// the successor are fenced, so that every write from then on is acknowledged by
+// the successor.
+func (w *watcher) handOver(ctx context.Context, replicas []answered) {
+	best, ok := heir(replicas)
+	if !ok {
+		w.log("no_heir", "answers", describe(replicas))
+		return
+	}
+	term := newest(replicas) + 1
+	var others []Member
+	for _, r := range replicas {
+		if r.member.ID != best.ID {
+			others = append(others, r.member)
+		}
+	}
+	fenced := w.group.orderAll(others, Fence{Term: term}, orderTimeout)
+	if !w.caughtUp(best, fenced) {
+		w.log("heir_behind", "member", best.ID, "answers", describe(fenced))
+		w.group.orderAll(others, Release{}, orderTimeout)
+		return
+	}
+	w.log("successor", "member", best.ID, "term", term, "planned", true)
+	w.promote(ctx, best.ID)
+}
+
+// heir returns the replica that takes over from a leaving primary.
+func heir(replicas []answered) (Member, bool) {
+	var best answered
+	for _, r := range replicas {
+		if r.err != nil || r.member.Leaving {
+			continue
+		}
+		if best.member.ID == "" || r.status.Received.Compare(best.status.Received) > 0 {
+			best = r
+		}
+	}
+	return best.member, best.member.ID != ""
+}
+
+// caughtUpRounds bounds the wait for the heir to receive what others had.
+const caughtUpRounds = 10
+
+// caughtUp reports whether the heir lacks nothing that the fenced replicas hold.
+func (w *watcher) caughtUp(heir Member, fenced []answered) bool {
+	for range caughtUpRounds {
+		s, err := w.group.command(heir, Probe{}, orderTimeout)
+		if err != nil {
+			return false
+		}
+		all := append(standbys(fenced, true), group.Standby{Member: heir.ID, Answered: true, Received: s.Received})
+		best, ok := group.Successor(group.Position{}, []group.Standby(all))
+		if ok && best.Member == heir.ID {
+			return true
+		}
+		time.Sleep(leadPoll)
+	}
+	return false
+}
+
+// promote orders the promotion and waits until the member leads.
+func (w *watcher) promote(ctx context.Context, id string) {
+	w.mu.Lock()
+	open := w.ordered
+	w.mu.Unlock()
+	if open != "" && open != id {
+		// An order for another member may still be carried out. A higher token
+		// makes the platform refuse it.
+		if err := w.renewToken(ctx); err != nil {
+			w.log("promotion_held_back", "member", id, "open", open, "err", err)
+			return
+		}
+	}
+	started := w.host.now()
+	for w.holds() && w.host.now().Sub(started) < leadTimeout {
+		if !w.order(ctx, id) {
+			return
+		}
+		if w.leads(id) {
+			w.log("promoted", "member", id, "took_ms", w.host.now().Sub(started).Milliseconds())
+			w.mu.Lock()
+			w.ordered = ""
+			w.mu.Unlock()
+			w.silent = 0
+			return
+		}
+	}
+	w.log("promotion_open", "member", id)
+}
+
+// order names the successor to the platform. It returns false when the order was
+// refused.
+func (w *watcher) order(ctx context.Context, id string) bool {
+	w.mu.Lock()
+	token := w.token
+	w.ordered = id
+	w.mu.Unlock()
+	call, cancel := context.WithTimeout(ctx, promoteTimeout)
+	defer cancel()
+	err := w.host.ports.Promoter.Promote(call, w.host.settings.Host, token, w.group.name, id)
+	if errors.Is(err, ErrFenced) {
+		w.log("promotion_refused", "member", id, "token", token, "err", err)
+		w.refused(ctx)
+		return false
+	}
+	if err != nil {
+		w.log("promotion_unanswered", "member", id, "token", token, "err", err)
+		return true
+	}
+	w.raised = token
+	return true
+}
+
+// leadRounds bounds one wait for a promoted member to lead; then the order is
+// given again, since it may have been lost.
+const leadRounds = 35
+
+// leads waits until the member leads.
+func (w *watcher) leads(id string) bool {
+	for range leadRounds {
+		for _, m := range w.group.list() {
+			if m.ID != id {
+				continue
+			}
+			asked := w.host.now()
+			s, err := w.group.command(m, Probe{}, orderTimeout)
+			if err == nil && w.group.adopt([]answered{{member: m, asked: asked, status: s}}) {
+				return true
+			}
+		}
+		time.Sleep(leadPoll)
+	}
+	return false
+}
