Bound work at members by windows, connections by allowances, and waits by the route

Ruled out: the processor (0.05 cores a host). Change: a window of statements a member (halved by refusals), an allowance of extra connections, a bounded wait, no promotion while the primary answers statements; a failover stops when another member than the presumed primary leads; an open order is repeated rather than replaced while its member lives.

--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -33,6 +33,8 @@
 	ticking            bool
 	// leader is the ID of the primary as believed, or empty.
 	leader string
+	// leaderTerm is the highest term in which a member was seen to lead.
+	leaderTerm group.Term
 	// ages samples the primary's position.
 	ages freshness.Ages
 	// searching is true while the members are asked who leads.
@@ -184,11 +186,28 @@
 	m.lacks, m.lacksAt = p, g.now()
 }
 
-// took records how long a statement took on the member.
-func (g *Group) took(m *member, d time.Duration) {
+// took records how long a statement that was sent at the given time took on the
+// member.
+func (g *Group) took(m *member, asked time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	m.observe(d)
+	m.heard = g.now()
+	m.observe(m.heard.Sub(asked))
+}
+
+// heardSince reports whether the member has answered anything since.
+func (g *Group) heardSince(id string, since time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m := g.members[id]
+	return m != nil && m.heard.After(since)
+}
+
+// seenTerm returns the highest term in which a member was seen to lead.
+func (g *Group) seenTerm() group.Term {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.leaderTerm
 }
 
 func (g *Group) log(event string, fields ...any) {
--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"pearlatch/core/group"
 )
 
@@ -49,12 +51,32 @@
 		c.conn = conn
 	}
 	s, err := c.conn.Control(timeout, o)
-	if err != nil {
+	for i := 0; i < busyRounds && isBusy(err); i++ {
+		time.Sleep(busyPause)
+		s, err = c.conn.Control(timeout, o)
+	}
+	if err != nil && !refusedByMember(err) {
 		c.close(g, m)
 	}
 	return s, err
 }
 
+// busyRounds is how often an order is given again to a member whose queue is
+// full.
+const busyRounds = 8
+
+// isBusy reports whether a member answered that it has no room.
+func isBusy(err error) bool {
+	var f *Failure
+	return errors.As(err, &f) && f.Code == Busy
+}
+
+// refusedByMember reports whether the member itself answered with a refusal.
+func refusedByMember(err error) bool {
+	var f *Failure
+	return errors.As(err, &f)
+}
+
 func (c *control) close(g *Group, m Member) {
 	if err := c.conn.Close(); err != nil {
 		g.log("member_close", "member", m.ID, "err", err)
@@ -149,6 +171,13 @@
 		return false
 	}
 	a := answers[best]
+	g.mu.Lock()
+	stale := a.status.Term < g.leaderTerm
+	g.leaderTerm = max(g.leaderTerm, a.status.Term)
+	g.mu.Unlock()
+	if stale {
+		return false
+	}
 	g.observe(a.asked, a.status.Received)
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -160,6 +189,14 @@
 	return true
 }
 
+// proven reports whether the primary was asked at or after the given time and led.
+// Its log then holds everything that was acknowledged before.
+func (g *Group) proven(since time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.ages.Latest().Before(since)
+}
+
 // verify asks over the connection whether its member leads now. Its log then
 // holds everything that was acknowledged before the question.
 func (g *Group) verify(p *pooled, timeout time.Duration) (bool, error) {
@@ -174,12 +211,12 @@
 	return s.Leads, nil
 }
 
-// newest returns the highest term among the answers.
+// newest returns the highest term among the answers in which a member led.
 func newest(answers []answered) group.Term {
 	var t group.Term
 	for _, a := range answers {
 		if a.err == nil {
-			t = max(t, a.status.Term, a.status.Fenced, a.status.Received.Term)
+			t = max(t, a.status.Term, a.status.Received.Term)
 		}
 	}
 	return t
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -15,8 +15,10 @@
 	// open counts connections, idle ones and those in use; dialing counts those
 	// being opened.
 	open, dialing int
-	running       int
-	latency       time.Duration
+	// running counts connections in use, active those of them on which a statement
+	// runs or is about to.
+	running, active int
+	latency         time.Duration
 	// fullUntil is when the member may be asked again for a connection after it
 	// had none left, or could not be reached.
 	fullUntil    time.Time
@@ -27,6 +29,12 @@
 	// gone is true when the platform no longer lists the member, or its address
 	// belongs to another one.
 	gone bool
+	// heard is when the member last answered a statement.
+	heard time.Time
+	// window is how many statements of this host may run there at once.
+	window window
+	// allowance is how many connections this host may open to it.
+	allowance allowance
 	// leavingAt is when the member was first listed as leaving.
 	leavingAt time.Time
 }
@@ -39,6 +47,8 @@
 	values map[string]string
 	shapes map[Shape]string
 	used   time.Time
+	// active is true while the connection counts in the member's active.
+	active bool
 }
 
 // usable reports whether the member may get new work.
@@ -55,7 +65,7 @@
 // cost predicts how long a read takes on the member.
 func (m *member) cost(zone string, leads bool, now time.Time) time.Duration {
 	return placement.Member{
-		Latency: m.latency, Running: m.running + m.dialing, SameZone: m.Zone == zone,
+		Latency: m.latency, Running: m.active + m.dialing, SameZone: m.Zone == zone,
 		Leads: leads, Suspect: now.Before(m.suspectUntil),
 	}.Cost()
 }
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -141,6 +141,10 @@
 		i++
 	}
 	wanted := map[*member]int{}
+	now := g.now()
+	for _, m := range g.order {
+		m.allowance.adjust(now, len(g.waiters) > 0 && len(m.idle) == 0 && m.open >= g.limit(m))
+	}
 	for _, w := range g.waiters {
 		if m := g.toOpen(w.need, wanted); m != nil {
 			wanted[m]++
@@ -166,7 +170,7 @@
 func (g *Group) pick(n need) *pooled {
 	now := g.now()
 	for {
-		best := g.best(n, now, func(m *member) bool { return len(m.idle) > 0 })
+		best := g.best(n, now, func(m *member) bool { return len(m.idle) > 0 && m.active < m.window.limit() })
 		if best == nil {
 			return nil
 		}
@@ -174,6 +178,8 @@
 		best.idle = best.idle[:len(best.idle)-1]
 		if p.conn.Alive() {
 			best.running++
+			best.active++
+			p.active = true
 			return p
 		}
 		best.open--
@@ -210,22 +216,12 @@
 
 // limit is how many connections this host may have to the member.
 func (g *Group) limit(m *member) int {
-	base := g.share()
-	if len(g.waiters) == 0 {
-		return base
-	}
-	return base + extraShare(g.connections, g.hosts)
+	return g.share() + m.allowance.extra
 }
 
-// share is the host's equal share of a member's connections, less what is set
-// apart for hosts that have more callers than others.
-func (g *Group) share() int { return max(1, g.connections/(max(1, g.hosts)+1)) }
-
-// extraShare is how many connections above its share a host with waiting
-// statements may open. The member turns hosts away when it has none left.
-func extraShare(connections, hosts int) int {
-	return max(1, connections/max(2, hosts))
-}
+// share is the host's equal share of a member's connections. One is set apart for
+// the holder of the group's duty.
+func (g *Group) share() int { return max(1, (g.connections-1)/max(1, g.hosts)) }
 
 // dial opens a connection to the member.
 func (g *Group) dial(m *member) {
@@ -263,6 +259,7 @@
 		g.log("member_replaced", "member", m.ID, "err", err)
 		m.gone = true
 	default:
+		m.allowance.full(now)
 		m.fullUntil = now.Add(fullRetry)
 	}
 }
@@ -287,6 +284,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p.member.running--
+	p.settle()
 	p.used = g.now()
 	if !p.member.usable() && p.member.ID != g.leader || p.member.gone {
 		p.member.open--
@@ -297,12 +295,43 @@
 	g.dispatch()
 }
 
+// settle records that no statement runs on the connection.
+func (p *pooled) settle() {
+	if p.active {
+		p.active = false
+		p.member.active--
+	}
+}
+
+// rest records that the connection is held by a transaction between statements.
+func (g *Group) rest(p *pooled) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p.settle()
+	g.dispatch()
+}
+
+// shed records that the member had no room for a statement.
+func (g *Group) shed(m *member) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m.window.shrink(g.now())
+}
+
+// grown records that the member ran a statement.
+func (g *Group) grown(m *member) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m.window.grow()
+}
+
 // discard closes a connection in place of giving it back. err is what went wrong
 // with the member, or nil.
 func (g *Group) discard(p *pooled, err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p.member.running--
+	p.settle()
 	p.member.open--
 	g.closeLater(p)
 	if err != nil {
--- a/internal/gateway/promotion.go
+++ b/internal/gateway/promotion.go
@@ -63,6 +63,7 @@
 
 // round asks all members and acts on the answers.
 func (w *watcher) round(ctx context.Context) {
+	started := w.host.now()
 	answers := w.group.orderAll(w.group.list(), Probe{}, orderTimeout)
 	if w.group.adopt(answers) {
 		w.led(ctx, answers)
@@ -71,6 +72,11 @@
 	if w.primary.ID == "" {
 		w.primary = w.group.leaderMember()
 	}
+	if w.group.heardSince(w.primary.ID, started) {
+		// It serves statements, and its queue is too full for questions.
+		w.silent = 0
+		return
+	}
 	w.silent += silence(w.primary, answers)
 	if w.silent >= silentRounds && w.settled() {
 		w.log("primary_lost", "member", w.primary.ID, "rounds", w.silent)
@@ -97,12 +103,6 @@
 	return silentRounds // the platform no longer lists it
 }
 
-// refusedByMember reports whether the member itself answered with a refusal.
-func refusedByMember(err error) bool {
-	var f *Failure
-	return errors.As(err, &f)
-}
-
 // settled reports whether the duty has been held for long enough to order.
 func (w *watcher) settled() bool { return w.host.now().Sub(w.since) >= takeoverPause }
 
@@ -208,8 +208,7 @@
 func (w *watcher) failover(ctx context.Context) {
 	started := w.host.now()
 	members := w.group.list()
-	probes := w.group.orderAll(members, Probe{}, orderTimeout)
-	term := newest(probes) + 1
+	term := max(newest(w.group.orderAll(members, Probe{}, orderTimeout)), w.group.seenTerm()) + 1
 	var replicas []Member
 	for _, m := range members {
 		if m.ID != w.primary.ID {
@@ -219,7 +218,12 @@
 	demoted := make(chan group.Position, 1)
 	go func() { demoted <- w.demote(term) }()
 	fenced := w.group.orderAll(replicas, Fence{Term: term}, orderTimeout)
-	best, ok := group.Successor(<-demoted, standbys(fenced, true))
+	end := <-demoted
+	if w.misled(fenced) {
+		w.log("failover_off", "why", "another member leads", "answers", describe(fenced))
+		return
+	}
+	best, ok := group.Successor(end, standbys(fenced, true))
 	if !ok {
 		w.log("no_successor", "term", term, "answers", describe(fenced))
 		return
@@ -229,6 +233,30 @@
 	w.promote(ctx, best.Member)
 }
 
+// misled reports whether the primary that is to be replaced is not the last one: a
+// member leads that it took for a replica, or one has led in a later term and can't
+// be told from a replica now. Replicas would then acknowledge to an unknown primary.
+func (w *watcher) misled(answers []answered) bool {
+	for _, a := range answers {
+		if a.err == nil && a.status.Leads {
+			w.group.adopt(answers)
+			return true
+		}
+	}
+	return newest(answers) > w.group.seenTerm() && silent(answers) > 0
+}
+
+// silent counts the members without an answer.
+func silent(answers []answered) int {
+	n := 0
+	for _, a := range answers {
+		if a.err != nil {
+			n++
+		}
+	}
+	return n
+}
+
 // demote makes the primary a replica, and returns the end of its log or the zero
 // position when it did not answer.
 func (w *watcher) demote(term group.Term) group.Position {
@@ -328,9 +356,14 @@
 	w.mu.Lock()
 	open := w.ordered
 	w.mu.Unlock()
+	if open != "" && open != id && w.answers(open) {
+		// The order for that member may be carried out at any moment. It lacks
+		// nothing, so it is ordered again.
+		id = open
+	}
 	if open != "" && open != id {
-		// An order for another member may still be carried out. A higher token
-		// makes the platform refuse it.
+		// That member is gone. A higher token makes the platform refuse the order,
+		// should it be carried out late.
 		if err := w.renewToken(ctx); err != nil {
 			w.log("promotion_held_back", "member", id, "open", open, "err", err)
 			return
@@ -353,6 +386,17 @@
 	w.log("promotion_open", "member", id)
 }
 
+// answers reports whether the member answers.
+func (w *watcher) answers(id string) bool {
+	for _, m := range w.group.list() {
+		if m.ID == id {
+			_, err := w.group.command(m, Probe{}, orderTimeout)
+			return err == nil || refusedByMember(err)
+		}
+	}
+	return false
+}
+
 // order names the successor to the platform. It returns false when the order was
 // refused.
 func (w *watcher) order(ctx context.Context, id string) bool {
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -194,7 +194,7 @@
 // again only while it has certainly not run, or when it only reads.
 func (s *Session) runSingle(ctx context.Context, r Request, w work) Reply {
 	for {
-		w.need.deadline = w.deadline
+		w.need.deadline = w.waitUntil()
 		p, err := w.group.acquire(ctx, w.need)
 		if err != nil {
 			return refuse(w)
@@ -203,13 +203,33 @@
 		if next == nil {
 			return reply
 		}
-		if !w.group.now().Before(w.deadline) {
+		if !w.group.now().Before(w.waitUntil()) {
 			return next.final(w)
 		}
 		next.pause(ctx)
 	}
 }
 
+const (
+	// waitShare of a statement's timeout may go by while it waits. A caller that
+	// is refused then still has time to try elsewhere: the users' callers give an
+	// operation up after 600 ms where the timeout is 800 ms.
+	waitShare = 0.35
+	// waitTargets is how many times the latency objective a statement may wait:
+	// beyond that its answer is of little use.
+	waitTargets = 1.5
+)
+
+// waitUntil returns until when the statement may wait without an offer.
+func (w *work) waitUntil() time.Time {
+	started := w.deadline.Add(-w.route.Timeout)
+	wait := time.Duration(waitShare * float64(w.route.Timeout))
+	if w.route.Target > 0 {
+		wait = min(wait, time.Duration(waitTargets*float64(w.route.Target)))
+	}
+	return started.Add(wait)
+}
+
 // retryAfter is when a refused caller may come back: about the time in which a
 // queue of a member's slots empties.
 const retryAfter = "retry_after_ms=50"
@@ -293,11 +313,15 @@
 // prove makes sure that the member leads, where the statement needs that and
 // would not find out by itself.
 func (s *Session) prove(w *work, p *pooled) *again {
-	if !w.verify {
+	if !w.verify || w.group.proven(w.need.arrived) {
 		return nil
 	}
 	leads, err := w.group.verify(p, w.deadline.Sub(w.group.now()))
 	switch {
+	case isBusy(err):
+		w.group.shed(p.member)
+		w.group.release(p)
+		return &again{wait: busyPause}
 	case err != nil:
 		w.group.discard(p, err)
 		return &again{}
@@ -337,9 +361,10 @@
 // judge decides what a member's answer means for a statement.
 func (s *Session) judge(w *work, p *pooled, asked time.Time, reply Reply) (Reply, *again) {
 	g := w.group
-	g.took(p.member, g.now().Sub(asked))
+	g.took(p.member, asked)
 	p.used = g.now()
 	if reply.Failure == nil {
+		g.grown(p.member)
 		if w.writes {
 			g.observe(asked, reply.Position)
 			s.raise(reply.Position)
@@ -350,6 +375,7 @@
 	next := &again{failure: reply.Failure}
 	switch reply.Failure.Code {
 	case Busy:
+		g.shed(p.member)
 		w.need.avoid = p.member.ID
 		next.wait = busyPause
 	case Lagging:
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -97,7 +97,7 @@
 	t := s.tx
 	w := &t.work
 	for {
-		w.need.deadline = w.deadline
+		w.need.deadline = w.waitUntil()
 		p, err := w.group.acquire(ctx, w.need)
 		if err != nil {
 			return &Failure{Aborted, "no connection in time, " + retryAfter}
@@ -107,7 +107,7 @@
 			t.conn = p
 			return nil
 		}
-		if !w.group.now().Before(w.deadline) {
+		if !w.group.now().Before(w.waitUntil()) {
 			return &Failure{Aborted, "no member could begin the transaction in time, " + retryAfter}
 		}
 		next.pause(ctx)
@@ -147,6 +147,7 @@
 	if !t.readOnly {
 		g.observe(asked, reply.Position)
 	}
+	g.rest(p)
 	return nil
 }
 
@@ -170,7 +171,7 @@
 		}
 		return s.failed(fail(Aborted, "the connection to "+p.member.ID+" failed, "+retryAfter)), nil
 	}
-	g.took(p.member, g.now().Sub(asked))
+	g.took(p.member, asked)
 	p.used = g.now()
 	reply := replies[len(replies)-1]
 	if reply.Failure == nil {
@@ -178,6 +179,7 @@
 		return reply, nil
 	}
 	if reply.Failure.Code == Busy && reply.State == InTransaction {
+		g.shed(p.member)
 		return Reply{}, &again{wait: busyPause}
 	}
 	if reply.Failure.Code == ReadOnly && !t.readOnly {
