Promote only replicas synced since the last departure; keep fences while an order is open

Change: a successor must have been seen with all of the primary's log since a member last left; an open order is given again and keeps its fences; a new holder releases fences after its token is raised; SIGHUP re-reads the settings. Lag is predicted from the position that a replica answered with.

--- a/cmd/pearlatch/gateway.go
+++ b/cmd/pearlatch/gateway.go
@@ -30,10 +30,10 @@
 		return &exitError{exitUsage, err}
 	}
 	logger := log.With(log.NewJSONLogger(log.NewSyncWriter(os.Stdout)), "ts", log.DefaultTimestampUTC)
-	return runGateway(s, logger)
+	return runGateway(s, c.Settings, logger)
 }
 
-func runGateway(s *platform.Settings, logger log.Logger) error {
+func runGateway(s *platform.Settings, path string, logger log.Logger) error {
 	dialer := platform.Dialer{Local: s.Callers.Addr(), Who: s.Gateway.Host}
 	h := gateway.NewHost(s.Gateway, gateway.Ports{
 		Dialer: dialer, Store: platform.NewStore(s.Store, dialer), Promoter: platform.NewPromoter(s.Promotions, dialer),
@@ -54,6 +54,9 @@
 	go serveUntilClosed(logger, "ready", func() error { return http.Serve(ready, platform.ReadyHandler(h.Ready)) })
 	stopped, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	go reloadOn(hup, path, logger)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -63,11 +66,23 @@
 	<-stopped.Done()
 	drainGateway(h, accept, s.Gateway.Grace)
 	cancel()
-	<-done
+	select {
+	case <-done:
+	case <-time.After(finishTime):
+	}
 	_ = level.Info(logger).Log("event", "stop", "host", s.Gateway.Host)
 	return nil
 }
 
+// reloadOn reads the settings again at each signal, and reports what is wrong with
+// them. Addresses and names hold until the process ends.
+func reloadOn(signals <-chan os.Signal, path string, logger log.Logger) {
+	for range signals {
+		_, err := platform.LoadSettings(path)
+		_ = level.Info(logger).Log("event", "reload", "settings", path, "err", err)
+	}
+}
+
 func serveUntilClosed(logger log.Logger, what string, serve func() error) {
 	if err := serve(); err != nil {
 		_ = level.Error(logger).Log("event", "listener_ended", "what", what, "err", err)
@@ -80,6 +95,8 @@
 	rotationTime = 2300 * time.Millisecond
 	// endMargin is kept between the end of the last session and that of the grace.
 	endMargin = 800 * time.Millisecond
+	// finishTime bounds what is given back to the store at the end.
+	finishTime = 300 * time.Millisecond
 	// drainPoll is the pause between two looks at what is left.
 	drainPoll = 50 * time.Millisecond
 )
--- a/core/group/successor.go
+++ b/core/group/successor.go
@@ -13,6 +13,9 @@
 	// Received is the end of the replica's log. It can't shrink, and can't grow
 	// while the replica is fenced.
 	Received Position
+	// Synced is true when the replica was seen to hold all of the primary's log after
+	// the last replica had left the group.
+	Synced bool
 	// Leaving replicas take their log with them and are not promoted.
 	Leaving bool
 }
@@ -22,7 +25,9 @@
 //
 // A write is acknowledged by the primary together with at least one replica. When
 // all replicas but one are fenced, that one has acknowledged, or received, all that
-// came later; so if its log reaches as far as theirs it lacks nothing. When the
+// came later; so if its log reaches as far as theirs it lacks nothing that replicas
+// still in the group acknowledged, and if it was synced, nothing that others had
+// acknowledged before they left with their logs. When the
 // primary itself was demoted at a position, a replica that holds that position lacks
 // nothing either, whatever the others do.
 //
@@ -58,6 +63,9 @@
 	if demoted != (Position{}) && replicas[i].Received.Compare(demoted) >= 0 {
 		return true
 	}
+	if !replicas[i].Synced {
+		return false
+	}
 	for j, r := range replicas {
 		if j == i {
 			continue
--- a/internal/gateway/duty.go
+++ b/internal/gateway/duty.go
@@ -43,8 +43,13 @@
 	since, renewed time.Time
 	// vacant is since when nobody has held the duty, or zero.
 	vacant time.Time
-	// ordered is the member named by an order under token whose outcome is open.
-	ordered string
+	// ordered is the member named by the last order, and orderedToken its token,
+	// until it is seen to lead. Empty means that no order is open.
+	ordered      string
+	orderedToken int64
+	// raised is the highest token that the platform has acknowledged: orders with
+	// lower ones are refused from then on.
+	raised int64
 }
 
 func (h *Host) dutyKey(group string) string { return h.ports.Keys.Own + "duty/" + group }
@@ -195,10 +200,34 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.token, d.ordered = revision, ""
+	d.token = revision
 	return nil
 }
 
+// openOrder returns the member that an order may still promote, or the empty string.
+func (d *duty) openOrder() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.raised > d.orderedToken {
+		return ""
+	}
+	return d.ordered
+}
+
+// acknowledged records that the platform has seen the token.
+func (d *duty) acknowledged(token int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.raised = max(d.raised, token)
+}
+
+// current reports whether the platform has seen the newest token.
+func (d *duty) current() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.raised == d.token
+}
+
 func (d *duty) log(event string, fields ...any) {
 	d.group.log(event, fields...)
 }
--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -40,6 +40,8 @@
 	// searching is true while the members are asked who leads.
 	searching bool
 	controls  map[string]*control
+	// departed is when a member last left the list, or the list was first read.
+	departed time.Time
 	// alarm wakes the holder of the group's duty when the primary is suspect.
 	alarm chan struct{}
 }
@@ -68,6 +70,9 @@
 func (g *Group) update(list []Member) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.departed.IsZero() {
+		g.departed = g.now()
+	}
 	listed := map[string]bool{}
 	for _, each := range list {
 		listed[each.ID] = true
@@ -109,6 +114,7 @@
 }
 
 func (g *Group) remove(m *member) {
+	g.departed = g.now()
 	g.log("member_gone", "member", m.ID, "leads", m.ID == g.leader)
 	m.gone = true
 	g.closeIdle(m)
@@ -179,11 +185,26 @@
 	return g.ages.Covering(at)
 }
 
-// lagged records that the member's log lacks a position.
-func (g *Group) lagged(m *member, p group.Position) {
+// lagged records that the member's log ends at a position that was not enough.
+func (g *Group) lagged(m *member, held group.Position) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	m.lacks, m.lacksAt = p, g.now()
+	now := g.now()
+	m.held, m.heldAt = held, now
+	pause := lagRetryMax
+	if since := g.ages.Since(held); !since.IsZero() {
+		pause = min(lagRetryMax, max(lagRetry, now.Sub(since)/lagRetryShare))
+	}
+	m.lacksUntil = now.Add(pause)
+}
+
+// applied records how far the member has applied the log.
+func (g *Group) applied(m *member, p group.Position) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if p.Compare(m.held) > 0 {
+		m.held, m.heldAt = p, g.now()
+	}
 }
 
 // took records how long a statement that was sent at the given time took on the
@@ -203,6 +224,13 @@
 	return m != nil && m.heard.After(since)
 }
 
+// lastDeparture returns when a member last left, as far as this host can know.
+func (g *Group) lastDeparture() time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.departed
+}
+
 // seenTerm returns the highest term in which a member was seen to lead.
 func (g *Group) seenTerm() group.Term {
 	g.mu.Lock()
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -23,9 +23,10 @@
 	// had none left, or could not be reached.
 	fullUntil    time.Time
 	suspectUntil time.Time
-	// lacks is a position that the member did not hold at lacksAt.
-	lacks   group.Position
-	lacksAt time.Time
+	// held is how far the member had applied the log at heldAt. Until lacksUntil
+	// it is not asked for more.
+	held               group.Position
+	heldAt, lacksUntil time.Time
 	// gone is true when the platform no longer lists the member, or its address
 	// belongs to another one.
 	gone bool
@@ -57,9 +58,9 @@
 // observe adds how long a statement took to the average.
 func (m *member) observe(d time.Duration) { m.latency = placement.Observe(m.latency, d) }
 
-// lacking reports whether the member is known not to hold the position.
+// lacking reports whether the member is believed not to hold the position.
 func (m *member) lacking(p group.Position, now time.Time) bool {
-	return now.Sub(m.lacksAt) < lagRetry && p.Compare(m.lacks) >= 0
+	return p.Compare(m.held) > 0 && now.Before(m.lacksUntil)
 }
 
 // cost predicts how long a read takes on the member.
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -12,9 +12,15 @@
 
 // Timing of a pool.
 const (
-	// lagRetry is how long a replica that lacked a position isn't asked for it
-	// again: a fraction of the replicas' usual lag of 60 ms.
+	// lagRetry is how long a replica that lacked a position isn't asked for more
+	// at least: a fraction of the replicas' usual lag of 60 ms.
 	lagRetry = 25 * time.Millisecond
+	// lagRetryShare is the part of a replica's lag for which it isn't asked for
+	// more. A replica that is ten seconds behind would otherwise refuse most
+	// statements first, each a round trip late.
+	lagRetryShare = 8
+	// lagRetryMax bounds that, since lag can end all at once.
+	lagRetryMax = 400 * time.Millisecond
 	// fullRetry is how long a member without a free connection is left alone: a
 	// few statements' time.
 	fullRetry = 60 * time.Millisecond
--- a/internal/gateway/promotion.go
+++ b/internal/gateway/promotion.go
@@ -40,12 +40,13 @@
 	// writtenAt and has not since, or zero.
 	written   group.Position
 	writtenAt time.Time
-	raised    int64 // token under which the primary was confirmed to the platform
+	// synced holds when each replica was last seen to hold all of the primary's log.
+	synced map[string]time.Time
 }
 
 // watch looks after the group while this host holds the duty.
 func (d *duty) watch(ctx context.Context) {
-	w := &watcher{duty: d}
+	w := &watcher{duty: d, synced: map[string]time.Time{}}
 	for {
 		select {
 		case <-ctx.Done():
@@ -110,31 +111,47 @@
 func (w *watcher) led(ctx context.Context, answers []answered) {
 	w.silent = 0
 	w.primary = w.group.leaderMember()
-	w.raise(ctx)
 	primary, replicas := split(w.primary.ID, answers)
-	w.releaseLeftovers(primary, replicas)
-	stuck := w.stuck(primary, replicas)
-	if !w.settled() {
+	w.noteSynced(primary, replicas)
+	if open := w.openOrder(); open != "" && open != w.primary.ID {
+		// The order may be carried out at any moment, so the fences that make it safe
+		// stay, and it is given again.
+		w.promote(ctx, open)
 		return
 	}
+	w.raise(ctx)
+	if !w.settled() || !w.current() {
+		return
+	}
+	w.releaseLeftovers(primary, replicas)
+	stuck := w.stuck(primary, replicas)
 	switch {
 	case w.primary.Leaving:
 		w.handOver(ctx, replicas)
 	case stuck:
-		w.log("primary_cut_off", "member", w.primary.ID, "position", primary.status.Received)
+		w.log("primary_cut_off", "member", w.primary.ID, "position", primary.status.Received, "answers", describe(replicas))
 		w.failover(ctx)
 	}
 }
 
+// noteSynced records which replicas hold all of the primary's log.
+func (w *watcher) noteSynced(primary answered, replicas []answered) {
+	for _, r := range replicas {
+		if r.err == nil && r.status.Received.Compare(primary.status.Received) >= 0 {
+			w.synced[r.member.ID] = primary.asked
+		}
+	}
+}
+
 // raise makes the platform refuse orders of earlier holders, by naming the
 // primary that leads anyway.
 func (w *watcher) raise(ctx context.Context) {
+	if w.current() {
+		return
+	}
 	w.mu.Lock()
 	token := w.token
 	w.mu.Unlock()
-	if w.raised == token {
-		return
-	}
 	call, cancel := context.WithTimeout(ctx, promoteTimeout)
 	defer cancel()
 	err := w.host.ports.Promoter.Promote(call, w.host.settings.Host, token, w.group.name, w.primary.ID)
@@ -145,7 +162,7 @@
 		}
 		return
 	}
-	w.raised = token
+	w.acknowledged(token)
 }
 
 // refused settles whether the duty is still ours after the platform refused its
@@ -174,6 +191,10 @@
 func (w *watcher) stuck(primary answered, replicas []answered) bool {
 	var best group.Position
 	for _, r := range replicas {
+		if refusedByMember(r.err) {
+			// It lives, and has no room to tell how far it is.
+			return false
+		}
 		if r.err == nil && r.status.Received.Compare(best) > 0 {
 			best = r.status.Received
 		}
@@ -197,7 +218,7 @@
 			fenced = append(fenced, r.member)
 		}
 	}
-	if len(fenced) == 0 || !w.settled() {
+	if len(fenced) == 0 {
 		return
 	}
 	w.log("fences_released", "members", len(fenced))
@@ -223,7 +244,7 @@
 		w.log("failover_off", "why", "another member leads", "answers", describe(fenced))
 		return
 	}
-	best, ok := group.Successor(end, standbys(fenced, true))
+	best, ok := group.Successor(end, w.standbys(fenced))
 	if !ok {
 		w.log("no_successor", "term", term, "answers", describe(fenced))
 		return
@@ -267,13 +288,15 @@
 	return s.Received
 }
 
-// standbys turns answers into what the choice of a successor needs.
-func standbys(answers []answered, fenced bool) []group.Standby {
+// standbys turns answers of fenced replicas into what the choice of a successor
+// needs.
+func (w *watcher) standbys(answers []answered) []group.Standby {
+	left := w.group.lastDeparture()
 	out := make([]group.Standby, len(answers))
 	for i, a := range answers {
 		out[i] = group.Standby{
-			Member: a.member.ID, Answered: a.err == nil, Fenced: fenced && a.err == nil,
-			Received: a.status.Received, Leaving: a.member.Leaving,
+			Member: a.member.ID, Answered: a.err == nil, Fenced: a.err == nil,
+			Received: a.status.Received, Leaving: a.member.Leaving, Synced: w.synced[a.member.ID].After(left),
 		}
 	}
 	return out
@@ -308,7 +331,7 @@
 		}
 	}
 	fenced := w.group.orderAll(others, Fence{Term: term}, orderTimeout)
-	if !w.caughtUp(best, fenced) {
+	if !w.caughtUp(ctx, best, fenced) {
 		w.log("heir_behind", "member", best.ID, "answers", describe(fenced))
 		w.group.orderAll(others, Release{}, orderTimeout)
 		return
@@ -335,46 +358,47 @@
 const caughtUpRounds = 10
 
 // caughtUp reports whether the heir lacks nothing that the fenced replicas hold.
-func (w *watcher) caughtUp(heir Member, fenced []answered) bool {
+func (w *watcher) caughtUp(ctx context.Context, heir Member, fenced []answered) bool {
 	for range caughtUpRounds {
 		s, err := w.group.command(heir, Probe{}, orderTimeout)
 		if err != nil {
 			return false
 		}
-		all := append(standbys(fenced, true), group.Standby{Member: heir.ID, Answered: true, Received: s.Received})
-		best, ok := group.Successor(group.Position{}, []group.Standby(all))
+		all := append(w.standbys(fenced), group.Standby{
+			Member: heir.ID, Answered: true, Received: s.Received,
+			Synced: w.synced[heir.ID].After(w.group.lastDeparture()),
+		})
+		best, ok := group.Successor(group.Position{}, all)
 		if ok && best.Member == heir.ID {
 			return true
 		}
-		time.Sleep(leadPoll)
+		if !sleep(ctx, leadPoll) {
+			return false
+		}
 	}
 	return false
 }
 
 // promote orders the promotion and waits until the member leads.
 func (w *watcher) promote(ctx context.Context, id string) {
-	w.mu.Lock()
-	open := w.ordered
-	w.mu.Unlock()
-	if open != "" && open != id && w.answers(open) {
-		// The order for that member may be carried out at any moment. It lacks
-		// nothing, so it is ordered again.
-		id = open
-	}
-	if open != "" && open != id {
-		// That member is gone. A higher token makes the platform refuse the order,
-		// should it be carried out late.
-		if err := w.renewToken(ctx); err != nil {
+	if open := w.openOrder(); open != "" && open != id {
+		if w.answers(open) {
+			// The order for that member may be carried out at any moment. It lacks
+			// nothing, so it is ordered again.
+			id = open
+		} else if err := w.renewToken(ctx); err != nil {
+			// That member is gone, but may come back and be promoted late: only a
+			// higher token makes the platform refuse that.
 			w.log("promotion_held_back", "member", id, "open", open, "err", err)
 			return
 		}
 	}
 	started := w.host.now()
-	for w.holds() && w.host.now().Sub(started) < leadTimeout {
+	for w.holds() && ctx.Err() == nil && w.host.now().Sub(started) < leadTimeout {
 		if !w.order(ctx, id) {
 			return
 		}
-		if w.leads(id) {
+		if w.leads(ctx, id) {
 			w.log("promoted", "member", id, "took_ms", w.host.now().Sub(started).Milliseconds())
 			w.mu.Lock()
 			w.ordered = ""
@@ -402,7 +426,7 @@
 func (w *watcher) order(ctx context.Context, id string) bool {
 	w.mu.Lock()
 	token := w.token
-	w.ordered = id
+	w.ordered, w.orderedToken = id, token
 	w.mu.Unlock()
 	call, cancel := context.WithTimeout(ctx, promoteTimeout)
 	defer cancel()
@@ -416,7 +440,7 @@
 		w.log("promotion_unanswered", "member", id, "token", token, "err", err)
 		return true
 	}
-	w.raised = token
+	w.acknowledged(token - 1)
 	return true
 }
 
@@ -425,7 +449,7 @@
 const leadRounds = 35
 
 // leads waits until the member leads.
-func (w *watcher) leads(id string) bool {
+func (w *watcher) leads(ctx context.Context, id string) bool {
 	for range leadRounds {
 		for _, m := range w.group.list() {
 			if m.ID != id {
@@ -437,7 +461,9 @@
 				return true
 			}
 		}
-		time.Sleep(leadPoll)
+		if !sleep(ctx, leadPoll) {
+			return false
+		}
 	}
 	return false
 }
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -362,6 +362,7 @@
 func (s *Session) judge(w *work, p *pooled, asked time.Time, reply Reply) (Reply, *again) {
 	g := w.group
 	g.took(p.member, asked)
+	g.applied(p.member, reply.Position)
 	p.used = g.now()
 	if reply.Failure == nil {
 		g.grown(p.member)
@@ -379,7 +380,7 @@
 		w.need.avoid = p.member.ID
 		next.wait = busyPause
 	case Lagging:
-		g.lagged(p.member, w.need.after)
+		g.lagged(p.member, reply.Position)
 	case ReadOnly:
 		g.lostLeader(p.member.ID)
 	case UnknownStatement:
