Demote a primary only when the fenced replicas don't tell, and let it lead again

Change: no cut without replicas; the primary is demoted only if fencing alone doesn't name a successor, and is itself named if nobody holds what it holds.

--- a/core/group/successor.go
+++ b/core/group/successor.go
@@ -31,10 +31,9 @@
 // primary itself was demoted at a position, a replica that holds that position lacks
 // nothing either, whatever the others do.
 //
-// demoted is the end of the primary's log after it was demoted, or the zero
-// position. Of equals the one with the lowest identifier is chosen, so that two
+// demoted is the end of the primary's log after it was demoted, or nil. Of equals the one with the lowest identifier is chosen, so that two
 // hosts that decide on the same answers order the same promotion.
-func Successor(demoted Position, replicas []Standby) (Standby, bool) {
+func Successor(demoted *Position, replicas []Standby) (Standby, bool) {
 	best := -1
 	for i, r := range replicas {
 		if !r.Answered || r.Leaving || !holdsAll(i, demoted, replicas) {
@@ -59,8 +58,8 @@
 }
 
 // holdsAll reports whether replica i certainly holds every acknowledged write.
-func holdsAll(i int, demoted Position, replicas []Standby) bool {
-	if demoted != (Position{}) && replicas[i].Received.Compare(demoted) >= 0 {
+func holdsAll(i int, demoted *Position, replicas []Standby) bool {
+	if demoted != nil && replicas[i].Received.Compare(*demoted) >= 0 {
 		return true
 	}
 	if !replicas[i].Synced {
--- a/internal/gateway/promotion.go
+++ b/internal/gateway/promotion.go
@@ -200,6 +200,9 @@
 		}
 	}
 	now := w.host.now()
+	if len(replicas) == 0 {
+		return false
+	}
 	if w.written == (group.Position{}) || best.Compare(w.written) >= 0 {
 		w.written, w.writtenAt = group.Position{}, now
 		if primary.status.Received.Compare(best) > 0 {
@@ -236,22 +239,36 @@
 			replicas = append(replicas, m)
 		}
 	}
-	demoted := make(chan group.Position, 1)
-	go func() { demoted <- w.demote(term) }()
 	fenced := w.group.orderAll(replicas, Fence{Term: term}, orderTimeout)
-	end := <-demoted
 	if w.misled(fenced) {
 		w.log("failover_off", "why", "another member leads", "answers", describe(fenced))
 		return
 	}
-	best, ok := group.Successor(end, w.standbys(fenced))
+	best, ok := w.successor(term, fenced)
 	if !ok {
 		w.log("no_successor", "term", term, "answers", describe(fenced))
 		return
 	}
-	w.log("successor", "member", best.Member, "received", best.Received, "term", term,
+	w.log("successor", "member", best, "term", term, "answers", describe(fenced),
 		"found_ms", w.host.now().Sub(started).Milliseconds())
-	w.promote(ctx, best.Member)
+	w.promote(ctx, best)
+}
+
+// successor returns the member to promote. The primary is demoted only when the
+// fenced replicas don't tell, since a group whose primary was demoted has none. If no
+// replica holds what it holds, it is itself the one to lead again.
+func (w *watcher) successor(term group.Term, fenced []answered) (string, bool) {
+	if best, ok := group.Successor(nil, w.standbys(fenced)); ok {
+		return best.Member, true
+	}
+	s, err := w.group.command(w.primary, Demote{Term: term}, orderTimeout)
+	if err != nil || s.Leads || s.Received.Term < newest(fenced) {
+		return "", false
+	}
+	if best, ok := group.Successor(&s.Received, w.standbys(fenced)); ok {
+		return best.Member, true
+	}
+	return w.primary.ID, !w.primary.Leaving
 }
 
 // misled reports whether the primary that is to be replaced is not the last one: a
@@ -278,16 +295,6 @@
 	return n
 }
 
-// demote makes the primary a replica, and returns the end of its log or the zero
-// position when it did not answer.
-func (w *watcher) demote(term group.Term) group.Position {
-	s, err := w.group.command(w.primary, Demote{Term: term}, orderTimeout)
-	if err != nil || s.Leads {
-		return group.Position{}
-	}
-	return s.Received
-}
-
 // standbys turns answers of fenced replicas into what the choice of a successor
 // needs.
 func (w *watcher) standbys(answers []answered) []group.Standby {
@@ -368,7 +375,7 @@
 			Member: heir.ID, Answered: true, Received: s.Received,
 			Synced: w.synced[heir.ID].After(w.group.lastDeparture()),
 		})
-		best, ok := group.Successor(group.Position{}, all)
+		best, ok := group.Successor(nil, all)
 		if ok && best.Member == heir.ID {
 			return true
 		}
