Serve the newest first while a queue stands; wait 1.2 latency objectives at most

Cause: replicas that lag by tens of seconds leave a group's reads to its primary; work comes faster than it is done, first-in-first-out made nearly all of it late.

--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"time"
 
@@ -137,14 +138,11 @@
 
 // dispatch gives idle connections to waiters, and opens more where it may.
 func (g *Group) dispatch() {
-	for i := 0; i < len(g.waiters); {
-		w := g.waiters[i]
+	for _, w := range g.servingOrder() {
 		if p := g.pick(w.need); p != nil {
 			w.got <- p
-			g.waiters = append(g.waiters[:i], g.waiters[i+1:]...)
-			continue
+			g.dequeue(w)
 		}
-		i++
 	}
 	wanted := map[*member]int{}
 	now := g.now()
@@ -164,6 +162,30 @@
 	}
 }
 
+// standingQueue is how long the oldest statement may have waited until newer ones of
+// its priority go first. While work comes faster than it is done, all would wait
+// until most are too late; newest first, those that are served are served in time.
+// The users' shortest latency objective is twice as long.
+const standingQueue = 50 * time.Millisecond
+
+// servingOrder returns the waiters in the order in which they are served: by
+// priority, then by arrival, or the other way round while a queue stands.
+func (g *Group) servingOrder() []*waiter {
+	out := slices.Clone(g.waiters)
+	now := g.now()
+	for from := 0; from < len(out); {
+		to := from + 1
+		for to < len(out) && out[to].need.priority == out[from].need.priority {
+			to++
+		}
+		if now.Sub(out[from].need.arrived) > standingQueue {
+			slices.Reverse(out[from:to])
+		}
+		from = to
+	}
+	return out
+}
+
 // eligible reports whether the member may serve the need now.
 func (g *Group) eligible(m *member, n need, now time.Time) bool {
 	if n.primary {
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -217,7 +217,7 @@
 	waitShare = 0.35
 	// waitTargets is how many times the latency objective a statement may wait:
 	// beyond that its answer is of little use.
-	waitTargets = 1.5
+	waitTargets = 1.2
 )
 
 // waitUntil returns until when the statement may wait without an offer.
