Open one connection at a time to a member

Cause: opening takes one of a member's slots (27 ms at Kestrel); when all hosts start again at once, statements wait behind the opening of every host's share.

--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -155,7 +155,7 @@
 		}
 	}
 	for m, n := range wanted {
-		for m.dialing < n && m.open+m.dialing < g.limit(m) {
+		for m.dialing < min(n, maxDialing) && m.open+m.dialing < g.limit(m) {
 			m.dialing++
 			go g.dial(m)
 		}
@@ -168,6 +168,11 @@
 // The users' shortest latency objective is twice as long.
 const standingQueue = 50 * time.Millisecond
 
+// maxDialing bounds the connections that a host opens to a member at once. Opening takes
+// one of the member's slots: when all hosts start again at once, statements would wait
+// behind the opening of every host's share.
+const maxDialing = 1
+
 // servingOrder returns the waiters in the order in which they are served: by
 // priority, then by arrival, or the other way round while a queue stands.
 func (g *Group) servingOrder() []*waiter {
