Log in the background and bounded; show counters, histograms and beliefs

Cause: log lines were written in the statement's own path, without a bound; nothing counted what a host does. Change: a logger with a queue and a rate an event, drops counted and reported; counters and latency histograms as Prometheus text, beliefs with their ages as JSON, on the metrics address.

--- a/cmd/pearlatch/gateway.go
+++ b/cmd/pearlatch/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"os"
@@ -12,9 +13,12 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
 
 	"pearlatch/internal/boottime"
+	"pearlatch/internal/eventlog"
 	"pearlatch/internal/gateway"
+	"pearlatch/io/operator"
 	"pearlatch/platform"
 )
 
@@ -29,15 +33,17 @@
 	if err != nil {
 		return &exitError{exitUsage, err}
 	}
-	logger := log.With(log.NewJSONLogger(log.NewSyncWriter(os.Stdout)), "ts", log.DefaultTimestampUTC)
-	return runGateway(s, c.Settings, logger)
+	lines := eventlog.New(os.Stdout, boottime.Now)
+	defer lines.Close()
+	return runGateway(s, c.Settings, log.With(lines, "ts", log.DefaultTimestampUTC), lines)
 }
 
-func runGateway(s *platform.Settings, path string, logger log.Logger) error {
+func runGateway(s *platform.Settings, path string, logger log.Logger, lines *eventlog.Logger) error {
+	registry := metrics.NewRegistry()
 	dialer := platform.Dialer{Local: s.Callers.Addr(), Who: s.Gateway.Host}
 	h := gateway.NewHost(s.Gateway, gateway.Ports{
 		Dialer: dialer, Store: platform.NewStore(s.Store, dialer), Promoter: platform.NewPromoter(s.Promotions, dialer),
-		Decode: platform.Decoder{}, Keys: platform.Keys,
+		Decode: platform.Decoder{}, Keys: platform.Keys, Metrics: registry,
 	}, logger, boottime.Now)
 	callers, err := net.Listen("tcp", s.Callers.String())
 	if err != nil {
@@ -47,6 +53,17 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for the ready question")
 	}
+	shown, err := net.Listen("tcp", s.Metrics.String())
+	if err != nil {
+		return errors.Wrap(err, "listen for metrics")
+	}
+	refresh := func() {
+		h.RefreshMetrics()
+		showDropped(registry, lines)
+	}
+	go serveUntilClosed(logger, "metrics", func() error {
+		return http.Serve(shown, operator.GatewayHandler(registry, refresh, h.Beliefs))
+	})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	accept := &platform.Callers{Host: h, Logger: logger}
@@ -62,7 +79,7 @@
 		defer close(done)
 		h.Run(ctx)
 	}()
-	_ = level.Info(logger).Log("event", "start", "host", s.Gateway.Host, "zone", s.Gateway.Zone)
+	_ = level.Info(logger).Log("event", "start", "metrics", s.Metrics, "host", s.Gateway.Host, "zone", s.Gateway.Zone)
 	<-stopped.Done()
 	drainGateway(h, accept, s.Gateway.Grace)
 	cancel()
@@ -74,6 +91,13 @@
 	return nil
 }
 
+// showDropped counts the log lines that were dropped among the metrics.
+func showDropped(r metrics.Registry, lines *eventlog.Logger) {
+	for event, n := range lines.Dropped() {
+		metrics.GetOrRegisterGauge(fmt.Sprintf("log_lines_dropped_total{event=%q}", event), r).Update(n)
+	}
+}
+
 // reloadOn reads the settings again at each signal, and reports what is wrong with
 // them. Addresses and names hold until the process ends.
 func reloadOn(signals <-chan os.Signal, path string, logger log.Logger) {
--- /dev/null
+++ b/internal/gateway/beliefs.go
@@ -0,0 +1,96 @@
+package gateway
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"pearlatch/core/group"
+)
+
+// Beliefs are what a host believes, with the ages of its beliefs.
+type Beliefs struct {
+	Host, Zone string
+	// Ready is true while callers are welcome, Stopping after the order to stop.
+	Ready, Stopping bool
+	Sessions        int64
+	// ConfigVersion is zero before the first configuration.
+	ConfigVersion int64
+	// StoreRevision is that of the newest change seen.
+	StoreRevision int64
+	Groups        []GroupState
+}
+
+// GroupState is what a host believes of a group.
+type GroupState struct {
+	Name string
+	// Primary is empty while nobody is known to lead.
+	Primary string
+	Term    group.Term
+	// Waiting is how many statements wait for a connection.
+	Waiting int
+	// SampleAge is how long ago the primary was last proven to lead, or negative.
+	SampleAge time.Duration
+	// Share is the host's share of each member's connections.
+	Share   int
+	Members []MemberState
+}
+
+// MemberState is what a host believes of a member.
+type MemberState struct {
+	ID, Zone                  string
+	Leaving, Missing, Suspect bool
+	// Held is the position that the member was last seen to have applied.
+	Held group.Position
+	// HeardAge is how long ago the member answered a statement, or negative.
+	HeardAge                          time.Duration
+	Connections, InUse, Running, Idle int
+	// Window is how many statements of this host may run there at once.
+	Window  int
+	Latency time.Duration
+}
+
+// Beliefs returns what the host believes now.
+func (h *Host) Beliefs() Beliefs {
+	h.mu.Lock()
+	out := Beliefs{
+		Host: h.settings.Host, Zone: h.settings.Zone, Ready: h.Ready(), Stopping: h.Stopping(),
+		Sessions: h.Sessions(), StoreRevision: h.revision,
+	}
+	if h.config != nil {
+		out.ConfigVersion = h.config.Version
+	}
+	h.mu.Unlock()
+	for _, g := range h.allGroups() {
+		out.Groups = append(out.Groups, g.state())
+	}
+	slices.SortFunc(out.Groups, func(a, b GroupState) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+func (g *Group) state() GroupState {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	out := GroupState{
+		Name: g.name, Primary: g.leader, Term: g.leaderTerm, Waiting: len(g.waiters),
+		SampleAge: age(now, g.ages.Latest()), Share: g.share(),
+	}
+	for _, m := range g.order {
+		out.Members = append(out.Members, MemberState{
+			ID: m.ID, Zone: m.Zone, Leaving: m.Leaving, Missing: !m.missingSince.IsZero(),
+			Suspect: now.Before(m.suspectUntil), Held: m.held, HeardAge: age(now, m.heard),
+			Connections: m.open, InUse: m.running, Running: m.active, Idle: len(m.idle),
+			Window: m.window.limit(), Latency: m.latency,
+		})
+	}
+	return out
+}
+
+// age returns how long ago at was, or a negative duration when it never was.
+func age(now, at time.Time) time.Duration {
+	if at.IsZero() {
+		return -1
+	}
+	return now.Sub(at)
+}
--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -19,6 +19,7 @@
 	dialer Dialer
 	logger log.Logger
 	now    func() time.Time
+	meters meters
 	// drainBound is how long a leaving primary may still get new work.
 	drainBound time.Duration
 
@@ -56,7 +57,7 @@
 func newGroup(name string, h *Host) *Group {
 	return &Group{
 		name: name, zone: h.settings.Zone, dialer: h.ports.Dialer, logger: log.With(h.logger, "group", name),
-		now: h.now, drainBound: h.settings.MemberDrain - leavingMargin,
+		now: h.now, meters: h.meters, drainBound: h.settings.MemberDrain - leavingMargin,
 		members: map[string]*member{}, connections: 1, hosts: 1, controls: map[string]*control{}, alarm: make(chan struct{}, 1),
 	}
 }
@@ -287,6 +288,7 @@
 	defer g.mu.Unlock()
 	m.heard = g.now()
 	m.observe(m.heard.Sub(asked))
+	g.meters.work(g.name, m.ID, m.ID == g.leader, m.heard.Sub(asked))
 }
 
 // heardSince reports whether the member has answered anything since.
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/rcrowley/go-metrics"
 )
 
 // Settings are what a host needs to know at its start.
@@ -34,6 +36,8 @@
 	// Decode reads what the platform wrote into the store.
 	Decode Decoder
 	Keys   Keys
+	// Metrics counts what the host does. Nil counts nothing.
+	Metrics metrics.Registry
 }
 
 // Decoder reads the values of the platform's keys.
@@ -59,6 +63,7 @@
 	ports    Ports
 	logger   log.Logger
 	now      func() time.Time
+	meters   meters
 
 	mu     sync.Mutex
 	config *Config
@@ -77,8 +82,10 @@
 // NewHost returns a host that does not run yet. now reads a clock that goes on
 // while the machine is suspended.
 func NewHost(s Settings, p Ports, logger log.Logger, now func() time.Time) *Host {
+	m := meters{p.Metrics}
+	p.Store = meteredStore{store: p.Store, meters: m, now: now}
 	return &Host{
-		settings: s, ports: p, logger: log.With(logger, "host", s.Host), now: now,
+		meters: m, settings: s, ports: p, logger: log.With(logger, "host", s.Host), now: now,
 		groups: map[string]*Group{}, items: map[string]Item{}, hostsSeen: map[string]time.Time{},
 	}
 }
@@ -172,6 +179,23 @@
 	_ = h.logger.Log(append([]any{"event", event}, fields...)...)
 }
 
+// RefreshMetrics brings the gauges up to date.
+func (h *Host) RefreshMetrics() {
+	s := h.Beliefs()
+	h.meters.set("sessions", s.Sessions)
+	h.meters.set("config_version", s.ConfigVersion)
+	for _, g := range s.Groups {
+		h.meters.set(fmt.Sprintf("waiting{group=%q}", g.Name), int64(g.Waiting))
+		h.meters.set(fmt.Sprintf("sample_age_milliseconds{group=%q}", g.Name), g.SampleAge.Milliseconds())
+		for _, m := range g.Members {
+			label := fmt.Sprintf("{group=%q,member=%q}", g.Name, m.ID)
+			h.meters.set("connections"+label, int64(m.Connections))
+			h.meters.set("connection_share"+label, int64(g.Share))
+			h.meters.set("window"+label, int64(m.Window))
+		}
+	}
+}
+
 // logFailure writes the line of a statement that failed.
 func (h *Host) logFailure(s *Session, r Request, arrived time.Time, f *Failure) {
 	h.log("statement_failed", "request", r.ID, "database", s.database, "code", f.Code, "detail", f.Detail,
--- /dev/null
+++ b/internal/gateway/meteredstore.go
@@ -0,0 +1,82 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// meteredStore counts and times the calls to a store.
+type meteredStore struct {
+	store  Store
+	meters meters
+	now    func() time.Time
+}
+
+var _ Store = meteredStore{}
+
+// meter records a call that began at started and ended with err.
+func (s meteredStore) meter(kind string, started time.Time, err error) {
+	result := "ok"
+	switch {
+	case err == nil:
+	case errors.Is(err, ErrConflict):
+		result = "conflict"
+	case errors.Is(err, ErrNoLease):
+		result = "no_lease"
+	case errors.Is(err, ErrCompacted):
+		result = "compacted"
+	default:
+		result = "failed"
+	}
+	s.meters.call(kind, result, s.now().Sub(started))
+}
+
+// List implements Store.
+func (s meteredStore) List(ctx context.Context, prefix string) (Snapshot, error) {
+	started := s.now()
+	out, err := s.store.List(ctx, prefix)
+	s.meter("list", started, err)
+	return out, err
+}
+
+// Watch implements Store.
+func (s meteredStore) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (Snapshot, error) {
+	started := s.now()
+	out, err := s.store.Watch(ctx, prefix, after, wait)
+	s.meter("watch", started, err)
+	return out, err
+}
+
+// Put implements Store.
+func (s meteredStore) Put(ctx context.Context, key string, revision int64, value []byte, lease int64) (int64, error) {
+	started := s.now()
+	out, err := s.store.Put(ctx, key, revision, value, lease)
+	s.meter("put", started, err)
+	return out, err
+}
+
+// Grant implements Store.
+func (s meteredStore) Grant(ctx context.Context, ttl time.Duration) (int64, error) {
+	started := s.now()
+	out, err := s.store.Grant(ctx, ttl)
+	s.meter("grant", started, err)
+	return out, err
+}
+
+// Renew implements Store.
+func (s meteredStore) Renew(ctx context.Context, lease int64) error {
+	started := s.now()
+	err := s.store.Renew(ctx, lease)
+	s.meter("renew", started, err)
+	return err
+}
+
+// End implements Store.
+func (s meteredStore) End(ctx context.Context, lease int64) error {
+	started := s.now()
+	err := s.store.End(ctx, lease)
+	s.meter("end", started, err)
+	return err
+}
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -81,6 +81,8 @@
 	}
 	timer := time.NewTimer(n.deadline.Sub(g.now()))
 	defer timer.Stop()
+	queued := g.now()
+	defer func() { g.meters.wait(g.name, g.now().Sub(queued)) }()
 	select {
 	case p := <-w.got:
 		return p, nil
--- a/internal/gateway/promotion.go
+++ b/internal/gateway/promotion.go
@@ -486,6 +486,7 @@
 			return
 		}
 		if w.leads(ctx, id) {
+			w.group.meters.promotion(w.group.name, "led", w.host.now().Sub(started))
 			w.log("promoted", "member", id, "took_ms", w.host.now().Sub(started).Milliseconds())
 			w.mu.Lock()
 			w.ordered = ""
@@ -495,6 +496,7 @@
 			return
 		}
 	}
+	w.group.meters.promotion(w.group.name, "open", w.host.now().Sub(started))
 	w.log("promotion_open", "member", id)
 }
 
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -69,12 +69,22 @@
 		reply = fail(Malformed, "not a statement")
 	}
 	reply.State = s.state
-	if reply.Failure != nil {
-		s.host.logFailure(s, r, arrived, reply.Failure)
-	}
+	s.note(r, arrived, reply)
 	return reply
 }
 
+// note counts a statement that was answered, and writes a line if it failed.
+func (s *Session) note(r Request, arrived time.Time, reply Reply) {
+	if reply.Failure == nil {
+		if reply.Signature != "" {
+			s.host.meters.statement(s.database, "served", s.host.now().Sub(arrived))
+		}
+		return
+	}
+	s.host.meters.statement(s.database, reply.Failure.Code.String(), s.host.now().Sub(arrived))
+	s.host.logFailure(s, r, arrived, reply.Failure)
+}
+
 func fail(c Code, detail string) Reply { return Reply{Failure: &Failure{Code: c, Detail: detail}} }
 
 // doBroken answers while a failed transaction waits for its end.
@@ -206,6 +216,7 @@
 		if !w.group.now().Before(w.waitUntil()) {
 			return next.final(w)
 		}
+		s.host.meters.retry(w.group.name, next.reason())
 		next.pause(ctx)
 	}
 }
@@ -259,6 +270,14 @@
 	}
 }
 
+// reason names why, for counting.
+func (a *again) reason() string {
+	if a.failure == nil {
+		return "moved"
+	}
+	return a.failure.Code.String()
+}
+
 func (a *again) final(w work) Reply {
 	if a.failure != nil {
 		return Reply{Failure: a.failure}
