Don't believe a replaced primary again; open replicas' connections for reads; test sessions

Cause: a primary that was replaced while cut off says that it leads; hosts believed it, were refused, asked again, in a loop without a pause. Reads stayed with the member whose connection was opened first, mostly the primary. The race detector found members' fields and the duty's times read without their locks. Change: a refusal disproves a member's word for that term; a read opens the connection it would rather have had; an instance's fixed fields are set once.

--- a/internal/gateway/duty.go
+++ b/internal/gateway/duty.go
@@ -150,13 +150,16 @@
 
 func (d *duty) renew(ctx context.Context) {
 	asked := d.host.now()
-	err := d.host.renew(ctx, d.lease)
+	d.mu.Lock()
+	lease, renewed := d.lease, d.renewed
+	d.mu.Unlock()
+	err := d.host.renew(ctx, lease)
 	if errors.Is(err, ErrNoLease) {
 		d.giveUp("lease ended")
 		return
 	}
 	if err != nil {
-		d.log("duty_not_renewed", "age_ms", asked.Sub(d.renewed).Milliseconds(), "err", err)
+		d.log("duty_not_renewed", "age_ms", asked.Sub(renewed).Milliseconds(), "err", err)
 		return
 	}
 	d.mu.Lock()
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -44,6 +44,9 @@
 	lagging bool // applies nothing
 	full    bool // its queue has no room
 	demoted int  // how often it was demoted
+	claims  bool // says that it leads, though it was replaced
+	running int
+	breaks  int // how many statements run before their connection breaks
 	conns   int
 	runs    []string // identifiers of callers' statements that ran
 	work    time.Duration
@@ -390,6 +393,7 @@
 	state  State
 	plain  bool // the transaction may write
 	values map[string]string
+	shapes map[string]Shape
 	closed bool
 }
 
@@ -447,7 +451,11 @@
 			m.demoted++
 		}
 	}
-	return Status{Leads: m.leads, Received: m.received, Term: m.term, Fenced: m.fenced, Connections: m.conns}, nil
+	s := Status{Leads: m.leads || m.claims, Received: m.received, Term: m.term, Fenced: m.fenced, Connections: m.conns, Running: m.running}
+	if m.lagging && !m.leads {
+		s.Lag = time.Minute
+	}
+	return s, nil
 }
 
 func (c *fakeConn) Do(timeout time.Duration, commands ...Command) ([]Reply, error) {
@@ -482,8 +490,13 @@
 			c.values = map[string]string{}
 		}
 		c.values[command.Name] = command.Value
+	case Define:
+		if c.shapes == nil {
+			c.shapes = map[string]Shape{}
+		}
+		c.shapes[command.Name] = command.Shape
 	case Reset:
-		c.values = nil
+		c.values, c.shapes = nil, nil
 	}
 	return Reply{Position: c.applied()}, nil
 }
@@ -515,17 +528,28 @@
 	if refused != nil {
 		return Reply{Failure: refused, Position: c.applied()}, nil
 	}
+	c.site.mu.Lock()
+	c.m.running++
+	c.site.mu.Unlock()
 	time.Sleep(min(work, timeout))
-	if work > timeout {
-		return Reply{}, context.DeadlineExceeded
-	}
 	c.site.mu.Lock()
+	c.m.running--
 	c.m.runs = append(c.m.runs, f.Request.ID)
+	broken := c.m.breaks > 0
+	if broken {
+		c.m.breaks--
+	}
 	c.site.mu.Unlock()
+	if work > timeout || broken {
+		return Reply{}, context.DeadlineExceeded
+	}
 	row := c.m.id
 	if v, ok := c.values["v"]; ok {
 		row += " v=" + v
 	}
+	if f.Name != "" {
+		row += " " + c.shapes[f.Name].Text
+	}
 	switch f.Request.Statement.(type) {
 	case Commit:
 		c.state = Idle
--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -103,12 +103,14 @@
 func (g *Group) updateMember(each Member) {
 	m := g.members[each.ID]
 	if m == nil {
-		m = &member{}
+		m = &member{Member: each}
+		m.Leads, m.Leaving = false, false
 		g.members[each.ID] = m
 		g.log("member_listed", "member", each.ID, "addr", each.Addr, "leads", each.Leads)
 	}
 	before := m.Member
-	m.Member = each
+	// An instance keeps all else for life, so the rest is read without the lock.
+	m.Leads, m.Leaving = each.Leads, each.Leaving
 	if !m.missingSince.IsZero() {
 		m.missingSince = time.Time{}
 		g.log("member_back", "member", each.ID)
@@ -206,6 +208,9 @@
 func (g *Group) lostLeader(id string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if m := g.members[id]; m != nil {
+		m.refusedTerm = max(m.term, g.leaderTerm)
+	}
 	if g.leader == id {
 		g.setLeader("", "refused")
 	}
--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -180,12 +180,26 @@
 	}
 }
 
+// disproved reports whether the member has refused a write in the term in which it says
+// that it leads. A primary that was replaced while it was cut off goes on to say so; to
+// believe it again and again would keep callers from the new one.
+func (g *Group) disproved(a answered) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m := g.members[a.member.ID]
+	if m == nil {
+		return false
+	}
+	m.term = max(m.term, a.status.Term)
+	return a.status.Term <= m.refusedTerm
+}
+
 // adopt takes over what the answers say of who leads. It returns false when none
 // of the members leads.
 func (g *Group) adopt(answers []answered) bool {
 	best := -1
 	for i, a := range answers {
-		if a.err != nil || !a.status.Leads {
+		if a.err != nil || !a.status.Leads || g.disproved(a) {
 			continue
 		}
 		if best < 0 || a.status.Term > answers[best].status.Term {
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -35,6 +35,9 @@
 	missingSince time.Time
 	// answered is when the member last answered an order.
 	answered time.Time
+	// term is the newest term in which the member said that it leads or follows, and
+	// refusedTerm the one in which it refused to be written to.
+	term, refusedTerm group.Term
 	// heard is when the member last answered a statement.
 	heard time.Time
 	// window is how many statements of this host may run there at once.
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -69,6 +69,7 @@
 func (g *Group) acquire(ctx context.Context, n need) (*pooled, error) {
 	g.mu.Lock()
 	if p := g.pick(n); p != nil {
+		g.openBetter(n, p.member)
 		g.mu.Unlock()
 		return p, nil
 	}
@@ -159,7 +160,7 @@
 	for m, n := range wanted {
 		for m.dialing < min(n, maxDialing) && m.open+m.dialing < g.limit(m) {
 			m.dialing++
-			go g.dial(m)
+			go g.dial(m, m.Member)
 		}
 	}
 }
@@ -231,6 +232,20 @@
 	})
 }
 
+// openBetter opens a connection to the member that would have been chosen if it had one
+// free. Otherwise reads would stay with the first member that a connection was opened
+// to, mostly the primary, until its connections run out.
+func (g *Group) openBetter(n need, chosen *member) {
+	now := g.now()
+	better := g.best(n, now, func(m *member) bool {
+		return m == chosen || m.dialing == 0 && len(m.idle) == 0 && m.open < g.share() && !now.Before(m.fullUntil)
+	})
+	if better != nil && better != chosen {
+		better.dialing++
+		go g.dial(better, better.Member)
+	}
+}
+
 func (g *Group) best(n need, now time.Time, has func(*member) bool) *member {
 	var best *member
 	var bestCost time.Duration
@@ -262,10 +277,10 @@
 const controlShare = 2
 
 // dial opens a connection to the member.
-func (g *Group) dial(m *member) {
+func (g *Group) dial(m *member, target Member) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
-	conn, err := g.dialer.Dial(ctx, m.Member)
+	conn, err := g.dialer.Dial(ctx, target)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m.dialing--
--- /dev/null
+++ b/internal/gateway/pool_test.go
@@ -0,0 +1,47 @@
+package gateway
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// Work comes faster than a member does it. Served in the order of arrival, every caller
+// waits until it is nearly too late. While a queue stands the newest goes first, but
+// never before work of a higher priority.
+func TestServingOrder(t *testing.T) {
+	now := time.UnixMilli(10_000)
+	g := &Group{now: func() time.Time { return now }, ticking: true}
+	add := func(name string, priority int, ago time.Duration) {
+		g.enqueue(&waiter{need: need{avoid: name, priority: priority, arrived: now.Add(-ago)}})
+	}
+	names := func() []string {
+		var out []string
+		for _, w := range g.servingOrder() {
+			out = append(out, w.need.avoid)
+		}
+		return out
+	}
+	add("label 1", 2, 40*time.Millisecond)
+	add("label 2", 2, 30*time.Millisecond)
+	add("save 1", 1, 10*time.Millisecond)
+	add("save 2", 1, 5*time.Millisecond)
+	if got, want := names(), []string{"save 1", "save 2", "label 1", "label 2"}; !slices.Equal(got, want) {
+		t.Errorf("a short queue is served as %v, want %v", got, want)
+	}
+	now = now.Add(standingQueue)
+	if got, want := names(), []string{"save 2", "save 1", "label 2", "label 1"}; !slices.Equal(got, want) {
+		t.Errorf("a standing queue is served as %v, want %v", got, want)
+	}
+}
+
+func TestShareNeverExceedsTheMembersConnections(t *testing.T) {
+	for _, c := range []struct{ connections, hosts, want int }{
+		{23, 8, 2}, {30, 7, 4}, {34, 68, 1}, {1, 1, 1}, {20, 0, 18},
+	} {
+		g := &Group{connections: c.connections, hosts: c.hosts}
+		if got := g.share(); got != c.want {
+			t.Errorf("share of %d connections over %d hosts is %d, want %d", c.connections, c.hosts, got, c.want)
+		}
+	}
+}
--- a/internal/gateway/promotion.go
+++ b/internal/gateway/promotion.go
@@ -129,7 +129,11 @@
 }
 
 // settled reports whether the duty has been held for long enough to order.
-func (w *watcher) settled() bool { return w.host.now().Sub(w.since) >= takeoverPause }
+func (w *watcher) settled() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.host.now().Sub(w.since) >= takeoverPause
+}
 
 // led acts on a round in which a primary answered.
 func (w *watcher) led(ctx context.Context, answers []answered) {
