--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -132,6 +132,9 @@
 	if h.config != nil && c.Version <= h.config.Version {
 		return
 	}
+	if h.config == nil {
+		close(h.configured)
+	}
 	h.config = c
 	h.log("config", "version", c.Version, "routes", len(c.Routes))
 	for name := range c.Groups {
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -74,6 +74,9 @@
 	// hostsSeen holds when each host's entry was last seen.
 	hostsSeen map[string]time.Time
 
+	// configured is closed with the first configuration.
+	configured chan struct{}
+
 	sessions atomic.Int64
 	stopping atomic.Bool
 	synced   atomic.Bool
@@ -86,7 +89,7 @@
 	p.Store = meteredStore{store: p.Store, meters: m, now: now}
 	return &Host{
 		meters: m, settings: s, ports: p, logger: log.With(logger, "host", s.Host), now: now,
-		groups: map[string]*Group{}, items: map[string]Item{}, hostsSeen: map[string]time.Time{},
+		groups: map[string]*Group{}, items: map[string]Item{}, hostsSeen: map[string]time.Time{}, configured: make(chan struct{}),
 	}
 }
 
@@ -115,6 +118,14 @@
 // Sessions returns the number of open sessions.
 func (h *Host) Sessions() int64 { return h.sessions.Load() }
 
+// AwaitConfig waits for the first configuration, at most for the given time.
+func (h *Host) AwaitConfig(atMost time.Duration) {
+	select {
+	case <-h.configured:
+	case <-time.After(atMost):
+	}
+}
+
 // TransactionIdle returns how long a transaction may rest between statements.
 func (h *Host) TransactionIdle() time.Duration {
 	h.mu.Lock()
