--- a/cmd/pearlatch/check.go
+++ b/cmd/pearlatch/check.go
@@ -9,6 +9,7 @@
 	"pearlatch/core/config"
 	"pearlatch/internal/host"
 	"pearlatch/internal/yamlmap"
+	"pearlatch/platform"
 )
 
 // checkCommand checks a file.
@@ -25,10 +26,14 @@
 		return &exitError{exitUsage, errors.Wrap(err, "check")}
 	}
 	kind := "configuration"
-	if isSettings(text) {
+	switch {
+	case isGatewaySettings(text):
+		kind = "settings of a gateway"
+		_, err = platform.ParseSettings(text)
+	case isSettings(text):
 		kind = "settings"
 		_, err = host.ParseSettings(text)
-	} else {
+	default:
 		_, err = config.Parse(text)
 	}
 	if err != nil {
@@ -38,6 +43,12 @@
 	return nil
 }
 
+// isGatewaySettings tells a gateway's settings, which name a promotion service.
+func isGatewaySettings(text []byte) bool {
+	var ignored yamlmap.Mistakes
+	return yamlmap.Parse(text, &ignored).Has("promotions")
+}
+
 // isSettings tells settings from a configuration document, which has a version.
 func isSettings(text []byte) bool {
 	var ignored yamlmap.Mistakes
--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -62,13 +62,13 @@
 	}
 	h.mu.Unlock()
 	for _, g := range h.allGroups() {
-		out.Groups = append(out.Groups, g.state())
+		out.Groups = append(out.Groups, g.beliefs())
 	}
 	slices.SortFunc(out.Groups, func(a, b GroupState) int { return cmp.Compare(a.Name, b.Name) })
 	return out
 }
 
-func (g *Group) state() GroupState {
+func (g *Group) beliefs() GroupState {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
@@ -87,6 +87,17 @@
 	return out
 }
 
+// usable returns how many members new statements may be sent to.
+func (g GroupState) usable() int {
+	n := 0
+	for _, m := range g.Members {
+		if !m.Leaving && !m.Missing && !m.Suspect {
+			n++
+		}
+	}
+	return n
+}
+
 // age returns how long ago at was, or a negative duration when it never was.
 func age(now, at time.Time) time.Duration {
 	if at.IsZero() {
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -207,10 +207,31 @@
 	}
 }
 
-// logFailure writes the line of a statement that failed.
+// logFailure writes the line of a statement that failed, with what decided it: the
+// configuration's version, the primary as believed, how long ago it was proven to lead,
+// and how many statements waited for a connection of the group.
 func (h *Host) logFailure(s *Session, r Request, arrived time.Time, f *Failure) {
-	h.log("statement_failed", "request", r.ID, "database", s.database, "code", f.Code, "detail", f.Detail,
-		"took_ms", h.now().Sub(arrived).Milliseconds(), "state", s.state)
+	fields := []any{
+		"request", r.ID, "database", s.database, "code", f.Code, "detail", f.Detail,
+		"took_ms", h.now().Sub(arrived).Milliseconds(), "state", s.state,
+	}
+	route, g, unknown := h.route(s.database)
+	if unknown == nil {
+		b := g.beliefs()
+		fields = append(fields, "config_version", h.configVersion(), "group", route.Group, "primary", b.Primary,
+			"proof_age_ms", b.SampleAge.Milliseconds(), "waiting", b.Waiting, "usable_members", b.usable())
+	}
+	h.log("statement_failed", fields...)
+}
+
+// configVersion returns the version of the configuration in force.
+func (h *Host) configVersion() int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.config == nil {
+		return 0
+	}
+	return h.config.Version
 }
 
 // logOffer writes the line of a statement whose offer to a member failed.
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -20,6 +20,8 @@
 	tx       *transaction
 	// mark is the position of the session's last write.
 	mark group.Position
+	// last is the identifier of the newest request.
+	last string
 }
 
 // Open starts a session with a database, or returns a *Failure.
@@ -35,17 +37,25 @@
 func (s *Session) Close() {
 	s.host.sessions.Add(-1)
 	if s.tx != nil {
+		s.host.log("caller_left", "request", s.last, "database", s.database, "group", s.tx.work.group.name,
+			"transaction_ms", s.host.now().Sub(s.tx.started).Milliseconds(), "outcome", "rolled back")
 		s.tx.rollback()
 		s.tx = nil
 	}
 }
 
+// Unheard records that the answer to the newest request could not be delivered.
+func (s *Session) Unheard() {
+	s.host.log("answer_undelivered", "request", s.last, "database", s.database)
+}
+
 // State returns the transaction status.
 func (s *Session) State() State { return s.state }
 
 // Do runs a statement and returns the answer for the caller.
 func (s *Session) Do(ctx context.Context, r Request) Reply {
 	arrived := s.host.now()
+	s.last = r.ID
 	if s.state == Broken {
 		return s.doBroken(r)
 	}
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -67,7 +67,7 @@
 
 // Expire rolls back a transaction that rested for too long.
 func (s *Session) Expire() {
-	s.host.log("transaction_expired", "database", s.database)
+	s.host.log("transaction_expired", "request", s.last, "database", s.database, "bound_ms", s.host.TransactionIdle().Milliseconds())
 	s.failed(Reply{})
 }
 
