--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -656,7 +657,7 @@
 	})
 }
 
-var serial int
+var serial atomic.Int64
 
 // do runs a statement on a new session, as callers with one operation do.
 func do(h *Host, st Statement) Reply {
@@ -669,8 +670,7 @@
 }
 
 func on(s *Session, st Statement) Reply {
-	serial++
-	return s.Do(context.Background(), Request{ID: fmt.Sprint("q", serial), Statement: st})
+	return s.Do(context.Background(), Request{ID: fmt.Sprint("q", serial.Add(1)), Statement: st})
 }
 
 // testLogger shows the host's log lines when PEARLATCH_TEST_LOG is set.
