Split the gateway's large files by what they do; read entries once; reload settings

Change: moved declarations, no behaviour; entries are decoded once a revision; a line asks for its inputs alone; the drain bound of members follows the settings file, which is looked at every two seconds and at SIGHUP.

--- a/cmd/pearlatch/gateway.go
+++ b/cmd/pearlatch/gateway.go
@@ -62,18 +62,18 @@
 		showDropped(registry, lines)
 	}
 	go serveUntilClosed(logger, "metrics", func() error {
-		return http.Serve(shown, operator.GatewayHandler(registry, refresh, h.Beliefs))
+		return serveHTTP(shown, operator.GatewayHandler(registry, refresh, h.Beliefs))
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	accept := &platform.Callers{Host: h, Logger: logger}
 	go serveUntilClosed(logger, "callers", func() error { return accept.Serve(callers) })
-	go serveUntilClosed(logger, "ready", func() error { return http.Serve(ready, platform.ReadyHandler(h.Ready)) })
+	go serveUntilClosed(logger, "ready", func() error { return serveHTTP(ready, platform.ReadyHandler(h.Ready)) })
 	stopped, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
-	go reloadOn(hup, path, logger)
+	go reloadOn(hup, path, h, logger)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -98,15 +98,47 @@
 	}
 }
 
-// reloadOn reads the settings again at each signal, and reports what is wrong with
-// them. Addresses and names hold until the process ends.
-func reloadOn(signals <-chan os.Signal, path string, logger log.Logger) {
-	for range signals {
-		_, err := platform.LoadSettings(path)
+// reloadPoll is the pause between two looks at the settings file, which may change
+// without a signal.
+const reloadPoll = 2 * time.Second
+
+// reloadOn reads the settings again at each signal and when the file has changed. A
+// file with mistakes changes nothing. Addresses and names hold until the process ends.
+func reloadOn(signals <-chan os.Signal, path string, h *gateway.Host, logger log.Logger) {
+	read := modified(path)
+	for {
+		select {
+		case <-signals:
+		case <-time.After(reloadPoll):
+			if modified(path).Equal(read) {
+				continue
+			}
+		}
+		read = modified(path)
+		s, err := platform.LoadSettings(path)
+		if err == nil {
+			h.Reload(s.Gateway)
+		}
 		_ = level.Info(logger).Log("event", "reload", "settings", path, "err", err)
 	}
 }
 
+// modified returns when the file was changed last, or the zero time if it is missing.
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
+
+// headerTimeout bounds how long a client may take to send its headers.
+const headerTimeout = 5 * time.Second
+
+func serveHTTP(lis net.Listener, handler http.Handler) error {
+	return (&http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}).Serve(lis)
+}
+
 func serveUntilClosed(logger log.Logger, what string, serve func() error) {
 	if err := serve(); err != nil {
 		_ = level.Error(logger).Log("event", "listener_ended", "what", what, "err", err)
--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -87,15 +87,21 @@
 	return out
 }
 
-// usable returns how many members new statements may be sent to.
-func (g GroupState) usable() int {
-	n := 0
-	for _, m := range g.Members {
-		if !m.Leaving && !m.Missing && !m.Suspect {
-			n++
+// inputs returns what a line says about the decision on a statement of the group.
+func (g *Group) inputs() []any {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	usable := 0
+	for _, m := range g.order {
+		if m.usable(now) && now.After(m.suspectUntil) {
+			usable++
 		}
 	}
-	return n
+	return []any{
+		"primary", g.leader, "proof_age_ms", age(now, g.ages.Latest()).Milliseconds(),
+		"waiting", len(g.waiters), "usable_members", usable,
+	}
 }
 
 // age returns how long ago at was, or a negative duration when it never was.
--- /dev/null
+++ b/internal/gateway/fakeconn_test.go
@@ -0,0 +1,249 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"pearlatch/core/group"
+)
+
+func (s *fakeSite) Dial(ctx context.Context, m Member) (Conn, error) {
+	s.mu.Lock()
+	f := s.member(m.ID)
+	crashed, silent, full := f.crashed, f.silent, f.conns >= s.cap
+	s.mu.Unlock()
+	switch {
+	case crashed:
+		return nil, errors.WithStack(syscall.ECONNREFUSED)
+	case silent:
+		<-ctx.Done()
+		return nil, ctx.Err()
+	case full:
+		return nil, &Failure{TooMany, m.ID}
+	}
+	time.Sleep(10 * time.Millisecond)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f.conns++
+	s.peak = max(s.peak, f.conns)
+	return &fakeConn{site: s, m: f}, nil
+}
+
+type fakeConn struct {
+	site   *fakeSite
+	m      *fakeMember
+	state  State
+	plain  bool // the transaction may write
+	values map[string]string
+	shapes map[string]Shape
+	closed bool
+}
+
+func (c *fakeConn) Alive() bool {
+	c.site.mu.Lock()
+	defer c.site.mu.Unlock()
+	return !c.m.crashed
+}
+
+func (c *fakeConn) Close() error {
+	c.site.mu.Lock()
+	defer c.site.mu.Unlock()
+	if !c.closed {
+		c.closed = true
+		c.m.conns--
+	}
+	return nil
+}
+
+// answerless waits as a call does whose answer never comes.
+func (c *fakeConn) answerless(timeout time.Duration) error {
+	c.site.mu.Lock()
+	crashed, silent := c.m.crashed, c.m.silent
+	c.site.mu.Unlock()
+	if crashed {
+		return errors.WithStack(syscall.ECONNRESET)
+	}
+	if silent {
+		time.Sleep(timeout)
+		return context.DeadlineExceeded
+	}
+	return nil
+}
+
+func (c *fakeConn) Control(timeout time.Duration, o Order) (Status, error) {
+	if err := c.answerless(timeout); err != nil {
+		return Status{}, err
+	}
+	c.site.mu.Lock()
+	defer c.site.mu.Unlock()
+	m := c.m
+	if m.full {
+		return Status{}, &Failure{Busy, m.id}
+	}
+	switch o := o.(type) {
+	case Fence:
+		if !m.leads && o.Term > m.term {
+			m.fenced = o.Term
+		}
+	case Release:
+		m.fenced = 0
+	case Demote:
+		if m.leads && o.Term > m.term {
+			m.leads = false
+			m.demoted++
+		}
+	}
+	s := Status{Leads: m.leads || m.claims, Received: m.received, Term: m.term, Fenced: m.fenced, Connections: m.conns, Running: m.running}
+	if m.lagging && !m.leads {
+		s.Lag = time.Minute
+	}
+	return s, nil
+}
+
+func (c *fakeConn) Do(timeout time.Duration, commands ...Command) ([]Reply, error) {
+	var out []Reply
+	for _, each := range commands {
+		if err := c.answerless(timeout); err != nil {
+			return out, err
+		}
+		r, err := c.run(timeout, each)
+		if err != nil {
+			return out, err
+		}
+		r.State = c.state
+		if r.Failure != nil && c.state == InTransaction {
+			c.state, r.State = Broken, Broken
+		}
+		out = append(out, r)
+	}
+	return out, nil
+}
+
+func (c *fakeConn) run(timeout time.Duration, command Command) (Reply, error) {
+	switch command := command.(type) {
+	case Forward:
+		return c.forward(timeout, command)
+	case Open:
+		return c.open(command), nil
+	case Abort:
+		c.state = Idle
+	case Assign:
+		if c.values == nil {
+			c.values = map[string]string{}
+		}
+		c.values[command.Name] = command.Value
+	case Define:
+		if c.shapes == nil {
+			c.shapes = map[string]Shape{}
+		}
+		c.shapes[command.Name] = command.Shape
+	case Reset:
+		c.values, c.shapes = nil, nil
+	}
+	return Reply{Position: c.applied()}, nil
+}
+
+func (c *fakeConn) applied() group.Position {
+	c.site.mu.Lock()
+	defer c.site.mu.Unlock()
+	return c.m.applied
+}
+
+func (c *fakeConn) open(o Open) Reply {
+	c.site.mu.Lock()
+	defer c.site.mu.Unlock()
+	if !o.ReadOnly && !c.m.leads {
+		return Reply{Failure: &Failure{ReadOnly, c.m.id}}
+	}
+	if o.After.Compare(c.m.applied) > 0 {
+		return Reply{Failure: &Failure{Lagging, c.m.id}, Position: c.m.applied}
+	}
+	c.state, c.plain = InTransaction, !o.ReadOnly
+	return Reply{Position: c.m.applied}
+}
+
+func (c *fakeConn) forward(timeout time.Duration, f Forward) (Reply, error) {
+	c.site.mu.Lock()
+	refused := c.refuse(f)
+	work := c.m.work
+	c.site.mu.Unlock()
+	if refused != nil {
+		return Reply{Failure: refused, Position: c.applied()}, nil
+	}
+	c.site.mu.Lock()
+	c.m.running++
+	c.site.mu.Unlock()
+	time.Sleep(min(work, timeout))
+	c.site.mu.Lock()
+	c.m.running--
+	c.m.runs = append(c.m.runs, f.Request.ID)
+	broken := c.m.breaks > 0
+	if broken {
+		c.m.breaks--
+	}
+	c.site.mu.Unlock()
+	if work > timeout || broken {
+		return Reply{}, context.DeadlineExceeded
+	}
+	row := c.m.id
+	if v, ok := c.values["v"]; ok {
+		row += " v=" + v
+	}
+	if f.Name != "" {
+		row += " " + c.shapes[f.Name].Text
+	}
+	switch f.Request.Statement.(type) {
+	case Commit:
+		c.state = Idle
+		return c.commit(timeout)
+	case Write:
+		if c.state == Idle {
+			return c.commit(timeout)
+		}
+	}
+	return Reply{Rows: []string{row}, Signature: "by " + c.m.id, Position: c.applied()}, nil
+}
+
+func (c *fakeConn) refuse(f Forward) *Failure {
+	_, writes := f.Request.Statement.(Write)
+	switch {
+	case c.m.full:
+		return &Failure{Busy, c.m.id}
+	case f.After.Compare(c.m.applied) > 0:
+		return &Failure{Lagging, c.m.id}
+	case !c.m.leads && (writes || c.state == InTransaction && c.plain):
+		return &Failure{ReadOnly, c.m.id}
+	}
+	return nil
+}
+
+// commit writes a record and waits until a replica has received it.
+func (c *fakeConn) commit(timeout time.Duration) (Reply, error) {
+	c.site.mu.Lock()
+	defer c.site.mu.Unlock()
+	m := c.m
+	m.received = group.Position{Term: m.term, LSN: m.received.LSN + 1}
+	m.applied = m.received
+	acknowledged := false
+	for _, o := range c.site.members {
+		if o == m || o.crashed || o.deaf || o.silent || o.fenced > m.term {
+			continue
+		}
+		o.received, acknowledged = m.received, true
+		if !o.lagging {
+			o.applied = m.received
+		}
+	}
+	if !acknowledged {
+		c.site.mu.Unlock()
+		time.Sleep(timeout)
+		c.site.mu.Lock()
+		return Reply{}, context.DeadlineExceeded
+	}
+	c.site.history = append(c.site.history, fmt.Sprint(m.received.Term, " ", m.received.LSN))
+	return Reply{Signature: "by " + m.id, Position: m.received}, nil
+}
--- /dev/null
+++ b/internal/gateway/fakesite_test.go
@@ -0,0 +1,272 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"pearlatch/core/freshness"
+	"pearlatch/core/group"
+)
+
+const (
+	testGroup    = "lessons"
+	testDatabase = "booking"
+	// workTime is how long a fake member works on a statement.
+	workTime = 5 * time.Millisecond
+	// promoteTime is how long a fake promotion takes.
+	promoteTime = 300 * time.Millisecond
+)
+
+// fakeMember is a member whose replication is synchronous: a write is acknowledged
+// once another member has received it.
+type fakeMember struct {
+	id       string
+	leads    bool
+	term     group.Term
+	received group.Position
+	// applied trails received while lagging is true.
+	applied group.Position
+	fenced  group.Term
+	crashed bool // connections are refused
+	silent  bool // nothing is answered
+	deaf    bool // receives nothing
+	lagging bool // applies nothing
+	full    bool // its queue has no room
+	demoted int  // how often it was demoted
+	claims  bool // says that it leads, though it was replaced
+	running int
+	breaks  int // how many statements run before their connection breaks
+	conns   int
+	runs    []string // identifiers of callers' statements that ran
+	work    time.Duration
+}
+
+// fakeSite is a group of members with the platform's store and promotions.
+type fakeSite struct {
+	mu      sync.Mutex
+	members []*fakeMember
+	cap     int
+	peak    int // connections to one member at once
+	// items and revision are the store's.
+	items    map[string]Item
+	revision int64
+	changed  chan struct{}
+	leases   map[int64]time.Time
+	keyLease map[string]int64
+	down     bool // the store answers nothing
+	// tokens holds the highest token of a promotion; late holds back orders.
+	token   int64
+	orders  []string
+	late    time.Duration
+	history []string // acknowledged writes
+}
+
+func newFakeSite(ids ...string) *fakeSite {
+	s := &fakeSite{
+		cap: 20, items: map[string]Item{}, changed: make(chan struct{}),
+		leases: map[int64]time.Time{}, keyLease: map[string]int64{},
+	}
+	for i, id := range ids {
+		p := group.Position{Term: 1, LSN: 1}
+		s.members = append(s.members, &fakeMember{id: id, leads: i == 0, term: 1, received: p, applied: p, work: workTime})
+	}
+	s.put("config", []byte("1"), 0)
+	for _, m := range s.members {
+		s.list(m.id, "ready")
+	}
+	return s
+}
+
+func (s *fakeSite) member(id string) *fakeMember {
+	for _, m := range s.members {
+		if m.id == id {
+			return m
+		}
+	}
+	return nil
+}
+
+// with changes a member.
+func (s *fakeSite) with(id string, change func(*fakeMember)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(s.member(id))
+}
+
+// leader returns the member that leads.
+func (s *fakeSite) leader() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, m := range s.members {
+		if m.leads {
+			return m.id
+		}
+	}
+	return ""
+}
+
+func (s *fakeSite) Promote(ctx context.Context, holder string, token int64, _, id string) error {
+	s.mu.Lock()
+	late := s.late
+	s.mu.Unlock()
+	if late > 0 {
+		time.AfterFunc(late, func() { _ = s.carryOut(holder, token, id) })
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return s.carryOut(holder, token, id)
+}
+
+func (s *fakeSite) carryOut(holder string, token int64, id string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m := s.member(id)
+	if token < s.token || m.crashed {
+		return ErrFenced
+	}
+	s.token = token
+	s.orders = append(s.orders, holder+" "+id)
+	if !m.leads {
+		time.AfterFunc(promoteTime, func() { s.lead(m) })
+	}
+	return nil
+}
+
+// lead makes a member the primary of the next term, with what it has received.
+func (s *fakeSite) lead(m *fakeMember) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if m.leads || m.crashed {
+		return
+	}
+	var term group.Term
+	for _, o := range s.members {
+		term = max(term, o.term)
+	}
+	for _, o := range s.members {
+		wasLeading := o.leads
+		o.leads, o.fenced = o == m, 0
+		if !o.crashed && !o.silent {
+			o.term = term + 1
+		}
+		if o.received.Compare(m.received) > 0 {
+			o.received, o.applied = m.received, m.received
+		}
+		if (wasLeading || o == m) && !s.items["members/"+o.id].Removed {
+			role := "replica"
+			if o.leads {
+				role = "primary"
+			}
+			state, _, _ := strings.Cut(string(s.items["members/"+o.id].Value), " ")
+			s.putLocked("members/"+o.id, []byte(state+" "+role), 0)
+		}
+	}
+	m.applied = m.received
+}
+
+// lost returns acknowledged writes that the primary lacks.
+func (s *fakeSite) lost() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []string
+	for _, m := range s.members {
+		if !m.leads {
+			continue
+		}
+		for _, w := range s.history {
+			var p group.Position
+			if _, err := fmt.Sscan(w, &p.Term, &p.LSN); err != nil || p.Compare(m.received) > 0 {
+				out = append(out, w)
+			}
+		}
+	}
+	return out
+}
+
+// fakeDecoder reads what fakeSite writes.
+type fakeDecoder struct{ class freshness.Class }
+
+func (d fakeDecoder) Config(value []byte) (*Config, error) {
+	return &Config{
+		Version: int64(value[0]),
+		Routes: map[string]Route{testDatabase: {
+			Name: "r", Group: testGroup, Class: d.class, Timeout: 800 * time.Millisecond, Target: 200 * time.Millisecond,
+		}},
+		Groups: map[string]GroupConfig{testGroup: {Connections: 20, SyncReplicas: 1}},
+	}, nil
+}
+
+func (fakeDecoder) Member(key string, value []byte) (Member, error) {
+	state, role, _ := strings.Cut(string(value), " ")
+	return Member{
+		ID: strings.TrimPrefix(key, "members/"), Group: testGroup, Addr: netip.MustParseAddrPort("127.0.0.1:1"),
+		Zone: "z", Slots: 2, Leaving: state == "draining", Leads: role == "primary",
+	}, nil
+}
+
+// hostOn starts a host on the site. The returned function stops it.
+func hostOn(s *fakeSite, name string, class freshness.Class) (*Host, func()) {
+	settings := Settings{Host: name, Zone: "z", MemberDrain: 7 * time.Second, Grace: 6 * time.Second, PromotionTokens: true}
+	h := NewHost(settings, Ports{
+		Dialer: s, Store: s, Promoter: s, Decode: fakeDecoder{class},
+		Keys: Keys{Config: "config", Members: "members/", Own: "own/"},
+	}, testLogger(), time.Now)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		h.Run(ctx)
+	}()
+	return h, func() {
+		cancel()
+		<-done
+	}
+}
+
+// play runs a test on a site with three members and one host, once the host knows
+// who leads and holds the duty.
+func play(t *testing.T, class freshness.Class, test func(s *fakeSite, h *Host)) {
+	t.Helper()
+	synctest.Test(t, func(*testing.T) {
+		s := newFakeSite("a", "b", "c")
+		h, stop := hostOn(s, "h1", class)
+		defer time.Sleep(10 * time.Second) // timers of orders and watches end
+		defer stop()
+		time.Sleep(3 * time.Second)
+		test(s, h)
+	})
+}
+
+var serial atomic.Int64
+
+// do runs a statement on a new session, as callers with one operation do.
+func do(h *Host, st Statement) Reply {
+	s, failure := h.Open(testDatabase)
+	if failure != nil {
+		return Reply{Failure: failure}
+	}
+	defer s.Close()
+	return on(s, st)
+}
+
+func on(s *Session, st Statement) Reply {
+	return s.Do(context.Background(), Request{ID: fmt.Sprint("q", serial.Add(1)), Statement: st})
+}
+
+// testLogger shows the host's log lines when PEARLATCH_TEST_LOG is set.
+func testLogger() log.Logger {
+	if os.Getenv("PEARLATCH_TEST_LOG") == "" {
+		return log.NewNopLogger()
+	}
+	return log.With(log.NewJSONLogger(os.Stderr), "ts", log.DefaultTimestampUTC)
+}
--- /dev/null
+++ b/internal/gateway/fakestore_test.go
@@ -0,0 +1,180 @@
+package gateway
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// list writes a member's entry. An empty state removes it.
+func (s *fakeSite) list(id, state string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if state == "" {
+		s.removeLocked("members/" + id)
+		return
+	}
+	role := "replica"
+	if s.member(id).leads {
+		role = "primary"
+	}
+	s.putLocked("members/"+id, []byte(state+" "+role), 0)
+}
+
+func (s *fakeSite) put(key string, value []byte, lease int64) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.putLocked(key, value, lease)
+}
+
+func (s *fakeSite) putLocked(key string, value []byte, lease int64) int64 {
+	s.revision++
+	s.items[key] = Item{Key: key, Value: value, Revision: s.revision}
+	s.keyLease[key] = lease
+	s.wake()
+	return s.revision
+}
+
+func (s *fakeSite) removeLocked(key string) {
+	s.revision++
+	s.items[key] = Item{Key: key, Revision: s.revision, Removed: true}
+	s.wake()
+}
+
+func (s *fakeSite) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// expire removes what leases that ended held.
+func (s *fakeSite) expire() {
+	now := time.Now()
+	for lease, until := range s.leases {
+		if now.Before(until) {
+			continue
+		}
+		delete(s.leases, lease)
+		for key, l := range s.keyLease {
+			if l == lease && !s.items[key].Removed {
+				s.removeLocked(key)
+			}
+		}
+	}
+}
+
+// errDown is what calls to a store end with that answers nothing.
+var errDown = errors.New("the store does not answer")
+
+func (s *fakeSite) reach(ctx context.Context) error {
+	s.mu.Lock()
+	down := s.down
+	s.expire()
+	s.mu.Unlock()
+	if down {
+		<-ctx.Done()
+		return errDown
+	}
+	return nil
+}
+
+func (s *fakeSite) List(ctx context.Context, prefix string) (Snapshot, error) {
+	if err := s.reach(ctx); err != nil {
+		return Snapshot{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := Snapshot{Revision: s.revision}
+	for key, i := range s.items {
+		if strings.HasPrefix(key, prefix) && !i.Removed {
+			out.Items = append(out.Items, i)
+		}
+	}
+	return out, nil
+}
+
+func (s *fakeSite) Watch(ctx context.Context, _ string, after int64, wait time.Duration) (Snapshot, error) {
+	until := time.NewTimer(wait)
+	defer until.Stop()
+	for {
+		if err := s.reach(ctx); err != nil {
+			return Snapshot{}, err
+		}
+		s.mu.Lock()
+		out, changed := Snapshot{Revision: s.revision}, s.changed
+		for _, i := range s.items {
+			if i.Revision > after {
+				out.Items = append(out.Items, i)
+			}
+		}
+		s.mu.Unlock()
+		if len(out.Items) > 0 {
+			return out, nil
+		}
+		select {
+		case <-changed:
+		case <-time.After(100 * time.Millisecond): // leases
+		case <-until.C:
+			return out, nil
+		case <-ctx.Done():
+			return out, ctx.Err()
+		}
+	}
+}
+
+func (s *fakeSite) Put(ctx context.Context, key string, revision int64, value []byte, lease int64) (int64, error) {
+	if err := s.reach(ctx); err != nil {
+		return 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := s.items[key]
+	if old.Removed {
+		old.Revision = 0
+	}
+	if old.Revision != revision {
+		return 0, ErrConflict
+	}
+	if _, ok := s.leases[lease]; lease != 0 && !ok {
+		return 0, ErrNoLease
+	}
+	return s.putLocked(key, value, lease), nil
+}
+
+func (s *fakeSite) Grant(ctx context.Context, ttl time.Duration) (int64, error) {
+	if err := s.reach(ctx); err != nil {
+		return 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.leases[s.revision] = time.Now().Add(ttl)
+	return s.revision, nil
+}
+
+func (s *fakeSite) Renew(ctx context.Context, lease int64) error {
+	if err := s.reach(ctx); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.leases[lease]; !ok {
+		return ErrNoLease
+	}
+	s.leases[lease] = time.Now().Add(dutyLease)
+	return nil
+}
+
+func (s *fakeSite) End(ctx context.Context, lease int64) error {
+	if err := s.reach(ctx); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.leases[lease]; ok {
+		s.leases[lease] = time.Now()
+		s.expire()
+	}
+	return nil
+}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -106,6 +106,7 @@
 		}
 		if i.Removed {
 			delete(h.items, i.Key)
+			delete(h.decoded, i.Key)
 			continue
 		}
 		h.items[i.Key] = i
@@ -121,9 +122,10 @@
 
 func (h *Host) applyConfig() {
 	i, ok := h.items[h.ports.Keys.Config]
-	if !ok {
+	if !ok || i.Revision == h.configRevision {
 		return
 	}
+	h.configRevision = i.Revision
 	c, err := h.ports.Decode.Config(i.Value)
 	if err != nil {
 		h.log("config_refused", "revision", i.Revision, "err", err)
@@ -153,12 +155,9 @@
 		if !strings.HasPrefix(key, h.ports.Keys.Members) {
 			continue
 		}
-		m, err := h.ports.Decode.Member(key, i.Value)
-		if err != nil {
-			h.log("member_refused", "key", key, "err", err)
-			continue
+		if m, ok := h.decodeMember(i); ok {
+			lists[m.Group] = append(lists[m.Group], m)
 		}
-		lists[m.Group] = append(lists[m.Group], m)
 	}
 	for name, g := range h.groups {
 		g.update(lists[name])
@@ -166,6 +165,28 @@
 	}
 }
 
+// decoded is a member's entry as it was read at a revision.
+type decoded struct {
+	revision int64
+	member   Member
+	err      error
+}
+
+// decodeMember reads a member's entry, once for each revision: the list is looked at
+// with each change of the store.
+func (h *Host) decodeMember(i Item) (Member, bool) {
+	d, ok := h.decoded[i.Key]
+	if !ok || d.revision != i.Revision {
+		d = decoded{revision: i.Revision}
+		d.member, d.err = h.ports.Decode.Member(i.Key, i.Value)
+		h.decoded[i.Key] = d
+		if d.err != nil {
+			h.log("member_refused", "key", i.Key, "err", d.err)
+		}
+	}
+	return d.member, d.err == nil
+}
+
 // hostMemory is how long a host counts after its entry has lapsed. It may be cut off
 // from the store and hold its connections all the same.
 const hostMemory = 20 * time.Second
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -71,6 +71,10 @@
 	// items holds the values of the store's keys that matter, by key.
 	items    map[string]Item
 	revision int64
+	// configRevision is that of the configuration's item that was read last, and
+	// decoded holds members' entries by key.
+	configRevision int64
+	decoded        map[string]decoded
 	// hostsSeen holds when each host's entry was last seen.
 	hostsSeen map[string]time.Time
 
@@ -89,7 +93,7 @@
 	p.Store = meteredStore{store: p.Store, meters: m, now: now}
 	return &Host{
 		meters: m, settings: s, ports: p, logger: log.With(logger, "host", s.Host), now: now,
-		groups: map[string]*Group{}, items: map[string]Item{}, hostsSeen: map[string]time.Time{}, configured: make(chan struct{}),
+		groups: map[string]*Group{}, items: map[string]Item{}, hostsSeen: map[string]time.Time{}, decoded: map[string]decoded{}, configured: make(chan struct{}),
 	}
 }
 
@@ -103,6 +107,19 @@
 	wait.Wait()
 }
 
+// Reload takes over settings that may change while the host runs: how long leaving
+// members serve.
+func (h *Host) Reload(s Settings) {
+	h.mu.Lock()
+	h.settings.MemberDrain = s.MemberDrain
+	h.mu.Unlock()
+	for _, g := range h.allGroups() {
+		g.mu.Lock()
+		g.drainBound = s.MemberDrain - leavingMargin
+		g.mu.Unlock()
+	}
+}
+
 // Ready reports whether callers may be sent here.
 func (h *Host) Ready() bool { return h.synced.Load() && !h.stopping.Load() }
 
@@ -217,9 +234,8 @@
 	}
 	route, g, unknown := h.route(s.database)
 	if unknown == nil {
-		b := g.beliefs()
-		fields = append(fields, "config_version", h.configVersion(), "group", route.Group, "primary", b.Primary,
-			"proof_age_ms", b.SampleAge.Milliseconds(), "waiting", b.Waiting, "usable_members", b.usable())
+		fields = append(fields, "config_version", h.configVersion(), "group", route.Group)
+		fields = append(fields, g.inputs()...)
 	}
 	h.log("statement_failed", fields...)
 }
--- /dev/null
+++ b/internal/gateway/layout.go
@@ -0,0 +1,40 @@
+package gateway
+
+import (
+	"maps"
+)
+
+// maxShapes bounds the prepared statements that a connection keeps.
+const maxShapes = 64
+
+// layout returns the commands that bring the connection to the session's values
+// and a prepared shape, and the connection's name of that shape.
+func (p *pooled) layout(values map[string]string, shape *Shape) (out []Command, name string) {
+	reset := len(p.shapes) >= maxShapes
+	for k := range p.values {
+		if _, ok := values[k]; !ok {
+			reset = true
+		}
+	}
+	if reset {
+		out = append(out, Reset{})
+		clear(p.values)
+		clear(p.shapes)
+	}
+	for k, v := range values {
+		if old, ok := p.values[k]; !ok || old != v {
+			out = append(out, Assign{k, v})
+		}
+	}
+	maps.Copy(p.values, values)
+	if shape == nil {
+		return out, ""
+	}
+	name, ok := p.shapes[*shape]
+	if !ok {
+		name = shapeName(len(p.shapes))
+		p.shapes[*shape] = name
+		out = append(out, Define{name, *shape})
+	}
+	return out, name
+}
--- /dev/null
+++ b/internal/gateway/offer.go
@@ -0,0 +1,230 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"pearlatch/core/group"
+)
+
+// run answers a read or a write.
+func (s *Session) run(ctx context.Context, r Request, arrived time.Time) Reply {
+	writes, shape, failure := s.resolve(r)
+	if failure != nil {
+		return s.failed(Reply{Failure: failure})
+	}
+	if s.state == InTransaction {
+		return s.runInTransaction(ctx, r, arrived, writes, shape)
+	}
+	w, failure := s.plan(arrived, writes)
+	if failure != nil {
+		return Reply{Failure: failure}
+	}
+	w.shape = shape
+	w.deadline = arrived.Add(w.route.Timeout)
+	return s.runSingle(ctx, r, w)
+}
+
+// runSingle runs a statement outside a transaction. It offers the statement
+// again only while it has certainly not run, or when it only reads.
+func (s *Session) runSingle(ctx context.Context, r Request, w work) Reply {
+	for {
+		w.need.deadline = w.waitUntil()
+		p, err := w.group.acquire(ctx, w.need)
+		if err != nil {
+			return refuse(w)
+		}
+		reply, next := s.try(r, &w, p)
+		if next == nil {
+			return reply
+		}
+		if !w.group.now().Before(w.waitUntil()) {
+			return next.final(w)
+		}
+		s.host.meters.retry(w.group.name, next.reason())
+		next.pause(ctx)
+	}
+}
+
+// again says why a statement is offered again.
+type again struct {
+	failure *Failure
+	wait    time.Duration
+}
+
+func (a *again) pause(ctx context.Context) {
+	if a.wait == 0 {
+		return
+	}
+	t := time.NewTimer(a.wait)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// reason names why, for counting.
+func (a *again) reason() string {
+	if a.failure == nil {
+		return "moved"
+	}
+	return a.failure.Code.String()
+}
+
+func (a *again) final(w work) Reply {
+	if a.failure != nil {
+		return Reply{Failure: a.failure}
+	}
+	return refuse(w)
+}
+
+// try runs a statement once on the connection. It returns an answer, or why the
+// statement is to be offered again.
+func (s *Session) try(r Request, w *work, p *pooled) (Reply, *again) {
+	g := w.group
+	if next := s.prove(w, p); next != nil {
+		return Reply{}, next
+	}
+	asked := g.now()
+	left := w.deadline.Sub(asked)
+	if w.writes && asked.Sub(p.used) > staleConnection && !s.refresh(w, p) {
+		return Reply{}, &again{}
+	}
+	layout, name := p.layout(s.values, w.shape)
+	commands := append(layout, Forward{Request: r, After: w.need.after, Name: name})
+	replies, err := p.conn.Do(patience(left, w.writes), commands...)
+	if err != nil {
+		g.discard(p, err)
+		w.need.avoid = p.member.ID
+		return s.broke(r, w, p, err)
+	}
+	reply := replies[len(replies)-1]
+	return s.judge(w, p, asked, reply)
+}
+
+const (
+	// staleConnection is how long a connection may have been unused before a
+	// write is preceded by a question of our own: a connection that went silent
+	// would leave the write's outcome unknown.
+	staleConnection = 500 * time.Millisecond
+	// minPatience is the least time for which a read is left with a member.
+	minPatience = 250 * time.Millisecond
+	// refreshTimeout bounds the question before a write on an unused connection.
+	refreshTimeout = 150 * time.Millisecond
+)
+
+// patience is how long a member has to answer. A read is offered to another
+// member when half of the time has gone by.
+func patience(left time.Duration, writes bool) time.Duration {
+	if writes {
+		return max(left, time.Millisecond)
+	}
+	return max(min(left, max(left/2, minPatience)), time.Millisecond)
+}
+
+// prove makes sure that the member leads, where the statement needs that and
+// would not find out by itself.
+func (s *Session) prove(w *work, p *pooled) *again {
+	if !w.verify || w.group.proven(w.need.arrived) {
+		return nil
+	}
+	leads, err := w.group.verify(p, w.deadline.Sub(w.group.now()))
+	switch {
+	case isBusy(err):
+		w.group.shed(p.member)
+		w.group.release(p)
+		return &again{wait: busyPause}
+	case err != nil:
+		w.group.discard(p, err)
+		return &again{}
+	case !leads:
+		w.group.release(p)
+		w.group.lostLeader(p.member.ID)
+		return &again{}
+	}
+	return nil
+}
+
+// refresh asks whether the connection still works.
+func (s *Session) refresh(w *work, p *pooled) bool {
+	_, err := p.conn.Do(refreshTimeout, Reset{})
+	if err != nil {
+		w.group.discard(p, err)
+		return false
+	}
+	clear(p.values)
+	clear(p.shapes)
+	return true
+}
+
+// broke decides what a connection that failed means for a statement.
+func (s *Session) broke(r Request, w *work, p *pooled, err error) (Reply, *again) {
+	s.host.logOffer(s, r, w, p.member.ID, "broken", err)
+	if w.writes {
+		return fail(InDoubt, "the connection to "+p.member.ID+" failed after the write was sent"), nil
+	}
+	return Reply{}, &again{failure: &Failure{TimedOut, "no answer from " + p.member.ID}}
+}
+
+// busyPause is the pause before a member with a full queue is asked again: one
+// short statement's time.
+const busyPause = 8 * time.Millisecond
+
+// judge decides what a member's answer means for a statement.
+func (s *Session) judge(w *work, p *pooled, asked time.Time, reply Reply) (Reply, *again) {
+	g := w.group
+	g.took(p.member, asked)
+	g.applied(p.member, reply.Position)
+	p.used = g.now()
+	if reply.Failure == nil {
+		g.grown(p.member)
+		if w.writes {
+			g.observe(asked, reply.Position)
+			s.raise(reply.Position)
+		}
+		g.release(p)
+		return reply, nil
+	}
+	next := &again{failure: reply.Failure}
+	switch reply.Failure.Code {
+	case Busy:
+		g.shed(p.member)
+		w.need.avoid = p.member.ID
+		next.wait = busyPause
+	case Lagging:
+		g.lagged(p.member, reply.Position)
+	case ReadOnly:
+		g.lostLeader(p.member.ID)
+	case UnknownStatement:
+		clear(p.shapes)
+	case Failed, TimedOut:
+		if w.writes || w.need.avoid != "" {
+			g.release(p)
+			return reply, nil
+		}
+		w.need.avoid = p.member.ID
+	default:
+		g.release(p)
+		return reply, nil
+	}
+	g.release(p)
+	return Reply{}, next
+}
+
+// raise lifts the session's mark.
+func (s *Session) raise(p group.Position) {
+	if p.Compare(s.mark) > 0 {
+		s.mark = p
+	}
+}
+
+// failed breaks a transaction, if there is one, and returns the reply.
+func (s *Session) failed(reply Reply) Reply {
+	if s.tx != nil {
+		s.tx.rollback()
+		s.tx = nil
+		s.state = Broken
+	}
+	return reply
+}
--- /dev/null
+++ b/internal/gateway/open.go
@@ -0,0 +1,104 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// maxDialing bounds the connections that a host opens to a member at once. Opening takes
+// one of the member's slots: when all hosts start again at once, statements would wait
+// behind the opening of every host's share.
+const maxDialing = 1
+
+// toOpen returns the member on which another connection would serve the need
+// soonest, or nil.
+func (g *Group) toOpen(n need, wanted map[*member]int) *member {
+	now := g.now()
+	return g.best(n, now, func(m *member) bool {
+		return m.open+max(m.dialing, wanted[m]) < g.limit(m) && !now.Before(m.fullUntil)
+	})
+}
+
+// openBetter opens a connection to the member that would have been chosen if it had one
+// free. Otherwise reads would stay with the first member that a connection was opened
+// to, mostly the primary, until its connections run out.
+func (g *Group) openBetter(n need, chosen *member) {
+	now := g.now()
+	better := g.best(n, now, func(m *member) bool {
+		return m == chosen || m.dialing == 0 && len(m.idle) == 0 && m.open < g.share() && !now.Before(m.fullUntil)
+	})
+	if better != nil && better != chosen {
+		better.dialing++
+		go g.dial(better, better.Member)
+	}
+}
+
+// limit is how many connections this host may have to the member.
+func (g *Group) limit(m *member) int {
+	return g.share() + m.allowance.extra
+}
+
+// share is the host's equal share of a member's connections. Two are set apart for
+// the holder of the group's duty, and one that follows it.
+func (g *Group) share() int { return max(1, (g.connections-controlShare)/max(1, g.hosts)) }
+
+// controlShare is how many of a member's connections are kept for orders.
+const controlShare = 2
+
+// dial opens a connection to the member.
+func (g *Group) dial(m *member, target Member) {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	conn, err := g.dialer.Dial(ctx, target)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m.dialing--
+	if err != nil {
+		g.dialFailed(m, err)
+		g.dispatch()
+		return
+	}
+	p := &pooled{conn: conn, member: m, values: map[string]string{}, shapes: map[Shape]string{}, used: g.now()}
+	if m.gone {
+		g.closeLater(p)
+		return
+	}
+	m.open++
+	m.idle = append(m.idle, p)
+	g.dispatch()
+}
+
+func (g *Group) dialFailed(m *member, err error) {
+	now := g.now()
+	var failure *Failure
+	if !errors.As(err, &failure) {
+		m.fullUntil = now.Add(dialRetry)
+		g.suspect(m, now, err)
+		return
+	}
+	switch failure.Code {
+	case Misrouted:
+		g.log("member_replaced", "member", m.ID, "err", err)
+		m.gone = true
+	default:
+		m.allowance.full(now)
+		m.fullUntil = now.Add(fullRetry)
+	}
+}
+
+// suspect records that the member did not answer.
+func (g *Group) suspect(m *member, now time.Time, err error) {
+	if now.After(m.suspectUntil) {
+		g.log("member_suspect", "member", m.ID, "leads", m.ID == g.leader, "err", err)
+	}
+	m.suspectUntil = now.Add(suspectTime)
+	if m.ID == g.leader {
+		go g.wantLeader()
+		select {
+		case g.alarm <- struct{}{}:
+		default:
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/plan.go
@@ -0,0 +1,96 @@
+package gateway
+
+import (
+	"time"
+
+	"pearlatch/core/freshness"
+)
+
+// work describes a statement or a transaction on its way to a member.
+type work struct {
+	group    *Group
+	route    Route
+	need     need
+	writes   bool
+	shape    *Shape
+	verify   bool
+	deadline time.Time
+}
+
+// plan says what a request needs. For a transaction, arrived is its start.
+func (s *Session) plan(arrived time.Time, writes bool) (work, *Failure) {
+	route, g, err := s.host.route(s.database)
+	if err != nil {
+		return work{}, err
+	}
+	w := work{group: g, route: route, writes: writes}
+	w.need = need{priority: route.Priority, arrived: arrived}
+	if writes {
+		w.need.primary = true
+		return w, nil
+	}
+	switch c := route.Class.(type) {
+	case freshness.Latest:
+		w.need.primary, w.verify = true, true
+	case freshness.OwnWrites:
+		w.need.after = s.mark
+	case freshness.MaxAge:
+		p, ok := g.covering(arrived.Add(-c.Age))
+		if !ok {
+			// Nothing was heard of the primary within the age: only it knows.
+			w.need.primary, w.verify = true, true
+			break
+		}
+		w.need.after = p
+		if s.mark.Compare(p) > 0 {
+			w.need.after = s.mark
+		}
+	}
+	return w, nil
+}
+
+// resolve returns whether the request writes, and the shape that it executes.
+func (s *Session) resolve(r Request) (writes bool, shape *Shape, failure *Failure) {
+	switch st := r.Statement.(type) {
+	case Write:
+		return true, nil, nil
+	case Execute:
+		known, ok := s.prepared[st.Name]
+		if !ok {
+			return false, nil, &Failure{UnknownStatement, st.Name}
+		}
+		return known.Writes, &known, nil
+	}
+	return false, nil, nil
+}
+
+const (
+	// waitShare of a statement's timeout may go by while it waits. A caller that
+	// is refused then still has time to try elsewhere: the users' callers give an
+	// operation up after 600 ms where the timeout is 800 ms.
+	waitShare = 0.35
+	// waitTargets is how many times the latency objective a statement may wait:
+	// beyond that its answer is of little use.
+	waitTargets = 1.2
+)
+
+// waitUntil returns until when the statement may wait without an offer.
+func (w *work) waitUntil() time.Time {
+	started := w.deadline.Add(-w.route.Timeout)
+	wait := time.Duration(waitShare * float64(w.route.Timeout))
+	if w.route.Target > 0 {
+		wait = min(wait, time.Duration(waitTargets*float64(w.route.Target)))
+	}
+	return started.Add(wait)
+}
+
+// retryAfter is when a refused caller may come back: about the time in which a
+// queue of a member's slots empties.
+const retryAfter = "retry_after_ms=50"
+
+func refuse(w work) Reply {
+	if w.need.primary {
+		return fail(Busy, "no connection to the primary in time, "+retryAfter)
+	}
+	return fail(Busy, "no connection in time, "+retryAfter)
+}
--- /dev/null
+++ b/internal/gateway/watcher.go
@@ -0,0 +1,272 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"pearlatch/core/group"
+)
+
+const (
+	// watchPause is the pause between two questions to all members by the holder.
+	watchPause = 350 * time.Millisecond
+	// orderTimeout bounds an order to a member.
+	orderTimeout = 300 * time.Millisecond
+	// silentRounds is how many rounds a primary may leave unanswered. With
+	// orderTimeout it makes about 0.6 s of silence; a connection that is refused
+	// counts twice.
+	silentRounds = 2
+	// silentPause is the pause before a primary that didn't answer is asked again.
+	silentPause = 20 * time.Millisecond
+	// stuckTime is how long the replicas may receive nothing of what the primary
+	// has written until it counts as cut off from them.
+	stuckTime = 600 * time.Millisecond
+	// reliefRounds is how many rounds in a row a primary must be at its limit while
+	// no replica is fresh, until another one takes over.
+	reliefRounds = 2
+	// reliefPause is the least time between two changes of primary for relief: each
+	// aborts the transactions that are open.
+	reliefPause = 8 * time.Second
+	// promoteTimeout bounds the call that orders a promotion. It is answered within
+	// milliseconds, unless the answer is lost; then it is given again.
+	promoteTimeout = 350 * time.Millisecond
+	// leadTimeout is how long a promoted member may take to lead.
+	leadTimeout = 2500 * time.Millisecond
+	// leadWait is how long a promoted member may take to lead until the order is
+	// given again, since it may have been lost. The users' members take up to 1 s;
+	// an order for a member that is about to lead changes nothing.
+	leadWait = 400 * time.Millisecond
+	// leadPoll is the pause between two looks at it.
+	leadPoll = 30 * time.Millisecond
+)
+
+// watcher is what the holder of a duty remembers between its rounds.
+type watcher struct {
+	*duty
+	// primary is the member that led last.
+	primary Member
+	// silent counts rounds without an answer of the primary.
+	silent int
+	// written is a position of the primary that no replica had received at
+	// writtenAt and has not since, or zero.
+	written   group.Position
+	writtenAt time.Time
+	// overloaded counts rounds in which the primary was at its limit and no replica
+	// fresh; relieved is when that last led to a change of primary.
+	overloaded int
+	relieved   time.Time
+}
+
+// watch looks after the group while this host holds the duty.
+func (d *duty) watch(ctx context.Context) {
+	w := &watcher{duty: d}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.group.alarm:
+		case <-time.After(w.pause()):
+		}
+		if !d.holds() {
+			w.silent, w.written, w.primary = 0, group.Position{}, Member{}
+			continue
+		}
+		w.round(ctx)
+	}
+}
+
+// pause is how long to wait until the next round. A primary that didn't answer is
+// asked again soon.
+func (w *watcher) pause() time.Duration {
+	if w.silent > 0 && w.silent < silentRounds {
+		return silentPause
+	}
+	return watchPause
+}
+
+// round asks all members and acts on the answers.
+func (w *watcher) round(ctx context.Context) {
+	started := w.host.now()
+	answers := w.group.orderAll(w.group.list(), Probe{}, orderTimeout)
+	if w.group.adopt(answers) {
+		w.led(ctx, answers)
+		return
+	}
+	if w.primary.ID == "" {
+		w.primary = w.group.leaderMember()
+	}
+	if w.group.heardSince(w.primary.ID, started) {
+		// It serves statements, and its queue is too full for questions.
+		w.silent = 0
+		return
+	}
+	w.silent += silence(w.primary, answers)
+	if w.silent >= silentRounds && w.settled() {
+		w.log("primary_lost", "member", w.primary.ID, "rounds", w.silent)
+		w.failover(ctx, started, answers)
+	}
+}
+
+// silence returns how much a round without a primary says against the one before.
+func silence(primary Member, answers []answered) int {
+	for _, a := range answers {
+		if a.member.ID != primary.ID {
+			continue
+		}
+		switch {
+		case a.err == nil:
+			return silentRounds // it answers, and doesn't lead
+		case refusedByMember(a.err):
+			return 0 // it lives
+		case connectionRefused(a.err):
+			return silentRounds
+		}
+		return 1
+	}
+	return silentRounds // the platform no longer lists it
+}
+
+// settled reports whether the duty has been held for long enough to order.
+func (w *watcher) settled() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.host.now().Sub(w.since) >= takeoverPause
+}
+
+// led acts on a round in which a primary answered.
+func (w *watcher) led(ctx context.Context, answers []answered) {
+	w.silent = 0
+	w.primary = w.group.leaderMember()
+	primary, replicas := split(w.primary.ID, answers)
+	if open := w.openOrder(); open != "" && open != w.primary.ID {
+		// The order may be carried out at any moment, so the fences that make it safe
+		// stay, and it is given again.
+		w.promote(ctx, open, choice{})
+		return
+	}
+	w.raise(ctx)
+	if !w.settled() || !w.current() {
+		return
+	}
+	w.releaseLeftovers(primary, replicas)
+	stuck := w.stuck(primary, replicas)
+	switch {
+	case w.primary.Leaving || w.group.primaryMissing() > missingGrace:
+		w.handOver(ctx, replicas)
+	case w.relieves(primary, replicas):
+		w.handOver(ctx, replicas)
+	case stuck:
+		w.log("primary_cut_off", "member", w.primary.ID, "position", primary.status.Received, "answers", describe(replicas))
+		w.failover(ctx, w.host.now(), answers)
+	}
+}
+
+// raise makes the platform refuse orders of earlier holders, by naming the
+// primary that leads anyway.
+func (w *watcher) raise(ctx context.Context) {
+	if w.current() {
+		return
+	}
+	w.mu.Lock()
+	token := w.token
+	w.mu.Unlock()
+	call, cancel := context.WithTimeout(ctx, promoteTimeout)
+	defer cancel()
+	err := w.host.ports.Promoter.Promote(call, w.host.settings.Host, token, w.group.name, w.primary.ID)
+	if err != nil {
+		w.log("token_not_raised", "token", token, "err", err)
+		if errors.Is(err, ErrFenced) {
+			w.refused(ctx)
+		}
+		return
+	}
+	w.acknowledged(token)
+}
+
+// refused settles whether the duty is still ours after the platform refused its
+// token: only then a higher one is to be had.
+func (w *watcher) refused(ctx context.Context) {
+	if err := w.renewToken(ctx); err != nil {
+		w.log("duty_doubtful", "err", err)
+	}
+}
+
+func split(primary string, answers []answered) (answered, []answered) {
+	var p answered
+	var rest []answered
+	for _, a := range answers {
+		if a.member.ID == primary {
+			p = a
+			continue
+		}
+		rest = append(rest, a)
+	}
+	return p, rest
+}
+
+// stuck reports whether the replicas have received nothing of what the primary
+// wrote for too long: it waits for their acknowledgement, and so do its callers.
+func (w *watcher) stuck(primary answered, replicas []answered) bool {
+	var best group.Position
+	for _, r := range replicas {
+		if refusedByMember(r.err) {
+			// It lives, and has no room to tell how far it is.
+			return false
+		}
+		if r.err == nil && r.status.Received.Compare(best) > 0 {
+			best = r.status.Received
+		}
+	}
+	now := w.host.now()
+	if len(replicas) == 0 {
+		return false
+	}
+	if w.written == (group.Position{}) || best.Compare(w.written) >= 0 {
+		w.written, w.writtenAt = group.Position{}, now
+		if primary.status.Received.Compare(best) > 0 {
+			w.written = primary.status.Received
+		}
+		return false
+	}
+	return now.Sub(w.writtenAt) > stuckTime
+}
+
+// releaseLeftovers ends fences that an earlier holder left behind.
+func (w *watcher) releaseLeftovers(primary answered, replicas []answered) {
+	var fenced []Member
+	for _, r := range replicas {
+		if r.err == nil && r.status.Fenced > primary.status.Term {
+			fenced = append(fenced, r.member)
+		}
+	}
+	if len(fenced) == 0 {
+		return
+	}
+	w.log("fences_released", "members", len(fenced))
+	w.group.orderAll(fenced, Release{}, orderTimeout)
+}
+
+// silent counts the members without an answer.
+func silent(answers []answered) int {
+	n := 0
+	for _, a := range answers {
+		if a.err != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// describe lists answers for a log line.
+func describe(answers []answered) []string {
+	out := make([]string, len(answers))
+	for i, a := range answers {
+		out[i] = a.member.ID + " " + a.status.Received.String()
+		if a.err != nil {
+			out[i] = a.member.ID + " " + a.err.Error()
+		}
+	}
+	return out
+}
