--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -26,9 +26,10 @@
 	// suspectTime is how long a member that failed to answer is used only when
 	// no other one can serve.
 	suspectTime = 500 * time.Millisecond
-	// extraIdle is how long a connection above the host's share is kept unused,
-	// so that other hosts find room.
-	extraIdle = 300 * time.Millisecond
+	// extraIdle is how long a connection above the host's share is kept unused, so
+	// that other hosts find room. Opening it again would take one of the member's slots
+	// for up to 27 ms, as long as several statements.
+	extraIdle = 3 * time.Second
 	// shareIdle is how long a connection of the share is kept unused.
 	shareIdle = 20 * time.Second
 	// waitTick is how often waiting statements are looked at again, for members
@@ -48,7 +49,7 @@
 func (g *Group) pick(n need) *pooled {
 	now := g.now()
 	for {
-		best := g.best(n, now, func(m *member) bool { return len(m.idle) > 0 && m.active < m.window.limit() })
+		best := g.best(n, now, func(m *member) bool { return len(m.idle) > 0 && m.window.open(m.active, now) })
 		if best == nil {
 			return nil
 		}
--- a/internal/gateway/window.go
+++ b/internal/gateway/window.go
@@ -1,15 +1,25 @@
 package gateway
 
-import "time"
+import (
+	"math/rand/v2"
+	"time"
+)
 
 // window is how many statements a host runs on a member at once. It halves when
 // the member has no room and grows with statements that went well. All hosts
 // share the member, and none knows what the others send: without it, statements
 // that are refused and sent again fill the queue of an overloaded member, and
 // keep it from answering status questions too.
+//
+// With many hosts even one statement of each is more than the member takes. Below a
+// window of one, a host leaves the member alone for a while after each refusal.
 type window struct {
 	size   float64
 	shrunk time.Time
+	// pause is how long the member is left alone after the next refusal, and
+	// closedUntil the end of the present pause.
+	pause       time.Duration
+	closedUntil time.Time
 }
 
 const (
@@ -21,8 +31,17 @@
 	// windowPause is the least time between two halvings: statements that were
 	// under way together tell the same news.
 	windowPause = 30 * time.Millisecond
+	// closedMin and closedMax bound the pause after a refusal at a window of one: a
+	// short statement's time, and about what a queue of 16 takes.
+	closedMin = 8 * time.Millisecond
+	closedMax = 128 * time.Millisecond
 )
 
+// open reports whether a statement may be sent now beside those that run.
+func (w *window) open(running int, now time.Time) bool {
+	return running < w.limit() && !now.Before(w.closedUntil)
+}
+
 func (w *window) limit() int {
 	if w.size == 0 {
 		return windowStart
@@ -31,6 +50,11 @@
 }
 
 func (w *window) shrink(now time.Time) {
+	if w.limit() == 1 && !now.Before(w.closedUntil) {
+		w.pause = min(closedMax, max(closedMin, 2*w.pause))
+		// Hosts that were refused at the same moment must not come back together.
+		w.closedUntil = now.Add(w.pause/2 + rand.N(w.pause))
+	}
 	if now.Sub(w.shrunk) < windowPause {
 		return
 	}
@@ -43,6 +67,7 @@
 		w.size = windowStart
 	}
 	w.size = min(windowMax, w.size+1/(4*w.size))
+	w.pause /= 2
 }
 
 // allowance is how many connections above its equal share a host may open to a
