Pause below a window of one only in a crowd of hosts

Cause: the pauses cost the restarts of all hosts: members refuse for a moment only. Change: pauses where more than 16 hosts share a member.

--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -27,9 +27,8 @@
 	// no other one can serve.
 	suspectTime = 500 * time.Millisecond
 	// extraIdle is how long a connection above the host's share is kept unused, so
-	// that other hosts find room. Opening it again would take one of the member's slots
-	// for up to 27 ms, as long as several statements.
-	extraIdle = 3 * time.Second
+	// that other hosts find room.
+	extraIdle = 300 * time.Millisecond
 	// shareIdle is how long a connection of the share is kept unused.
 	shareIdle = 20 * time.Second
 	// waitTick is how often waiting statements are looked at again, for members
@@ -120,7 +119,7 @@
 func (g *Group) shed(m *member) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	m.window.shrink(g.now())
+	m.window.shrink(g.now(), g.hosts)
 }
 
 // grown records that the member ran a statement.
--- a/internal/gateway/window.go
+++ b/internal/gateway/window.go
@@ -49,8 +49,14 @@
 	return max(1, int(w.size))
 }
 
-func (w *window) shrink(now time.Time) {
-	if w.limit() == 1 && !now.Before(w.closedUntil) {
+// crowd is how many hosts make a crowd: with one statement each they fill the shortest
+// queue of the users' members. Fewer hosts have no need to pause, and lose by it: after a
+// restart of all, members refuse for a moment only.
+const crowd = 16
+
+// shrink takes a refusal into account. hosts is how many share the member.
+func (w *window) shrink(now time.Time, hosts int) {
+	if hosts > crowd && w.limit() == 1 && !now.Before(w.closedUntil) {
 		w.pause = min(closedMax, max(closedMin, 2*w.pause))
 		// Hosts that were refused at the same moment must not come back together.
 		w.closedUntil = now.Add(w.pause/2 + rand.N(w.pause))
--- a/internal/gateway/window_test.go
+++ b/internal/gateway/window_test.go
@@ -13,7 +13,7 @@
 	now := time.UnixMilli(0)
 	for range 4 {
 		now = now.Add(windowPause)
-		w.shrink(now)
+		w.shrink(now, 8)
 	}
 	if w.limit() != 1 {
 		t.Errorf("after four refusals the window is %d", w.limit())
@@ -39,7 +39,7 @@
 	now := time.UnixMilli(1000)
 	w.size = windowMax
 	for range 5 {
-		w.shrink(now)
+		w.shrink(now, 8)
 	}
 	if w.limit() != windowMax/2 {
 		t.Errorf("five refusals at once left a window of %d", w.limit())
@@ -65,3 +65,26 @@
 		t.Error("a host grew again right after the member had no connection left")
 	}
 }
+
+// Sixty hosts send a member one statement each and are refused. If each came back after
+// one statement's time, the member's queue would stay full of what it refuses.
+func TestCrowdLeavesARefusingMemberAlone(t *testing.T) {
+	for _, c := range []struct {
+		hosts int
+		want  bool
+	}{{8, true}, {60, false}} {
+		var w window
+		now := time.UnixMilli(0)
+		for range 8 {
+			now = now.Add(windowPause)
+			w.shrink(now, c.hosts)
+			if now.Before(w.closedUntil) {
+				now = w.closedUntil
+			}
+		}
+		w.shrink(now, c.hosts)
+		if got := w.open(0, now.Add(closedMin)); got != c.want {
+			t.Errorf("%d hosts: open soon after the ninth refusal: %v", c.hosts, got)
+		}
+	}
+}
