--- a/internal/gateway/window.go
+++ b/internal/gateway/window.go
@@ -31,10 +31,10 @@
 	// windowPause is the least time between two halvings: statements that were
 	// under way together tell the same news.
 	windowPause = 30 * time.Millisecond
-	// closedMin and closedMax bound the pause after a refusal at a window of one: a
+	// shortestPause and longestPause bound the pause after a refusal at a window of one: a
 	// short statement's time, and about what a queue of 16 takes.
-	closedMin = 8 * time.Millisecond
-	closedMax = 128 * time.Millisecond
+	shortestPause = 8 * time.Millisecond
+	longestPause  = 128 * time.Millisecond
 )
 
 // open reports whether a statement may be sent now beside those that run.
@@ -57,7 +57,7 @@
 // shrink takes a refusal into account. hosts is how many share the member.
 func (w *window) shrink(now time.Time, hosts int) {
 	if hosts > crowd && w.limit() == 1 && !now.Before(w.closedUntil) {
-		w.pause = min(closedMax, max(closedMin, 2*w.pause))
+		w.pause = min(longestPause, max(shortestPause, 2*w.pause))
 		// Hosts that were refused at the same moment must not come back together.
 		w.closedUntil = now.Add(w.pause/2 + rand.N(w.pause))
 	}
--- a/internal/gateway/window_test.go
+++ b/internal/gateway/window_test.go
@@ -83,7 +83,7 @@
 			}
 		}
 		w.shrink(now, c.hosts)
-		if got := w.open(0, now.Add(closedMin)); got != c.want {
+		if got := w.open(0, now.Add(shortestPause)); got != c.want {
 			t.Errorf("%d hosts: open soon after the ninth refusal: %v", c.hosts, got)
 		}
 	}
