Keep a hanging primary while a replica is dead; no hand-over to a deaf heir

Ruled out: the proof of leadership (reads ran on the member that led). Change: a primary that answers is replaced for hanging writes only if every known member answers and there are two replicas; a hand-over needs an heir that has received what the primary held. Both tests failed before: 'the primary c lacks acknowledged writes [4 0/4]', 'the deaf replica took over'. Open: the same with a primary that is dark for the holder alone.

--- a/internal/gateway/failover_test.go
+++ b/internal/gateway/failover_test.go
@@ -309,3 +309,49 @@
 		wantNothingLost(t, s)
 	})
 }
+
+// One replica has died, and the other one receives nothing, so writes hang at a primary
+// that answers. Promoting the deaf replica helps nobody. The dead one comes back to the
+// primary just then and acknowledges a write; callers of a promoted deaf replica would
+// not find it.
+func TestHangingPrimaryIsKeptWhileAReplicaIsDead(t *testing.T) {
+	play(t, freshness.Latest{}, func(s *fakeSite, h *Host) {
+		do(h, Write{})
+		s.with("b", func(m *fakeMember) { m.crashed = true })
+		s.list("b", "")
+		time.Sleep(missingGrace + forgetTime)
+		do(h, Write{})
+		s.with("c", func(m *fakeMember) { m.deaf = true })
+		wantCode(t, do(h, Write{}), InDoubt)
+		time.Sleep(2 * time.Second)
+		s.with("b", func(m *fakeMember) { m.crashed = false })
+		s.list("b", "ready")
+		served(t, h, 3*time.Second)
+		time.Sleep(time.Second)
+		for _, o := range s.given() {
+			if o != "h1 a" {
+				t.Errorf("order %q", o)
+			}
+		}
+		wantNothingLost(t, s)
+	})
+}
+
+// The primary drains while the only replica that answers is deaf. It must not take over:
+// what the other replica acknowledges when it comes back would be missing.
+func TestLeavingPrimaryWaitsForADeafHeir(t *testing.T) {
+	play(t, freshness.Latest{}, func(s *fakeSite, h *Host) {
+		do(h, Write{})
+		s.with("b", func(m *fakeMember) { m.crashed = true })
+		s.list("b", "")
+		time.Sleep(missingGrace + forgetTime)
+		do(h, Write{})
+		s.with("c", func(m *fakeMember) { m.deaf = true })
+		do(h, Write{}) // hangs: the primary alone holds it
+		s.list("a", "draining")
+		time.Sleep(2 * time.Second)
+		if s.leader() == "c" {
+			t.Error("the deaf replica took over")
+		}
+	})
+}
--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -269,7 +269,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
-	m.held, m.heldAt = held, now
+	m.held = held
 	pause := lagRetryMax
 	if since := g.ages.Since(held); !since.IsZero() {
 		pause = min(lagRetryMax, max(lagRetry, now.Sub(since)/lagRetryShare))
@@ -282,7 +282,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if p.Compare(m.held) > 0 {
-		m.held, m.heldAt = p, g.now()
+		m.held = p
 	}
 }
 
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -9,7 +9,7 @@
 // handOver replaces a leaving primary while it goes on serving: all replicas but
 // the successor are fenced, so that every write from then on is acknowledged by
 // the successor.
-func (w *watcher) handOver(ctx context.Context, replicas []answered) {
+func (w *watcher) handOver(ctx context.Context, primary answered, replicas []answered) {
 	started := w.host.now()
 	best, ok := heir(replicas)
 	if !ok {
@@ -24,7 +24,8 @@
 		}
 	}
 	fenced := w.group.orderAll(others, Fence{Term: term}, orderTimeout)
-	if !w.caughtUp(ctx, best, nil, fenced) && !w.demoted(ctx, term, best, fenced) {
+	ready := w.receives(best, primary.status.Received) && w.caughtUp(ctx, best, nil, fenced)
+	if !ready && !w.demoted(ctx, term, best, fenced) {
 		w.log("heir_behind", "member", best.ID, "answers", describe(fenced))
 		w.group.orderAll(others, Release{}, orderTimeout)
 		return
@@ -47,6 +48,13 @@
 	return best.member, best.member.ID != ""
 }
 
+// receives reports whether the heir has received what the primary held a moment ago. A
+// deaf heir would lack what a replica acknowledges that comes back unfenced.
+func (w *watcher) receives(heir Member, position group.Position) bool {
+	s, err := w.group.command(heir, Probe{}, orderTimeout)
+	return err == nil && s.Received.Compare(position) >= 0
+}
+
 // caughtUpRounds bounds the wait for the heir to receive what others had.
 const caughtUpRounds = 10
 
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -23,10 +23,10 @@
 	// had none left, or could not be reached.
 	fullUntil    time.Time
 	suspectUntil time.Time
-	// held is how far the member had applied the log at heldAt. Until lacksUntil
-	// it is not asked for more.
-	held               group.Position
-	heldAt, lacksUntil time.Time
+	// held is how far the member was last seen to have applied the log. Until
+	// lacksUntil it is not asked for more.
+	held       group.Position
+	lacksUntil time.Time
 	// gone is true when the member's address belongs to another one, or when it has
 	// been missing for long.
 	gone bool
--- a/internal/gateway/watcher.go
+++ b/internal/gateway/watcher.go
@@ -154,10 +154,10 @@
 	stuck := w.stuck(primary, replicas)
 	switch {
 	case w.primary.Leaving || w.group.primaryMissing() > missingGrace:
-		w.handOver(ctx, replicas)
+		w.handOver(ctx, primary, replicas)
 	case w.relieves(primary, replicas):
-		w.handOver(ctx, replicas)
-	case stuck:
+		w.handOver(ctx, primary, replicas)
+	case stuck && replaceable(replicas):
 		w.log("primary_cut_off", "member", w.primary.ID, "position", primary.status.Received, "answers", describe(replicas))
 		w.failover(ctx, w.host.now(), answers)
 	}
@@ -233,6 +233,13 @@
 	return now.Sub(w.writtenAt) > stuckTime
 }
 
+// replaceable reports whether another member can do better than a primary that answers
+// and whose writes hang. With a single replica it is the way between the two that is
+// broken, and would be for the replica as well. And a replica that doesn't answer may
+// come back to the primary, which is not stopped, at any moment and acknowledge what
+// the successor lacks: callers would read old data from that one.
+func replaceable(replicas []answered) bool { return len(replicas) >= 2 && silent(replicas) == 0 }
+
 // releaseLeftovers ends fences that an earlier holder left behind.
 func (w *watcher) releaseLeftovers(primary answered, replicas []answered) {
 	var fenced []Member
