--- a/cmd/pearlatch/gateway.go
+++ b/cmd/pearlatch/gateway.go
@@ -66,7 +66,7 @@
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	accept := &platform.Callers{Host: h, Logger: logger}
+	accept := &platform.Callers{Host: h}
 	go serveUntilClosed(logger, "callers", func() error { return accept.Serve(callers) })
 	go serveUntilClosed(logger, "ready", func() error { return serveHTTP(ready, platform.ReadyHandler(h.Ready)) })
 	stopped, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
