Let one piece of code wait, look a member up, and bound a member's time

Cause: a read-through of the whole change. The pause before another offer had a copy of the host's sleep; two loops looked a member up in the list by its id; a commit's and a transaction's time repeated what patience says; a comment had lost its code. Change: sleep, Group.lookup and patience serve them all; no behaviour. The module's tests passed three times with the race detector.

--- a/internal/gateway/layout.go
+++ b/internal/gateway/layout.go
@@ -2,11 +2,15 @@
 
 import (
 	"maps"
+	"strconv"
 )
 
 // maxShapes bounds the prepared statements that a connection keeps.
 const maxShapes = 64
 
+// shapeName is a connection's name of its n-th prepared statement.
+func shapeName(n int) string { return "p" + strconv.Itoa(n) }
+
 // layout returns the commands that bring the connection to the session's values
 // and a prepared shape, and the connection's name of that shape.
 func (p *pooled) layout(values map[string]string, shape *Shape) (out []Command, name string) {
--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -144,6 +144,17 @@
 	return out
 }
 
+// lookup returns a member, also one that the platform lost sight of.
+func (g *Group) lookup(id string) (Member, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m := g.members[id]
+	if m == nil || m.gone {
+		return Member{}, false
+	}
+	return m.Member, true
+}
+
 // wantLeader makes sure that somebody finds out who leads.
 func (g *Group) wantLeader() {
 	g.mu.Lock()
--- a/internal/gateway/offer.go
+++ b/internal/gateway/offer.go
@@ -53,14 +53,8 @@
 }
 
 func (a *again) pause(ctx context.Context) {
-	if a.wait == 0 {
-		return
-	}
-	t := time.NewTimer(a.wait)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
+	if a.wait > 0 {
+		sleep(ctx, a.wait)
 	}
 }
 
@@ -114,10 +108,11 @@
 	refreshTimeout = 150 * time.Millisecond
 )
 
-// patience is how long a member has to answer. A read is offered to another
-// member when half of the time has gone by.
-func patience(left time.Duration, writes bool) time.Duration {
-	if writes {
+// patience is how long a member has to answer: all that is left, unless the statement
+// can be offered again elsewhere. Then another member is tried when half of the time has
+// gone by.
+func patience(left time.Duration, once bool) time.Duration {
+	if once {
 		return max(left, time.Millisecond)
 	}
 	return max(min(left, max(left/2, minPatience)), time.Millisecond)
--- a/internal/gateway/order.go
+++ b/internal/gateway/order.go
@@ -53,13 +53,12 @@
 
 // answers reports whether the member answers.
 func (w *watcher) answers(id string) bool {
-	for _, m := range w.group.list() {
-		if m.ID == id {
-			_, err := w.group.command(m, Probe{}, orderTimeout)
-			return err == nil || refusedByMember(err)
-		}
+	m, ok := w.group.lookup(id)
+	if !ok {
+		return false
 	}
-	return false
+	_, err := w.group.command(m, Probe{}, orderTimeout)
+	return err == nil || refusedByMember(err)
 }
 
 // order names the successor to the platform. It returns false when the order was
@@ -81,6 +80,8 @@
 		w.log("promotion_unanswered", "member", id, "token", token, "err", err)
 		return true
 	}
+	// Older tokens are refused from now on. This one's order is open until the member
+	// leads.
 	w.acknowledged(token - 1)
 	return true
 }
@@ -88,15 +89,8 @@
 // leads waits until the member leads.
 func (w *watcher) leads(ctx context.Context, id string) bool {
 	for until := w.host.now().Add(leadWait); w.host.now().Before(until); {
-		for _, m := range w.group.list() {
-			if m.ID != id {
-				continue
-			}
-			asked := w.host.now()
-			s, err := w.group.command(m, Probe{}, orderTimeout)
-			if err == nil && w.group.adopt([]answered{{member: m, asked: asked, status: s}}) {
-				return true
-			}
+		if m, ok := w.group.lookup(id); ok && w.group.adopt(w.group.orderAll([]Member{m}, Probe{}, orderTimeout)) {
+			return true
 		}
 		if !sleep(ctx, leadPoll) {
 			return false
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strconv"
 	"time"
 )
 
@@ -20,8 +19,6 @@
 	wrote bool
 }
 
-func shapeName(n int) string { return "p" + strconv.Itoa(n) }
-
 func (s *Session) begin(st Begin, arrived time.Time) Reply {
 	if s.state != Idle {
 		return s.failed(fail(Malformed, "a transaction is open"))
@@ -30,7 +27,6 @@
 	if failure != nil {
 		return Reply{Failure: failure}
 	}
-	// What the member checks by itself when a transaction that may write begins.
 	s.tx = &transaction{readOnly: st.ReadOnly, started: arrived, work: w}
 	s.state = InTransaction
 	return Reply{}
@@ -159,7 +155,7 @@
 	asked := g.now()
 	t.wrote = t.wrote || writes
 	commands := append(layout, Forward{Request: r, Name: name})
-	replies, err := p.conn.Do(max(w.deadline.Sub(asked), time.Millisecond), commands...)
+	replies, err := p.conn.Do(patience(w.deadline.Sub(asked), true), commands...)
 	if err != nil {
 		t.conn = nil
 		g.discard(p, err)
@@ -216,7 +212,7 @@
 	p, w, g := t.conn, &t.work, t.work.group
 	for {
 		asked := g.now()
-		replies, err := p.conn.Do(max(w.deadline.Sub(asked), time.Millisecond), Forward{Request: r})
+		replies, err := p.conn.Do(patience(w.deadline.Sub(asked), true), Forward{Request: r})
 		if err != nil {
 			g.discard(p, err)
 			s.host.logOffer(s, r, w, p.member.ID, "broken", err)
@@ -227,7 +223,7 @@
 		}
 		reply := replies[0]
 		if reply.Failure != nil && reply.Failure.Code == Busy && reply.State == InTransaction && g.now().Before(w.deadline) {
-			(&again{wait: busyPause}).pause(ctx)
+			sleep(ctx, busyPause)
 			continue
 		}
 		s.committed(p, asked, reply)
