--- a/cmd/pearlatch/gateway.go
+++ b/cmd/pearlatch/gateway.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/signal"
 	"syscall"
@@ -18,7 +19,9 @@
 	"pearlatch/internal/boottime"
 	"pearlatch/internal/eventlog"
 	"pearlatch/internal/gateway"
+	"pearlatch/internal/socket"
 	"pearlatch/io/operator"
+	"pearlatch/io/peer"
 	"pearlatch/platform"
 )
 
@@ -39,36 +42,14 @@
 }
 
 func runGateway(s *platform.Settings, path string, logger log.Logger, lines *eventlog.Logger) error {
-	registry := metrics.NewRegistry()
-	dialer := platform.Dialer{Local: s.Callers.Addr(), Who: s.Gateway.Host}
-	h := gateway.NewHost(s.Gateway, gateway.Ports{
-		Dialer: dialer, Store: platform.NewStore(s.Store, dialer), Promoter: platform.NewPromoter(s.Promotions, dialer),
-		Decode: platform.Decoder{}, Keys: platform.Keys, Metrics: registry,
-	}, logger, boottime.Now)
-	callers, err := net.Listen("tcp", s.Callers.String())
-	if err != nil {
-		return errors.Wrap(err, "listen for callers")
-	}
-	ready, err := net.Listen("tcp", s.Ready.String())
-	if err != nil {
-		return errors.Wrap(err, "listen for the ready question")
-	}
-	shown, err := net.Listen("tcp", s.Metrics.String())
-	if err != nil {
-		return errors.Wrap(err, "listen for metrics")
-	}
-	refresh := func() {
-		h.RefreshMetrics()
-		showDropped(registry, lines)
-	}
-	go serveUntilClosed(logger, "metrics", func() error {
-		return serveHTTP(shown, operator.GatewayHandler(registry, refresh, h.Beliefs))
-	})
+	g := &gatewayProcess{settings: s, logger: logger, registry: metrics.NewRegistry(), lines: lines, traffic: &peer.Traffic{}}
+	h := gateway.NewHost(s.Gateway, g.ports(), logger, boottime.Now)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	accept := &platform.Callers{Host: h}
-	go serveUntilClosed(logger, "callers", func() error { return accept.Serve(callers) })
-	go serveUntilClosed(logger, "ready", func() error { return serveHTTP(ready, platform.ReadyHandler(h.Ready)) })
+	if err := g.listen(ctx, h, accept); err != nil {
+		return err
+	}
 	stopped, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	hup := make(chan os.Signal, 1)
@@ -91,6 +72,61 @@
 	return nil
 }
 
+// gatewayProcess holds what a gateway's ports and listeners share.
+type gatewayProcess struct {
+	settings *platform.Settings
+	logger   log.Logger
+	registry metrics.Registry
+	lines    *eventlog.Logger
+	traffic  *peer.Traffic
+}
+
+// ports returns the host's ways to the outside.
+func (g *gatewayProcess) ports() gateway.Ports {
+	s := g.settings
+	dialer := platform.Dialer{Local: s.Callers.Addr(), Who: s.Gateway.Host}
+	p := gateway.Ports{
+		Dialer: dialer, Store: platform.NewStore(s.Store, dialer), Promoter: platform.NewPromoter(s.Promotions, dialer),
+		Decode: platform.Decoder{}, Keys: platform.Keys, Metrics: g.registry,
+	}
+	if s.Gateway.Peer.IsValid() {
+		p.Peers = peer.NewGatewayClient(s.Gateway.Peer.Addr(), g.traffic)
+	}
+	return p
+}
+
+// listen opens the host's listeners and serves them.
+func (g *gatewayProcess) listen(ctx context.Context, h *gateway.Host, accept *platform.Callers) error {
+	s := g.settings
+	refresh := func() {
+		h.RefreshMetrics()
+		showDropped(g.registry, g.lines)
+	}
+	served := []struct {
+		what  string
+		addr  netip.AddrPort
+		serve func(net.Listener) error
+	}{
+		{"callers", s.Callers, accept.Serve},
+		{"ready", s.Ready, func(lis net.Listener) error { return serveHTTP(lis, platform.ReadyHandler(h.Ready)) }},
+		{"metrics", s.Metrics, func(lis net.Listener) error {
+			return serveHTTP(lis, operator.GatewayHandler(g.registry, refresh, h.Beliefs))
+		}},
+		{"peers", s.Gateway.Peer, func(lis net.Listener) error { return peer.ServeGateway(ctx, lis, h, g.traffic) }},
+	}
+	for _, each := range served {
+		if !each.addr.IsValid() {
+			continue
+		}
+		lis, err := socket.Listen(ctx, each.addr)
+		if err != nil {
+			return errors.Wrapf(err, "for %s", each.what)
+		}
+		go serveUntilClosed(g.logger, each.what, func() error { return each.serve(lis) })
+	}
+	return nil
+}
+
 // showDropped counts the log lines that were dropped among the metrics.
 func showDropped(r metrics.Registry, lines *eventlog.Logger) {
 	for event, n := range lines.Dropped() {
@@ -164,7 +200,7 @@
 	h.Stop()
 	time.Sleep(min(rotationTime, grace/3))
 	for time.Since(started) < grace-endMargin {
-		if callers.CloseIdle() == 0 {
+		if callers.CloseIdle()+int(h.Guests()) == 0 {
 			return
 		}
 		time.Sleep(drainPoll)
--- /dev/null
+++ b/core/serving/servers.go
@@ -0,0 +1,99 @@
+package serving
+
+import (
+	"pearlatch/core/membership"
+)
+
+const (
+	// directShare is the least share of a member's connections with which every
+	// host serves for itself: one for a transaction that rests between statements
+	// and one for all else.
+	directShare = 2
+	// pooledShare is the share that a host gets where a few serve for all. It lets
+	// a handful of transactions rest while a member's two or three slots stay busy.
+	pooledShare = 8
+)
+
+// Count returns how many hosts serve a group, of hosts in the given number of
+// availability zones before a member that takes so many connections.
+//
+// Where every host has directShare, all serve, and a statement needs no hop.
+// Otherwise connections are pooled with a few hosts, the same number in each zone,
+// so that others forward within their zone.
+func Count(connections, hosts, zones int) int {
+	if hosts <= 1 || connections/hosts >= directShare {
+		return max(1, hosts)
+	}
+	k := max(1, connections/pooledShare)
+	if k > zones && zones > 0 {
+		k -= k % zones
+	}
+	return min(k, hosts)
+}
+
+// Servers returns the hosts that serve a group, the first claim first: as many as
+// Count says, by turns from each availability zone. Leaving hosts serve only when
+// there are too few others.
+func Servers(group string, hosts []membership.Host, connections int) []membership.Host {
+	rounds := byTurns(membership.Rank(group, hosts))
+	k := Count(connections, staying(hosts), zonesOf(hosts))
+	return rounds[:min(k, len(rounds))]
+}
+
+// byTurns reorders ranked hosts so that each availability zone has its n-th host
+// before any has its next one.
+func byTurns(ranked []membership.Host) []membership.Host {
+	out := make([]membership.Host, 0, len(ranked))
+	taken := map[string]int{}
+	rest := ranked
+	for round := 1; len(rest) > 0; round++ {
+		var later []membership.Host
+		for _, h := range rest {
+			if h.Leaving != rest[0].Leaving || taken[h.Zone] >= round {
+				later = append(later, h)
+				continue
+			}
+			taken[h.Zone] = round
+			out = append(out, h)
+		}
+		rest = later
+	}
+	return out
+}
+
+// staying counts the hosts that are not leaving.
+func staying(hosts []membership.Host) int {
+	n := 0
+	for _, h := range hosts {
+		if !h.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
+func zonesOf(hosts []membership.Host) int {
+	zones := map[string]bool{}
+	for _, h := range hosts {
+		if !h.Leaving {
+			zones[h.Zone] = true
+		}
+	}
+	return len(zones)
+}
+
+// Order returns the servers in the order in which a host forwards to them: those of
+// its own availability zone first, each group of equals in an order of its own, so
+// that hosts spread over them.
+func Order(self membership.Host, servers []membership.Host) []membership.Host {
+	ranked := membership.Rank(self.ID, servers)
+	out := make([]membership.Host, 0, len(ranked))
+	for _, near := range []bool{true, false} {
+		for _, h := range ranked {
+			if (h.Zone == self.Zone) == near {
+				out = append(out, h)
+			}
+		}
+	}
+	return out
+}
--- a/internal/gateway/duty.go
+++ b/internal/gateway/duty.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"sync"
 	"time"
 
@@ -108,12 +107,7 @@
 
 // rank returns how many hosts come before this one for the group.
 func (h *Host) rank(group string) int {
-	var hosts []membership.Host
-	for key, i := range h.items {
-		if id, ok := strings.CutPrefix(key, h.hostsPrefix()); ok {
-			hosts = append(hosts, membership.Host{ID: id, Zone: string(i.Value)})
-		}
-	}
+	hosts, _ := h.fleet.listed()
 	for i, each := range membership.Rank(group, hosts) {
 		if each.ID == h.settings.Host {
 			return i
--- /dev/null
+++ b/internal/gateway/fleet.go
@@ -0,0 +1,126 @@
+package gateway
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"pearlatch/core/membership"
+)
+
+// fleet is what a host knows of the other hosts: who is listed, and which of them
+// failed to answer lately.
+type fleet struct {
+	mu sync.Mutex
+	// hosts are those listed in the store, this one included; generation rises with
+	// each change of it.
+	hosts      []membership.Host
+	generation int64
+	peers      map[string]*peer
+}
+
+// peer is what is known of another host beyond its entry.
+type peer struct {
+	// process names the process that answered last, or is empty.
+	process string
+	// suspectUntil is until when the host is only used when no other one answers.
+	suspectUntil time.Time
+}
+
+// peerSuspect is how long a host that failed to answer is used only when no other one
+// is left. A process that is started again is back after about as long.
+const peerSuspect = 400 * time.Millisecond
+
+// set takes over the list of hosts.
+func (f *fleet) set(hosts []membership.Host) {
+	slices.SortFunc(hosts, func(a, b membership.Host) int { return strings.Compare(a.ID, b.ID) })
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if slices.Equal(hosts, f.hosts) {
+		return
+	}
+	f.hosts = hosts
+	f.generation++
+}
+
+// listed returns the hosts in the list and its generation.
+func (f *fleet) listed() ([]membership.Host, int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.hosts, f.generation
+}
+
+func (f *fleet) peer(id string) *peer {
+	if f.peers == nil {
+		f.peers = map[string]*peer{}
+	}
+	p := f.peers[id]
+	if p == nil {
+		p = &peer{}
+		f.peers[id] = p
+	}
+	return p
+}
+
+// process returns the name of the host's process, or the empty string.
+func (f *fleet) process(id string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.peer(id).process
+}
+
+// answered records an answer of a host's process. It returns false if the host had
+// been answering before.
+func (f *fleet) answered(id, process string) (regained bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := f.peer(id)
+	regained = !p.suspectUntil.IsZero()
+	p.process, p.suspectUntil = process, time.Time{}
+	return regained
+}
+
+// failed records that a host did not answer. It returns true if it had answered before.
+func (f *fleet) failed(id string, now time.Time) (lost bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := f.peer(id)
+	lost = p.suspectUntil.IsZero()
+	p.suspectUntil = now.Add(peerSuspect)
+	return lost
+}
+
+// usable returns those of the hosts that are not suspect, in the same order.
+func (f *fleet) usable(hosts []membership.Host, now time.Time) []membership.Host {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make([]membership.Host, 0, len(hosts))
+	for _, h := range hosts {
+		if p := f.peers[h.ID]; p == nil || !now.Before(p.suspectUntil) {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// entryOf returns the value of a host's entry in the store: its availability zone and
+// its address for other hosts, if it has one.
+func entryOf(h membership.Host) []byte {
+	if !h.Peer.IsValid() {
+		return []byte(h.Zone)
+	}
+	return []byte(h.Zone + " " + h.Peer.String())
+}
+
+// parseEntry reads a host's entry. Without a valid address a host serves its own
+// callers only.
+func parseEntry(id string, value []byte) membership.Host {
+	zone, addr, _ := strings.Cut(string(value), " ")
+	h := membership.Host{ID: id, Zone: zone}
+	if p, err := netip.ParseAddrPort(addr); err == nil {
+		h.Peer = p
+	}
+	return h
+}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -6,52 +6,87 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"pearlatch/core/membership"
 )
 
 const (
 	// watchWait is how long the store may hold a watch back. A watch whose
-	// connection went silent is noticed after that, well within the 4 s after
-	// which a host must know what happened during an outage.
-	watchWait = 2 * time.Second
+	// connection went silent is noticed after that and watchSlack, well within the 3 s
+	// in which a configuration must be in force.
+	watchWait = 1200 * time.Millisecond
 	// watchSlack is how much longer the answer may take.
 	watchSlack = 500 * time.Millisecond
 	// listTimeout bounds the reading of a prefix.
 	listTimeout = 1500 * time.Millisecond
-	// storePause is the pause after a call that failed.
-	storePause = 100 * time.Millisecond
-	// storePauseMax bounds that pause when calls keep failing.
-	storePauseMax = 400 * time.Millisecond
+	// sourcePause is the pause after all sources of news failed.
+	sourcePause = 100 * time.Millisecond
+	// sourcePauseMax bounds that pause when they keep failing.
+	sourcePauseMax = 400 * time.Millisecond
+	// preferAgain is how long a host keeps to a source that it does not prefer.
+	preferAgain = 3 * time.Second
 )
 
+// follower keeps a host's view of the store up to date, from the store itself or from
+// another host.
+type follower struct {
+	host *Host
+	// at is the index of the source in use, and since when it is in use.
+	at    int
+	since time.Time
+	// failures counts sources that failed in a row.
+	failures int
+}
+
 // follow keeps the host's view of the store up to date.
 func (h *Host) follow(ctx context.Context) {
-	pause := storePause
-	up := true
+	f := &follower{host: h, since: h.now()}
+	pause := sourcePause
 	for ctx.Err() == nil {
-		err := h.followOnce(ctx)
-		if err == nil {
-			if !up {
-				h.log("store_regained")
-			}
-			up, pause = true, storePause
+		sources := h.sources()
+		f.at %= len(sources)
+		if f.turn(ctx, sources[f.at]) {
+			pause = sourcePause
 			continue
 		}
-		if up {
-			h.log("store_lost", "err", err)
+		f.at++
+		f.since = h.now()
+		if f.failures++; f.failures%len(sources) != 0 {
+			continue
 		}
-		up = false
 		if !sleep(ctx, pause) {
 			return
 		}
-		pause = min(2*pause, storePauseMax)
+		pause = min(2*pause, sourcePauseMax)
 	}
 }
 
-func (h *Host) followOnce(ctx context.Context) error {
+// turn follows a source for a while. It returns false if the source failed.
+func (f *follower) turn(ctx context.Context, s source) bool {
+	h := f.host
+	err := s.follow(ctx, h, f.at > 0)
+	if err != nil {
+		if f.failures == 0 && ctx.Err() == nil {
+			h.log("source_lost", "source", s.String(), "err", err)
+		}
+		return false
+	}
+	if f.failures > 0 {
+		h.log("source_regained", "source", s.String(), "failures", f.failures)
+	}
+	f.failures = 0
+	if f.at > 0 && h.now().Sub(f.since) > preferAgain {
+		f.at, f.since = 0, h.now()
+	}
+	return true
+}
+
+// followStore asks the store once for what has changed.
+func (h *Host) followStore(ctx context.Context) error {
 	h.mu.Lock()
-	revision := h.revision
+	revision, relist := h.revision, h.relist
 	h.mu.Unlock()
-	if revision == 0 {
+	if revision == 0 || relist {
 		return h.listAll(ctx)
 	}
 	call, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
@@ -65,12 +100,11 @@
 		// What the watch missed is read anew: the list tells in one call what
 		// holds now.
 		h.mu.Lock()
-		h.revision = 0
+		h.relist = true
 		h.mu.Unlock()
 		return err
 	}
-	h.apply(s)
-	return nil
+	return h.apply(News{Snapshot: s})
 }
 
 // listAll reads everything anew.
@@ -81,43 +115,86 @@
 	if err != nil {
 		return err
 	}
-	h.mu.Lock()
-	fresh := map[string]bool{}
-	for _, i := range s.Items {
-		fresh[i.Key] = true
-	}
-	for key := range h.items {
-		if !fresh[key] {
-			delete(h.items, key)
-		}
-	}
-	h.mu.Unlock()
-	h.apply(s)
-	return nil
+	return h.apply(News{Snapshot: s, Whole: true})
 }
 
-// apply takes over changes of the store.
-func (h *Host) apply(s Snapshot) {
+// errBehind means that a source knows less than this host.
+var errBehind = errors.New("the source is behind")
+
+// apply takes over news of the store.
+func (h *Host) apply(n News) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for _, i := range s.Items {
-		if old, ok := h.items[i.Key]; ok && old.Revision > i.Revision {
-			continue
-		}
-		if i.Removed {
-			delete(h.items, i.Key)
-			delete(h.decoded, i.Key)
-			continue
+	if n.Whole {
+		if n.Revision < h.revision {
+			return errBehind
 		}
-		h.items[i.Key] = i
+		n.Items = append(n.Items, h.vanished(n)...)
+		h.relist = false
+	}
+	if h.revision == 0 {
+		h.changes.from = n.Revision
+	}
+	for _, i := range n.Items {
+		h.applyItem(i)
+	}
+	h.revision = max(h.revision, n.Revision)
+	if heard := h.now().Add(-n.Age); heard.After(h.heardAt) {
+		h.heardAt = heard
 	}
-	h.revision = max(h.revision, s.Revision)
+	close(h.changed)
+	h.changed = make(chan struct{})
 	h.applyConfig()
+	h.applyHosts()
 	if h.config == nil {
-		return
+		return nil
 	}
 	h.applyMembers()
 	h.synced.Store(true)
+	return nil
+}
+
+// vanished returns the removal of each key that complete news no longer holds.
+func (h *Host) vanished(n News) []Item {
+	fresh := make(map[string]bool, len(n.Items))
+	for _, i := range n.Items {
+		fresh[i.Key] = true
+	}
+	var out []Item
+	for key, i := range h.items {
+		if !fresh[key] && i.Revision <= n.Revision {
+			out = append(out, Item{Key: key, Revision: n.Revision, Removed: true})
+		}
+	}
+	return out
+}
+
+// applyItem takes over a change, unless a newer one of the key is known.
+func (h *Host) applyItem(i Item) {
+	old, known := h.items[i.Key]
+	if known && old.Revision >= i.Revision || !known && i.Removed {
+		return
+	}
+	h.changes.add(i)
+	if i.Removed {
+		delete(h.items, i.Key)
+		delete(h.decoded, i.Key)
+		return
+	}
+	h.items[i.Key] = i
+}
+
+// applyHosts takes over the list of hosts.
+func (h *Host) applyHosts() {
+	var hosts []membership.Host
+	now := h.now()
+	for key, i := range h.items {
+		if id, ok := strings.CutPrefix(key, h.hostsPrefix()); ok {
+			hosts = append(hosts, parseEntry(id, i.Value))
+			h.hostsSeen[id] = now
+		}
+	}
+	h.fleet.set(hosts)
 }
 
 func (h *Host) applyConfig() {
@@ -149,9 +226,6 @@
 func (h *Host) applyMembers() {
 	lists := map[string][]Member{}
 	for key, i := range h.items {
-		if id, ok := strings.CutPrefix(key, h.hostsPrefix()); ok {
-			h.hostsSeen[id] = h.now()
-		}
 		if !strings.HasPrefix(key, h.ports.Keys.Members) {
 			continue
 		}
@@ -161,7 +235,8 @@
 	}
 	for name, g := range h.groups {
 		g.update(lists[name])
-		g.configure(h.config.Groups[name], h.countHosts(), h.config.shortestAge(name))
+		plan := h.planOf(name)
+		g.configure(h.config.Groups[name], plan.hosts, h.config.shortestAge(name), plan.others)
 	}
 }
 
@@ -214,8 +289,20 @@
 	leaseTimeout = time.Second
 )
 
-// register keeps the host's entry in the store.
+// register keeps the host's entry in the store until the host is told to stop: others
+// then turn elsewhere, and what is open here can end.
 func (h *Host) register(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		select {
+		case <-h.stopped:
+			cancel()
+		case <-stop:
+		}
+	}()
 	var lease int64
 	for ctx.Err() == nil {
 		if lease == 0 {
@@ -226,7 +313,7 @@
 		}
 		pause := hostRenewal
 		if lease == 0 {
-			pause = storePauseMax
+			pause = sourcePauseMax
 		}
 		if !sleep(ctx, pause) {
 			break
@@ -266,7 +353,7 @@
 	h.mu.Lock()
 	revision := h.items[key].Revision
 	h.mu.Unlock()
-	if _, err := h.ports.Store.Put(call, key, revision, []byte(h.settings.Zone), lease); err != nil {
+	if _, err := h.ports.Store.Put(call, key, revision, entryOf(h.self()), lease); err != nil {
 		h.log("announce", "err", err)
 		h.endLease(lease)
 		return 0
--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -10,6 +10,7 @@
 
 	"pearlatch/core/freshness"
 	"pearlatch/core/group"
+	"pearlatch/core/membership"
 )
 
 // Group is a database group as one host serves it. Use newGroup.
@@ -30,6 +31,11 @@
 	// connections is the most that a member takes from all hosts; hosts is how
 	// many hosts share them.
 	connections, hosts int
+	// servers are the other hosts that serve the group, in the order in which this
+	// one turns to them. They are empty while this host serves it.
+	servers []membership.Host
+	// unreachedSince is since when none of the servers has answered, or zero.
+	unreachedSince time.Time
 	// age is the shortest age that a route of the group accepts, or zero.
 	age     time.Duration
 	waiters []*waiter
@@ -66,12 +72,17 @@
 // end of its grace, for statements that wait and for a list that lags.
 const leavingMargin = 2 * time.Second
 
-// configure takes over the group's configuration and the number of hosts.
-func (g *Group) configure(c GroupConfig, hosts int, age time.Duration) {
+// configure takes over the group's configuration, the number of hosts that share its
+// members' connections and, if this host is none of them, those that serve the group.
+func (g *Group) configure(c GroupConfig, hosts int, age time.Duration, servers []membership.Host) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.age = age
 	g.connections, g.hosts = max(1, c.Connections), max(1, hosts)
+	if len(g.servers) > 0 != (len(servers) > 0) {
+		g.log("serving", "here", len(servers) == 0, "hosts", hosts)
+	}
+	g.servers = servers
 	g.dispatch()
 }
 
--- /dev/null
+++ b/internal/gateway/guest.go
@@ -0,0 +1,140 @@
+package gateway
+
+import (
+	"context"
+	"time"
+)
+
+// Guest does what another host passes on, for one of its callers at a time. It is used
+// by one goroutine at a time.
+type Guest struct {
+	host    *Host
+	session *Session
+	// counted is true while the host counts the guest's open transaction.
+	counted bool
+}
+
+// visit is what a guest's session goes by in place of the host's own configuration: the
+// host that the caller is connected to decides about routes.
+type visit struct {
+	from  string
+	route Route
+	group *Group
+}
+
+// NewGuest returns a Guest without a caller.
+func (h *Host) NewGuest() *Guest { return &Guest{host: h} }
+
+// Do runs a request of another host.
+func (g *Guest) Do(ctx context.Context, r *PeerRequest) *PeerReply {
+	h := g.host
+	k := requestKey{r.From, r.Serial}
+	if why := g.refuses(r); why != "" {
+		return &PeerReply{Process: h.process, Elsewhere: true, Why: why}
+	}
+	if !h.recent.admit(k, h.now()) {
+		return &PeerReply{Process: h.process, Elsewhere: true, Why: "recalled before it came"}
+	}
+	h.guests.Add(1)
+	defer h.guests.Add(-1)
+	reply := g.run(ctx, r)
+	g.count()
+	h.recent.done(k, reply)
+	return reply
+}
+
+// refuses says why the request can't run here, or returns the empty string. Once a
+// transaction is open its statements run here or nowhere.
+func (g *Guest) refuses(r *PeerRequest) string {
+	switch {
+	case r.To != "" && r.To != g.host.process:
+		return "another process"
+	case g.Open():
+		return ""
+	case g.host.stopping.Load():
+		return "stopping"
+	case g.host.group(r.Group) == nil:
+		return "unknown group"
+	}
+	return ""
+}
+
+// Open reports whether a transaction is open.
+func (g *Guest) Open() bool { return g.session != nil && g.session.state == InTransaction }
+
+// count tells the host whether a transaction is open.
+func (g *Guest) count() {
+	switch open := g.Open(); {
+	case open && !g.counted:
+		g.host.guests.Add(1)
+	case !open && g.counted:
+		g.host.guests.Add(-1)
+	}
+	g.counted = g.Open()
+}
+
+// run takes over the caller's session as the request describes it. The ages make times
+// of this host's clock that are not before the sender's: what decides on freshness is
+// never older than it seems.
+func (g *Guest) run(ctx context.Context, r *PeerRequest) *PeerReply {
+	h := g.host
+	now := h.now()
+	if !g.Open() {
+		g.session = &Session{host: h, database: r.Database, visit: &visit{r.From, r.Route, h.group(r.Group)}}
+	}
+	s := g.session
+	s.values = r.Values
+	s.raise(r.Mark)
+	if e, ok := r.Request.Statement.(Execute); ok && r.Shape != nil {
+		s.prepared = map[string]Shape{e.Name: *r.Shape}
+	}
+	if r.Begin != nil {
+		s.begin(*r.Begin, now.Add(-r.BeginAge))
+	}
+	reply := s.do(ctx, r.Request, now.Add(-r.Age))
+	if s.state == Broken {
+		// The caller's own host keeps the state of a failed transaction.
+		s.state = Idle
+	}
+	return &PeerReply{Process: h.process, Reply: reply, Mark: s.mark}
+}
+
+// Expire rolls back a transaction whose host sent nothing for too long: it may be gone
+// without a trace, and its transaction holds a connection.
+func (g *Guest) Expire() {
+	if g.Open() {
+		g.session.Expire()
+	}
+	g.session = nil
+	g.count()
+}
+
+// Rest is how long the next request may take to come while a transaction is open.
+func (g *Guest) Rest() time.Duration { return g.host.TransactionIdle() + restMargin }
+
+// restMargin lets the caller's own host end a resting transaction first.
+const restMargin = 500 * time.Millisecond
+
+// Close ends the guest. An open transaction is rolled back.
+func (g *Guest) Close() {
+	if g.Open() {
+		g.session.abandon()
+	}
+	g.session = nil
+	g.count()
+}
+
+// Recall says what became of a request of another host.
+func (h *Host) Recall(from string, serial uint64) Recalled {
+	return h.recent.recall(requestKey{from, serial}, h.now(), h.process)
+}
+
+// Guests returns how many requests and transactions of other hosts are open here.
+func (h *Host) Guests() int64 { return h.guests.Load() }
+
+// group returns a group that the configuration describes, or nil.
+func (h *Host) group(name string) *Group {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.groups[name]
+}
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,6 +28,11 @@
 	PromotionTokens bool
 	// LeaseFloor is the shortest lease that the store grants.
 	LeaseFloor time.Duration
+	// Peer is the host's address for other hosts. Without one the host serves its own
+	// callers alone.
+	Peer netip.AddrPort
+	// Seeds are addresses of other hosts, some of which may be gone.
+	Seeds []netip.AddrPort
 }
 
 // Ports are a host's ways to the outside.
@@ -33,6 +40,8 @@
 	Dialer   Dialer
 	Store    Store
 	Promoter Promoter
+	// Peers is nil for a host without an address for other hosts.
+	Peers Peers
 	// Decode reads what the platform wrote into the store.
 	Decode Decoder
 	Keys   Keys
@@ -71,19 +80,39 @@
 	// items holds the values of the store's keys that matter, by key.
 	items    map[string]Item
 	revision int64
+	// relist is true after a watch failed: what it missed must be read anew.
+	relist bool
 	// configRevision is that of the configuration's item that was read last, and
 	// decoded holds members' entries by key.
 	configRevision int64
 	decoded        map[string]decoded
 	// hostsSeen holds when each host's entry was last seen.
 	hostsSeen map[string]time.Time
+	// serving holds what was last worked out about who serves a group, by group.
+	serving map[string]servingPlan
+	// changes keeps the store's newest changes for other hosts; changed is closed and
+	// replaced with each, and heardAt is when the store itself was last heard of.
+	changes changes
+	changed chan struct{}
+	heardAt time.Time
+
+	// process names this run of the host: what it knew is lost with it.
+	process string
+	fleet   fleet
+	recent  recent
+	// serial numbers the requests to other hosts.
+	serial atomic.Uint64
+	// guests counts the requests and transactions of other hosts that are open here.
+	guests atomic.Int64
 
 	// configured is closed with the first configuration.
 	configured chan struct{}
 
 	sessions atomic.Int64
 	stopping atomic.Bool
-	synced   atomic.Bool
+	// stopped is closed by Stop.
+	stopped chan struct{}
+	synced  atomic.Bool
 }
 
 // NewHost returns a host that does not run yet. now reads a clock that goes on
@@ -94,6 +123,7 @@
 	return &Host{
 		meters: m, settings: s, ports: p, logger: log.With(logger, "host", s.Host), now: now,
 		groups: map[string]*Group{}, items: map[string]Item{}, hostsSeen: map[string]time.Time{}, decoded: map[string]decoded{}, configured: make(chan struct{}),
+		stopped: make(chan struct{}), serving: map[string]servingPlan{}, changed: make(chan struct{}), process: fmt.Sprintf("%s-%08x", s.Host, rand.Uint32()),
 	}
 }
 
@@ -126,9 +156,12 @@
 // Stopping reports whether the host has been told to stop.
 func (h *Host) Stopping() bool { return h.stopping.Load() }
 
-// Stop makes the host take no new callers.
+// Stop makes the host take no new callers, and tells other hosts.
 func (h *Host) Stop() {
-	h.stopping.Store(true)
+	if h.stopping.Swap(true) {
+		return
+	}
+	close(h.stopped)
 	h.log("stopping", "sessions", h.sessions.Load())
 }
 
@@ -232,11 +265,14 @@
 		"request", r.ID, "database", s.database, "code", f.Code, "detail", f.Detail,
 		"took_ms", h.now().Sub(arrived).Milliseconds(), "state", s.state,
 	}
-	route, g, unknown := h.route(s.database)
+	_, g, unknown := s.route()
 	if unknown == nil {
-		fields = append(fields, "config_version", h.configVersion(), "group", route.Group)
+		fields = append(fields, "config_version", h.configVersion(), "group", g.name)
 		fields = append(fields, g.inputs()...)
 	}
+	if s.visit != nil {
+		fields = append(fields, "for", s.visit.from)
+	}
 	h.log("statement_failed", fields...)
 }
 
--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -159,7 +159,8 @@
 func (g *Group) wantLeader() {
 	g.mu.Lock()
 	known := g.leader != "" && !g.now().Before(g.leaderSuspect())
-	if known || g.searching || len(g.order) == 0 {
+	idle := len(g.servers) > 0 && !g.strays() // those that serve the group find out
+	if known || idle || g.searching || len(g.order) == 0 {
 		g.mu.Unlock()
 		return
 	}
--- a/internal/gateway/meters.go
+++ b/internal/gateway/meters.go
@@ -60,6 +60,16 @@
 	m.count(fmt.Sprintf("member_statements_total{group=%q,member=%q}", group, member), 1)
 }
 
+// guest counts a statement that was run for another host.
+func (m meters) guest(group, outcome string) {
+	m.count(fmt.Sprintf("guest_statements_total{group=%q,outcome=%q}", group, outcome), 1)
+}
+
+// forward counts a statement that was passed on to another host.
+func (m meters) forward(group, outcome string) {
+	m.count(fmt.Sprintf("forwards_total{group=%q,outcome=%q}", group, outcome), 1)
+}
+
 // retry counts an offer that is made again.
 func (m meters) retry(group, reason string) {
 	m.count(fmt.Sprintf("offers_again_total{group=%q,reason=%q}", group, reason), 1)
--- a/internal/gateway/offer.go
+++ b/internal/gateway/offer.go
@@ -28,6 +28,12 @@
 // runSingle runs a statement outside a transaction. It offers the statement
 // again only while it has certainly not run, or when it only reads.
 func (s *Session) runSingle(ctx context.Context, r Request, w work) Reply {
+	if w.passOn {
+		if reply, ok := s.forwardSingle(ctx, r, &w); ok {
+			return reply
+		}
+		w.require(s.mark)
+	}
 	for {
 		w.need.deadline = w.waitUntil()
 		p, err := w.group.acquire(ctx, w.need)
@@ -217,7 +223,7 @@
 // failed breaks a transaction, if there is one, and returns the reply.
 func (s *Session) failed(reply Reply) Reply {
 	if s.tx != nil {
-		s.tx.rollback()
+		s.tx.rollback(s)
 		s.tx = nil
 		s.state = Broken
 	}
--- a/internal/gateway/open.go
+++ b/internal/gateway/open.go
@@ -38,12 +38,24 @@
 
 // limit is how many connections this host may have to the member.
 func (g *Group) limit(m *member) int {
+	if len(g.servers) > 0 {
+		return g.share()
+	}
 	return g.share() + m.allowance.extra
 }
 
 // share is the host's equal share of a member's connections. Two are set apart for
-// the holder of the group's duty, and one that follows it.
-func (g *Group) share() int { return max(1, (g.connections-controlShare)/max(1, g.hosts)) }
+// the holder of the group's duty, and one that follows it. A host that does not serve
+// the group has none, or one while it can't reach those that do.
+func (g *Group) share() int {
+	switch {
+	case len(g.servers) == 0:
+		return max(1, (g.connections-controlShare)/max(1, g.hosts))
+	case g.strays():
+		return 1
+	}
+	return 0
+}
 
 // controlShare is how many of a member's connections are kept for orders.
 const controlShare = 2
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"pearlatch/core/freshness"
+	"pearlatch/core/group"
 )
 
 // work describes a statement or a transaction on its way to a member.
@@ -15,38 +16,48 @@
 	shape    *Shape
 	verify   bool
 	deadline time.Time
+	// passOn is true when other hosts serve the group. What a member must hold is
+	// then decided there.
+	passOn bool
 }
 
 // plan says what a request needs. For a transaction, arrived is its start.
 func (s *Session) plan(arrived time.Time, writes bool) (work, *Failure) {
-	route, g, err := s.host.route(s.database)
+	route, g, err := s.route()
 	if err != nil {
 		return work{}, err
 	}
-	w := work{group: g, route: route, writes: writes}
+	w := work{group: g, route: route, writes: writes, passOn: s.visit == nil && g.passesOn()}
 	w.need = need{priority: route.Priority, arrived: arrived}
-	if writes {
+	if !w.passOn {
+		w.require(s.mark)
+	}
+	return w, nil
+}
+
+// require says what a member must hold, or be, for a session with the mark.
+func (w *work) require(mark group.Position) {
+	if w.writes {
 		w.need.primary = true
-		return w, nil
+		return
 	}
-	switch c := route.Class.(type) {
+	switch c := w.route.Class.(type) {
 	case freshness.Latest:
 		w.need.primary, w.verify = true, true
 	case freshness.OwnWrites:
-		w.need.after = s.mark
+		w.need.after = mark
 	case freshness.MaxAge:
-		p, ok := g.covering(arrived.Add(-c.Age))
+		p, ok := w.group.covering(w.need.arrived.Add(-c.Age))
 		if !ok {
 			// Nothing was heard of the primary within the age: only it knows.
 			w.need.primary, w.verify = true, true
 			break
 		}
 		w.need.after = p
-		if s.mark.Compare(p) > 0 {
-			w.need.after = s.mark
+		if mark.Compare(p) > 0 {
+			w.need.after = mark
 		}
 	}
-	return w, nil
 }
 
 // resolve returns whether the request writes, and the shape that it executes.
--- /dev/null
+++ b/internal/gateway/serving.go
@@ -0,0 +1,101 @@
+package gateway
+
+import (
+	"slices"
+	"time"
+
+	"pearlatch/core/membership"
+	"pearlatch/core/serving"
+)
+
+// passesOn reports whether other hosts serve the group.
+func (g *Group) passesOn() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.servers) > 0
+}
+
+// serverOrder returns the other hosts that serve the group.
+func (g *Group) serverOrder() []membership.Host {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.servers
+}
+
+// strayAfter is how long the hosts that serve a group must have been out of reach until
+// a host opens a connection of its own. All of them are gone for that long when
+// everything starts again, and the members' connections are theirs then.
+const strayAfter = 400 * time.Millisecond
+
+// reached records that a host that serves the group took a statement.
+func (g *Group) reached() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.unreachedSince = time.Time{}
+}
+
+// unreached records that none did, and reports whether this host is to serve the group
+// itself meanwhile.
+func (g *Group) unreached() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.unreachedSince.IsZero() {
+		g.unreachedSince = g.now()
+	}
+	return g.strays()
+}
+
+// strays reports whether the host serves a group that it should not, since none of the
+// hosts that should is in reach. The group's lock is held.
+func (g *Group) strays() bool {
+	return !g.unreachedSince.IsZero() && g.now().Sub(g.unreachedSince) > strayAfter
+}
+
+// servingPlan says who serves a group, as worked out from a list of hosts.
+type servingPlan struct {
+	generation  int64
+	connections int
+	// hosts is how many hosts share the members' connections.
+	hosts int
+	// others are the hosts that serve the group while this one does not.
+	others []membership.Host
+}
+
+// planOf says who serves a group. h.mu is held.
+func (h *Host) planOf(name string) servingPlan {
+	hosts, generation := h.fleet.listed()
+	connections := h.config.Groups[name].Connections - controlShare
+	p := h.serving[name]
+	if p.generation != generation || p.connections != connections {
+		p = servingPlan{generation: generation, connections: connections}
+		p.hosts, p.others = h.whoServes(name, hosts, connections)
+		h.serving[name] = p
+	}
+	if len(p.others) == 0 && p.hosts == 0 {
+		p.hosts = h.countHosts()
+	}
+	return p
+}
+
+// whoServes returns how many hosts serve a group, or zero for all of them, and those to
+// turn to if this one is not among them.
+func (h *Host) whoServes(name string, listed []membership.Host, connections int) (int, []membership.Host) {
+	self := h.self()
+	hosts := slices.DeleteFunc(slices.Clone(listed), func(o membership.Host) bool { return !o.Peer.IsValid() })
+	here := slices.ContainsFunc(hosts, func(o membership.Host) bool { return o.ID == self.ID })
+	if h.ports.Peers == nil || len(hosts) == 0 || here && len(hosts) == 1 {
+		return 0, nil
+	}
+	all := hosts
+	if !here {
+		all = append(slices.Clone(hosts), self)
+	}
+	if serving.Count(connections, len(all), 1) == len(all) {
+		return 0, nil
+	}
+	servers := serving.Servers(name, hosts, connections)
+	if slices.ContainsFunc(servers, func(o membership.Host) bool { return o.ID == self.ID }) {
+		return len(servers), nil
+	}
+	return len(servers), serving.Order(self, servers)
+}
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -20,6 +20,9 @@
 	mark group.Position
 	// last is the identifier of the newest request.
 	last string
+	// visit is set for a caller of another host, and decides in place of the
+	// configuration. Such a session is never passed on.
+	visit *visit
 }
 
 // Open starts a session with a database, or returns a *Failure.
@@ -34,12 +37,26 @@
 // Close ends the session. An open transaction is rolled back.
 func (s *Session) Close() {
 	s.host.sessions.Add(-1)
-	if s.tx != nil {
-		s.host.log("caller_left", "request", s.last, "database", s.database, "group", s.tx.work.group.name,
-			"transaction_ms", s.host.now().Sub(s.tx.started).Milliseconds(), "outcome", "rolled back")
-		s.tx.rollback()
-		s.tx = nil
+	s.abandon()
+}
+
+// abandon rolls an open transaction back whose caller has left.
+func (s *Session) abandon() {
+	if s.tx == nil {
+		return
+	}
+	s.host.log("caller_left", "request", s.last, "database", s.database, "group", s.tx.work.group.name,
+		"transaction_ms", s.host.now().Sub(s.tx.started).Milliseconds(), "outcome", "rolled back")
+	s.tx.rollback(s)
+	s.tx = nil
+}
+
+// route returns the route and the group of the session's database.
+func (s *Session) route() (Route, *Group, *Failure) {
+	if s.visit != nil {
+		return s.visit.route, s.visit.group, nil
 	}
+	return s.host.route(s.database)
 }
 
 // Unheard records that the answer to the newest request could not be delivered.
@@ -51,8 +68,9 @@
 func (s *Session) State() State { return s.state }
 
 // Do runs a statement and returns the answer for the caller.
-func (s *Session) Do(ctx context.Context, r Request) Reply {
-	arrived := s.host.now()
+func (s *Session) Do(ctx context.Context, r Request) Reply { return s.do(ctx, r, s.host.now()) }
+
+func (s *Session) do(ctx context.Context, r Request, arrived time.Time) Reply {
 	s.last = r.ID
 	if s.state == Broken {
 		return s.doBroken(r)
@@ -83,14 +101,19 @@
 
 // note counts a statement that was answered, and writes a line if it failed.
 func (s *Session) note(r Request, arrived time.Time, reply Reply) {
-	if reply.Failure == nil {
-		if reply.Signature != "" {
-			s.host.meters.statement(s.database, "served", s.host.now().Sub(arrived))
-		}
+	outcome := "served"
+	switch {
+	case reply.Failure != nil:
+		outcome = reply.Failure.Code.String()
+		s.host.logFailure(s, r, arrived, reply.Failure)
+	case reply.Signature == "":
+		return // answered without a member
+	}
+	if s.visit != nil {
+		s.host.meters.guest(s.visit.group.name, outcome)
 		return
 	}
-	s.host.meters.statement(s.database, reply.Failure.Code.String(), s.host.now().Sub(arrived))
-	s.host.logFailure(s, r, arrived, reply.Failure)
+	s.host.meters.statement(s.database, outcome, s.host.now().Sub(arrived))
 }
 
 func fail(c Code, detail string) Reply { return Reply{Failure: &Failure{Code: c, Detail: detail}} }
--- /dev/null
+++ b/internal/gateway/source.go
@@ -0,0 +1,198 @@
+package gateway
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"pearlatch/core/membership"
+	"pearlatch/core/serving"
+)
+
+const (
+	// newsPause is the longest pause between two messages of a feed. It tells the
+	// other side that the feed lives.
+	newsPause = 400 * time.Millisecond
+	// feedTimeout is how long a feed may be silent: two messages may be late.
+	feedTimeout = 1100 * time.Millisecond
+	// feedOpenTimeout bounds the opening of a feed.
+	feedOpenTimeout = 300 * time.Millisecond
+	// staleNews is how old another host's news may be. The hosts that watch the store
+	// hear of it every watchWait.
+	staleNews = 2500 * time.Millisecond
+)
+
+// source is where a host learns what is in the store. Its implementations are
+// storeSource and peerSource.
+type source interface {
+	// follow returns nil after a while in which the source did not fail. A spare
+	// source is followed for less long.
+	follow(ctx context.Context, h *Host, spare bool) error
+	String() string
+}
+
+type (
+	// storeSource is the store itself.
+	storeSource struct{}
+	// peerSource is another host.
+	peerSource struct{ addr netip.AddrPort }
+)
+
+func (storeSource) String() string { return "store" }
+
+func (s peerSource) String() string { return s.addr.String() }
+
+func (storeSource) follow(ctx context.Context, h *Host, _ bool) error { return h.followStore(ctx) }
+
+func (s peerSource) follow(ctx context.Context, h *Host, spare bool) error {
+	h.mu.Lock()
+	after := h.revision
+	h.mu.Unlock()
+	call, cancel := context.WithTimeout(ctx, feedOpenTimeout)
+	defer cancel()
+	feed, err := h.ports.Peers.Feed(call, s.addr, after)
+	if err != nil {
+		return err
+	}
+	defer feed.Close()
+	for started := h.now(); ctx.Err() == nil; {
+		news, err := feed.Next(feedTimeout)
+		if err != nil {
+			return err
+		}
+		if err := h.apply(news); err != nil {
+			return err
+		}
+		if news.Age > staleNews {
+			return errStaleNews
+		}
+		if spare && h.now().Sub(started) > preferAgain || h.sources()[0] != source(s) && !spare {
+			return nil
+		}
+	}
+	return nil
+}
+
+// errStaleNews means that a host has not heard of the store lately either.
+var errStaleNews = errors.New("the news is old")
+
+// sources returns where the host learns what is in the store, the preferred one first.
+func (h *Host) sources() []source {
+	hosts, _ := h.fleet.listed()
+	if h.ports.Peers == nil {
+		return []source{storeSource{}}
+	}
+	if len(hosts) == 0 {
+		return append([]source{storeSource{}}, toSources(h.settings.Seeds)...)
+	}
+	feeds := serving.FeedsOf(h.self(), hosts)
+	var addrs []netip.AddrPort
+	for _, each := range feeds.Hosts {
+		addrs = append(addrs, each.Peer)
+	}
+	if feeds.StoreFirst {
+		return append([]source{storeSource{}}, toSources(addrs)...)
+	}
+	return append(toSources(addrs), storeSource{})
+}
+
+func toSources(addrs []netip.AddrPort) []source {
+	var out []source
+	for _, a := range addrs {
+		if a.IsValid() {
+			out = append(out, peerSource{a})
+		}
+	}
+	return out
+}
+
+// self describes this host to others.
+func (h *Host) self() membership.Host {
+	return membership.Host{ID: h.settings.Host, Zone: h.settings.Zone, Peer: h.settings.Peer}
+}
+
+// Feed passes on what changed in the store after the revision until ctx ends or send
+// fails.
+func (h *Host) Feed(ctx context.Context, after int64, send func(News) error) error {
+	for {
+		news, changed, err := h.newsAfter(after)
+		if err != nil {
+			return err
+		}
+		if err := send(news); err != nil {
+			return err
+		}
+		after = max(after, news.Revision)
+		pause := time.NewTimer(newsPause)
+		select {
+		case <-changed:
+		case <-pause.C:
+		case <-ctx.Done():
+			pause.Stop()
+			return ctx.Err()
+		}
+		pause.Stop()
+	}
+}
+
+// errNoNews means that a host has nothing to pass on, or is about to end.
+var errNoNews = errors.New("no news to pass on")
+
+// newsAfter returns what changed after the revision, and what is closed with the next
+// change.
+func (h *Host) newsAfter(after int64) (News, chan struct{}, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.revision == 0 || h.stopping.Load() {
+		return News{}, nil, errNoNews
+	}
+	n := News{Snapshot: Snapshot{Revision: h.revision}, Age: h.now().Sub(h.heardAt)}
+	items, ok := h.changes.since(after)
+	if !ok {
+		n.Whole = true
+		for _, i := range h.items {
+			items = append(items, i)
+		}
+	}
+	n.Items = items
+	return n, h.changed, nil
+}
+
+// changes keeps the store's newest changes. The zero value is ready for use.
+type changes struct {
+	items []Item
+	// from is the revision after which items holds all changes.
+	from int64
+}
+
+// maxChanges changes are kept at least: more than a restart of all hosts makes at the
+// users' sites. A host that lacks more is sent everything.
+const maxChanges = 512
+
+func (c *changes) add(i Item) {
+	c.items = append(c.items, i)
+	if len(c.items) < 2*maxChanges {
+		return
+	}
+	for _, old := range c.items[:maxChanges] {
+		c.from = max(c.from, old.Revision)
+	}
+	c.items = slices.Clone(c.items[maxChanges:])
+}
+
+// since returns the changes after the revision, or false if they are no longer kept.
+func (c *changes) since(after int64) ([]Item, bool) {
+	if after < c.from {
+		return nil, false
+	}
+	var out []Item
+	for _, i := range c.items {
+		if i.Revision > after {
+			out = append(out, i)
+		}
+	}
+	return out, true
+}
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -11,8 +11,11 @@
 	readOnly bool
 	started  time.Time
 	work     work
-	// conn is nil until the first statement.
+	// conn is nil until the first statement, and while the transaction runs on
+	// another host.
 	conn *pooled
+	// away is set while the transaction runs on another host.
+	away *away
 	// answered counts statements whose answers the caller has.
 	answered int
 	// wrote is true once a write was sent to the member.
@@ -37,7 +40,10 @@
 const rollbackTimeout = 300 * time.Millisecond
 
 // rollback frees the transaction's connection.
-func (t *transaction) rollback() {
+func (t *transaction) rollback(s *Session) {
+	if t.away != nil {
+		t.rollbackAway(s)
+	}
 	if t.conn == nil {
 		return
 	}
@@ -56,7 +62,7 @@
 	if s.state != InTransaction {
 		return fail(Malformed, "no transaction is open")
 	}
-	s.tx.rollback()
+	s.tx.rollback(s)
 	s.tx, s.state = nil, Idle
 	return Reply{}
 }
@@ -71,6 +77,12 @@
 	t := s.tx
 	t.work.deadline = arrived.Add(t.work.route.Timeout)
 	t.work.shape = shape
+	if t.work.passOn && t.conn == nil {
+		if reply, ok := s.forwardInTransaction(ctx, r, arrived); ok {
+			return reply
+		}
+		t.work.require(s.mark)
+	}
 	for {
 		if t.conn == nil {
 			if failure := s.attach(ctx); failure != nil {
@@ -181,7 +193,7 @@
 	if reply.Failure.Code == ReadOnly && !t.readOnly {
 		g.lostLeader(p.member.ID)
 		if t.answered == 0 {
-			t.rollback()
+			t.rollback(s)
 			return Reply{}, &again{}
 		}
 	}
@@ -196,6 +208,13 @@
 	t := s.tx
 	t.work.deadline = arrived.Add(t.work.route.Timeout)
 	t.work.shape = nil
+	if t.work.passOn && t.conn == nil {
+		if reply, ok := s.forwardInTransaction(ctx, r, arrived); ok {
+			s.tx, s.state = nil, Idle
+			return reply
+		}
+		t.work.require(s.mark)
+	}
 	if t.conn == nil {
 		if failure := s.attach(ctx); failure != nil {
 			s.tx, s.state = nil, Idle
@@ -243,7 +262,7 @@
 		g.lostLeader(p.member.ID)
 	}
 	if reply.State != Idle {
-		t.rollback()
+		t.rollback(s)
 		return
 	}
 	g.release(p)
--- a/internal/yamlmap/yamlmap.go
+++ b/internal/yamlmap/yamlmap.go
@@ -243,7 +243,27 @@
 
 // AddrPort returns a required field of the form IP:PORT.
 func (m *Map) AddrPort(field string) netip.AddrPort {
-	v := m.String(field, true)
+	return m.parseAddrPort(field, m.String(field, true))
+}
+
+// OptionalAddrPort returns a field of the form IP:PORT, or the zero value when it is
+// not set or empty.
+func (m *Map) OptionalAddrPort(field string) netip.AddrPort {
+	return m.parseAddrPort(field, m.String(field, false))
+}
+
+// AddrPorts returns a field that is a list of addresses of the form IP:PORT.
+func (m *Map) AddrPorts(field string) []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, v := range m.Strings(field) {
+		if addr := m.parseAddrPort(field, v); addr.IsValid() {
+			out = append(out, addr)
+		}
+	}
+	return out
+}
+
+func (m *Map) parseAddrPort(field, v string) netip.AddrPort {
 	if v == "" {
 		return netip.AddrPort{}
 	}
@@ -299,7 +319,7 @@
 func (m *Map) Strings(field string) []string {
 	m.seen[field] = true
 	n := m.fields[field]
-	if n == nil {
+	if n == nil || n.Tag == "!!null" {
 		return nil
 	}
 	if n.Kind != yaml.SequenceNode {
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"net"
 	"net/netip"
 	"sync"
 	"time"
@@ -13,6 +12,7 @@
 	"storj.io/drpc/drpcconn"
 
 	"pearlatch/core/statement"
+	"pearlatch/internal/socket"
 	"pearlatch/io/postgres"
 )
 
@@ -116,11 +116,7 @@
 func (c *Client) dial(ctx context.Context, addr netip.AddrPort) (*drpcconn.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	nd := &net.Dialer{}
-	if c.local.IsValid() {
-		nd.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(c.local, 0))
-	}
-	conn, err := nd.DialContext(ctx, "tcp", addr.String())
+	conn, err := socket.Dialer(c.local).DialContext(ctx, "tcp", addr.String())
 	if err != nil {
 		return nil, errors.Wrapf(err, "dial host %s", addr)
 	}
@@ -278,7 +274,7 @@
 	x.Passed = false
 	first := x.stream == nil
 	if first {
-		s, err := x.client.takeStream(ctx, x.addr)
+		s, err := x.client.takeStream(ctx, x.addr, exchangeCall)
 		if err != nil {
 			return statement.Outcome{}, errors.Wrap(ErrNotSent, err.Error())
 		}
@@ -335,7 +331,9 @@
 // It is longer than the owner's own grace towards the member.
 const answerGrace = time.Second
 
-func (c *Client) takeStream(ctx context.Context, addr netip.AddrPort) (*stream, error) {
+// takeStream returns a stream of the call with a connection of its own. A client keeps
+// streams of one call only.
+func (c *Client) takeStream(ctx context.Context, addr netip.AddrPort, call string) (*stream, error) {
 	c.mu.Lock()
 	rest, s, ok := take(c.streams[addr], (*stream).usable, (*stream).close)
 	c.idle -= len(c.streams[addr]) - len(rest)
@@ -355,10 +353,10 @@
 	if err != nil {
 		return nil, err
 	}
-	opened, err := conn.NewStream(context.Background(), exchangeCall, encoding{})
+	opened, err := conn.NewStream(context.Background(), call, encoding{})
 	if err != nil {
 		_ = conn.Close()
-		return nil, errors.Wrapf(err, "open exchange with host %s", addr)
+		return nil, errors.Wrapf(err, "open %s to host %s", call, addr)
 	}
 	s = &stream{conn: conn, drpc: opened}
 	c.mu.Lock()
@@ -379,22 +377,34 @@
 func (x *RemoteExchange) finish() {
 	s := x.stream
 	x.stream = nil
+	x.client.keepStream(x.addr, s)
+}
+
+// keepStream keeps a stream for use again.
+func (c *Client) keepStream(addr netip.AddrPort, s *stream) {
 	s.idle = time.Now()
-	c := x.client
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.busy[x.addr], s)
-	if c.closed || len(c.streams[x.addr]) >= idleStreams || !open(s.conn) {
+	delete(c.busy[addr], s)
+	if c.closed || len(c.streams[addr]) >= idleStreams || !open(s.conn) {
 		s.close()
 		return
 	}
-	c.streams[x.addr] = append(c.streams[x.addr], s)
+	c.streams[addr] = append(c.streams[addr], s)
 	c.idle++
 	if c.idle > allIdleStreams {
-		c.dropStream(x.addr)
+		c.dropStream(addr)
 	}
 }
 
+// dropBusy closes a stream that is in use.
+func (c *Client) dropBusy(addr netip.AddrPort, s *stream) {
+	s.close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.busy[addr], s)
+}
+
 // dropStream closes an idle stream to another host than keep. c.mu is held.
 func (c *Client) dropStream(keep netip.AddrPort) {
 	for addr, list := range c.streams {
@@ -421,10 +431,7 @@
 	if x.stream == nil {
 		return
 	}
-	x.stream.close()
-	x.client.mu.Lock()
-	delete(x.client.busy[x.addr], x.stream)
-	x.client.mu.Unlock()
+	x.client.dropBusy(x.addr, x.stream)
 	x.stream = nil
 }
 
--- /dev/null
+++ b/io/peer/gateway_messages.go
@@ -0,0 +1,489 @@
+package peer
+
+import (
+	"pearlatch/core/freshness"
+	"pearlatch/core/group"
+	"pearlatch/internal/gateway"
+)
+
+// Names of the calls between gateways.
+const (
+	laneCall   = "/pearlatch.Gateway/Lane"
+	recallCall = "/pearlatch.Gateway/Recall"
+	feedCall   = "/pearlatch.Gateway/Feed"
+)
+
+// positionMessage is a log position on the wire.
+type positionMessage group.Position
+
+func (m *positionMessage) fields(w *fieldWriter) {
+	w.uint("term", uint64(m.Term))
+	w.uint("lsn", uint64(m.LSN))
+}
+
+func (m *positionMessage) field(name string, r *fieldReader) bool {
+	switch name {
+	case "term":
+		return readUint(r, &m.Term)
+	case "lsn":
+		return readUint(r, &m.LSN)
+	}
+	return false
+}
+
+// readUint reads a number into a type of its own.
+func readUint[N ~uint64](r *fieldReader, v *N) bool {
+	var n uint64
+	r.uint(&n)
+	*v = N(n)
+	return true
+}
+
+// shapeMessage is the text of a prepared statement on the wire.
+type shapeMessage gateway.Shape
+
+func (m *shapeMessage) fields(w *fieldWriter) {
+	w.bool("writes", m.Writes)
+	w.str("text", m.Text)
+}
+
+func (m *shapeMessage) field(name string, r *fieldReader) bool {
+	switch name {
+	case "writes":
+		return r.bool(&m.Writes)
+	case "text":
+		return r.str(&m.Text)
+	}
+	return false
+}
+
+// beginMessage is the start of a transaction on the wire.
+type beginMessage gateway.Begin
+
+func (m *beginMessage) fields(w *fieldWriter) { w.bool("read_only", m.ReadOnly) }
+
+func (m *beginMessage) field(name string, r *fieldReader) bool {
+	return name == "read_only" && r.bool(&m.ReadOnly)
+}
+
+// valueMessage is a session value on the wire.
+type valueMessage struct{ name, value string }
+
+func (m *valueMessage) fields(w *fieldWriter) {
+	w.str("name", m.name)
+	w.str("value", m.value)
+}
+
+func (m *valueMessage) field(name string, r *fieldReader) bool {
+	switch name {
+	case "name":
+		return r.str(&m.name)
+	case "value":
+		return r.str(&m.value)
+	}
+	return false
+}
+
+// The kinds of statement that hosts pass on.
+const (
+	kindRead = iota + 1
+	kindWrite
+	kindExecute
+	kindCommit
+	kindRollback
+)
+
+// statementMessage is a caller's statement on the wire.
+type statementMessage struct {
+	kind            uint64
+	name, arguments string
+}
+
+func toStatementMessage(s gateway.Statement) statementMessage {
+	switch s := s.(type) {
+	case gateway.Read:
+		return statementMessage{kind: kindRead}
+	case gateway.Write:
+		return statementMessage{kind: kindWrite}
+	case gateway.Execute:
+		return statementMessage{kind: kindExecute, name: s.Name, arguments: s.Arguments}
+	case gateway.Commit:
+		return statementMessage{kind: kindCommit}
+	case gateway.Rollback:
+		return statementMessage{kind: kindRollback}
+	}
+	return statementMessage{}
+}
+
+// statement returns the statement, or Unknown for a kind of a newer version.
+func (m *statementMessage) statement() gateway.Statement {
+	switch m.kind {
+	case kindRead:
+		return gateway.Read{}
+	case kindWrite:
+		return gateway.Write{}
+	case kindExecute:
+		return gateway.Execute{Name: m.name, Arguments: m.arguments}
+	case kindCommit:
+		return gateway.Commit{}
+	case kindRollback:
+		return gateway.Rollback{}
+	}
+	return gateway.Unknown{}
+}
+
+func (m *statementMessage) fields(w *fieldWriter) {
+	w.uint("kind", m.kind)
+	w.str("name", m.name)
+	w.str("arguments", m.arguments)
+}
+
+func (m *statementMessage) field(name string, r *fieldReader) bool {
+	switch name {
+	case "kind":
+		return r.uint(&m.kind)
+	case "name":
+		return r.str(&m.name)
+	case "arguments":
+		return r.str(&m.arguments)
+	}
+	return false
+}
+
+// routeMessage is what a statement's route asks for.
+type routeMessage struct {
+	gateway.Route
+	class string
+}
+
+func (m *routeMessage) fields(w *fieldWriter) {
+	w.str("name", m.Name)
+	w.str("class", m.Class.String())
+	w.duration("timeout_us", m.Timeout)
+	w.duration("target_us", m.Target)
+	w.uint("priority", uint64(m.Priority))
+}
+
+func (m *routeMessage) field(name string, r *fieldReader) bool {
+	switch name {
+	case "name":
+		return r.str(&m.Name)
+	case "class":
+		r.str(&m.class)
+		class, err := freshness.ParseClass(m.class)
+		r.keep(err)
+		m.Class = class
+		return true
+	case "timeout_us":
+		return r.duration(&m.Timeout)
+	case "target_us":
+		return r.duration(&m.Target)
+	case "priority":
+		return readEnum(r, &m.Priority)
+	}
+	return false
+}
+
+// laneRequest is a gateway.PeerRequest on the wire.
+type laneRequest struct {
+	version uint64
+	gateway.PeerRequest
+}
+
+func (m *laneRequest) fields(w *fieldWriter) {
+	q := &m.PeerRequest
+	w.uint("version", m.version)
+	w.str("from", q.From)
+	w.uint("serial", q.Serial)
+	w.str("to", q.To)
+	w.str("group", q.Group)
+	w.str("database", q.Database)
+	w.message("route", &routeMessage{Route: q.Route})
+	w.duration("age_us", q.Age)
+	w.duration("begin_age_us", q.BeginAge)
+	w.message("mark", (*positionMessage)(&q.Mark))
+	values := make([]valueMessage, 0, len(q.Values))
+	for name, value := range q.Values {
+		values = append(values, valueMessage{name, value})
+	}
+	writeList(w, "values", values)
+	if q.Shape != nil {
+		w.message("shape", (*shapeMessage)(q.Shape))
+	}
+	if q.Begin != nil {
+		w.message("begin", (*beginMessage)(q.Begin))
+	}
+	w.str("id", q.Request.ID)
+	w.str("text", q.Request.Text)
+	statement := toStatementMessage(q.Request.Statement)
+	w.message("statement", &statement)
+}
+
+func (m *laneRequest) field(name string, r *fieldReader) bool {
+	q := &m.PeerRequest
+	switch name {
+	case "version":
+		return r.uint(&m.version)
+	case "from":
+		return r.str(&q.From)
+	case "serial":
+		return r.uint(&q.Serial)
+	case "to":
+		return r.str(&q.To)
+	case "group":
+		return r.str(&q.Group)
+	case "database":
+		return r.str(&q.Database)
+	case "age_us":
+		return r.duration(&q.Age)
+	case "begin_age_us":
+		return r.duration(&q.BeginAge)
+	case "id":
+		return r.str(&q.Request.ID)
+	case "text":
+		return r.str(&q.Request.Text)
+	}
+	return m.nested(name, r)
+}
+
+// nested reads the fields that are messages themselves.
+func (m *laneRequest) nested(name string, r *fieldReader) bool {
+	q := &m.PeerRequest
+	switch name {
+	case "route":
+		var in routeMessage
+		r.message(&in)
+		q.Route = in.Route
+	case "mark":
+		r.message((*positionMessage)(&q.Mark))
+	case "values":
+		var list []valueMessage
+		readList(r, &list)
+		q.Values = make(map[string]string, len(list))
+		for _, v := range list {
+			q.Values[v.name] = v.value
+		}
+	case "shape":
+		q.Shape = &gateway.Shape{}
+		r.message((*shapeMessage)(q.Shape))
+	case "begin":
+		q.Begin = &gateway.Begin{}
+		r.message((*beginMessage)(q.Begin))
+	case "statement":
+		var in statementMessage
+		r.message(&in)
+		q.Request.Statement = in.statement()
+	default:
+		return false
+	}
+	return true
+}
+
+// laneReply is a gateway.PeerReply on the wire.
+type laneReply gateway.PeerReply
+
+func (m *laneReply) fields(w *fieldWriter) {
+	w.str("process", m.Process)
+	w.bool("elsewhere", m.Elsewhere)
+	w.str("why", m.Why)
+	rows := make([]rowMessage, len(m.Reply.Rows))
+	for i, row := range m.Reply.Rows {
+		rows[i] = rowMessage{row}
+	}
+	writeList(w, "rows", rows)
+	w.str("signature", m.Reply.Signature)
+	if f := m.Reply.Failure; f != nil {
+		w.message("failure", (*failureMessage)(f))
+	}
+	w.uint("state", uint64(m.Reply.State))
+	w.message("mark", (*positionMessage)(&m.Mark))
+}
+
+func (m *laneReply) field(name string, r *fieldReader) bool {
+	switch name {
+	case "process":
+		return r.str(&m.Process)
+	case "elsewhere":
+		return r.bool(&m.Elsewhere)
+	case "why":
+		return r.str(&m.Why)
+	case "rows":
+		var list []rowMessage
+		readList(r, &list)
+		for _, row := range list {
+			m.Reply.Rows = append(m.Reply.Rows, row.text)
+		}
+		return true
+	case "signature":
+		return r.str(&m.Reply.Signature)
+	case "failure":
+		m.Reply.Failure = &gateway.Failure{}
+		r.message((*failureMessage)(m.Reply.Failure))
+		return true
+	case "state":
+		return readSmall(r, &m.Reply.State)
+	case "mark":
+		r.message((*positionMessage)(&m.Mark))
+		return true
+	}
+	return false
+}
+
+// readSmall reads a number into an enum of one byte.
+func readSmall[E ~uint8](r *fieldReader, v *E) bool {
+	var n uint64
+	r.uint(&n)
+	*v = E(n)
+	return true
+}
+
+// rowMessage is a row of an answer on the wire.
+type rowMessage struct{ text string }
+
+func (m *rowMessage) fields(w *fieldWriter) { w.str("text", m.text) }
+
+func (m *rowMessage) field(name string, r *fieldReader) bool {
+	return name == "text" && r.str(&m.text)
+}
+
+// failureMessage is a failure on the wire.
+type failureMessage gateway.Failure
+
+func (m *failureMessage) fields(w *fieldWriter) {
+	w.uint("code", uint64(m.Code))
+	w.str("detail", m.Detail)
+}
+
+func (m *failureMessage) field(name string, r *fieldReader) bool {
+	switch name {
+	case "code":
+		return readSmall(r, &m.Code)
+	case "detail":
+		return r.str(&m.Detail)
+	}
+	return false
+}
+
+// recallRequest asks what became of a request.
+type recallRequest struct {
+	from   string
+	serial uint64
+}
+
+func (m *recallRequest) fields(w *fieldWriter) {
+	w.str("from", m.from)
+	w.uint("serial", m.serial)
+}
+
+func (m *recallRequest) field(name string, r *fieldReader) bool {
+	switch name {
+	case "from":
+		return r.str(&m.from)
+	case "serial":
+		return r.uint(&m.serial)
+	}
+	return false
+}
+
+// recallReply is a gateway.Recalled on the wire: running, or else a reply, or else
+// unknown to the process.
+type recallReply struct {
+	running bool
+	process string
+	reply   *laneReply
+}
+
+func (m *recallReply) fields(w *fieldWriter) {
+	w.bool("running", m.running)
+	w.str("process", m.process)
+	if m.reply != nil {
+		w.message("reply", m.reply)
+	}
+}
+
+func (m *recallReply) field(name string, r *fieldReader) bool {
+	switch name {
+	case "running":
+		return r.bool(&m.running)
+	case "process":
+		return r.str(&m.process)
+	case "reply":
+		m.reply = &laneReply{}
+		r.message(m.reply)
+		return true
+	}
+	return false
+}
+
+// feedRequest asks for a feed.
+type feedRequest struct{ after int64 }
+
+func (m *feedRequest) fields(w *fieldWriter) { w.uint("after", uint64(m.after)) }
+
+func (m *feedRequest) field(name string, r *fieldReader) bool {
+	return name == "after" && readInt(r, &m.after)
+}
+
+func readInt(r *fieldReader, v *int64) bool {
+	var n uint64
+	r.uint(&n)
+	*v = int64(n)
+	return true
+}
+
+// newsMessage is gateway.News on the wire.
+type newsMessage gateway.News
+
+func (m *newsMessage) fields(w *fieldWriter) {
+	w.uint("revision", uint64(m.Revision))
+	w.bool("whole", m.Whole)
+	w.duration("age_us", m.Age)
+	items := make([]itemMessage, len(m.Items))
+	for i, each := range m.Items {
+		items[i] = itemMessage(each)
+	}
+	writeList(w, "items", items)
+}
+
+func (m *newsMessage) field(name string, r *fieldReader) bool {
+	switch name {
+	case "revision":
+		return readInt(r, &m.Revision)
+	case "whole":
+		return r.bool(&m.Whole)
+	case "age_us":
+		return r.duration(&m.Age)
+	case "items":
+		var list []itemMessage
+		readList(r, &list)
+		for _, i := range list {
+			m.Items = append(m.Items, gateway.Item(i))
+		}
+		return true
+	}
+	return false
+}
+
+// itemMessage is a key of the store on the wire.
+type itemMessage gateway.Item
+
+func (m *itemMessage) fields(w *fieldWriter) {
+	w.str("key", m.Key)
+	w.bytes("value", m.Value)
+	w.uint("revision", uint64(m.Revision))
+	w.bool("removed", m.Removed)
+}
+
+func (m *itemMessage) field(name string, r *fieldReader) bool {
+	switch name {
+	case "key":
+		return r.str(&m.Key)
+	case "value":
+		return r.bytes(&m.Value)
+	case "revision":
+		return readInt(r, &m.Revision)
+	case "removed":
+		return r.bool(&m.Removed)
+	}
+	return false
+}
