Make passed-on news older with each hop; tests of hosts that serve for others

Ruled out: the store's watch (the third zone had the version after 4 ms). Change: news age by 50 ms a hop beyond their transit; only changes wake followers; watches of 1 s and news of 1.8 s at most. TestHostsThatAreTurnedAwayDontFollowEachOther failed first, as did TestIsolatedHostServesItself (a host whose servers are dark never served itself).

--- /dev/null
+++ b/internal/gateway/fakefleet_test.go
@@ -0,0 +1,277 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pearlatch/core/freshness"
+)
+
+// fakeFleet connects hosts of one site.
+type fakeFleet struct {
+	site *fakeSite
+	mu   sync.Mutex
+	// hosts by their addresses for other hosts.
+	hosts map[netip.AddrPort]*Host
+	stops map[string]func()
+	// dark hosts answer nobody; those that are turned away get no answer of the store.
+	dark, turnedAway map[string]bool
+	// mute lanes of a host lose the answer of each request, deaf ones the request.
+	mute, deaf map[string]bool
+	carried    map[string]int // requests by the host that took them
+}
+
+// newFakeFleet starts hosts in two availability zones before members that take the
+// given number of connections.
+func newFakeFleet(s *fakeSite, n, connections int, class freshness.Class) *fakeFleet {
+	f := &fakeFleet{
+		site: s, hosts: map[netip.AddrPort]*Host{}, stops: map[string]func(){}, dark: map[string]bool{},
+		turnedAway: map[string]bool{}, mute: map[string]bool{}, deaf: map[string]bool{}, carried: map[string]int{},
+	}
+	s.put("config", []byte{1, byte(connections)}, 0)
+	for i := range n {
+		f.start(i, class)
+	}
+	return f
+}
+
+func (f *fakeFleet) start(i int, class freshness.Class) {
+	name, addr := fmt.Sprintf("h%d", i), netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1)
+	settings := Settings{
+		Host: name, Zone: fmt.Sprintf("z%d", i%3), MemberDrain: 7 * time.Second, Grace: 6 * time.Second, PromotionTokens: true, Peer: addr,
+	}
+	h := NewHost(settings, Ports{
+		Dialer: f.site, Store: hostStore{f.site, f, name}, Promoter: f.site, Peers: &fakePeers{f, name}, Decode: fakeDecoder{class},
+		Keys: Keys{Config: "config", Members: "members/", Own: "own/"},
+	}, testLogger(), time.Now)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		h.Run(ctx)
+	}()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hosts[addr] = h
+	f.stops[name] = func() {
+		cancel()
+		<-done
+	}
+}
+
+// set changes one of the fleet's faults.
+func (f *fakeFleet) set(fault map[string]bool, host string, on bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	fault[host] = on
+}
+
+func (f *fakeFleet) has(fault map[string]bool, host string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return fault[host]
+}
+
+// all returns the fleet's hosts.
+func (f *fakeFleet) all() []*Host {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []*Host
+	for _, h := range f.hosts {
+		out = append(out, h)
+	}
+	return out
+}
+
+// serving returns the hosts that serve the group and those that don't, by their own
+// belief.
+func (f *fakeFleet) serving() (here, elsewhere []*Host) {
+	for _, h := range f.all() {
+		if h.group(testGroup).passesOn() {
+			elsewhere = append(elsewhere, h)
+		} else {
+			here = append(here, h)
+		}
+	}
+	return here, elsewhere
+}
+
+// playFleet runs a test with hosts before members with few connections, once the hosts
+// know each other.
+func playFleet(t *testing.T, hosts, connections int, class freshness.Class, test func(s *fakeSite, f *fakeFleet)) {
+	t.Helper()
+	synctest.Test(t, func(*testing.T) {
+		s := newFakeSite("a", "b", "c")
+		s.cap = connections
+		f := newFakeFleet(s, hosts, connections, class)
+		defer time.Sleep(20 * time.Second) // timers of orders and watches end
+		defer func() {
+			for _, stop := range f.stops {
+				stop()
+			}
+		}()
+		time.Sleep(4 * time.Second)
+		test(s, f)
+	})
+}
+
+// hostStore is the store as one host reaches it.
+type hostStore struct {
+	*fakeSite
+	fleet *fakeFleet
+	host  string
+}
+
+func (s hostStore) reach(ctx context.Context) error {
+	if s.fleet.has(s.fleet.turnedAway, s.host) {
+		<-ctx.Done()
+		return errDown
+	}
+	return nil
+}
+
+func (s hostStore) List(ctx context.Context, prefix string) (Snapshot, error) {
+	if err := s.reach(ctx); err != nil {
+		return Snapshot{}, err
+	}
+	return s.fakeSite.List(ctx, prefix)
+}
+
+func (s hostStore) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (Snapshot, error) {
+	if err := s.reach(ctx); err != nil {
+		return Snapshot{}, err
+	}
+	return s.fakeSite.Watch(ctx, prefix, after, wait)
+}
+
+func (s hostStore) Renew(ctx context.Context, lease int64) error {
+	if err := s.reach(ctx); err != nil {
+		return err
+	}
+	return s.fakeSite.Renew(ctx, lease)
+}
+
+// fakePeers carries what one host sends to others.
+type fakePeers struct {
+	fleet *fakeFleet
+	host  string
+}
+
+// reach returns the host at the address, unless it is dark for this one.
+func (p *fakePeers) reach(ctx context.Context, to netip.AddrPort) (*Host, error) {
+	p.fleet.mu.Lock()
+	h := p.fleet.hosts[to]
+	p.fleet.mu.Unlock()
+	if h == nil || p.fleet.has(p.fleet.dark, p.host) || p.fleet.has(p.fleet.dark, h.settings.Host) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	time.Sleep(time.Millisecond)
+	return h, nil
+}
+
+func (p *fakePeers) Lane(ctx context.Context, to netip.AddrPort) (Lane, error) {
+	h, err := p.reach(ctx, to)
+	if err != nil {
+		return nil, err
+	}
+	return &fakeLane{peers: p, to: to, guest: h.NewGuest()}, nil
+}
+
+func (p *fakePeers) Recall(ctx context.Context, to netip.AddrPort, from string, serial uint64) (Recalled, error) {
+	h, err := p.reach(ctx, to)
+	if err != nil {
+		return nil, err
+	}
+	return h.Recall(from, serial), nil
+}
+
+type fakeLane struct {
+	peers *fakePeers
+	to    netip.AddrPort
+	guest *Guest
+}
+
+func (l *fakeLane) Do(ctx context.Context, r *PeerRequest) (*PeerReply, error) {
+	h, err := l.peers.reach(ctx, l.to)
+	if err != nil {
+		return nil, err
+	}
+	name, f := h.settings.Host, l.peers.fleet
+	if f.has(f.deaf, name) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	answer := make(chan *PeerReply, 1)
+	copied := *r
+	go func() { answer <- l.guest.Do(context.Background(), &copied) }()
+	f.mu.Lock()
+	f.carried[name]++
+	f.mu.Unlock()
+	if f.has(f.mute, name) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	select {
+	case reply := <-answer:
+		if f.has(f.dark, name) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		return reply, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (l *fakeLane) Release() {}
+func (l *fakeLane) Close()   { l.guest.Close() }
+
+func (p *fakePeers) Feed(ctx context.Context, to netip.AddrPort, after int64) (Feed, error) {
+	h, err := p.reach(ctx, to)
+	if err != nil {
+		return nil, err
+	}
+	run, cancel := context.WithCancel(context.Background())
+	f := &fakeFeed{news: make(chan News), done: make(chan error, 1), cancel: cancel}
+	go func() {
+		f.done <- h.Feed(run, after, func(n News) error {
+			if _, err := p.reach(run, to); err != nil {
+				return err
+			}
+			select {
+			case f.news <- n:
+				return nil
+			case <-run.Done():
+				return run.Err()
+			}
+		})
+	}()
+	return f, nil
+}
+
+type fakeFeed struct {
+	news   chan News
+	done   chan error
+	cancel func()
+}
+
+func (f *fakeFeed) Next(atMost time.Duration) (News, error) {
+	late := time.NewTimer(atMost)
+	defer late.Stop()
+	select {
+	case n := <-f.news:
+		return n, nil
+	case err := <-f.done:
+		return News{}, err
+	case <-late.C:
+		return News{}, context.DeadlineExceeded
+	}
+}
+
+func (f *fakeFeed) Close() { f.cancel() }
--- a/internal/gateway/fakesite_test.go
+++ b/internal/gateway/fakesite_test.go
@@ -219,12 +219,16 @@
 type fakeDecoder struct{ class freshness.Class }
 
 func (d fakeDecoder) Config(value []byte) (*Config, error) {
+	connections := 20
+	if len(value) > 1 {
+		connections = int(value[1])
+	}
 	return &Config{
 		Version: int64(value[0]),
 		Routes: map[string]Route{testDatabase: {
 			Name: "r", Group: testGroup, Class: d.class, Timeout: 800 * time.Millisecond, Target: 200 * time.Millisecond,
 		}},
-		Groups: map[string]GroupConfig{testGroup: {Connections: 20, SyncReplicas: 1}},
+		Groups: map[string]GroupConfig{testGroup: {Connections: connections, SyncReplicas: 1}},
 	}, nil
 }
 
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -14,7 +14,7 @@
 	// watchWait is how long the store may hold a watch back. A watch whose
 	// connection went silent is noticed after that and watchSlack, well within the 3 s
 	// in which a configuration must be in force.
-	watchWait = 1200 * time.Millisecond
+	watchWait = time.Second
 	// watchSlack is how much longer the answer may take.
 	watchSlack = 500 * time.Millisecond
 	// listTimeout bounds the reading of a prefix.
@@ -135,15 +135,22 @@
 	if h.revision == 0 {
 		h.changes.from = n.Revision
 	}
+	known := h.revision
+	changed := false
 	for _, i := range n.Items {
-		h.applyItem(i)
+		changed = h.applyItem(i) || changed
 	}
 	h.revision = max(h.revision, n.Revision)
 	if heard := h.now().Add(-n.Age); heard.After(h.heardAt) {
 		h.heardAt = heard
 	}
-	close(h.changed)
-	h.changed = make(chan struct{})
+	if changed || known != h.revision {
+		close(h.changed)
+		h.changed = make(chan struct{})
+	} else if h.now().Sub(h.appliedAt) < applyAgain {
+		return nil
+	}
+	h.appliedAt = h.now()
 	h.applyConfig()
 	h.applyHosts()
 	if h.config == nil {
@@ -154,6 +161,10 @@
 	return nil
 }
 
+// applyAgain is how often beliefs are worked out anew from news that change nothing: some
+// lose their force by time alone.
+const applyAgain = time.Second
+
 // vanished returns the removal of each key that complete news no longer holds.
 func (h *Host) vanished(n News) []Item {
 	fresh := make(map[string]bool, len(n.Items))
@@ -169,19 +180,21 @@
 	return out
 }
 
-// applyItem takes over a change, unless a newer one of the key is known.
-func (h *Host) applyItem(i Item) {
+// applyItem takes over a change, unless a newer one of the key is known. It returns true
+// if it did.
+func (h *Host) applyItem(i Item) bool {
 	old, known := h.items[i.Key]
 	if known && old.Revision >= i.Revision || !known && i.Removed {
-		return
+		return false
 	}
 	h.changes.add(i)
 	if i.Removed {
 		delete(h.items, i.Key)
 		delete(h.decoded, i.Key)
-		return
+		return true
 	}
 	h.items[i.Key] = i
+	return true
 }
 
 // applyHosts takes over the list of hosts.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -80,11 +80,11 @@
 				g.reached()
 				return
 			}
-			if !h.now().Before(w.waitUntil()) {
+			if g.unreached() || !h.now().Before(w.waitUntil()) {
 				return
 			}
 		}
-		if g.unreached() || !sleep(ctx, peerPause) {
+		if !sleep(ctx, peerPause) {
 			return
 		}
 	}
--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -36,6 +36,8 @@
 	servers []membership.Host
 	// unreachedSince is since when none of the servers has answered, or zero.
 	unreachedSince time.Time
+	// triedAt is when a statement last tried the servers.
+	triedAt time.Time
 	// age is the shortest age that a route of the group accepts, or zero.
 	age     time.Duration
 	waiters []*waiter
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -95,6 +95,8 @@
 	changes changes
 	changed chan struct{}
 	heardAt time.Time
+	// appliedAt is when news were last taken over.
+	appliedAt time.Time
 
 	// process names this run of the host: what it knew is lost with it.
 	process string
--- a/internal/gateway/serving.go
+++ b/internal/gateway/serving.go
@@ -8,11 +8,20 @@
 	"pearlatch/core/serving"
 )
 
-// passesOn reports whether other hosts serve the group.
+// passesOn reports whether a statement is to run on another host. While none of those
+// that serve the group is in reach, one statement in a while tries them again.
 func (g *Group) passesOn() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return len(g.servers) > 0
+	if len(g.servers) == 0 {
+		return false
+	}
+	now := g.now()
+	if g.strays() && now.Sub(g.triedAt) < strayRetry {
+		return false
+	}
+	g.triedAt = now
+	return true
 }
 
 // serverOrder returns the other hosts that serve the group.
@@ -27,6 +36,10 @@
 // everything starts again, and the members' connections are theirs then.
 const strayAfter = 400 * time.Millisecond
 
+// strayRetry is the pause between two statements of such a host that try the hosts that
+// serve the group again.
+const strayRetry = 500 * time.Millisecond
+
 // reached records that a host that serves the group took a statement.
 func (g *Group) reached() {
 	g.mu.Lock()
@@ -34,8 +47,8 @@
 	g.unreachedSince = time.Time{}
 }
 
-// unreached records that none did, and reports whether this host is to serve the group
-// itself meanwhile.
+// unreached records that one of them did not, and reports whether this host is to serve
+// the group itself meanwhile.
 func (g *Group) unreached() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- /dev/null
+++ b/internal/gateway/serving_test.go
@@ -0,0 +1,269 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"pearlatch/core/freshness"
+	"pearlatch/core/group"
+)
+
+// Thirty hosts stand before members that take twenty connections. If each opened one to
+// every member, a third of them would be refused again and again. A few hosts serve, and
+// the callers of all others are answered through these.
+func TestFewHostsServeForAll(t *testing.T) {
+	playFleet(t, 30, 20, freshness.Latest{}, func(s *fakeSite, f *fakeFleet) {
+		here, elsewhere := f.serving()
+		if len(here) != 2 {
+			t.Fatalf("%d of %d hosts serve", len(here), len(here)+len(elsewhere))
+		}
+		for _, h := range f.all() {
+			if r := do(h, Write{}); r.Failure != nil {
+				t.Errorf("a write at %s: %v", h.settings.Host, r.Failure)
+			}
+			if r := do(h, Read{}); row(r) != "a" {
+				t.Errorf("a read at %s: %v", h.settings.Host, r.Failure)
+			}
+		}
+		if most := s.most(); most > 20 {
+			t.Errorf("a member had %d connections", most)
+		}
+	})
+}
+
+// A chef saves a recipe and looks it up, both through another host. The replicas have not
+// applied the save: the mark of the session must travel with the read.
+func TestReadSeesOwnWriteThroughAnotherHost(t *testing.T) {
+	playFleet(t, 30, 20, freshness.OwnWrites{}, func(s *fakeSite, f *fakeFleet) {
+		for _, id := range []string{"b", "c"} {
+			s.with(id, func(m *fakeMember) { m.lagging = true })
+		}
+		_, elsewhere := f.serving()
+		chef := open(t, elsewhere[0])
+		on(chef, Write{})
+		if chef.mark == (group.Position{}) {
+			t.Error("the session has no mark after its write")
+		}
+		if got := row(on(chef, Read{})); got != "a" {
+			t.Errorf("the read after the write ran on %q", got)
+		}
+	})
+}
+
+// A transaction with a session value and a prepared statement runs through another host:
+// on one connection, with the caller's own values, and nothing stays open after its end.
+func TestTransactionThroughAnotherHost(t *testing.T) {
+	playFleet(t, 30, 20, freshness.Latest{}, func(_ *fakeSite, f *fakeFleet) {
+		_, elsewhere := f.serving()
+		caller := open(t, elsewhere[0])
+		on(caller, Set{"v", "7"})
+		on(caller, Prepare{"s", Shape{Writes: true, Text: "boards"}})
+		on(caller, Begin{})
+		if got := row(on(caller, Read{})); got != "a v=7" {
+			t.Errorf("a read in the transaction gave %q", got)
+		}
+		on(caller, Execute{Name: "s"})
+		if r := on(caller, Commit{}); r.Failure != nil || r.State != Idle {
+			t.Errorf("commit: %+v", r)
+		}
+		on(caller, Begin{})
+		on(caller, Write{})
+		if r := on(caller, Rollback{}); r.Failure != nil || r.State != Idle {
+			t.Errorf("rollback: %+v", r)
+		}
+		for _, h := range f.all() {
+			if h.Guests() != 0 {
+				t.Errorf("%s has %d guests", h.settings.Host, h.Guests())
+			}
+		}
+	})
+}
+
+// A failed statement breaks a transaction that runs elsewhere: further statements are
+// refused until the caller ends it, and the connection is free at once.
+func TestBrokenTransactionThroughAnotherHost(t *testing.T) {
+	playFleet(t, 30, 20, freshness.Latest{}, func(_ *fakeSite, f *fakeFleet) {
+		_, elsewhere := f.serving()
+		caller := open(t, elsewhere[0])
+		on(caller, Begin{})
+		on(caller, Read{})
+		wantCode(t, on(caller, Execute{Name: "nothing"}), UnknownStatement)
+		wantCode(t, on(caller, Read{}), Malformed)
+		wantCode(t, on(caller, Commit{}), Aborted)
+		if r := on(caller, Read{}); r.Failure != nil {
+			t.Errorf("after the end: %v", r.Failure)
+		}
+		for _, h := range f.all() {
+			if h.Guests() != 0 {
+				t.Errorf("%s has %d guests", h.settings.Host, h.Guests())
+			}
+		}
+	})
+}
+
+// The host that serves the group goes dark. Callers of others must not wait until their
+// time is over: the next host that serves takes their statements.
+func TestDarkServerIsLeftAtOnce(t *testing.T) {
+	playFleet(t, 30, 20, freshness.Latest{}, func(_ *fakeSite, f *fakeFleet) {
+		here, elsewhere := f.serving()
+		f.set(f.dark, here[0].settings.Host, true)
+		for _, h := range elsewhere {
+			started := time.Now()
+			if r := do(h, Read{}); r.Failure != nil {
+				t.Errorf("at %s: %v", h.settings.Host, r.Failure)
+			}
+			if took := time.Since(started); took > 450*time.Millisecond {
+				t.Errorf("at %s it took %s", h.settings.Host, took)
+			}
+		}
+	})
+}
+
+// A lane to the serving host goes silent with a write on it. The write never arrived: it
+// is sent again elsewhere, and the lost one must not run when it arrives after all.
+func TestWriteThatNeverArrivedIsSentAgain(t *testing.T) {
+	playFleet(t, 30, 20, freshness.Latest{}, func(s *fakeSite, f *fakeFleet) {
+		here, elsewhere := f.serving()
+		h := elsewhere[0]
+		for range 3 {
+			do(h, Read{}) // the processes of both hosts are known
+			time.Sleep(10 * time.Millisecond)
+		}
+		first := h.serversOf(h.group(testGroup))[0]
+		f.set(f.deaf, first.ID, true)
+		if r := do(h, Write{}); r.Failure != nil {
+			t.Errorf("the write: %v", r.Failure)
+		}
+		for _, server := range here {
+			if server.settings.Host != first.ID {
+				continue
+			}
+			late := &PeerRequest{From: h.process, Serial: h.serial.Load() - 1, Group: testGroup, Route: Route{Class: freshness.Latest{}, Timeout: time.Second}, Request: Request{ID: "late", Statement: Write{}}}
+			if reply := server.NewGuest().Do(context.Background(), late); !reply.Elsewhere {
+				t.Error("the write ran after its sender was told that it had not")
+			}
+		}
+		if slices.Contains(s.ran("a"), "late") {
+			t.Error("the late write ran")
+		}
+	})
+}
+
+// A lane goes silent after a write has run: its answer is lost between the two hosts. The
+// caller must get it all the same, and the write must run once.
+func TestLostAnswerOfAnotherHostIsRecalled(t *testing.T) {
+	playFleet(t, 30, 20, freshness.Latest{}, func(s *fakeSite, f *fakeFleet) {
+		here, elsewhere := f.serving()
+		for _, server := range here {
+			f.set(f.mute, server.settings.Host, true)
+		}
+		ran := len(s.ran("a"))
+		if r := do(elsewhere[0], Write{}); r.Failure != nil || r.Signature == "" {
+			t.Errorf("the write: %+v", r)
+		}
+		if got := len(s.ran("a")) - ran; got != 1 {
+			t.Errorf("the write ran %d times", got)
+		}
+	})
+}
+
+// The host that serves the group ends with a write under way. Nobody can know whether it
+// ran: the caller is told so, and it is not repeated.
+func TestWriteStaysInDoubtWhenItsServerIsLost(t *testing.T) {
+	playFleet(t, 30, 20, freshness.Latest{}, func(s *fakeSite, f *fakeFleet) {
+		here, elsewhere := f.serving()
+		s.with("a", func(m *fakeMember) { m.work = 300 * time.Millisecond })
+		done := make(chan Reply, 1)
+		go func() { done <- do(elsewhere[0], Write{}) }()
+		time.Sleep(50 * time.Millisecond)
+		for _, server := range here {
+			f.set(f.dark, server.settings.Host, true)
+		}
+		wantCode(t, <-done, InDoubt)
+	})
+}
+
+// A host can reach none of those that serve the group, but the members. Its callers are
+// served from a connection of its own after a moment.
+func TestIsolatedHostServesItself(t *testing.T) {
+	playFleet(t, 30, 20, freshness.Latest{}, func(_ *fakeSite, f *fakeFleet) {
+		_, elsewhere := f.serving()
+		h := elsewhere[0]
+		f.set(f.dark, h.settings.Host, true)
+		served := 0
+		for range 10 {
+			if do(h, Read{}).Failure == nil {
+				served++
+			}
+		}
+		if served < 7 {
+			t.Errorf("%d of 10 reads were served", served)
+		}
+		f.set(f.dark, h.settings.Host, false)
+		time.Sleep(time.Second)
+		do(h, Read{})
+		time.Sleep(2 * time.Second)
+		for _, m := range h.Beliefs().Groups[0].Members {
+			if m.Connections != 0 {
+				t.Errorf("%d connections to %s are left", m.Connections, m.ID)
+			}
+		}
+	})
+}
+
+// A serving host is told to stop. Others turn elsewhere at once, and what is open on it
+// ends in peace.
+func TestStoppingServerEndsItsGuests(t *testing.T) {
+	playFleet(t, 30, 20, freshness.Latest{}, func(_ *fakeSite, f *fakeFleet) {
+		here, elsewhere := f.serving()
+		var callers []*Session
+		for _, h := range elsewhere[:6] {
+			c := open(t, h)
+			on(c, Begin{})
+			on(c, Read{})
+			callers = append(callers, c)
+		}
+		stopping := here[0]
+		stopping.Stop()
+		time.Sleep(100 * time.Millisecond)
+		for _, h := range elsewhere {
+			if r := do(h, Read{}); r.Failure != nil {
+				t.Errorf("at %s: %v", h.settings.Host, r.Failure)
+			}
+		}
+		for _, c := range callers {
+			if r := on(c, Commit{}); r.Failure != nil {
+				t.Errorf("commit: %v", r.Failure)
+			}
+		}
+		if stopping.Guests() != 0 {
+			t.Errorf("%d guests are left", stopping.Guests())
+		}
+	})
+}
+
+// A host dies with a transaction open on another one. That transaction must not hold its
+// connection for ever.
+func TestForsakenTransactionIsRolledBack(t *testing.T) {
+	playFleet(t, 30, 20, freshness.Latest{}, func(_ *fakeSite, f *fakeFleet) {
+		here, _ := f.serving()
+		guest := here[0].NewGuest()
+		r := &PeerRequest{
+			From: "gone", Serial: 1, Group: testGroup, Begin: &Begin{},
+			Route:   Route{Class: freshness.Latest{}, Timeout: time.Second},
+			Request: Request{ID: "x", Statement: Read{}},
+		}
+		if reply := guest.Do(context.Background(), r); reply.Reply.Failure != nil || !guest.Open() {
+			t.Fatalf("%+v", reply)
+		}
+		if rest := guest.Rest(); rest < defaultTransactionIdle {
+			t.Errorf("a guest may rest for %s only", rest)
+		}
+		guest.Expire()
+		if guest.Open() || here[0].Guests() != 0 {
+			t.Error("the transaction is open still")
+		}
+	})
+}
--- a/internal/gateway/source.go
+++ b/internal/gateway/source.go
@@ -21,8 +21,12 @@
 	// feedOpenTimeout bounds the opening of a feed.
 	feedOpenTimeout = 300 * time.Millisecond
 	// staleNews is how old another host's news may be. The hosts that watch the store
-	// hear of it every watchWait.
-	staleNews = 2500 * time.Millisecond
+	// hear of it every watchWait, and pass that on after newsPause at most.
+	staleNews = 1800 * time.Millisecond
+	// newsTransit is what the age of news grows by on its way, above what it takes. Two
+	// hosts that have both lost the store and follow each other would otherwise make
+	// the same news younger and younger, by the time that they are under way.
+	newsTransit = 50 * time.Millisecond
 )
 
 // source is where a host learns what is in the store. Its implementations are
@@ -63,6 +67,7 @@
 		if err != nil {
 			return err
 		}
+		news.Age += newsTransit
 		if err := h.apply(news); err != nil {
 			return err
 		}
--- /dev/null
+++ b/internal/gateway/source_test.go
@@ -0,0 +1,153 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"pearlatch/core/freshness"
+)
+
+// watching returns the hosts that ask the store themselves.
+func (f *fakeFleet) watching() []*Host {
+	var out []*Host
+	for _, h := range f.all() {
+		if _, ok := h.sources()[0].(storeSource); ok {
+			out = append(out, h)
+		}
+	}
+	return out
+}
+
+// facing returns two watching hosts that turn to each other when the store fails them.
+func (f *fakeFleet) facing() []*Host {
+	second := func(h *Host) source { return h.sources()[1] }
+	for _, a := range f.watching() {
+		for _, b := range f.watching() {
+			if second(a) == source(peerSource{b.settings.Peer}) && second(b) == source(peerSource{a.settings.Peer}) {
+				return []*Host{a, b}
+			}
+		}
+	}
+	return nil
+}
+
+// newConfig writes the next version of the configuration.
+func (f *fakeFleet) newConfig(version, connections byte) {
+	f.site.put("config", []byte{version, connections}, 0)
+}
+
+// behind returns the hosts that have not the version in force.
+func (f *fakeFleet) behind(version int64) []string {
+	var out []string
+	for _, h := range f.all() {
+		if h.configVersion() != version {
+			out = append(out, h.settings.Host)
+		}
+	}
+	return out
+}
+
+// One host of each availability zone watches the store, and all others learn from it. A
+// change of the configuration must be in force everywhere at once.
+func TestNewsReachAllHosts(t *testing.T) {
+	playFleet(t, 30, 20, freshness.Latest{}, func(_ *fakeSite, f *fakeFleet) {
+		if n := len(f.watching()); n != 3 {
+			t.Errorf("%d hosts watch the store", n)
+		}
+		f.newConfig(2, 20)
+		time.Sleep(20 * time.Millisecond)
+		if late := f.behind(2); len(late) > 0 {
+			t.Errorf("%v are behind", late)
+		}
+	})
+}
+
+// The store turns two of the three hosts away that watch it, without a word. Each of them
+// then follows another host. If they follow one another, what they pass on to each other
+// must not seem fresh for ever: a new configuration must be in force within 3 s.
+func TestHostsThatAreTurnedAwayDontFollowEachOther(t *testing.T) {
+	playFleet(t, 30, 20, freshness.Latest{}, func(_ *fakeSite, f *fakeFleet) {
+		for _, h := range f.facing() {
+			f.set(f.turnedAway, h.settings.Host, true)
+		}
+		time.Sleep(watchWait)
+		f.newConfig(2, 20)
+		time.Sleep(2900 * time.Millisecond)
+		if late := f.behind(2); len(late) > 0 {
+			t.Errorf("%v are behind", late)
+		}
+		// And later ones come without a delay.
+		f.newConfig(3, 20)
+		time.Sleep(500 * time.Millisecond)
+		if late := f.behind(3); len(late) > 0 {
+			t.Errorf("%v are behind", late)
+		}
+	})
+}
+
+// The host from which a zone learns dies, or goes dark. The others must notice and learn
+// from another one.
+func TestLostFeedIsReplaced(t *testing.T) {
+	playFleet(t, 30, 20, freshness.Latest{}, func(_ *fakeSite, f *fakeFleet) {
+		gone := f.watching()[0]
+		f.set(f.dark, gone.settings.Host, true)
+		f.set(f.turnedAway, gone.settings.Host, true)
+		time.Sleep(watchWait)
+		f.newConfig(2, 20)
+		time.Sleep(1500 * time.Millisecond)
+		late := f.behind(2)
+		if len(late) != 1 || late[0] != gone.settings.Host {
+			t.Errorf("%v are behind", late)
+		}
+	})
+}
+
+// All watching hosts reach the store again after an outage in which members left and the
+// configuration changed. What was removed meanwhile must be gone everywhere.
+func TestNewsOfRemovalsAfterAnOutage(t *testing.T) {
+	playFleet(t, 12, 20, freshness.Latest{}, func(s *fakeSite, f *fakeFleet) {
+		s.mu.Lock()
+		s.down = true
+		s.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		s.list("c", "")
+		f.newConfig(2, 20)
+		s.mu.Lock()
+		s.down = false
+		s.mu.Unlock()
+		time.Sleep(2500 * time.Millisecond)
+		for _, h := range f.all() {
+			if h.configVersion() != 2 {
+				t.Errorf("%s is behind", h.settings.Host)
+			}
+			h.mu.Lock()
+			_, listed := h.items["members/c"]
+			h.mu.Unlock()
+			if listed {
+				t.Errorf("%s still lists the member that left", h.settings.Host)
+			}
+		}
+	})
+}
+
+func TestChangesSince(t *testing.T) {
+	c := changes{from: 10}
+	for r := int64(11); r <= 14; r++ {
+		c.add(Item{Key: "k", Revision: r})
+	}
+	if got, ok := c.since(12); !ok || len(got) != 2 {
+		t.Errorf("after 12: %v, %v", got, ok)
+	}
+	if _, ok := c.since(9); ok {
+		t.Error("changes from before the first one kept were told to be complete")
+	}
+	for r := int64(15); r <= 14+2*maxChanges; r++ {
+		c.add(Item{Key: "k", Revision: r})
+	}
+	if _, ok := c.since(12); ok {
+		t.Error("dropped changes were told to be complete")
+	}
+	if got, ok := c.since(14 + 2*maxChanges - 5); !ok || len(got) != 5 {
+		t.Errorf("the newest five: %d, %v", len(got), ok)
+	}
+}
