Keep lapsed hosts serving, ask lost peers in the background, open connections by need

Requests found out one by one that peers were dark, 150 ms each. Ten servers opened whole shares at members with two slots. Connections for orders stayed open on every host that had searched. Change: hosts whose entry lapsed serve on for 10 s, leaving ones are marked; a lost peer is asked in the background; a connection is opened only while the host runs no more than the member's slots there; unused connections for orders are closed after 1.5 s.

--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -5,7 +5,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"time"
 
 	"pearlatch/core/membership"
 )
@@ -25,14 +24,11 @@
 type peer struct {
 	// process names the process that answered last, or is empty.
 	process string
-	// suspectUntil is until when the host is only used when no other one answers.
-	suspectUntil time.Time
+	// suspect is true from a failure to the next answer. The host is only used when
+	// no other one answers, and asked in the background.
+	suspect bool
 }
 
-// peerSuspect is how long a host that failed to answer is used only when no other one
-// is left. A process that is started again is back after about as long.
-const peerSuspect = 400 * time.Millisecond
-
 // set takes over the list of hosts.
 func (f *fleet) set(hosts []membership.Host) {
 	slices.SortFunc(hosts, func(a, b membership.Host) int { return strings.Compare(a.ID, b.ID) })
@@ -77,28 +73,42 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p := f.peer(id)
-	regained = !p.suspectUntil.IsZero()
-	p.process, p.suspectUntil = process, time.Time{}
+	regained = p.suspect
+	p.process, p.suspect = process, false
 	return regained
 }
 
 // failed records that a host did not answer. It returns true if it had answered before.
-func (f *fleet) failed(id string, now time.Time) (lost bool) {
+func (f *fleet) failed(id string) (lost bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p := f.peer(id)
-	lost = p.suspectUntil.IsZero()
-	p.suspectUntil = now.Add(peerSuspect)
+	lost = !p.suspect
+	p.suspect = true
 	return lost
 }
 
+// suspect reports whether a host that is still listed has failed to answer, and its
+// address.
+func (f *fleet) suspect(id string) (netip.AddrPort, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, h := range f.hosts {
+		if h.ID == id {
+			return h.Peer, f.peer(id).suspect
+		}
+	}
+	delete(f.peers, id)
+	return netip.AddrPort{}, false
+}
+
 // usable returns those of the hosts that are not suspect, in the same order.
-func (f *fleet) usable(hosts []membership.Host, now time.Time) []membership.Host {
+func (f *fleet) usable(hosts []membership.Host) []membership.Host {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	out := make([]membership.Host, 0, len(hosts))
 	for _, h := range hosts {
-		if p := f.peers[h.ID]; p == nil || !now.Before(p.suspectUntil) {
+		if p := f.peers[h.ID]; p == nil || !p.suspect {
 			out = append(out, h)
 		}
 	}
@@ -111,14 +121,22 @@
 	if !h.Peer.IsValid() {
 		return []byte(h.Zone)
 	}
-	return []byte(h.Zone + " " + h.Peer.String())
+	text := h.Zone + " " + h.Peer.String()
+	if h.Leaving {
+		text += " " + leavingMark
+	}
+	return []byte(text)
 }
 
+// leavingMark ends the entry of a host that is about to stop.
+const leavingMark = "leaving"
+
 // parseEntry reads a host's entry. Without a valid address a host serves its own
 // callers only.
 func parseEntry(id string, value []byte) membership.Host {
-	zone, addr, _ := strings.Cut(string(value), " ")
-	h := membership.Host{ID: id, Zone: zone}
+	zone, rest, _ := strings.Cut(string(value), " ")
+	addr, mark, _ := strings.Cut(rest, " ")
+	h := membership.Host{ID: id, Zone: zone, Leaving: mark == leavingMark}
 	if p, err := netip.ParseAddrPort(addr); err == nil {
 		h.Peer = p
 	}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -188,6 +188,7 @@
 		return false
 	}
 	h.changes.add(i)
+	h.noteHost(i)
 	if i.Removed {
 		delete(h.items, i.Key)
 		delete(h.decoded, i.Key)
@@ -197,19 +198,55 @@
 	return true
 }
 
-// applyHosts takes over the list of hosts.
+// applyHosts takes over the list of hosts. A host whose entry has lapsed is kept in it for
+// a while: when the store was away, or turned hosts away, many entries lapse at once, and
+// groups would change the hosts that serve them twice, each time with new connections.
 func (h *Host) applyHosts() {
 	var hosts []membership.Host
 	now := h.now()
-	for key, i := range h.items {
-		if id, ok := strings.CutPrefix(key, h.hostsPrefix()); ok {
-			hosts = append(hosts, parseEntry(id, i.Value))
-			h.hostsSeen[id] = now
+	for id, seen := range h.hostsSeen {
+		switch {
+		case seen.lapsedAt.IsZero():
+			hosts = append(hosts, seen.host)
+		case now.Sub(seen.lapsedAt) > hostMemory:
+			delete(h.hostsSeen, id)
+		case !seen.host.Leaving && now.Sub(seen.lapsedAt) <= lapseMemory:
+			hosts = append(hosts, seen.host)
 		}
 	}
 	h.fleet.set(hosts)
 }
 
+// seenHost is a host's entry as it was last seen, and when it lapsed, or zero.
+type seenHost struct {
+	host     membership.Host
+	lapsedAt time.Time
+}
+
+// noteHost takes over a change of a host's entry. News may hold several changes of one
+// host, of which the one that says that it leaves must not be missed.
+func (h *Host) noteHost(i Item) {
+	id, ok := strings.CutPrefix(i.Key, h.hostsPrefix())
+	if !ok {
+		return
+	}
+	seen := seenHost{host: parseEntry(id, i.Value)}
+	if i.Removed {
+		seen = seenHost{h.hostsSeen[id].host, h.now()}
+	}
+	h.hostsSeen[id] = seen
+}
+
+const (
+	// hostMemory is how long a host counts after its entry has lapsed. It may be cut off
+	// from the store and hold its connections all the same.
+	hostMemory = 20 * time.Second
+	// lapseMemory is how long a host whose entry has lapsed goes on to serve for
+	// others, unless it said that it leaves. It outlasts the outages of the users'
+	// stores, of up to 9 s for a part of the hosts.
+	lapseMemory = 10 * time.Second
+)
+
 func (h *Host) applyConfig() {
 	i, ok := h.items[h.ports.Keys.Config]
 	if !ok || i.Revision == h.configRevision {
@@ -275,20 +312,8 @@
 	return d.member, d.err == nil
 }
 
-// hostMemory is how long a host counts after its entry has lapsed. It may be cut off
-// from the store and hold its connections all the same.
-const hostMemory = 20 * time.Second
-
 // countHosts returns how many hosts may hold connections to members.
-func (h *Host) countHosts() int {
-	now := h.now()
-	for id, seen := range h.hostsSeen {
-		if now.Sub(seen) > hostMemory {
-			delete(h.hostsSeen, id)
-		}
-	}
-	return len(h.hostsSeen)
-}
+func (h *Host) countHosts() int { return len(h.hostsSeen) }
 
 func (h *Host) hostsPrefix() string { return h.ports.Keys.Own + "hosts/" }
 
@@ -319,7 +344,7 @@
 	var lease int64
 	for ctx.Err() == nil {
 		if lease == 0 {
-			lease = h.announce(ctx)
+			lease = h.announce(ctx, h.self())
 		} else if err := h.renew(ctx, lease); errors.Is(err, ErrNoLease) {
 			lease = 0
 			continue
@@ -332,7 +357,23 @@
 			break
 		}
 	}
-	h.endLease(lease)
+	h.depart(lease)
+}
+
+// depart tells other hosts that this one stops. The entry is left to lapse: if it were
+// removed at once, hosts that read the list only then would take this one for a host
+// whose entry has lapsed, and that may serve still.
+func (h *Host) depart(lease int64) {
+	if lease == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), leaseTimeout)
+	defer cancel()
+	leaving := h.self()
+	leaving.Leaving = true
+	if err := h.enter(ctx, leaving, lease); err != nil {
+		h.log("announce", "err", err)
+	}
 }
 
 func (h *Host) renew(ctx context.Context, lease int64) error {
@@ -353,8 +394,8 @@
 	}
 }
 
-// announce writes the host's entry and returns its lease, or zero.
-func (h *Host) announce(ctx context.Context) int64 {
+// announce writes the host's entry under a new lease and returns that, or zero.
+func (h *Host) announce(ctx context.Context, self membership.Host) int64 {
 	call, cancel := context.WithTimeout(ctx, leaseTimeout)
 	defer cancel()
 	lease, err := h.ports.Store.Grant(call, max(hostLease, h.settings.LeaseFloor))
@@ -362,14 +403,20 @@
 		h.log("announce", "err", err)
 		return 0
 	}
-	key := h.hostsPrefix() + h.settings.Host
-	h.mu.Lock()
-	revision := h.items[key].Revision
-	h.mu.Unlock()
-	if _, err := h.ports.Store.Put(call, key, revision, entryOf(h.self()), lease); err != nil {
+	if err := h.enter(call, self, lease); err != nil {
 		h.log("announce", "err", err)
 		h.endLease(lease)
 		return 0
 	}
 	return lease
 }
+
+// enter writes the host's entry.
+func (h *Host) enter(ctx context.Context, self membership.Host, lease int64) error {
+	key := h.hostsPrefix() + self.ID
+	h.mu.Lock()
+	revision := h.items[key].Revision
+	h.mu.Unlock()
+	_, err := h.ports.Store.Put(ctx, key, revision, entryOf(self), lease)
+	return err
+}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -23,6 +23,10 @@
 	// peerGrace is how much longer than a statement's deadline the answer of another
 	// host may take: the way back.
 	peerGrace = 50 * time.Millisecond
+	// regainPause is the pause until a host that failed is asked again, regainPauseMax
+	// the longest one: a process is back after about a second.
+	regainPause    = 50 * time.Millisecond
+	regainPauseMax = 400 * time.Millisecond
 	// peerPause is the pause after all hosts that serve a group failed to answer.
 	peerPause = 25 * time.Millisecond
 )
@@ -193,7 +197,7 @@
 // turns to them: those that failed lately only if there are no others.
 func (h *Host) serversOf(g *Group) []membership.Host {
 	servers := g.serverOrder()
-	usable := h.fleet.usable(servers, h.now())
+	usable := h.fleet.usable(servers)
 	if len(usable) == 0 {
 		return servers
 	}
@@ -202,8 +206,30 @@
 
 // peerFailed records that another host did not answer.
 func (h *Host) peerFailed(id string, err error) {
-	if h.fleet.failed(id, h.now()) {
-		h.log("peer_lost", "peer", id, "err", err)
+	if !h.fleet.failed(id) {
+		return
+	}
+	h.log("peer_lost", "peer", id, "err", err)
+	go h.regain(id)
+}
+
+// regain asks a host that failed until it answers or is no longer listed, so that no
+// caller has to find out.
+func (h *Host) regain(id string) {
+	ctx, cancel := h.untilEnd()
+	defer cancel()
+	for pause := regainPause; sleep(ctx, pause); pause = min(2*pause, regainPauseMax) {
+		addr, suspect := h.fleet.suspect(id)
+		if !suspect {
+			return
+		}
+		call, cancel := context.WithTimeout(ctx, recallTimeout)
+		got, err := h.ports.Peers.Recall(call, addr, h.process, 0)
+		cancel()
+		if known, ok := got.(RecalledUnknown); ok && err == nil {
+			h.peerAnswered(id, known.Process)
+			return
+		}
 	}
 }
 
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -86,8 +86,8 @@
 	// decoded holds members' entries by key.
 	configRevision int64
 	decoded        map[string]decoded
-	// hostsSeen holds when each host's entry was last seen.
-	hostsSeen map[string]time.Time
+	// hostsSeen holds each host's entry as it was last seen.
+	hostsSeen map[string]seenHost
 	// serving holds what was last worked out about who serves a group, by group.
 	serving map[string]servingPlan
 	// changes keeps the store's newest changes for other hosts; changed is closed and
@@ -112,9 +112,9 @@
 
 	sessions atomic.Int64
 	stopping atomic.Bool
-	// stopped is closed by Stop.
-	stopped chan struct{}
-	synced  atomic.Bool
+	// stopped is closed by Stop, ended when Run returns.
+	stopped, ended chan struct{}
+	synced         atomic.Bool
 }
 
 // NewHost returns a host that does not run yet. now reads a clock that goes on
@@ -124,13 +124,14 @@
 	p.Store = meteredStore{store: p.Store, meters: m, now: now}
 	return &Host{
 		meters: m, settings: s, ports: p, logger: log.With(logger, "host", s.Host), now: now,
-		groups: map[string]*Group{}, items: map[string]Item{}, hostsSeen: map[string]time.Time{}, decoded: map[string]decoded{}, configured: make(chan struct{}),
-		stopped: make(chan struct{}), serving: map[string]servingPlan{}, changed: make(chan struct{}), process: fmt.Sprintf("%s-%08x", s.Host, rand.Uint32()),
+		groups: map[string]*Group{}, items: map[string]Item{}, hostsSeen: map[string]seenHost{}, decoded: map[string]decoded{}, configured: make(chan struct{}),
+		stopped: make(chan struct{}), ended: make(chan struct{}), serving: map[string]servingPlan{}, changed: make(chan struct{}), process: fmt.Sprintf("%s-%08x", s.Host, rand.Uint32()),
 	}
 }
 
 // Run keeps the host's beliefs up to date until ctx ends.
 func (h *Host) Run(ctx context.Context) {
+	defer close(h.ended)
 	var wait sync.WaitGroup
 	wait.Go(func() { h.follow(ctx) })
 	wait.Go(func() { h.register(ctx) })
@@ -212,6 +213,7 @@
 	for sleep(ctx, trimPause) {
 		for _, g := range h.allGroups() {
 			g.trim()
+			g.trimControls()
 		}
 	}
 }
@@ -226,6 +228,19 @@
 	return out
 }
 
+// untilEnd returns a context that ends with Run.
+func (h *Host) untilEnd() (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		select {
+		case <-h.ended:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
+
 // sleep waits and returns false when ctx ended.
 func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -27,6 +27,35 @@
 	// for it ends with the caller's time.
 	turn chan struct{}
 	conn Conn
+	// used is when the last order ended.
+	used time.Time
+}
+
+// controlIdle is how long a connection for orders is kept unused. The holder of a duty
+// asks every watchPause; all other hosts ask only while nobody is known to lead, and
+// their connections would take those that serve callers.
+const controlIdle = 1500 * time.Millisecond
+
+// trimControls closes connections for orders that were not used for long.
+func (g *Group) trimControls() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	for id, c := range g.controls {
+		select {
+		case <-c.turn:
+		default:
+			continue // in use
+		}
+		if now.Sub(c.used) < controlIdle {
+			c.turn <- struct{}{}
+			continue
+		}
+		delete(g.controls, id)
+		if c.conn != nil {
+			go c.close(g, Member{ID: id})
+		}
+	}
 }
 
 // command gives an order to the member over its control connection.
@@ -34,7 +63,7 @@
 	g.mu.Lock()
 	c := g.controls[m.ID]
 	if c == nil {
-		c = &control{turn: make(chan struct{}, 1)}
+		c = &control{turn: make(chan struct{}, 1), used: g.now()}
 		c.turn <- struct{}{}
 		g.controls[m.ID] = c
 	}
@@ -46,7 +75,10 @@
 	case <-ctx.Done():
 		return Status{}, ctx.Err()
 	}
-	defer func() { c.turn <- struct{}{} }()
+	defer func() {
+		c.used = g.now()
+		c.turn <- struct{}{}
+	}()
 	if c.conn != nil && !c.conn.Alive() {
 		c.close(g, m)
 	}
--- a/internal/gateway/open.go
+++ b/internal/gateway/open.go
@@ -18,7 +18,8 @@
 	now := g.now()
 	return g.best(n, now, func(m *member) bool {
 		// With an idle connection, it is the window that keeps the statement waiting.
-		return len(m.idle) == 0 && m.open+max(m.dialing, wanted[m]) < g.limit(m) && !now.Before(m.fullUntil)
+		return len(m.idle) == 0 && m.open+max(m.dialing, wanted[m]) < g.limit(m) && !now.Before(m.fullUntil) &&
+			m.active+max(m.dialing, wanted[m]) <= max(1, m.Slots)
 	})
 }
 
--- a/internal/gateway/serving_test.go
+++ b/internal/gateway/serving_test.go
@@ -267,3 +267,36 @@
 		}
 	})
 }
+
+// Every host asked who leads when it started. Those connections take places of the few
+// that a member has, and must not stay open.
+func TestConnectionsForOrdersAreClosed(t *testing.T) {
+	playFleet(t, 30, 20, freshness.Latest{}, func(s *fakeSite, f *fakeFleet) {
+		for _, h := range f.all() {
+			h.group(testGroup).orderAll(h.group(testGroup).list()[:1], Probe{}, orderTimeout)
+			time.Sleep(2 * time.Second)
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if conns := s.member("a").conns; conns > 4 {
+			t.Errorf("%d connections are open, with no caller", conns)
+		}
+	})
+}
+
+// A host stops: it writes that it leaves and takes its entry back, and others learn both in
+// one message. They must not take it for a host that lapsed and may serve still.
+func TestHostThatLeftIsNotTakenForLapsed(t *testing.T) {
+	playFleet(t, 30, 20, freshness.Latest{}, func(_ *fakeSite, f *fakeFleet) {
+		here, _ := f.serving()
+		here[0].Stop()
+		time.Sleep(50 * time.Millisecond)
+		for _, h := range f.all() {
+			for _, server := range h.group(testGroup).serverOrder() {
+				if server.ID == here[0].settings.Host && h != here[0] {
+					t.Errorf("%s turns to the host that stops", h.settings.Host)
+				}
+			}
+		}
+	})
+}
