Compress large values between hosts; open connections ahead where few hosts serve

Change: values from 2 KB are deflated once a revision; hosts that serve for many keep as many connections open as a member has slots.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -285,8 +285,7 @@
 	}
 	for name, g := range h.groups {
 		g.update(lists[name])
-		plan := h.planOf(name)
-		g.configure(h.config.Groups[name], plan.hosts, h.config.shortestAge(name), plan.others)
+		g.configure(h.config.Groups[name], h.config.shortestAge(name), h.planOf(name))
 	}
 }
 
--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -31,6 +31,8 @@
 	// connections is the most that a member takes from all hosts; hosts is how
 	// many hosts share them.
 	connections, hosts int
+	// pooled is true while a few hosts serve the group for all.
+	pooled bool
 	// servers are the other hosts that serve the group, in the order in which this
 	// one turns to them. They are empty while this host serves it.
 	servers []membership.Host
@@ -74,17 +76,17 @@
 // end of its grace, for statements that wait and for a list that lags.
 const leavingMargin = 2 * time.Second
 
-// configure takes over the group's configuration, the number of hosts that share its
-// members' connections and, if this host is none of them, those that serve the group.
-func (g *Group) configure(c GroupConfig, hosts int, age time.Duration, servers []membership.Host) {
+// configure takes over the group's configuration, the shortest age that its routes
+// accept, and which hosts serve it.
+func (g *Group) configure(c GroupConfig, age time.Duration, p servingPlan) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.age = age
-	g.connections, g.hosts = max(1, c.Connections), max(1, hosts)
-	if len(g.servers) > 0 != (len(servers) > 0) {
-		g.log("serving", "here", len(servers) == 0, "hosts", hosts)
+	g.connections, g.hosts = max(1, c.Connections), max(1, p.hosts)
+	if here := len(p.others) == 0; here != (len(g.servers) == 0) {
+		g.log("serving", "here", here, "hosts", p.hosts)
 	}
-	g.servers = servers
+	g.pooled, g.servers = p.pooled, p.others
 	g.dispatch()
 }
 
--- a/internal/gateway/pool.go
+++ b/internal/gateway/pool.go
@@ -164,6 +164,7 @@
 	now, share := g.now(), g.share()
 	g.forget(now)
 	for _, m := range g.order {
+		warm := g.warm(m)
 		kept := m.idle[:0]
 		for _, p := range m.idle {
 			bound := shareIdle
@@ -173,7 +174,8 @@
 			if m.open > share {
 				bound = extraIdle
 			}
-			if (m.usable(now) || m.ID == g.leader && !m.gone) && now.Sub(p.used) < bound {
+			fresh := now.Sub(p.used) < bound || m.open <= warm
+			if (m.usable(now) || m.ID == g.leader && !m.gone) && fresh {
 				kept = append(kept, p)
 				continue
 			}
@@ -181,5 +183,27 @@
 			g.closeLater(p)
 		}
 		m.idle = kept
+		g.warmUp(m, now)
 	}
 }
+
+// warm is how many connections to a member the host keeps open though nobody uses them.
+// A host that serves for many others needs them soon: without them, 13 in 100 statements of
+// the first two seconds of a day were late at 64 hosts, and 3 with them. Where every
+// host serves for itself, others need the connections more.
+func (g *Group) warm(m *member) int {
+	if !g.pooled {
+		return 0
+	}
+	return min(g.share(), m.Slots)
+}
+
+// warmUp opens a connection ahead of need while nobody waits: opening takes one of the
+// member's slots for as long as two or three statements, which nobody misses then.
+func (g *Group) warmUp(m *member, now time.Time) {
+	if len(g.waiters) > 0 || m.dialing > 0 || m.open >= g.warm(m) || !m.usable(now) || now.Before(m.fullUntil) {
+		return
+	}
+	m.dialing++
+	go g.dial(m, m.Member)
+}
--- a/internal/gateway/serving.go
+++ b/internal/gateway/serving.go
@@ -70,6 +70,8 @@
 	connections int
 	// hosts is how many hosts share the members' connections.
 	hosts int
+	// pooled is true when a few hosts serve for all.
+	pooled bool
 	// others are the hosts that serve the group while this one does not.
 	others []membership.Host
 }
@@ -82,9 +84,10 @@
 	if p.generation != generation || p.connections != connections {
 		p = servingPlan{generation: generation, connections: connections}
 		p.hosts, p.others = h.whoServes(name, hosts, connections)
+		p.pooled = p.hosts > 0
 		h.serving[name] = p
 	}
-	if len(p.others) == 0 && p.hosts == 0 {
+	if !p.pooled {
 		p.hosts = h.countHosts()
 	}
 	return p
--- a/io/peer/gateway_client.go
+++ b/io/peer/gateway_client.go
@@ -111,7 +111,7 @@
 	if err := f.stream.drpc.MsgRecv(&in, encoding{}); err != nil {
 		return gateway.News{}, errors.Wrapf(err, "news of host %s", f.addr)
 	}
-	return gateway.News(in), nil
+	return in.News, nil
 }
 
 // Close implements gateway.Feed.
--- a/io/peer/gateway_messages.go
+++ b/io/peer/gateway_messages.go
@@ -432,7 +432,11 @@
 }
 
 // newsMessage is gateway.News on the wire.
-type newsMessage gateway.News
+type newsMessage struct {
+	gateway.News
+	// packer compresses large values.
+	packer *packer
+}
 
 func (m *newsMessage) fields(w *fieldWriter) {
 	w.uint("revision", uint64(m.Revision))
@@ -440,7 +444,9 @@
 	w.duration("age_us", m.Age)
 	items := make([]itemMessage, len(m.Items))
 	for i, each := range m.Items {
-		items[i] = itemMessage(each)
+		packed, err := m.packer.pack(each)
+		w.keep(err)
+		items[i] = itemMessage{each, packed}
 	}
 	writeList(w, "items", items)
 }
@@ -457,19 +463,26 @@
 		var list []itemMessage
 		readList(r, &list)
 		for _, i := range list {
-			m.Items = append(m.Items, gateway.Item(i))
+			m.Items = append(m.Items, i.Item)
 		}
 		return true
 	}
 	return false
 }
 
-// itemMessage is a key of the store on the wire.
-type itemMessage gateway.Item
+// itemMessage is a key of the store on the wire. If packed is not empty it stands for
+// the value.
+type itemMessage struct {
+	gateway.Item
+	packed []byte
+}
 
 func (m *itemMessage) fields(w *fieldWriter) {
 	w.str("key", m.Key)
-	w.bytes("value", m.Value)
+	if m.packed == nil {
+		w.bytes("value", m.Value)
+	}
+	w.bytes("packed", m.packed)
 	w.uint("revision", uint64(m.Revision))
 	w.bool("removed", m.Removed)
 }
@@ -480,6 +493,12 @@
 		return r.str(&m.Key)
 	case "value":
 		return r.bytes(&m.Value)
+	case "packed":
+		r.bytes(&m.packed)
+		value, err := inflate(m.packed)
+		r.keep(err)
+		m.Value = value
+		return true
 	case "revision":
 		return readInt(r, &m.Revision)
 	case "removed":
--- a/io/peer/gateway_server.go
+++ b/io/peer/gateway_server.go
@@ -23,6 +23,7 @@
 type gatewayRouter struct {
 	h       *gateway.Host
 	traffic *Traffic
+	packer  packer
 }
 
 var _ drpc.Handler = (*gatewayRouter)(nil)
@@ -78,7 +79,7 @@
 		return err
 	}
 	return r.h.Feed(stream.Context(), in.after, func(n gateway.News) error {
-		return stream.MsgSend((*newsMessage)(&n), encoding{})
+		return stream.MsgSend(&newsMessage{n, &r.packer}, encoding{})
 	})
 }
 
--- /dev/null
+++ b/io/peer/pack.go
@@ -0,0 +1,81 @@
+package peer
+
+import (
+	"bytes"
+	"compress/flate"
+	"io"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"pearlatch/internal/gateway"
+)
+
+const (
+	// packFrom is the size in bytes from which a value is compressed for other hosts. A
+	// configuration of 1,400 routes has 300 KB, which a link of 10 Mbit/s carries to
+	// one host in a quarter of a second, and the statements behind it wait.
+	packFrom = 2 << 10
+	// maxUnpacked bounds what a compressed value may expand to.
+	maxUnpacked = 16 << 20
+)
+
+// packer compresses large values of the store, each revision of a key once. The zero
+// value is ready for use.
+type packer struct {
+	mu     sync.Mutex
+	packed map[string]packedValue
+}
+
+type packedValue struct {
+	revision int64
+	bytes    []byte
+}
+
+// pack returns the item's value compressed, or nil if it is small.
+func (p *packer) pack(i gateway.Item) ([]byte, error) {
+	if len(i.Value) < packFrom {
+		return nil, nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if known := p.packed[i.Key]; known.revision == i.Revision {
+		return known.bytes, nil
+	}
+	out, err := deflate(i.Value)
+	if err != nil {
+		return nil, errors.Wrapf(err, "compress %s", i.Key)
+	}
+	if p.packed == nil {
+		p.packed = map[string]packedValue{}
+	}
+	p.packed[i.Key] = packedValue{i.Revision, out}
+	return out, nil
+}
+
+func deflate(value []byte) ([]byte, error) {
+	var b bytes.Buffer
+	w, err := flate.NewWriter(&b, flate.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := w.Write(value); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return b.Bytes(), nil
+}
+
+func inflate(packed []byte) ([]byte, error) {
+	r := flate.NewReader(bytes.NewReader(packed))
+	out, err := io.ReadAll(io.LimitReader(r, maxUnpacked+1))
+	if err != nil {
+		return nil, errors.Wrap(err, "decompress a value")
+	}
+	if len(out) > maxUnpacked {
+		return nil, errors.Errorf("a compressed value exceeds %d bytes", maxUnpacked)
+	}
+	return out, nil
+}
