--- /dev/null
+++ b/core/leadership/record.go
@@ -0,0 +1,52 @@
+package leadership
+
+import (
+	"slices"
+
+	"pearlatch/core/group"
+)
+
+// Lifetime is one run of a member with what it holds. A member may start again under
+// its identifier and hold nothing of before.
+type Lifetime struct {
+	Member string
+	// Born tells runs of a member apart, or is zero where the member does not say.
+	Born int64
+}
+
+// Record is what the next holder of a group's duty must know. It lies in the
+// platform's store and outlasts the holder that wrote it.
+type Record struct {
+	// Holder names the host that wrote the record. A holder writes it first of all,
+	// so that the writes of its predecessor fail.
+	Holder string
+	// Term is the highest one in which a member led, as far as the holder knew.
+	Term group.Term
+	// Members are those of the group when Floor was taken.
+	Members []Lifetime
+	// Floor is a position of the primary from after all others had left that have
+	// left. It is the zero position while none is known.
+	Floor group.Position
+	// Ordered names the member of an order that may still be carried out, or is empty.
+	// No order is given before it stands here.
+	Ordered string
+}
+
+// Covers reports whether the record's floor holds for the members of now: none of those
+// of then has left, so nobody took along what only it and the primary held.
+func (r Record) Covers(now []Lifetime) bool {
+	if r.Floor == (group.Position{}) {
+		return false
+	}
+	for _, m := range r.Members {
+		if !slices.Contains(now, m) {
+			return false
+		}
+	}
+	return true
+}
+
+// SameMembers reports whether the record names exactly these members.
+func (r Record) SameMembers(now []Lifetime) bool {
+	return len(r.Members) == len(now) && r.Covers(now)
+}
--- a/internal/gateway/duty.go
+++ b/internal/gateway/duty.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"pearlatch/core/leadership"
 	"pearlatch/core/membership"
 )
 
@@ -14,6 +15,11 @@
 	// dutyLease is the life of the duty's entry: after a holder's death, another
 	// host takes the duty this much later.
 	dutyLease = 3 * time.Second
+	// recordTimeout bounds the writing of what the next holder must know.
+	recordTimeout = 500 * time.Millisecond
+	// lateOrder is how long an order without an answer may still be carried out where the
+	// platform checks no fencing tokens: the users' late calls come up to 6 s after.
+	lateOrder = 8 * time.Second
 	// dutyRenewal is the pause between renewals: two may get lost.
 	dutyRenewal = 900 * time.Millisecond
 	// dutyRetry is the pause between renewals while they fail.
@@ -40,16 +46,28 @@
 	// with each holder, and with each decision of one.
 	token int64
 	// since is when the duty was taken; renewed is when its lease was last known
-	// to run.
+	// to run, and lasts for how long it then does.
 	since, renewed time.Time
+	lasts          time.Duration
+	// record is what lies in the store for the next holder, as written at recordRevision.
+	// That is zero while it is not known.
+	record         leadership.Record
+	recordRevision int64
+	// standing is what leases on the primary are granted on, and grants are those that may
+	// hold.
+	standing standing
+	grants   leadership.Grants
+	// resigned is true once the duty is being given up while its leases end.
+	resigned bool
 	// tried is when a renewal was last tried.
 	tried time.Time
 	// vacant is since when nobody has held the duty, or zero.
 	vacant time.Time
-	// ordered is the member named by the last order, and orderedToken its token,
-	// until it is seen to lead. Empty means that no order is open.
+	// ordered is the member named by the last order, orderedToken its token and orderedAt
+	// when it was given last, until it is seen to lead. Empty means that no order is open.
 	ordered      string
 	orderedToken int64
+	orderedAt    time.Time
 	// raised is the highest token that the platform has acknowledged: orders with
 	// lower ones are refused from then on.
 	raised int64
@@ -59,25 +77,37 @@
 
 // serveDuties takes duties that fall to this host, and keeps those it holds.
 func (h *Host) serveDuties(ctx context.Context) {
-	duties := map[string]*duty{}
 	var wait sync.WaitGroup
 	defer wait.Wait()
 	for sleep(ctx, dutyPoll) {
 		for _, g := range h.allGroups() {
-			d := duties[g.name]
-			if d == nil {
-				d = &duty{host: h, group: g}
-				duties[g.name] = d
+			d, known := h.dutyOf(g)
+			if !known {
 				wait.Go(func() { d.watch(ctx) })
 			}
 			d.tend(ctx)
 		}
 	}
-	for _, d := range duties {
+	for _, g := range h.allGroups() {
+		d, _ := h.dutyOf(g)
 		d.giveUp("stopping")
 	}
 }
 
+// dutyOf returns this host's part in the promotions of a group, and whether it was known
+// before.
+func (h *Host) dutyOf(g *Group) (d *duty, known bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	d = h.duties[g.name]
+	if d != nil {
+		return d, true
+	}
+	d = &duty{host: h, group: g}
+	h.duties[g.name] = d
+	return d, false
+}
+
 // tend takes the duty if it falls to this host, renews it, or gives it up.
 func (d *duty) tend(ctx context.Context) {
 	h := d.host
@@ -86,25 +116,58 @@
 	rank := h.rank(d.group.name)
 	h.mu.Unlock()
 	d.mu.Lock()
-	held, token, renewed := d.held, d.token, d.renewed
+	held, token, renewed, inherited := d.held, d.token, d.renewed, d.recordRevision != 0
 	d.mu.Unlock()
 	now := h.now()
 	switch {
 	case held && taken && entry.Revision > token:
 		d.giveUp("taken by " + string(entry.Value))
+	case held && h.stopping.Load():
+		d.resign(ctx)
 	case held && now.Sub(renewed) > dutyRenewal && now.Sub(d.tried) > dutyRetry:
 		d.tried = now
 		d.renew(ctx)
+	case held && !inherited:
+		d.tryInherit(ctx)
 	case held:
-	case taken || h.stopping.Load() || !h.synced.Load():
+	case taken && string(entry.Value) == h.settings.Host && entry.Revision > token && h.mayServe():
+		// An earlier process of this host held the duty: it has ended.
+		d.take(ctx, entry.Revision)
+	case taken || !h.mayServe():
 		d.vacant = time.Time{}
 	case d.vacant.IsZero():
 		d.vacant = now
 	case now.Sub(d.vacant) >= time.Duration(rank)*dutyStagger:
-		d.take(ctx)
+		d.take(ctx, 0)
+	}
+}
+
+// mayServe reports whether the host may take on duties.
+func (h *Host) mayServe() bool { return !h.stopping.Load() && h.synced.Load() }
+
+func (d *duty) tryInherit(ctx context.Context) {
+	if err := d.inherit(ctx); err != nil {
+		d.log("record_not_inherited", "err", err)
 	}
 }
 
+// resign gives the duty up while the host goes on for a while. The leases on the primary
+// end first, since the next holder does not know them.
+func (d *duty) resign(ctx context.Context) {
+	d.mu.Lock()
+	again := d.resigned
+	d.resigned = true
+	d.mu.Unlock()
+	if again {
+		return
+	}
+	go func() {
+		w := &watcher{duty: d}
+		w.recall(ctx, true)
+		d.giveUp("stopping")
+	}()
+}
+
 // rank returns how many hosts come before this one for the group.
 func (h *Host) rank(group string) int {
 	hosts, _ := h.fleet.listed()
@@ -116,17 +179,20 @@
 	return len(hosts)
 }
 
-func (d *duty) take(ctx context.Context) {
+// take takes the duty, whose entry was last written at the revision, or zero if there is
+// none.
+func (d *duty) take(ctx context.Context, entry int64) {
 	call, cancel := context.WithTimeout(ctx, leaseTimeout)
 	defer cancel()
 	asked := d.host.now()
-	lease, err := d.host.ports.Store.Grant(call, max(dutyLease, d.host.settings.LeaseFloor))
+	lasts := max(dutyLease, d.host.settings.LeaseFloor)
+	lease, err := d.host.ports.Store.Grant(call, lasts)
 	if err != nil {
 		d.log("duty_not_taken", "err", err)
 		d.vacant = d.host.now()
 		return
 	}
-	revision, err := d.host.ports.Store.Put(call, d.host.dutyKey(d.group.name), 0, []byte(d.host.settings.Host), lease)
+	revision, err := d.host.ports.Store.Put(call, d.host.dutyKey(d.group.name), entry, []byte(d.host.settings.Host), lease)
 	if err != nil {
 		// Whether the entry was written or not, its lease ends now, and with it
 		// the entry: nobody acts under it.
@@ -136,10 +202,12 @@
 		return
 	}
 	d.mu.Lock()
-	d.held, d.lease, d.token, d.since, d.renewed, d.ordered = true, lease, revision, d.host.now(), asked, ""
+	d.held, d.lease, d.token, d.since, d.renewed, d.lasts = true, lease, revision, d.host.now(), asked, lasts
+	d.ordered, d.recordRevision, d.standing, d.grants, d.resigned = "", 0, standing{}, leadership.Grants{}, false
 	d.mu.Unlock()
 	d.vacant = time.Time{}
 	d.log("duty_taken", "token", revision)
+	d.tryInherit(ctx)
 }
 
 func (d *duty) renew(ctx context.Context) {
@@ -164,7 +232,7 @@
 func (d *duty) giveUp(why string) {
 	d.mu.Lock()
 	held, lease := d.held, d.lease
-	d.held = false
+	d.held, d.standing = false, standing{}
 	d.mu.Unlock()
 	if !held {
 		return
@@ -183,7 +251,7 @@
 	if !d.held {
 		return false
 	}
-	return d.host.settings.PromotionTokens || d.host.now().Sub(d.renewed) < dutyLease-dutyRenewal
+	return d.host.settings.PromotionTokens || d.host.now().Sub(d.renewed) < d.lasts-dutyRenewal
 }
 
 // renewToken takes a higher token for another decision.
@@ -206,16 +274,38 @@
 	return nil
 }
 
-// openOrder returns the member that an order may still promote, or the empty string.
+// openOrder returns the member that an order may still promote, or the empty string. A
+// higher token makes the platform refuse the order, where it checks tokens.
 func (d *duty) openOrder() string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.raised > d.orderedToken {
+	if d.host.settings.PromotionTokens && d.raised > d.orderedToken {
 		return ""
 	}
 	return d.ordered
 }
 
+// settledOrder records that no order is open any more.
+func (d *duty) settledOrder() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ordered = ""
+}
+
+// orderExpired reports whether the last order is too old to be carried out still.
+func (d *duty) orderExpired() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.host.settings.PromotionTokens && d.host.now().Sub(d.orderedAt) > lateOrder
+}
+
+// sinceTakeover returns how long ago this host took the duty.
+func (d *duty) sinceTakeover() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.host.now().Sub(d.since)
+}
+
 // acknowledged records that the platform has seen the token.
 func (d *duty) acknowledged(token int64) {
 	d.mu.Lock()
--- a/internal/gateway/failover.go
+++ b/internal/gateway/failover.go
@@ -10,6 +10,10 @@
 // failover promotes a replica in place of a primary that does not serve. The members
 // were listed at the given time, and answered since.
 func (w *watcher) failover(ctx context.Context, started time.Time, answers []answered) {
+	if !w.recall(ctx, false) {
+		w.log("failover_off", "why", "the duty is not certain")
+		return
+	}
 	term := max(newest(answers), w.group.seenTerm()) + 1
 	var replicas []Member
 	for _, a := range answers {
--- a/internal/gateway/fakeconn_test.go
+++ b/internal/gateway/fakeconn_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"syscall"
 	"time"
 
@@ -30,12 +29,14 @@
 		return nil, &Failure{TooMany, m.ID}
 	}
 	time.Sleep(10 * time.Millisecond)
-	return &fakeConn{site: s, m: f}, nil
+	return &fakeConn{site: s, m: f, born: f.born}, nil
 }
 
 type fakeConn struct {
-	site   *fakeSite
-	m      *fakeMember
+	site *fakeSite
+	m    *fakeMember
+	// born is the run of the member that the connection leads to.
+	born   int
 	state  State
 	plain  bool // the transaction may write
 	values map[string]string
@@ -48,7 +49,7 @@
 func (c *fakeConn) Alive() bool {
 	c.site.mu.Lock()
 	defer c.site.mu.Unlock()
-	return !c.m.crashed
+	return !c.m.crashed && c.m.born == c.born
 }
 
 func (c *fakeConn) Close() error {
@@ -64,7 +65,7 @@
 // answerless waits as a call does whose answer never comes.
 func (c *fakeConn) answerless(timeout time.Duration) error {
 	c.site.mu.Lock()
-	crashed, silent := c.m.crashed, c.m.silent
+	crashed, silent := c.m.crashed || c.m.born != c.born, c.m.silent
 	c.site.mu.Unlock()
 	silent = silent || c.severed != nil && c.severed()
 	if crashed {
@@ -233,7 +234,7 @@
 	m.applied = m.received
 	acknowledged := false
 	for _, o := range c.site.members {
-		if o == m || o.crashed || o.deaf || o.silent || o.fenced > m.term {
+		if o == m || o.crashed || o.deaf || o.silent || o.cut || m.cut || o.fenced > m.term || o.term > m.term {
 			continue
 		}
 		o.received, acknowledged = m.received, true
@@ -247,6 +248,6 @@
 		c.site.mu.Lock()
 		return Reply{}, context.DeadlineExceeded
 	}
-	c.site.history = append(c.site.history, fmt.Sprint(m.received.Term, " ", m.received.LSN))
+	c.site.history = append(c.site.history, m.received)
 	return Reply{Signature: "by " + m.id, Position: m.received}, nil
 }
--- a/internal/gateway/fakefleet_test.go
+++ b/internal/gateway/fakefleet_test.go
@@ -221,6 +221,23 @@
 	return h.ProbeFor(groupName, memberID)
 }
 
+func (p *fakePeers) Lease(ctx context.Context, to netip.AddrPort, groupName, host string) (LeaseReply, error) {
+	h, err := p.reach(ctx, to)
+	if err != nil {
+		return LeaseReply{}, err
+	}
+	return h.GrantLease(groupName, host), nil
+}
+
+func (p *fakePeers) EndLease(ctx context.Context, to netip.AddrPort, groupName, memberID string, planned bool) error {
+	h, err := p.reach(ctx, to)
+	if err != nil {
+		return err
+	}
+	h.EndLease(groupName, memberID, planned)
+	return nil
+}
+
 type fakeLane struct {
 	peers *fakePeers
 	to    netip.AddrPort
--- a/internal/gateway/fakesite_test.go
+++ b/internal/gateway/fakesite_test.go
@@ -41,6 +41,8 @@
 	crashed bool // connections are refused
 	silent  bool // nothing is answered
 	deaf    bool // receives nothing
+	cut     bool // parted from the other members: if replaced, it leads on in its term
+	born    int  // which run of the member this is
 	lagging bool // applies nothing
 	full    bool // its queue has no room
 	demoted int  // how often it was demoted
@@ -66,10 +68,13 @@
 	keyLease map[string]int64
 	down     bool // the store answers nothing
 	// tokens holds the highest token of a promotion; late holds back orders.
-	token   int64
-	orders  []string
-	late    time.Duration
-	history []string // acknowledged writes
+	token  int64
+	orders []string
+	late   time.Duration
+	// unfenced is true for a platform that checks no tokens.
+	unfenced bool
+	history  []group.Position // acknowledged writes
+	dropped  []group.Position // those that a promoted member did not hold
 }
 
 func newFakeSite(ids ...string) *fakeSite {
@@ -97,6 +102,20 @@
 	return nil
 }
 
+// entry returns what the member writes into the store.
+func (m *fakeMember) entry(state, role string) []byte {
+	return fmt.Appendf(nil, "%s %s %d", state, role, m.born)
+}
+
+// restart ends a member and starts it again under its identifier, with nothing of before.
+func (s *fakeSite) restart(id string) {
+	s.with(id, func(m *fakeMember) {
+		m.born++
+		m.received, m.applied, m.fenced, m.leads = group.Position{}, group.Position{}, 0, false
+	})
+	s.list(id, "ready")
+}
+
 // with changes a member.
 func (s *fakeSite) with(id string, change func(*fakeMember)) {
 	s.mu.Lock()
@@ -125,16 +144,24 @@
 	return s.peak
 }
 
-// leader returns the member that leads.
+// leader returns the member that leads in the highest term.
 func (s *fakeSite) leader() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if m := s.leaderLocked(); m != nil {
+		return m.id
+	}
+	return ""
+}
+
+func (s *fakeSite) leaderLocked() *fakeMember {
+	var out *fakeMember
 	for _, m := range s.members {
-		if m.leads {
-			return m.id
+		if m.leads && (out == nil || m.term > out.term) {
+			out = m
 		}
 	}
-	return ""
+	return out
 }
 
 func (s *fakeSite) Promote(ctx context.Context, holder string, token int64, _, id string) error {
@@ -153,7 +180,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	m := s.member(id)
-	if token < s.token || m.crashed {
+	if token < s.token && !s.unfenced || m.crashed {
 		return ErrFenced
 	}
 	s.token = token
@@ -171,13 +198,18 @@
 	if m.leads || m.crashed {
 		return
 	}
+	s.dropped = append(s.dropped, s.beyond(m.received)...)
 	var term group.Term
 	for _, o := range s.members {
 		term = max(term, o.term)
 	}
 	for _, o := range s.members {
 		wasLeading := o.leads
-		o.leads, o.fenced = o == m, 0
+		o.fenced = 0
+		if o.cut && o != m {
+			continue
+		}
+		o.leads = o == m
 		if !o.crashed && !o.silent {
 			o.term = term + 1
 		}
@@ -190,26 +222,29 @@
 				role = "primary"
 			}
 			state, _, _ := strings.Cut(string(s.items["members/"+o.id].Value), " ")
-			s.putLocked("members/"+o.id, []byte(state+" "+role), 0)
+			s.putLocked("members/"+o.id, o.entry(state, role), 0)
 		}
 	}
 	m.applied = m.received
 }
 
 // lost returns acknowledged writes that the primary lacks.
-func (s *fakeSite) lost() []string {
+func (s *fakeSite) lost() []group.Position {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var out []string
-	for _, m := range s.members {
-		if !m.leads {
-			continue
-		}
-		for _, w := range s.history {
-			var p group.Position
-			if _, err := fmt.Sscan(w, &p.Term, &p.LSN); err != nil || p.Compare(m.received) > 0 {
-				out = append(out, w)
-			}
+	m := s.leaderLocked()
+	if m == nil {
+		return s.dropped
+	}
+	return append(s.beyond(m.received), s.dropped...)
+}
+
+// beyond returns the acknowledged writes that a log up to the position lacks.
+func (s *fakeSite) beyond(end group.Position) []group.Position {
+	var out []group.Position
+	for _, p := range s.history {
+		if p.Compare(end) > 0 {
+			out = append(out, p)
 		}
 	}
 	return out
@@ -233,16 +268,20 @@
 }
 
 func (fakeDecoder) Member(key string, value []byte) (Member, error) {
-	state, role, _ := strings.Cut(string(value), " ")
+	var state, role string
+	var born int64
+	if _, err := fmt.Sscan(string(value), &state, &role, &born); err != nil {
+		return Member{}, err
+	}
 	return Member{
 		ID: strings.TrimPrefix(key, "members/"), Group: testGroup, Addr: netip.MustParseAddrPort("127.0.0.1:1"),
-		Zone: "z", Slots: 2, Leaving: state == "draining", Leads: role == "primary",
+		Zone: "z", Slots: 2, Leaving: state == "draining", Leads: role == "primary", Born: born,
 	}, nil
 }
 
 // hostOn starts a host on the site. The returned function stops it.
 func hostOn(s *fakeSite, name string, class freshness.Class) (*Host, func()) {
-	settings := Settings{Host: name, Zone: "z", MemberDrain: 7 * time.Second, Grace: 6 * time.Second, PromotionTokens: true}
+	settings := Settings{Host: name, Zone: "z", MemberDrain: 7 * time.Second, Grace: 6 * time.Second, PromotionTokens: !s.unfenced}
 	h := NewHost(settings, Ports{
 		Dialer: s, Store: s, Promoter: s, Decode: fakeDecoder{class},
 		Keys: Keys{Config: "config", Members: "members/", Own: "own/"},
--- a/internal/gateway/fakestore_test.go
+++ b/internal/gateway/fakestore_test.go
@@ -20,7 +20,7 @@
 	if s.member(id).leads {
 		role = "primary"
 	}
-	s.putLocked("members/"+id, []byte(state+" "+role), 0)
+	s.putLocked("members/"+id, s.member(id).entry(state, role), 0)
 }
 
 func (s *fakeSite) put(key string, value []byte, lease int64) int64 {
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -115,6 +115,18 @@
 	return out
 }
 
+// address returns the address of a listed host for other hosts.
+func (f *fleet) address(id string) (netip.AddrPort, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, h := range f.hosts {
+		if h.ID == id && h.Peer.IsValid() {
+			return h.Peer, true
+		}
+	}
+	return netip.AddrPort{}, false
+}
+
 // entryOf returns the value of a host's entry in the store: its availability zone and
 // its address for other hosts, if it has one.
 func entryOf(h membership.Host) []byte {
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -284,7 +284,7 @@
 		}
 	}
 	for name, g := range h.groups {
-		g.update(lists[name])
+		g.update(lists[name], h.revision)
 		g.configure(h.config.Groups[name], h.config.shortestAge(name), h.planOf(name))
 	}
 }
@@ -301,10 +301,11 @@
 func (h *Host) decodeMember(i Item) (Member, bool) {
 	d, ok := h.decoded[i.Key]
 	if !ok || d.revision != i.Revision {
+		before := d.err
 		d = decoded{revision: i.Revision}
 		d.member, d.err = h.ports.Decode.Member(i.Key, i.Value)
 		h.decoded[i.Key] = d
-		if d.err != nil {
+		if d.err != nil && (before == nil || before.Error() != d.err.Error()) {
 			h.log("member_refused", "key", i.Key, "err", d.err)
 		}
 	}
--- /dev/null
+++ b/internal/gateway/grantor.go
@@ -0,0 +1,135 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"pearlatch/core/group"
+	"pearlatch/core/leadership"
+)
+
+// recallTries is how long a host may take to give a lease back until it is left to run
+// out: a few round trips within a region.
+const recallTries = 150 * time.Millisecond
+
+// standing is what the holder of a duty knows of the primary. It is empty while the primary
+// is being replaced.
+type standing struct {
+	member string
+	term   group.Term
+	// heard is when the primary was last asked something that it answered.
+	heard time.Time
+	// position is what its log held then.
+	position group.Position
+}
+
+// GrantLease grants a host a lease on the primary of a group, if this one holds the duty
+// and knows the primary.
+func (h *Host) GrantLease(groupName, host string) LeaseReply {
+	h.mu.Lock()
+	d := h.duties[groupName]
+	h.mu.Unlock()
+	if d == nil {
+		return LeaseReply{}
+	}
+	return d.grant(host)
+}
+
+func (d *duty) grant(host string) LeaseReply {
+	now := d.host.now()
+	heard, alive := d.group.heardFrom(d.primaryLed())
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.held || d.standing.member == "" {
+		return LeaseReply{}
+	}
+	s := d.standing
+	if alive && heard.After(s.heard) {
+		s.heard = heard
+	}
+	granted := d.grants.Grant(host, now, leadership.Standing{Heard: s.heard, DutyEnds: d.renewed.Add(d.lasts)})
+	return LeaseReply{Granted: granted, Member: s.member, Term: s.term, Position: s.position, Age: now.Sub(d.standing.heard)}
+}
+
+// primaryLed returns the member that leases are granted on, or the empty string.
+func (d *duty) primaryLed() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.standing.member
+}
+
+// stands records that the primary answered a question that was asked at the given time.
+func (d *duty) stands(s standing) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.standing = s
+}
+
+// alive records a sign of life of a primary that did not tell its position.
+func (d *duty) alive(at time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.standing.member != "" && at.After(d.standing.heard) {
+		d.standing.heard, d.standing.position = at, group.Position{}
+	}
+}
+
+// recall ends all leases on the primary, so that another member can be promoted: it grants
+// no more, asks the hosts to give back what they hold, and waits until the leases of those
+// that don't answer have run out. It returns false if this host may no longer order.
+func (w *watcher) recall(ctx context.Context, planned bool) bool {
+	started := w.host.now()
+	w.mu.Lock()
+	id := w.standing.member
+	w.standing = standing{}
+	hosts := w.grants.Outstanding(started)
+	w.mu.Unlock()
+	if id == "" {
+		id = w.primary.ID
+	}
+	var wait sync.WaitGroup
+	for _, host := range hosts {
+		wait.Go(func() { w.recallFrom(ctx, host, id, planned) })
+	}
+	wait.Wait()
+	w.mu.Lock()
+	left, end := w.grants.Outstanding(w.host.now()), w.grants.End()
+	w.mu.Unlock()
+	if len(left) > 0 {
+		w.log("leases_awaited", "member", id, "hosts", left, "for_ms", end.Sub(w.host.now()).Milliseconds())
+		if !sleep(ctx, end.Sub(w.host.now())) {
+			return false
+		}
+	}
+	if since := w.sinceTakeover(); since < leadership.Duration {
+		// Leases of the holder before may still hold, if it was an earlier process of this
+		// host, or lost its entry early.
+		if !sleep(ctx, leadership.Duration-since) {
+			return false
+		}
+	}
+	w.group.meters.recall(w.group.name, w.host.now().Sub(started))
+	return w.holds()
+}
+
+func (w *watcher) recallFrom(ctx context.Context, host, member string, planned bool) {
+	h := w.host
+	if host == h.settings.Host {
+		w.group.endLease(member, planned)
+	} else {
+		addr, ok := h.fleet.address(host)
+		if !ok || h.ports.Peers == nil {
+			return
+		}
+		call, cancel := context.WithTimeout(ctx, recallTries)
+		defer cancel()
+		if err := h.ports.Peers.EndLease(call, addr, w.group.name, member, planned); err != nil {
+			w.log("lease_not_returned", "peer", host, "member", member, "err", err)
+			return
+		}
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.grants.Returned(host)
+}
--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -10,6 +10,7 @@
 
 	"pearlatch/core/freshness"
 	"pearlatch/core/group"
+	"pearlatch/core/leadership"
 	"pearlatch/core/membership"
 )
 
@@ -54,12 +55,31 @@
 	leaderTerm group.Term
 	// ages samples the primary's position.
 	ages freshness.Ages
+	// lease is this host's lease on the primary; leaseAlarm asks for one at once, and
+	// primaryNeeded is when a statement last needed the primary.
+	lease         leadership.Lease
+	leaseAlarm    chan struct{}
+	primaryNeeded time.Time
+	// proof is the question to all other members whether the primary leads that is under
+	// way, or nil. proven is the last one that was answered well.
+	proof  *proof
+	proven proof
+	// disproof is the last one if it proved nothing, or nil. The next is put no sooner than at
+	// proveAt, after proofPause.
+	disproof   *proof
+	proveAt    time.Time
+	proofPause time.Duration
+	// sampledFrom is the member that the newest of ages was taken from.
+	sampledFrom string
 	// searching is true while the members are asked who leads.
 	searching bool
 	controls  map[string]*control
 	// departed is when a member last left the list, or the list was first read. It
 	// may have taken along the only other copy of what it acknowledged until then.
 	departed time.Time
+	// revision is the store's as the list was last read, and departedRevision the one
+	// at which a member was last seen to leave, or zero.
+	revision, departedRevision int64
 	// floor is a position of the primary after departed: what holds it holds all
 	// that the departed member had acknowledged. It is valid while floorKnown.
 	floor      group.Position
@@ -72,7 +92,8 @@
 	return &Group{
 		name: name, zone: h.settings.Zone, dialer: h.ports.Dialer, logger: log.With(h.logger, "group", name),
 		now: h.now, meters: h.meters, drainBound: h.settings.MemberDrain - leavingMargin,
-		members: map[string]*member{}, connections: 1, hosts: 1, controls: map[string]*control{}, alarm: make(chan struct{}, 1),
+		members: map[string]*member{}, connections: 1, hosts: 1, controls: map[string]*control{},
+		alarm: make(chan struct{}, 1), leaseAlarm: make(chan struct{}, 1),
 	}
 }
 
@@ -94,10 +115,11 @@
 	g.dispatch()
 }
 
-// update takes over the list of members.
-func (g *Group) update(list []Member) {
+// update takes over the list of members as it stands at a revision of the store.
+func (g *Group) update(list []Member, revision int64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.revision = revision
 	if g.departed.IsZero() {
 		g.departed = g.now()
 	}
@@ -121,6 +143,10 @@
 
 func (g *Group) updateMember(each Member) {
 	m := g.members[each.ID]
+	if m != nil && m.Born != each.Born {
+		g.reborn(m)
+		m = nil
+	}
 	if m == nil {
 		m = &member{Member: each}
 		m.Leads, m.Leaving = false, false
@@ -156,7 +182,25 @@
 	m.missingSince = g.now()
 	if m.ID != g.leader {
 		// What the primary held without any replica was never acknowledged.
-		g.departed, g.floorKnown = m.missingSince, false
+		g.left(m.missingSince)
+	}
+}
+
+// left records that a replica may have gone with its log.
+func (g *Group) left(at time.Time) {
+	g.departed, g.departedRevision, g.floorKnown = at, g.revision, false
+}
+
+// reborn forgets a member that was started again under its identifier: it holds nothing
+// of before, not even the fence that kept it from receiving, and its connections are gone.
+func (g *Group) reborn(m *member) {
+	g.log("member_reborn", "member", m.ID, "born", m.Born, "leads", m.ID == g.leader)
+	m.gone = true
+	g.closeIdle(m)
+	delete(g.members, m.ID)
+	g.left(g.now())
+	if g.leader == m.ID {
+		g.setLeader("", "started again")
 	}
 }
 
@@ -196,6 +240,7 @@
 	}
 	g.log("leader", "member", id, "before", g.leader, "why", why)
 	g.leader = id
+	g.askAgain()
 	g.dispatch()
 	if id == "" {
 		g.leaderlessSince = g.now()
@@ -236,29 +281,32 @@
 	}
 }
 
-// observe records the primary's position at or after the given time.
-func (g *Group) observe(at time.Time, p group.Position) {
+// observe records the position that a member answered with to what was sent at the given
+// time, if it was certainly the primary then. A replaced primary that does not know it
+// answers with positions too, which say nothing of what was acknowledged elsewhere.
+func (g *Group) observe(m *member, at time.Time, p group.Position) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if p == (group.Position{}) {
-		return
+	switch {
+	case p == (group.Position{}):
+	case g.lease.Covers(m.ID, at):
+		g.sampled(m.ID, at, p)
+	case g.proven.primary == m.ID && !at.Before(g.proven.started):
+		g.sampled(m.ID, g.proven.started, p)
 	}
+}
+
+// sampled records the primary's position at or after the given time.
+func (g *Group) sampled(from string, at time.Time, p group.Position) {
 	if at.After(g.ages.Latest()) {
 		g.ages.Observe(at, p)
+		g.sampledFrom = from
 	}
 	if !g.floorKnown && at.After(g.departed) {
 		g.floor, g.floorKnown = p, true
 	}
 }
 
-// knowsFloor reports whether a position of the primary is known from after the last member
-// left.
-func (g *Group) knowsFloor() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.floorKnown
-}
-
 // complete reports whether a log that ends at p holds everything that members
 // acknowledged which have left since.
 func (g *Group) complete(p group.Position) bool {
@@ -267,6 +315,75 @@
 	return g.floorKnown && p.Compare(g.floor) >= 0
 }
 
+// adoptFloor takes over what the record of an earlier holder says of the log that a
+// successor must have, unless a member has left since.
+func (g *Group) adoptFloor(r leadership.Record, revision int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.floorKnown || g.departedRevision >= revision || !r.Covers(g.lifetimes()) {
+		return
+	}
+	g.floor, g.floorKnown = r.Floor, true
+	g.log("floor_adopted", "position", r.Floor, "revision", revision)
+}
+
+// lifetimes returns the members that are listed.
+func (g *Group) lifetimes() []leadership.Lifetime {
+	var out []leadership.Lifetime
+	for _, m := range g.order {
+		if m.missingSince.IsZero() && !m.gone {
+			out = append(out, leadership.Lifetime{Member: m.ID, Born: m.Born})
+		}
+	}
+	return out
+}
+
+// successorNeeds returns what a successor of the primary must hold, as it is to be
+// recorded, or false while that is not known.
+func (g *Group) successorNeeds() (leadership.Record, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return leadership.Record{Term: g.leaderTerm, Members: g.lifetimes(), Floor: g.floor}, g.floorKnown && len(g.missing()) == 0
+}
+
+// missing returns the members that the platform has lost sight of.
+func (g *Group) missing() []*member {
+	var out []*member
+	for _, m := range g.order {
+		if !m.missingSince.IsZero() {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// ledAt records where the log of the primary stood when the holder of the duty asked it.
+func (g *Group) ledAt(s standing) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if s.position != (group.Position{}) {
+		g.sampled(s.member, s.heard, s.position)
+	}
+}
+
+// ledIn records a term in which a member has led, as an earlier holder knew.
+func (g *Group) ledIn(t group.Term) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.leaderTerm = max(g.leaderTerm, t)
+}
+
+// heardFrom returns when a member last answered a statement of this host.
+func (g *Group) heardFrom(id string) (time.Time, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m := g.members[id]
+	if m == nil {
+		return time.Time{}, false
+	}
+	return m.heard, !m.heard.IsZero()
+}
+
 // renewed records that a primary leads which was chosen among the members listed at
 // some time: its log then held whatever members had acknowledged that left before.
 func (g *Group) renewed(c choice) {
@@ -289,6 +406,8 @@
 func (g *Group) covering(at time.Time) (group.Position, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	// A lease keeps samples coming, which keep reads at the replicas.
+	g.primaryNeeded = g.now()
 	return g.ages.Covering(at)
 }
 
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -30,6 +30,10 @@
 		w.group.orderAll(others, Release{}, orderTimeout)
 		return
 	}
+	if !w.recall(ctx, true) {
+		w.group.orderAll(others, Release{}, orderTimeout)
+		return
+	}
 	w.log("successor", "member", best.ID, "term", term, "planned", true)
 	w.promote(ctx, best.ID, choice{listed: started, held: heldBy(best.ID, replicas)})
 }
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -88,6 +88,8 @@
 	decoded        map[string]decoded
 	// hostsSeen holds each host's entry as it was last seen.
 	hostsSeen map[string]seenHost
+	// duties holds this host's part in the promotions of each group, by group.
+	duties map[string]*duty
 	// serving holds what was last worked out about who serves a group, by group.
 	serving map[string]servingPlan
 	// changes keeps the store's newest changes for other hosts; changed is closed and
@@ -125,7 +127,7 @@
 	return &Host{
 		meters: m, settings: s, ports: p, logger: log.With(logger, "host", s.Host), now: now,
 		groups: map[string]*Group{}, items: map[string]Item{}, hostsSeen: map[string]seenHost{}, decoded: map[string]decoded{}, configured: make(chan struct{}),
-		stopped: make(chan struct{}), ended: make(chan struct{}), serving: map[string]servingPlan{}, changed: make(chan struct{}), process: fmt.Sprintf("%s-%08x", s.Host, rand.Uint32()),
+		stopped: make(chan struct{}), ended: make(chan struct{}), serving: map[string]servingPlan{}, duties: map[string]*duty{}, changed: make(chan struct{}), process: fmt.Sprintf("%s-%08x", s.Host, rand.Uint32()),
 	}
 }
 
@@ -136,6 +138,7 @@
 	wait.Go(func() { h.follow(ctx) })
 	wait.Go(func() { h.register(ctx) })
 	wait.Go(func() { h.serveDuties(ctx) })
+	wait.Go(func() { h.keepLeases(ctx) })
 	wait.Go(func() { h.trim(ctx) })
 	wait.Wait()
 }
--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -70,7 +70,7 @@
 		return err
 	})
 	if err == nil {
-		g.answered(m.ID)
+		g.answered(m.ID, s)
 	}
 	return s, err
 }
@@ -114,8 +114,8 @@
 	return err
 }
 
-// answered records that the member answered an order.
-func (g *Group) answered(id string) {
+// answered records what the member answered to an order.
+func (g *Group) answered(id string, s Status) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m := g.members[id]
@@ -125,8 +125,15 @@
 	m.answered, m.silentSince = g.now(), time.Time{}
 	if !m.missingSince.IsZero() && id != g.leader {
 		// It lives, and may still acknowledge: it has left later than it went missing.
-		g.departed, g.floorKnown = m.answered, false
+		g.left(m.answered)
 	}
+	if s.Term == m.receivedTerm && s.Received.Compare(m.received) < 0 && id != g.leader {
+		// A log shrinks in a promotion only, which brings a new term. This member was started
+		// again and holds nothing of before: what it had acknowledged has left with it.
+		g.log("member_lost_its_log", "member", id, "held", m.received, "holds", s.Received)
+		g.left(m.answered)
+	}
+	m.received, m.receivedTerm = s.Received, s.Term
 }
 
 // busyRounds is how often an order is given again to a member whose queue is
@@ -284,43 +291,15 @@
 	return true
 }
 
-// proven reports whether the primary was asked at or after the given time and led.
-// Its log then holds everything that was acknowledged before.
-func (g *Group) proven(since time.Time) bool {
+// ledSince reports whether the member is known to have led at or after the given time. Its
+// log then holds everything that was acknowledged before.
+func (g *Group) ledSince(id string, since time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return !g.ages.Latest().Before(since)
-}
-
-// verify makes sure over the connection that its member leads now. Its log then
-// holds everything that was acknowledged before.
-//
-// A primary that was replaced while it was cut off goes on to say that it leads, and
-// answers plain reads from an old log. It refuses to begin a transaction that may
-// write, so one is begun and rolled back.
-func (g *Group) verify(c Conn, timeout time.Duration) (bool, error) {
-	asked := g.now()
-	replies, err := c.Do(timeout, Open{}, Abort{})
-	if err != nil {
-		return false, err
-	}
-	began, ended := replies[0], replies[1]
-	if began.Failure != nil && began.Failure.Code != ReadOnly {
-		return false, began.Failure
-	}
-	if began.Failure != nil || began.State != InTransaction {
-		return false, nil
-	}
-	if ended.State != Idle {
-		return false, errNotEnded
-	}
-	g.observe(asked, began.Position)
-	return true, nil
+	return g.sampledFrom == id && !g.ages.Latest().Before(since) ||
+		g.proven.primary == id && !g.proven.started.Before(since)
 }
 
-// errNotEnded means that a transaction of our own could not be rolled back.
-var errNotEnded = errors.New("the member did not roll back")
-
 // newest returns the highest term among the answers in which a member led.
 func newest(answers []answered) group.Term {
 	var t group.Term
--- /dev/null
+++ b/internal/gateway/leadership_test.go
@@ -0,0 +1,307 @@
+package gateway
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pearlatch/core/freshness"
+	"pearlatch/core/group"
+	"pearlatch/core/leadership"
+)
+
+// holderOf returns the host that holds the duty of the test's group.
+func (f *fakeFleet) holderOf() *Host {
+	for _, h := range f.all() {
+		h.mu.Lock()
+		d := h.duties[testGroup]
+		h.mu.Unlock()
+		if d != nil && d.holds() {
+			return h
+		}
+	}
+	return nil
+}
+
+// other returns a host that is not the one given.
+func (f *fakeFleet) other(than *Host) *Host {
+	for _, h := range f.all() {
+		if h != than {
+			return h
+		}
+	}
+	return nil
+}
+
+// A network parts the primary and one host from the replicas, the store and all other
+// hosts. A replica takes over and acknowledges new writes. The host on the primary's side
+// goes on to reach it, and it goes on to say that it leads: reads of the latest there must
+// be refused rather than answered from the old log.
+func TestHostOnTheSideOfAReplacedPrimaryReadsNothingOld(t *testing.T) {
+	playFleet(t, 3, 20, freshness.Latest{}, func(s *fakeSite, f *fakeFleet) {
+		holder := f.holderOf()
+		apart := f.other(holder)
+		do(apart, Write{})
+		name := apart.settings.Host
+		f.set(f.dark, name, true)
+		f.set(f.turnedAway, name, true)
+		s.with("a", func(m *fakeMember) { m.cut = true })
+		for _, h := range f.all() {
+			if h != apart {
+				f.set(f.severed, h.settings.Host+" a", true)
+			}
+		}
+		var written bool
+		for range 300 {
+			if !written && s.leader() != "a" {
+				written = do(holder, Write{}).Failure == nil
+			}
+			late := written
+			if r := do(apart, Read{}); r.Failure == nil && late && row(r) == "a" {
+				t.Fatal("the replaced primary answered a read of the latest")
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		if !written {
+			t.Error("no other member took over")
+		}
+		wantNothingLost(t, s)
+	})
+}
+
+// A primary drains while one host, which holds a lease on it, can't be reached, and the primary
+// is parted from the other members just then. The holder must wait until that lease has run
+// out: the host reads from the old primary until then.
+func TestPlannedChangeWaitsForALeaseThatIsNotGivenBack(t *testing.T) {
+	playFleet(t, 3, 20, freshness.Latest{}, func(s *fakeSite, f *fakeFleet) {
+		holder := f.holderOf()
+		apart := f.other(holder)
+		do(apart, Write{})
+		do(holder, Write{})
+		time.Sleep(time.Second)
+		if r := do(apart, Read{}); r.Failure != nil {
+			t.Fatalf("the read failed: %v", r.Failure)
+		}
+		f.set(f.dark, apart.settings.Host, true)
+		f.set(f.turnedAway, apart.settings.Host, true)
+		s.list("a", "draining")
+		s.with("a", func(m *fakeMember) { m.cut = true })
+		var written bool
+		for range 300 {
+			if !written && s.leader() != "a" {
+				written = do(holder, Write{}).Failure == nil
+			}
+			late := written
+			if r := do(apart, Read{}); r.Failure == nil && late && row(r) == "a" {
+				t.Fatal("the replaced primary answered a read of the latest")
+			}
+		}
+		if !written {
+			t.Error("no other member took over")
+		}
+		wantNothingLost(t, s)
+	})
+}
+
+// A primary crashes while several hosts hold leases on it. They are asked to give them back,
+// so the callers' gap is the platform's time for a promotion and no lease long.
+func TestLeasesAreGivenBackBeforeAPromotion(t *testing.T) {
+	playFleet(t, 4, 20, freshness.Latest{}, func(s *fakeSite, f *fakeFleet) {
+		for _, h := range f.all() {
+			do(h, Read{})
+		}
+		time.Sleep(500 * time.Millisecond)
+		s.with("a", func(m *fakeMember) { m.crashed = true })
+		if took := served(t, f.other(f.holderOf()), 5*time.Second); took > promoteTime+400*time.Millisecond {
+			t.Errorf("the gap was %s", took)
+		}
+		wantNothingLost(t, s)
+	})
+}
+
+// The primary goes dark, and the host that holds the duty ends before it has replaced it.
+// The next holder has never spoken to the primary. What a successor must hold stands in the
+// store, so it need not wait for the old primary to come back.
+func TestNewHolderKnowsWhatASuccessorNeeds(t *testing.T) {
+	synctest.Test(t, func(*testing.T) {
+		s := newFakeSite("a", "b", "c")
+		h1, stop1 := hostOn(s, "h1", freshness.Latest{})
+		time.Sleep(3 * time.Second)
+		_, stop2 := hostOn(s, "h2", freshness.Latest{})
+		do(h1, Write{})
+		s.with("c", func(m *fakeMember) { m.deaf = true })
+		do(h1, Write{})
+		time.Sleep(time.Second)
+		s.with("a", func(m *fakeMember) { m.silent = true })
+		stop1()
+		time.Sleep(dutyLease + takeoverPause + 3*time.Second)
+		if got := s.leader(); got != "b" {
+			t.Errorf("%q leads, want b", got)
+		}
+		wantNothingLost(t, s)
+		stop2()
+		time.Sleep(20 * time.Second)
+	})
+}
+
+// A replica alone has received a caller's write, and starts again under its identifier with
+// an empty log, then the primary crashes. Both replicas answer and are fenced, but neither
+// holds the write: no one may take over until the primary is back.
+func TestMemberThatStartedAgainHoldsNothingOfBefore(t *testing.T) {
+	play(t, freshness.Latest{}, func(s *fakeSite, h *Host) {
+		do(h, Write{})
+		s.with("c", func(m *fakeMember) { m.deaf = true })
+		do(h, Write{})
+		time.Sleep(time.Second)
+		s.with("a", func(m *fakeMember) { m.crashed = true })
+		s.restart("b")
+		time.Sleep(5 * time.Second)
+		if got := s.leader(); got != "a" {
+			t.Errorf("%q was promoted", got)
+		}
+		s.with("a", func(m *fakeMember) { m.crashed = false })
+		s.with("c", func(m *fakeMember) { m.deaf = false })
+		served(t, h, 3*time.Second)
+		wantNothingLost(t, s)
+	})
+}
+
+// The store does not tell yet that a replica started again, and it answers from an empty log
+// to the questions of the holder. That alone must be enough.
+func TestLogThatShrankIsNotedFromTheAnswers(t *testing.T) {
+	play(t, freshness.Latest{}, func(s *fakeSite, h *Host) {
+		do(h, Write{})
+		s.with("c", func(m *fakeMember) { m.deaf = true })
+		do(h, Write{})
+		time.Sleep(time.Second)
+		s.with("a", func(m *fakeMember) { m.crashed = true })
+		s.with("b", func(m *fakeMember) { m.received, m.applied = group.Position{}, group.Position{} })
+		time.Sleep(5 * time.Second)
+		if got := s.leader(); got != "a" {
+			t.Errorf("%q was promoted", got)
+		}
+	})
+}
+
+// The platform checks no tokens, leaves an order unanswered and carries it out three seconds
+// later. The holder dies right after it, and the old primary comes back. The next holder must
+// know of the order: if it let the old primary acknowledge writes with the other replica,
+// they would be lost.
+func TestNextHolderKnowsOfAnOpenOrder(t *testing.T) {
+	synctest.Test(t, func(*testing.T) {
+		s := newFakeSite("a", "b", "c")
+		s.unfenced = true
+		_, stop1 := hostOn(s, "h1", freshness.Latest{})
+		h2, stop2 := hostOn(s, "h2", freshness.Latest{})
+		stop := map[string]func(){"h1": stop1, "h2": stop2}
+		time.Sleep(3 * time.Second)
+		do(h2, Write{})
+		s.mu.Lock()
+		holder := string(s.items["own/duty/"+testGroup].Value)
+		s.late = 6 * time.Second
+		s.mu.Unlock()
+		s.with("a", func(m *fakeMember) { m.silent = true })
+		time.Sleep(1300 * time.Millisecond)
+		stop[holder]()
+		delete(stop, holder)
+		s.mu.Lock()
+		s.late = 0
+		s.mu.Unlock()
+		s.with("a", func(m *fakeMember) { m.silent = false })
+		s.with("b", func(m *fakeMember) { m.deaf = true })
+		for range 160 {
+			if holder != "h2" {
+				do(h2, Write{})
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		wantNothingLost(t, s)
+		for _, f := range stop {
+			f()
+		}
+		time.Sleep(20 * time.Second)
+	})
+}
+
+// The store is away for longer than the duty is certain, so nobody grants leases. All other
+// members say that they follow, and callers go on to read the latest from the primary.
+func TestFollowersProveThePrimaryWhileTheStoreIsAway(t *testing.T) {
+	play(t, freshness.Latest{}, func(s *fakeSite, h *Host) {
+		do(h, Write{})
+		s.mu.Lock()
+		s.down = true
+		s.mu.Unlock()
+		time.Sleep(dutyLease + time.Second)
+		if h.group(testGroup).leased("a", h.now()) {
+			t.Fatal("the host holds a lease")
+		}
+		for range 20 {
+			if r := do(h, Read{}); r.Failure != nil || row(r) != "a" {
+				t.Errorf("the read was answered with %v", r)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		s.with("c", func(m *fakeMember) { m.silent = true })
+		time.Sleep(longestProofPause)
+		if r := do(h, Read{}); r.Failure == nil {
+			t.Error("a read of the latest was served though a member that may lead is silent")
+		}
+		s.mu.Lock()
+		s.down = false
+		s.mu.Unlock()
+	})
+}
+
+// The holder sets out to replace a primary that is cut off from it, and reads from the
+// replicas what a successor must hold. A write is under way at that primary, and a replica
+// that was started again acknowledges it. Its caller must not be told that it is kept.
+func TestWriteAtAPrimaryThatIsBeingReplacedIsInDoubt(t *testing.T) {
+	play(t, freshness.Latest{}, func(s *fakeSite, h *Host) {
+		do(h, Write{})
+		s.with("a", func(m *fakeMember) { m.work = 100 * time.Millisecond })
+		time.AfterFunc(20*time.Millisecond, func() { h.EndLease(testGroup, "a", false) })
+		time.AfterFunc(80*time.Millisecond, func() { s.with("b", func(m *fakeMember) { m.fenced = 0 }) })
+		wantCode(t, do(h, Write{}), InDoubt)
+	})
+}
+
+// A lease must not outlive what the holder can promise: the duty itself, or a primary of
+// which nothing is heard.
+func TestLeaseEndsWithTheDuty(t *testing.T) {
+	play(t, freshness.Latest{}, func(s *fakeSite, h *Host) {
+		do(h, Read{})
+		s.mu.Lock()
+		s.down = true
+		s.mu.Unlock()
+		time.Sleep(dutyLease - 200*time.Millisecond)
+		if got := h.GrantLease(testGroup, "h2"); got.Granted > 300*time.Millisecond {
+			t.Errorf("a lease of %s outlives the duty", got.Granted)
+		}
+		time.Sleep(400 * time.Millisecond)
+		if got := h.GrantLease(testGroup, "h2"); got.Granted > 0 {
+			t.Errorf("a lease of %s was granted without the duty", got.Granted)
+		}
+		s.mu.Lock()
+		s.down = false
+		s.mu.Unlock()
+	})
+}
+
+// The record of a holder reads back as it was written.
+func TestRecordReadsBack(t *testing.T) {
+	r := leadership.Record{
+		Holder: "h1", Term: 3, Floor: group.Position{Term: 2, LSN: 77}, Ordered: "b",
+		Members: []leadership.Lifetime{{Member: "a", Born: 5}, {Member: "b"}},
+	}
+	value, err := encodeRecord(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := decodeRecord(value)
+	if err != nil || !got.SameMembers(r.Members) || got.Ordered != "b" || got.Floor != r.Floor || got.Term != r.Term || got.Holder != "h1" {
+		t.Errorf("%+v, %v", got, err)
+	}
+	if _, err := decodeRecord([]byte("{")); err == nil {
+		t.Error("a broken record was read")
+	}
+}
--- /dev/null
+++ b/internal/gateway/lessee.go
@@ -0,0 +1,202 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"pearlatch/core/group"
+	"pearlatch/core/leadership"
+)
+
+const (
+	// leaseRenewal is the pause between two questions for a lease on a primary: two of
+	// them may get lost before it runs out.
+	leaseRenewal = 300 * time.Millisecond
+	// leaseRetry is the pause after a question that brought no lease.
+	leaseRetry = 100 * time.Millisecond
+	// leaseAnswer bounds the question: a few round trips within a region.
+	leaseAnswer = 150 * time.Millisecond
+	// leaseWanted is how long after a statement that needed the primary the lease is
+	// kept up. It spares groups without callers.
+	leaseWanted = 2 * time.Second
+)
+
+// LeaseReply answers a host that asks for a lease on the primary.
+type LeaseReply struct {
+	// Granted is for how long, or zero.
+	Granted time.Duration
+	// Member is the primary and Term the one in which it leads.
+	Member string
+	Term   group.Term
+	// Position is one of the primary's log that the holder saw so long ago as Age says,
+	// or zero. What the primary had acknowledged before is included in it.
+	Position group.Position
+	Age      time.Duration
+}
+
+// keepLeases keeps the leases on the primaries of the groups that this host serves.
+func (h *Host) keepLeases(ctx context.Context) {
+	kept := map[string]bool{}
+	for sleep(ctx, dutyPoll) {
+		for _, g := range h.allGroups() {
+			if !kept[g.name] {
+				kept[g.name] = true
+				go h.keepLease(ctx, g)
+			}
+		}
+	}
+}
+
+func (h *Host) keepLease(ctx context.Context, g *Group) {
+	pause := leaseRenewal
+	for {
+		timer := time.NewTimer(pause)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-g.leaseAlarm:
+		case <-timer.C:
+		}
+		timer.Stop()
+		pause = leaseRenewal
+		if g.wantsLease() && !h.askLease(ctx, g) {
+			pause = leaseRetry
+		}
+	}
+}
+
+// askLease asks the holder of the group's duty for a lease. It returns false if it got none.
+func (h *Host) askLease(ctx context.Context, g *Group) bool {
+	asked := h.now()
+	reply, err := h.requestLease(ctx, g.name)
+	if err != nil || reply.Granted <= 0 {
+		g.notLeased(asked, err)
+		return false
+	}
+	g.takeLease(asked, reply)
+	return true
+}
+
+// errNoHolder means that no host is known to hold a duty.
+var errNoHolder = errors.New("no host is known to hold the group's duty")
+
+func (h *Host) requestLease(ctx context.Context, groupName string) (LeaseReply, error) {
+	h.mu.Lock()
+	holder := string(h.items[h.dutyKey(groupName)].Value)
+	h.mu.Unlock()
+	if holder == h.settings.Host {
+		return h.GrantLease(groupName, h.settings.Host), nil
+	}
+	addr, ok := h.fleet.address(holder)
+	if !ok || h.ports.Peers == nil {
+		return LeaseReply{}, errNoHolder
+	}
+	call, cancel := context.WithTimeout(ctx, leaseAnswer)
+	defer cancel()
+	return h.ports.Peers.Lease(call, addr, groupName, h.settings.Host)
+}
+
+// wantsLease reports whether the group's primary was needed here lately.
+func (g *Group) wantsLease() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.now().Sub(g.primaryNeeded) < leaseWanted
+}
+
+// needsPrimary records that a statement needs the primary, and asks for a lease at once if
+// there is none.
+func (g *Group) needsPrimary() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.primaryNeeded = g.now()
+	if !g.lease.Covers(g.leader, g.primaryNeeded) {
+		g.askAgain()
+	}
+}
+
+// askAgain makes the host ask for a lease now.
+func (g *Group) askAgain() {
+	select {
+	case g.leaseAlarm <- struct{}{}:
+	default:
+	}
+}
+
+// takeLease takes over a lease that was asked for at the given time.
+func (g *Group) takeLease(asked time.Time, r LeaseReply) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m := g.members[r.Member]
+	if m == nil || m.gone || r.Term < g.leaderTerm {
+		return
+	}
+	had := g.lease.Covers(r.Member, asked)
+	g.leaderTerm = r.Term
+	g.lease = g.lease.Extend(r.Member, r.Term, asked, r.Granted)
+	m.recalled, m.refusedTerm = false, min(m.refusedTerm, r.Term-1)
+	if !had {
+		g.log("lease", "member", r.Member, "term", r.Term, "for_ms", r.Granted.Milliseconds())
+	}
+	g.setLeader(r.Member, "leased")
+	if r.Position != (group.Position{}) {
+		g.sampled(r.Member, asked.Add(-r.Age), r.Position)
+	}
+	g.dispatch()
+}
+
+// notLeased writes a line once a lease has run out and none is to be had.
+func (g *Group) notLeased(asked time.Time, err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.lease.Member == "" || asked.Before(g.lease.Until) {
+		return
+	}
+	g.log("lease_ended", "member", g.lease.Member, "term", g.lease.Term, "age_ms", asked.Sub(g.lease.Until).Milliseconds(), "err", err)
+	g.lease = leadership.Lease{}
+}
+
+// leased reports whether the host holds a lease on the member.
+func (g *Group) leased(id string, at time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.lease.Covers(id, at)
+}
+
+// EndLease gives the host's lease on a group's primary back: the holder of the duty is about
+// to replace it. planned is true if the primary goes on to serve until then.
+func (h *Host) EndLease(groupName, memberID string, planned bool) {
+	if g := h.group(groupName); g != nil {
+		g.endLease(memberID, planned)
+	}
+}
+
+func (g *Group) endLease(id string, planned bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.lease.Member == id {
+		g.lease = leadership.Lease{}
+	}
+	m := g.members[id]
+	g.log("lease_recalled", "member", id, "planned", planned)
+	if m == nil || planned {
+		return
+	}
+	// The position that decides on the successor is read from now on. A write that the
+	// old primary acknowledges later, with a replica that was started again and knows of no
+	// fence, may be missing there, so its caller must not be told that it is kept.
+	m.recalled, m.refusedTerm = true, max(m.term, g.leaderTerm)
+	if g.leader == id {
+		g.setLeader("", "recalled")
+	}
+}
+
+// disowned reports whether what the member acknowledges may be lost, since it is being
+// replaced.
+func (g *Group) disowned(m *member) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return m.recalled
+}
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -40,6 +40,12 @@
 	// term is the newest term in which the member said that it leads or follows, and
 	// refusedTerm the one in which it refused to be written to.
 	term, refusedTerm group.Term
+	// recalled is true from the moment at which the holder of the duty set out to replace
+	// the member as primary, until it is known to lead on.
+	recalled bool
+	// received is the end of the member's log as it last told, in receivedTerm.
+	received     group.Position
+	receivedTerm group.Term
 	// heard is when the member last answered a statement.
 	heard time.Time
 	// window is how many statements of this host may run there at once.
--- a/internal/gateway/meters.go
+++ b/internal/gateway/meters.go
@@ -81,6 +81,11 @@
 	m.took(fmt.Sprintf("promotion_microseconds{group=%q}", group), took)
 }
 
+// recall times how long it took until no host held a lease on a primary any more.
+func (m meters) recall(group string, took time.Duration) {
+	m.took(fmt.Sprintf("lease_recall_microseconds{group=%q}", group), took)
+}
+
 // call counts a call to the store and times it.
 func (m meters) call(kind, result string, took time.Duration) {
 	m.count(fmt.Sprintf("store_calls_total{kind=%q,result=%q}", kind, result), 1)
--- a/internal/gateway/offer.go
+++ b/internal/gateway/offer.go
@@ -48,7 +48,7 @@
 		if err != nil {
 			return refuse(w)
 		}
-		reply, next := s.try(r, &w, p)
+		reply, next := s.try(ctx, r, &w, p)
 		if next == nil {
 			return reply
 		}
@@ -89,10 +89,12 @@
 
 // try runs a statement once on the connection. It returns an answer, or why the
 // statement is to be offered again.
-func (s *Session) try(r Request, w *work, p *pooled) (Reply, *again) {
+func (s *Session) try(ctx context.Context, r Request, w *work, p *pooled) (Reply, *again) {
 	g := w.group
-	if next := s.prove(w, p); next != nil {
-		return Reply{}, next
+	if w.verify {
+		if next := s.prove(ctx, w, p); next != nil {
+			return Reply{}, next
+		}
 	}
 	asked := g.now()
 	left := w.deadline.Sub(asked)
@@ -140,29 +142,23 @@
 	return max(min(left, max(left/2, minPatience)), time.Millisecond)
 }
 
-// prove makes sure that the member leads, where the statement needs that and
-// would not find out by itself.
-func (s *Session) prove(w *work, p *pooled) *again {
-	if !w.verify || w.group.proven(w.need.arrived) {
+// prove makes sure that the member leads, so that what it answers misses nothing that was
+// acknowledged before the statement arrived.
+func (s *Session) prove(ctx context.Context, w *work, p *pooled) *again {
+	g := w.group
+	g.needsPrimary()
+	call, cancel := context.WithTimeout(ctx, w.deadline.Sub(g.now()))
+	defer cancel()
+	if g.prove(call, p.member.ID, w.need.arrived) {
 		return nil
 	}
-	leads, err := w.group.verify(p.conn, patience(w.deadline.Sub(w.group.now()), false))
-	switch {
-	case isBusy(err):
-		w.group.shed(p.member)
-		w.group.release(p)
-		return &again{wait: busyPause}
-	case err != nil:
-		w.group.discard(p, err)
-		return &again{}
-	case !leads:
-		w.group.release(p)
-		w.group.lostLeader(p.member.ID)
-		return &again{}
-	}
-	return nil
+	g.release(p)
+	return &again{wait: proofPause}
 }
 
+// proofPause is the pause before a leadership is to be proven again that could not be.
+const proofPause = 20 * time.Millisecond
+
 // refresh asks whether the connection still works.
 func (s *Session) refresh(w *work, p *pooled) bool {
 	_, err := p.conn.Do(refreshTimeout, Reset{})
@@ -194,13 +190,17 @@
 	g.took(p.member, asked)
 	g.applied(p.member, reply.Position)
 	p.used = g.now()
+	g.observe(p.member, asked, reply.Position)
 	if reply.Failure == nil {
 		g.grown(p.member)
 		if w.writes {
-			g.observe(asked, reply.Position)
 			s.raise(reply.Position)
 		}
+		disowned := w.writes && g.disowned(p.member)
 		g.release(p)
+		if disowned {
+			return fail(InDoubt, p.member.ID+" was being replaced as it acknowledged the write"), nil
+		}
 		return reply, nil
 	}
 	next := &again{failure: reply.Failure}
--- a/internal/gateway/order.go
+++ b/internal/gateway/order.go
@@ -24,24 +24,28 @@
 			// The order for that member may be carried out at any moment. It lacks
 			// nothing, so it is ordered again.
 			id, c = open, choice{}
-		} else if err := w.renewToken(ctx); err != nil {
-			// That member is gone, but may come back and be promoted late: only a
-			// higher token makes the platform refuse that.
+		} else if err := w.outlive(ctx); err != nil {
 			w.log("promotion_held_back", "member", id, "open", open, "err", err)
 			return
 		}
 	}
+	if err := w.recordOrder(ctx, id); err != nil {
+		w.log("order_not_recorded", "member", id, "err", err)
+		if !w.host.settings.PromotionTokens {
+			return // the next holder would not know of the order
+		}
+	}
 	started := w.host.now()
 	for w.holds() && ctx.Err() == nil && w.host.now().Sub(started) < leadTimeout {
 		if !w.order(ctx, id) {
 			return
 		}
-		if w.leads(ctx, id) {
+		if led, ok := w.leads(ctx, id); ok {
+			w.stand(led)
+			w.demoteOld(id, led.status.Term)
 			w.group.meters.promotion(w.group.name, "led", w.host.now().Sub(started))
 			w.log("promoted", "member", id, "took_ms", w.host.now().Sub(started).Milliseconds())
-			w.mu.Lock()
-			w.ordered = ""
-			w.mu.Unlock()
+			w.settledOrder()
 			w.silent = 0
 			w.group.renewed(c)
 			return
@@ -51,6 +55,22 @@
 	w.log("promotion_open", "member", id)
 }
 
+// outlive makes sure that an open order for a member that is gone is not carried out late,
+// when the member is back: by a higher token, which makes the platform refuse it, or by time
+// where the platform checks no tokens.
+func (w *watcher) outlive(ctx context.Context) error {
+	if w.host.settings.PromotionTokens {
+		return w.renewToken(ctx)
+	}
+	if !w.orderExpired() {
+		return errOrderOpen
+	}
+	return nil
+}
+
+// errOrderOpen means that an earlier order may still be carried out.
+var errOrderOpen = errors.New("an earlier order may still be carried out")
+
 // answers reports whether the member answers.
 func (w *watcher) answers(id string) bool {
 	m, ok := w.group.lookup(id)
@@ -66,7 +86,7 @@
 func (w *watcher) order(ctx context.Context, id string) bool {
 	w.mu.Lock()
 	token := w.token
-	w.ordered, w.orderedToken = id, token
+	w.ordered, w.orderedToken, w.orderedAt = id, token, w.host.now()
 	w.mu.Unlock()
 	call, cancel := context.WithTimeout(ctx, promoteTimeout)
 	defer cancel()
@@ -86,15 +106,31 @@
 	return true
 }
 
-// leads waits until the member leads.
-func (w *watcher) leads(ctx context.Context, id string) bool {
+// leads waits until the member leads, and returns its answer.
+func (w *watcher) leads(ctx context.Context, id string) (answered, bool) {
 	for until := w.host.now().Add(leadWait); w.host.now().Before(until); {
-		if m, ok := w.group.lookup(id); ok && w.group.adopt(w.group.orderAll([]Member{m}, Probe{}, orderTimeout)) {
-			return true
+		if m, ok := w.group.lookup(id); ok {
+			answers := w.group.orderAll([]Member{m}, Probe{}, orderTimeout)
+			if w.group.adopt(answers) {
+				return answers[0], true
+			}
 		}
 		if !sleep(ctx, leadPoll) {
-			return false
+			return answered{}, false
 		}
 	}
-	return false
+	return answered{}, false
+}
+
+// demoteOld tells the primary before that another member leads. Until it knows, it takes
+// writes that hang, since no replica receives them.
+func (w *watcher) demoteOld(leader string, term group.Term) {
+	old := w.primary
+	if old.ID == "" || old.ID == leader {
+		return
+	}
+	go func() {
+		_, err := w.group.command(old, Demote{Term: term}, orderTimeout)
+		w.log("replaced_primary_demoted", "member", old.ID, "term", term, "err", err)
+	}()
 }
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -10,11 +10,14 @@
 
 // Member identifies a member of a group and what the platform says of it.
 type Member struct {
-	// ID is the instance. It is never used again, unlike Addr.
+	// ID is the instance. A member may start again under it, see Born.
 	ID    string
 	Group string
 	Addr  netip.AddrPort
 	Zone  string
+	// Born is when this run of the member began, as it says itself, or zero. It tells
+	// runs apart and is no time of ours.
+	Born int64
 	// Slots is how many statements the member runs at once.
 	Slots int
 	// Leaving members get no new work.
--- /dev/null
+++ b/internal/gateway/record.go
@@ -0,0 +1,163 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/pkg/errors"
+
+	"pearlatch/core/group"
+	"pearlatch/core/leadership"
+)
+
+// The form of a leadership.Record in the store.
+type (
+	wireRecord struct {
+		Holder   string         `json:"holder"`
+		Term     uint64         `json:"term"`
+		Members  []wireLifetime `json:"members,omitempty"`
+		FloorIn  uint64         `json:"floor_term,omitempty"`
+		FloorLSN uint64         `json:"floor_lsn,omitempty"`
+		Ordered  string         `json:"ordered,omitempty"`
+	}
+	wireLifetime struct {
+		Member string `json:"member"`
+		Born   int64  `json:"born,omitempty"`
+	}
+)
+
+func encodeRecord(r leadership.Record) ([]byte, error) {
+	out := wireRecord{
+		Holder: r.Holder, Term: uint64(r.Term), Ordered: r.Ordered,
+		FloorIn: uint64(r.Floor.Term), FloorLSN: uint64(r.Floor.LSN),
+	}
+	for _, m := range r.Members {
+		out.Members = append(out.Members, wireLifetime{m.Member, m.Born})
+	}
+	return json.Marshal(out)
+}
+
+func decodeRecord(value []byte) (leadership.Record, error) {
+	var in wireRecord
+	if err := json.Unmarshal(value, &in); err != nil {
+		return leadership.Record{}, errors.Wrap(err, "record of a group's leadership")
+	}
+	out := leadership.Record{
+		Holder: in.Holder, Term: group.Term(in.Term), Ordered: in.Ordered,
+		Floor: group.Position{Term: group.Term(in.FloorIn), LSN: group.LSN(in.FloorLSN)},
+	}
+	for _, m := range in.Members {
+		out.Members = append(out.Members, leadership.Lifetime{Member: m.Member, Born: m.Born})
+	}
+	return out, nil
+}
+
+func (h *Host) recordKey(group string) string { return h.ports.Keys.Own + "leadership/" + group }
+
+// inherit reads the record of the holder before, and writes it anew under this one's name,
+// so that what the holder before still writes fails.
+func (d *duty) inherit(ctx context.Context) error {
+	key := d.host.recordKey(d.group.name)
+	call, cancel := context.WithTimeout(ctx, leaseTimeout)
+	defer cancel()
+	s, err := d.host.ports.Store.List(call, key)
+	if err != nil {
+		return err
+	}
+	var found Item
+	for _, i := range s.Items {
+		if i.Key == key {
+			found = i
+		}
+	}
+	var r leadership.Record
+	if len(found.Value) > 0 {
+		if r, err = decodeRecord(found.Value); err != nil {
+			d.log("record_unreadable", "revision", found.Revision, "err", err)
+		}
+	}
+	ordered, holder := r.Ordered, r.Holder
+	r.Holder = d.host.settings.Host
+	if err := d.write(call, r, found.Revision); err != nil {
+		return err
+	}
+	d.group.adoptFloor(r, found.Revision)
+	d.group.ledIn(r.Term)
+	d.mu.Lock()
+	d.ordered, d.orderedToken, d.orderedAt = ordered, 0, d.host.now()
+	d.mu.Unlock()
+	d.log("record_inherited", "before", holder, "term", r.Term, "floor", r.Floor, "ordered", ordered)
+	return nil
+}
+
+// save writes the record. After an error nobody knows whether it was written, and it must
+// be inherited again.
+func (d *duty) save(ctx context.Context, r leadership.Record) error {
+	d.mu.Lock()
+	revision := d.recordRevision
+	d.mu.Unlock()
+	call, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	r.Holder = d.host.settings.Host
+	err := d.write(call, r, revision)
+	if err != nil {
+		d.mu.Lock()
+		d.recordRevision = 0
+		d.mu.Unlock()
+	}
+	return errors.Wrap(err, "record of the leadership")
+}
+
+func (d *duty) write(ctx context.Context, r leadership.Record, revision int64) error {
+	value, err := encodeRecord(r)
+	if err != nil {
+		return err
+	}
+	written, err := d.host.ports.Store.Put(ctx, d.host.recordKey(d.group.name), revision, value, 0)
+	if err != nil {
+		return err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.record, d.recordRevision = r, written
+	return nil
+}
+
+// recorded returns the record as this host wrote it, or false if that is not certain.
+func (d *duty) recorded() (leadership.Record, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.record, d.recordRevision != 0
+}
+
+// keepRecord writes the record anew when what a successor needs has changed.
+func (w *watcher) keepRecord(ctx context.Context) {
+	old, ok := w.recorded()
+	if !ok {
+		return
+	}
+	r, known := w.group.successorNeeds()
+	if !known || old.Ordered == "" && old.Term == r.Term && old.SameMembers(r.Members) {
+		return
+	}
+	if err := w.save(ctx, r); err != nil {
+		w.log("record_not_written", "err", err)
+	}
+}
+
+// recordOrder writes down that an order is about to be given. Without that the next holder
+// would take the old primary for the one that leads while the order is carried out late.
+func (w *watcher) recordOrder(ctx context.Context, id string) error {
+	r, ok := w.recorded()
+	if !ok {
+		return errNotInherited
+	}
+	if r.Ordered == id {
+		return nil
+	}
+	r.Ordered, r.Term = id, max(r.Term, w.group.seenTerm())
+	return w.save(ctx, r)
+}
+
+// errNotInherited means that the record of the holder before could not be read.
+var errNotInherited = errors.New("the record of the leadership is not known")
--- a/internal/gateway/session_test.go
+++ b/internal/gateway/session_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"pearlatch/core/freshness"
+	"pearlatch/core/leadership"
 )
 
 func row(r Reply) string { return strings.Join(r.Rows, ",") }
@@ -116,13 +117,19 @@
 	})
 }
 
-// A primary was replaced while it was cut off. It still says that it leads and answers
+// Another host takes the promotions of a group over and replaces the primary, which is cut
+// off from the other members. It still says that it leads, takes transactions and answers
 // plain reads. A caller that asks for the latest must not get its old data.
 func TestLatestReadsNeverComeFromAReplacedPrimary(t *testing.T) {
 	play(t, freshness.Latest{}, func(s *fakeSite, h *Host) {
 		do(h, Write{})
-		s.with("a", func(m *fakeMember) { m.claims, m.deaf = true, true })
+		s.with("a", func(m *fakeMember) { m.cut = true })
+		s.put(h.dutyKey(testGroup), []byte("h2"), 0)
+		time.Sleep(leadership.Duration) // the other holder waits for the leases
 		s.lead(s.member("b"))
+		if got := s.leader(); got != "b" {
+			t.Fatalf("%q leads", got)
+		}
 		for range 20 {
 			if r := do(h, Read{}); r.Failure == nil && row(r) != "b" {
 				t.Errorf("the read ran on %q", row(r))
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -32,6 +32,8 @@
 	if failure != nil {
 		return Reply{Failure: failure}
 	}
+	// Also in a transaction that may write, what is read must not be old.
+	w.verify = w.verify || !st.ReadOnly
 	s.tx = &transaction{readOnly: st.ReadOnly, started: arrived, work: w}
 	s.state = InTransaction
 	return Reply{}
@@ -135,7 +137,7 @@
 		if err != nil {
 			return &Failure{Aborted, "no connection in time, " + retryAfter}
 		}
-		next := s.open(p)
+		next := s.open(ctx, p)
 		if next == nil {
 			t.conn = p
 			return nil
@@ -149,11 +151,11 @@
 
 // open begins the transaction on the connection. Nothing of the caller has run
 // yet, so any failure may be tried again.
-func (s *Session) open(p *pooled) *again {
+func (s *Session) open(ctx context.Context, p *pooled) *again {
 	t := s.tx
 	w, g := &t.work, t.work.group
-	if t.readOnly {
-		if next := s.prove(w, p); next != nil {
+	if w.verify {
+		if next := s.prove(ctx, w, p); next != nil {
 			return next
 		}
 	}
@@ -180,9 +182,7 @@
 		}
 		return next
 	}
-	if !t.readOnly {
-		g.observe(asked, reply.Position)
-	}
+	g.observe(p.member, asked, reply.Position)
 	g.rest(p)
 	return nil
 }
@@ -288,7 +288,11 @@
 			sleep(ctx, busyPause)
 			continue
 		}
+		disowned := t.wrote && reply.Failure == nil && g.disowned(p.member)
 		s.committed(p, asked, reply)
+		if disowned {
+			return fail(InDoubt, p.member.ID+" was being replaced as it acknowledged the commit")
+		}
 		return reply
 	}
 }
@@ -297,8 +301,8 @@
 func (s *Session) committed(p *pooled, asked time.Time, reply Reply) {
 	t, g := s.tx, s.tx.work.group
 	p.used = g.now()
+	g.observe(p.member, asked, reply.Position)
 	if reply.Failure == nil && t.wrote {
-		g.observe(asked, reply.Position)
 		s.raise(reply.Position)
 	}
 	if reply.Failure != nil && reply.Failure.Code == ReadOnly {
--- a/internal/gateway/watcher.go
+++ b/internal/gateway/watcher.go
@@ -100,9 +100,14 @@
 	if w.group.heardSince(w.primary.ID, started) {
 		// It serves statements, and its queue is too full for questions.
 		w.silent = 0
+		w.alive(started)
 		return
 	}
-	w.silent += silence(w.primary, answers)
+	quiet := silence(w.primary, answers)
+	if quiet == 0 {
+		w.alive(started)
+	}
+	w.silent += quiet
 	if w.silent >= silentRounds && w.settled() {
 		w.log("primary_lost", "member", w.primary.ID, "rounds", w.silent)
 		w.failover(ctx, started, answers)
@@ -128,11 +133,14 @@
 	return silentRounds // the platform no longer lists it
 }
 
-// settled reports whether the duty has been held for long enough to order.
+// settled reports whether no order of an earlier holder can surprise this one. It knows of
+// all that were recorded. Where the platform checks tokens, a holder that does not reach the
+// store orders without a record, so a while must have gone by.
 func (w *watcher) settled() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.host.now().Sub(w.since) >= takeoverPause
+	if _, inherited := w.recorded(); !inherited && !w.host.settings.PromotionTokens {
+		return false
+	}
+	return !w.host.settings.PromotionTokens || w.sinceTakeover() >= takeoverPause
 }
 
 // led acts on a round in which a primary answered.
@@ -141,17 +149,25 @@
 	w.primary = w.group.leaderMember()
 	primary, replicas := split(w.primary.ID, answers)
 	if open := w.openOrder(); open != "" && open != w.primary.ID {
+		if w.orderExpired() && !w.answers(open) {
+			w.log("order_expired", "member", open)
+			w.settledOrder()
+			return
+		}
 		// The order may be carried out at any moment, so the fences that make it safe
 		// stay, and it is given again.
 		w.promote(ctx, open, choice{})
 		return
 	}
+	w.settledOrder()
 	w.raise(ctx)
 	if !w.settled() || !w.current() {
 		return
 	}
+	w.stand(primary)
+	w.demoteReplaced(primary, answers)
 	w.releaseLeftovers(primary, replicas)
-	w.learnFloor(primary)
+	w.keepRecord(ctx)
 	stuck := w.stuck(primary, replicas)
 	switch {
 	case w.primary.Leaving || w.group.primaryMissing() > missingGrace:
@@ -164,19 +180,23 @@
 	}
 }
 
-// learnFloor makes sure that a position of the primary is known from after the last
-// change of the members. Without one no successor is certain to hold everything, and a host
-// with few callers of its own learns none from their statements.
-func (w *watcher) learnFloor(primary answered) {
-	if w.group.knowsFloor() || primary.by != "" {
-		return
-	}
-	err := w.group.onControl(w.primary, orderTimeout, func(c Conn) error {
-		_, err := w.group.verify(c, orderTimeout)
-		return err
-	})
-	if err != nil {
-		w.log("floor_not_learned", "member", w.primary.ID, "err", err)
+// stand records what the primary answered, on which leases are granted. Nobody else can
+// have promoted another member, so its position is a sample.
+func (w *watcher) stand(primary answered) {
+	s := standing{member: primary.member.ID, term: primary.status.Term, heard: primary.asked, position: primary.status.Received}
+	w.stands(s)
+	w.group.ledAt(s)
+}
+
+// demoteReplaced ends the leadership of members that were replaced while they were cut off.
+// They go on to answer reads from an old log until they learn of it.
+func (w *watcher) demoteReplaced(primary answered, answers []answered) {
+	for _, a := range answers {
+		if a.err != nil || !a.status.Leads || a.member.ID == primary.member.ID || a.status.Term >= primary.status.Term {
+			continue
+		}
+		_, err := w.group.command(a.member, Demote{Term: primary.status.Term}, orderTimeout)
+		w.log("replaced_primary_demoted", "member", a.member.ID, "term", a.status.Term, "err", err)
 	}
 }
 
--- a/io/peer/gateway_client.go
+++ b/io/peer/gateway_client.go
@@ -74,6 +74,44 @@
 	return gateway.Status(*out), nil
 }
 
+// Lease implements gateway.Peers.
+func (c *GatewayClient) Lease(ctx context.Context, to netip.AddrPort, groupName, host string) (gateway.LeaseReply, error) {
+	reply, err := c.question(ctx, to, &linkRequest{lease: &leaseRequest{groupName, host}})
+	if err != nil {
+		return gateway.LeaseReply{}, err
+	}
+	if reply.lease == nil {
+		return gateway.LeaseReply{}, errors.Errorf("host %s answered something else than a lease", to)
+	}
+	return gateway.LeaseReply(*reply.lease), nil
+}
+
+// EndLease implements gateway.Peers.
+func (c *GatewayClient) EndLease(ctx context.Context, to netip.AddrPort, groupName, memberID string, planned bool) error {
+	reply, err := c.question(ctx, to, &linkRequest{ends: &endLeaseRequest{groupName, memberID, planned}})
+	if err == nil && !reply.ended {
+		err = errors.Errorf("host %s did not give its lease back", to)
+	}
+	return err
+}
+
+// question asks a host something on the link to it. A link on which nothing came while the
+// answer was due is replaced: it may have gone silent.
+func (c *GatewayClient) question(ctx context.Context, to netip.AddrPort, in *linkRequest) (*linkReply, error) {
+	k, err := c.links.get(ctx, to)
+	if err != nil {
+		return nil, err
+	}
+	l := k.newLane()
+	in.lane = l.id
+	asked := time.Now()
+	reply, err := k.ask(ctx, in)
+	if err != nil {
+		l.Mistrust(time.Since(asked))
+	}
+	return reply, err
+}
+
 // Feed implements gateway.Peers.
 func (c *GatewayClient) Feed(ctx context.Context, to netip.AddrPort, after int64) (gateway.Feed, error) {
 	conn, err := c.client.dial(ctx, to)
--- a/io/peer/gateway_messages.go
+++ b/io/peer/gateway_messages.go
@@ -292,6 +292,8 @@
 	lane   uint64
 	closes bool
 	recall *recallRequest
+	lease  *leaseRequest
+	ends   *endLeaseRequest
 	laneRequest
 }
 
@@ -302,6 +304,10 @@
 		w.bool("closes", true)
 	case m.recall != nil:
 		w.message("recall", m.recall)
+	case m.lease != nil:
+		w.message("lease", m.lease)
+	case m.ends != nil:
+		w.message("end_lease", m.ends)
 	default:
 		m.laneRequest.fields(w)
 	}
@@ -317,6 +323,14 @@
 		m.recall = &recallRequest{}
 		r.message(m.recall)
 		return true
+	case "lease":
+		m.lease = &leaseRequest{}
+		r.message(m.lease)
+		return true
+	case "end_lease":
+		m.ends = &endLeaseRequest{}
+		r.message(m.ends)
+		return true
 	}
 	return m.laneRequest.field(name, r)
 }
@@ -325,16 +339,24 @@
 type linkReply struct {
 	lane     uint64
 	recalled *recallReply
+	lease    *leaseReply
+	// ended is true once a lease was given back.
+	ended bool
 	laneReply
 }
 
 func (m *linkReply) fields(w *fieldWriter) {
 	w.uint("lane", m.lane)
-	if m.recalled != nil {
+	switch {
+	case m.recalled != nil:
 		w.message("recalled", m.recalled)
-		return
+	case m.lease != nil:
+		w.message("lease", m.lease)
+	case m.ended:
+		w.bool("ended", true)
+	default:
+		m.laneReply.fields(w)
 	}
-	m.laneReply.fields(w)
 }
 
 func (m *linkReply) field(name string, r *fieldReader) bool {
@@ -345,6 +367,12 @@
 		m.recalled = &recallReply{}
 		r.message(m.recalled)
 		return true
+	case "lease":
+		m.lease = &leaseReply{}
+		r.message(m.lease)
+		return true
+	case "ended":
+		return r.bool(&m.ended)
 	}
 	return m.laneReply.field(name, r)
 }
@@ -482,6 +510,76 @@
 	return false
 }
 
+// leaseRequest asks for a lease on the primary of a group.
+type leaseRequest struct{ group, host string }
+
+func (m *leaseRequest) fields(w *fieldWriter) {
+	w.str("group", m.group)
+	w.str("host", m.host)
+}
+
+func (m *leaseRequest) field(name string, r *fieldReader) bool {
+	switch name {
+	case "group":
+		return r.str(&m.group)
+	case "host":
+		return r.str(&m.host)
+	}
+	return false
+}
+
+// leaseReply is a gateway.LeaseReply on the wire.
+type leaseReply gateway.LeaseReply
+
+func (m *leaseReply) fields(w *fieldWriter) {
+	w.duration("granted_us", m.Granted)
+	w.str("member", m.Member)
+	w.uint("term", uint64(m.Term))
+	w.message("position", (*positionMessage)(&m.Position))
+	w.duration("age_us", m.Age)
+}
+
+func (m *leaseReply) field(name string, r *fieldReader) bool {
+	switch name {
+	case "granted_us":
+		return r.duration(&m.Granted)
+	case "member":
+		return r.str(&m.Member)
+	case "term":
+		return readUint(r, &m.Term)
+	case "position":
+		r.message((*positionMessage)(&m.Position))
+		return true
+	case "age_us":
+		return r.duration(&m.Age)
+	}
+	return false
+}
+
+// endLeaseRequest asks a host to give its lease on a primary back.
+type endLeaseRequest struct {
+	group, member string
+	planned       bool
+}
+
+func (m *endLeaseRequest) fields(w *fieldWriter) {
+	w.str("group", m.group)
+	w.str("member", m.member)
+	w.bool("planned", m.planned)
+}
+
+func (m *endLeaseRequest) field(name string, r *fieldReader) bool {
+	switch name {
+	case "group":
+		return r.str(&m.group)
+	case "member":
+		return r.str(&m.member)
+	case "planned":
+		return r.bool(&m.planned)
+	}
+	return false
+}
+
 // memberRequest asks for the status of a member.
 type memberRequest struct{ group, member string }
 
--- a/io/peer/link_server.go
+++ b/io/peer/link_server.go
@@ -46,6 +46,12 @@
 			l.close(in.lane)
 		case in.recall != nil:
 			l.send(&linkReply{lane: in.lane, recalled: answerRecall(h, in.recall)})
+		case in.lease != nil:
+			granted := h.GrantLease(in.lease.group, in.lease.host)
+			l.send(&linkReply{lane: in.lane, lease: (*leaseReply)(&granted)})
+		case in.ends != nil:
+			h.EndLease(in.ends.group, in.ends.member, in.ends.planned)
+			l.send(&linkReply{lane: in.lane, ended: true})
 		case in.version != Version:
 			return errors.Errorf("a request of version %d", in.version)
 		default:
