Confirm writes that no lease covers; hand leases over for writes in planned changes

Cause: a host that lost the holder went on to acknowledge what a cut off primary and a replica that nobody could fence had written; a replica that vanished, alive, was taken for departed. Ruled out: waiting for all members' word on writes too: with one replica dead and the store away every write would be in doubt. Change: leases for writes only while a planned change is under way; without a lease the followers are asked after the answer (Undisputed); a member that vanished counts as one that is silent until it is forgotten, unless it was leaving or its process has ended. Tests: TestWriteWithoutALease..., TestReplicaThatOnlyVanished..., both fail without the change.

--- a/core/leadership/grants.go
+++ b/core/leadership/grants.go
@@ -21,8 +21,14 @@
 // Grants is what the holder of a group's duty has granted. The zero value is ready for
 // use. It is not safe for concurrent use.
 type Grants struct {
-	// ends holds when the lease of a host ends at the latest, by the host.
-	ends map[string]time.Time
+	// given holds what a host was granted, by the host.
+	given map[string]grant
+}
+
+// grant says when a host's leases end at the latest.
+type grant struct {
+	// writes is the end of a lease of either kind, and reads that of a full one.
+	reads, writes time.Time
 }
 
 // Standing is what the holder knows of the primary when it is asked for a lease.
@@ -34,6 +40,9 @@
 	// DutyEnds is when the duty itself may fall to another host. No lease outlives it,
 	// so a new holder need not know those of its predecessor.
 	DutyEnds time.Time
+	// HandsOver is true while a planned change of primary is under way. The lease is then
+	// one for writes only, see Lease.
+	HandsOver bool
 }
 
 // Grant grants a host a lease and returns for how long, or zero.
@@ -46,31 +55,62 @@
 	if granted < least {
 		return 0
 	}
-	if g.ends == nil {
-		g.ends = map[string]time.Time{}
+	if g.given == nil {
+		g.given = map[string]grant{}
 	}
-	if until := now.Add(granted + drift); until.After(g.ends[host]) {
-		g.ends[host] = until
+	until, each := now.Add(granted+drift), g.given[host]
+	each.writes = later(each.writes, until)
+	if !s.HandsOver {
+		each.reads = later(each.reads, until)
 	}
+	g.given[host] = each
 	return granted
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // Returned records that a host gave its lease back.
-func (g *Grants) Returned(host string) { delete(g.ends, host) }
+func (g *Grants) Returned(host string) { delete(g.given, host) }
+
+// Handed records that a host keeps its lease for writes only.
+func (g *Grants) Handed(host string) {
+	if each, ok := g.given[host]; ok {
+		each.reads = time.Time{}
+		g.given[host] = each
+	}
+}
 
 // Outstanding returns the hosts whose leases may still hold, in order.
 func (g *Grants) Outstanding(now time.Time) []string {
-	maps.DeleteFunc(g.ends, func(_ string, end time.Time) bool { return !now.Before(end) })
-	return slices.Sorted(maps.Keys(g.ends))
+	return g.after(now, func(each grant) time.Time { return each.writes })
+}
+
+// Reading returns the hosts whose full leases may still hold, in order.
+func (g *Grants) Reading(now time.Time) []string {
+	return g.after(now, func(each grant) time.Time { return each.reads })
+}
+
+func (g *Grants) after(now time.Time, end func(grant) time.Time) []string {
+	var out []string
+	maps.DeleteFunc(g.given, func(_ string, each grant) bool { return !now.Before(each.writes) })
+	for _, host := range slices.Sorted(maps.Keys(g.given)) {
+		if now.Before(end(g.given[host])) {
+			out = append(out, host)
+		}
+	}
+	return out
 }
 
 // End returns when the last lease ends, or the zero time.
 func (g *Grants) End() time.Time {
 	var out time.Time
-	for _, end := range g.ends {
-		if end.After(out) {
-			out = end
-		}
+	for _, each := range g.given {
+		out = later(out, each.writes)
 	}
 	return out
 }
--- a/core/leadership/leadership_test.go
+++ b/core/leadership/leadership_test.go
@@ -10,6 +10,10 @@
 
 func at(ms int) time.Time { return time.Unix(1000, 0).Add(time.Duration(ms) * time.Millisecond) }
 
+func lease(member string, term group.Term, asked int, granted time.Duration) Lease {
+	return Lease{Member: member, Term: term, From: at(asked), Until: at(asked).Add(granted)}
+}
+
 func TestGrant(t *testing.T) {
 	for _, c := range []struct {
 		name string
@@ -17,12 +21,12 @@
 		s    Standing
 		want time.Duration
 	}{
-		{"heard just now", 0, Standing{at(0), at(5000)}, Duration},
-		{"heard a while ago", 300, Standing{at(0), at(5000)}, Duration - 300*time.Millisecond},
-		{"the duty ends first", 0, Standing{at(0), at(400)}, 400 * time.Millisecond},
-		{"too short to be of use", 950, Standing{at(0), at(5000)}, 0},
-		{"the duty has ended", 500, Standing{at(500), at(400)}, 0},
-		{"a primary heard of after the question came", 0, Standing{at(200), at(5000)}, Duration},
+		{"heard just now", 0, Standing{Heard: at(0), DutyEnds: at(5000)}, Duration},
+		{"heard a while ago", 300, Standing{Heard: at(0), DutyEnds: at(5000)}, Duration - 300*time.Millisecond},
+		{"the duty ends first", 0, Standing{Heard: at(0), DutyEnds: at(400)}, 400 * time.Millisecond},
+		{"too short to be of use", 950, Standing{Heard: at(0), DutyEnds: at(5000)}, 0},
+		{"the duty has ended", 500, Standing{Heard: at(500), DutyEnds: at(400)}, 0},
+		{"a primary heard of after the question came", 0, Standing{Heard: at(200), DutyEnds: at(5000)}, Duration},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			var g Grants
@@ -38,9 +42,9 @@
 
 func TestOutstanding(t *testing.T) {
 	var g Grants
-	g.Grant("a", at(0), Standing{at(0), at(5000)})
-	g.Grant("b", at(500), Standing{at(500), at(5000)})
-	g.Grant("a", at(100), Standing{at(-700), at(5000)}) // a shorter one does not end the longer
+	g.Grant("a", at(0), Standing{Heard: at(0), DutyEnds: at(5000)})
+	g.Grant("b", at(500), Standing{Heard: at(500), DutyEnds: at(5000)})
+	g.Grant("a", at(100), Standing{Heard: at(-700), DutyEnds: at(5000)}) // a shorter one does not end the longer
 	if got := g.Outstanding(at(900)); !slices.Equal(got, []string{"a", "b"}) {
 		t.Errorf("%v", got)
 	}
@@ -57,24 +61,69 @@
 // ends first, so no promotion can come while the host still counts on it.
 func TestLeaseEndsAtTheHostFirst(t *testing.T) {
 	var g Grants
-	granted := g.Grant("h", at(40), Standing{at(40), at(5000)})
-	l := Lease{}.Extend("m", 1, at(0), granted)
+	granted := g.Grant("h", at(40), Standing{Heard: at(40), DutyEnds: at(5000)})
+	l := Lease{}.Extend(lease("m", 1, 0, granted))
 	if !g.End().After(l.Until) {
 		t.Errorf("the holder waits until %v, the host counts on it until %v", g.End(), l.Until)
 	}
 }
 
+// In a planned change the host keeps its lease for writes. What it reads must be proven
+// otherwise, and another holder's unplanned change must wait for it as well.
+func TestHandedLease(t *testing.T) {
+	var g Grants
+	g.Grant("h", at(0), Standing{Heard: at(0), DutyEnds: at(5000)})
+	g.Handed("h")
+	if len(g.Reading(at(500))) > 0 || len(g.Outstanding(at(500))) != 1 {
+		t.Errorf("reading %v, outstanding %v", g.Reading(at(500)), g.Outstanding(at(500)))
+	}
+	g.Grant("h", at(500), Standing{Heard: at(500), DutyEnds: at(5000), HandsOver: true})
+	if len(g.Reading(at(600))) > 0 || len(g.Outstanding(at(1400))) != 1 {
+		t.Errorf("reading %v, outstanding %v", g.Reading(at(600)), g.Outstanding(at(1400)))
+	}
+	l := lease("m", 1, 0, time.Second).Handed()
+	if l.Covers("m", at(500)) || !l.Keeps("m", at(500)) || l.Keeps("m", at(1000)) {
+		t.Errorf("%+v", l)
+	}
+	if full := l.Extend(lease("m", 1, 300, time.Second)); !full.Covers("m", at(400)) || full.Covers("m", at(200)) {
+		t.Errorf("a full lease after a handed one: %+v", full)
+	}
+}
+
+func TestUndisputed(t *testing.T) {
+	follows := Answer{Member: "b", Answered: true, Term: 1}
+	for _, c := range []struct {
+		name    string
+		answers []Answer
+		want    bool
+	}{
+		{"both follow", []Answer{follows, {Member: "c", Answered: true, Term: 1}}, true},
+		{"one is silent", []Answer{follows, {Member: "c"}}, true},
+		{"both are silent", []Answer{{Member: "b"}, {Member: "c"}}, false},
+		{"one is fenced", []Answer{follows, {Member: "c", Answered: true, Term: 1, Fenced: 2}}, false},
+		{"one was fenced in an earlier term", []Answer{{Member: "c", Answered: true, Term: 1, Fenced: 1}}, true},
+		{"one leads", []Answer{follows, {Member: "c", Answered: true, Leads: true, Term: 2}}, false},
+		{"only the primary answers", []Answer{{Member: "a", Answered: true, Leads: true, Term: 1}}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if got := Undisputed("a", 1, c.answers); got != c.want {
+				t.Errorf("%v", got)
+			}
+		})
+	}
+}
+
 func TestExtend(t *testing.T) {
-	l := Lease{}.Extend("m", 1, at(0), time.Second)
-	row := l.Extend("m", 1, at(300), time.Second)
+	l := Lease{}.Extend(lease("m", 1, 0, time.Second))
+	row := l.Extend(lease("m", 1, 300, time.Second))
 	if !row.Covers("m", at(100)) || !row.Covers("m", at(1200)) || row.Covers("m", at(1300)) {
 		t.Errorf("an unbroken row: %+v", row)
 	}
-	gap := l.Extend("m", 1, at(1500), time.Second)
+	gap := l.Extend(lease("m", 1, 1500, time.Second))
 	if gap.Covers("m", at(1200)) || gap.Covers("m", at(500)) || !gap.Covers("m", at(1500)) {
 		t.Errorf("after a gap: %+v", gap)
 	}
-	next := l.Extend("n", 2, at(300), time.Second)
+	next := l.Extend(lease("n", 2, 300, time.Second))
 	if next.Covers("m", at(400)) || next.Covers("n", at(200)) || !next.Covers("n", at(400)) {
 		t.Errorf("another primary: %+v", next)
 	}
--- a/core/leadership/proof.go
+++ b/core/leadership/proof.go
@@ -12,8 +12,9 @@
 	Asked    time.Time
 	Answered bool
 	Leads    bool
-	// Term is the newest term that the member knows.
-	Term group.Term
+	// Term is the newest term that the member knows, and Fenced the one of a fence that
+	// keeps it from receiving, or zero.
+	Term, Fenced group.Term
 }
 
 // Unchallenged reports whether the answers of all members but one prove that this one
@@ -37,3 +38,22 @@
 	}
 	return len(members) > 1
 }
+
+// Undisputed reports whether the answers of the other members let a write stand that the
+// primary acknowledged in the term before they were asked. A holder that replaces the
+// primary fences all replicas that it reaches before it reads what a successor must hold, so
+// one that follows, unfenced, has seen none of that. Silent ones are no reason to doubt:
+// they are mostly dead, and the write has been received by one that is not.
+func Undisputed(primary string, term group.Term, answers []Answer) bool {
+	confirmed := false
+	for _, a := range answers {
+		if a.Member == primary || !a.Answered {
+			continue
+		}
+		if a.Leads || a.Term > term || a.Fenced > term {
+			return false
+		}
+		confirmed = true
+	}
+	return confirmed
+}
--- a/internal/gateway/failover.go
+++ b/internal/gateway/failover.go
@@ -10,6 +10,7 @@
 // failover promotes a replica in place of a primary that does not serve. The members
 // were listed at the given time, and answered since.
 func (w *watcher) failover(ctx context.Context, started time.Time, answers []answered) {
+	defer w.group.resume(w.primary.ID)
 	if !w.recall(ctx, false) {
 		w.log("failover_off", "why", "the duty is not certain")
 		return
@@ -82,7 +83,7 @@
 	lost := w.group.lost()
 	var out []group.Standby
 	for _, a := range answers {
-		if a.err != nil && lost[a.member.ID] {
+		if a.err != nil && lost[a.member.ID] && w.group.departedFor(a) {
 			continue // it has left: what it may have acknowledged is asked of Complete
 		}
 		out = append(out, group.Standby{
--- a/internal/gateway/grantor.go
+++ b/internal/gateway/grantor.go
@@ -22,6 +22,8 @@
 	heard time.Time
 	// position is what its log held then.
 	position group.Position
+	// handsOver is true while a planned change of primary is under way.
+	handsOver bool
 }
 
 // GrantLease grants a host a lease on the primary of a group, if this one holds the duty
@@ -48,8 +50,8 @@
 	if alive && heard.After(s.heard) {
 		s.heard = heard
 	}
-	granted := d.grants.Grant(host, now, leadership.Standing{Heard: s.heard, DutyEnds: d.renewed.Add(d.lasts)})
-	return LeaseReply{Granted: granted, Member: s.member, Term: s.term, Position: s.position, Age: now.Sub(d.standing.heard)}
+	granted := d.grants.Grant(host, now, leadership.Standing{Heard: s.heard, DutyEnds: d.renewed.Add(d.lasts), HandsOver: s.handsOver})
+	return LeaseReply{Granted: granted, WritesOnly: s.handsOver, Member: s.member, Term: s.term, Position: s.position, Age: now.Sub(d.standing.heard)}
 }
 
 // primaryLed returns the member that leases are granted on, or the empty string.
@@ -80,25 +82,16 @@
 // that don't answer have run out. It returns false if this host may no longer order.
 func (w *watcher) recall(ctx context.Context, planned bool) bool {
 	started := w.host.now()
-	w.mu.Lock()
-	id := w.standing.member
-	w.standing = standing{}
-	hosts := w.grants.Outstanding(started)
-	w.mu.Unlock()
-	if id == "" {
-		id = w.primary.ID
-	}
+	id := w.endStanding(planned)
 	var wait sync.WaitGroup
-	for _, host := range hosts {
+	for _, host := range w.holders(planned) {
 		wait.Go(func() { w.recallFrom(ctx, host, id, planned) })
 	}
 	wait.Wait()
-	w.mu.Lock()
-	left, end := w.grants.Outstanding(w.host.now()), w.grants.End()
-	w.mu.Unlock()
-	if len(left) > 0 {
-		w.log("leases_awaited", "member", id, "hosts", left, "for_ms", end.Sub(w.host.now()).Milliseconds())
-		if !sleep(ctx, end.Sub(w.host.now())) {
+	for left := w.holders(planned); len(left) > 0; left = w.holders(planned) {
+		pause := w.grantsEnd().Sub(w.host.now())
+		w.log("leases_awaited", "member", id, "hosts", left, "for_ms", pause.Milliseconds())
+		if !sleep(ctx, pause) {
 			return false
 		}
 	}
@@ -113,6 +106,39 @@
 	return w.holds()
 }
 
+// endStanding makes sure that no lease on the primary is granted any more, or in a planned
+// change none but for writes. It returns the primary.
+func (w *watcher) endStanding(planned bool) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	id := w.standing.member
+	if id == "" {
+		return w.primary.ID
+	}
+	if w.standing.handsOver = planned; !planned {
+		w.standing = standing{}
+	}
+	return id
+}
+
+// holders returns the hosts whose leases a change of primary must wait for: all of them, or
+// in a planned one those that may read.
+func (w *watcher) holders(planned bool) []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if planned {
+		return w.grants.Reading(w.host.now())
+	}
+	return w.grants.Outstanding(w.host.now())
+}
+
+// grantsEnd returns when the last lease ends.
+func (w *watcher) grantsEnd() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.grants.End()
+}
+
 func (w *watcher) recallFrom(ctx context.Context, host, member string, planned bool) {
 	h := w.host
 	if host == h.settings.Host {
@@ -131,5 +157,9 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if planned {
+		w.grants.Handed(host)
+		return
+	}
 	w.grants.Returned(host)
 }
--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -451,6 +451,16 @@
 	return m != nil && m.heard.After(since)
 }
 
+// departedFor reports whether a member that does not answer has certainly ended: it had said
+// that it leaves, or its process refuses connections. One that only vanished may be parted
+// from the store and from this host, and acknowledge for the primary all the same.
+func (g *Group) departedFor(a answered) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m := g.members[a.member.ID]
+	return m == nil || m.Leaving || connectionRefused(a.err)
+}
+
 // lost returns the members that the platform has not listed for long.
 func (g *Group) lost() map[string]bool {
 	g.mu.Lock()
--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -245,7 +245,7 @@
 }
 
 // disproved reports whether the member has refused a write in the term in which it says
-// that it leads. A primary that was replaced while it was cut off goes on to say so; to
+// that it leads, or is being replaced. A primary that was replaced while it was cut off goes on to say so; to
 // believe it again and again would keep callers from the new one.
 func (g *Group) disproved(a answered) bool {
 	g.mu.Lock()
@@ -255,7 +255,7 @@
 		return false
 	}
 	m.term = max(m.term, a.status.Term)
-	return a.status.Term <= m.refusedTerm
+	return m.recalled || a.status.Term <= m.refusedTerm
 }
 
 // adopt takes over what the answers say of who leads. It returns false when none
--- a/internal/gateway/leadership_test.go
+++ b/internal/gateway/leadership_test.go
@@ -258,9 +258,10 @@
 func TestWriteAtAPrimaryThatIsBeingReplacedIsInDoubt(t *testing.T) {
 	play(t, freshness.Latest{}, func(s *fakeSite, h *Host) {
 		do(h, Write{})
+		s.put(h.dutyKey(testGroup), []byte("h2"), 0)
+		time.Sleep(100 * time.Millisecond)
 		s.with("a", func(m *fakeMember) { m.work = 100 * time.Millisecond })
 		time.AfterFunc(20*time.Millisecond, func() { h.EndLease(testGroup, "a", false) })
-		time.AfterFunc(80*time.Millisecond, func() { s.with("b", func(m *fakeMember) { m.fenced = 0 }) })
 		wantCode(t, do(h, Write{}), InDoubt)
 	})
 }
@@ -305,3 +306,44 @@
 		t.Error("a broken record was read")
 	}
 }
+
+// A host has lost the holder of the duty, and with it its lease, when a write is acknowledged
+// to it. The holder has fenced a replica meanwhile: it reads there what a successor must hold,
+// without this write. Its caller must not be told that it is kept.
+func TestWriteWithoutALeaseIsConfirmedByTheFollowers(t *testing.T) {
+	play(t, freshness.Latest{}, func(s *fakeSite, h *Host) {
+		do(h, Write{})
+		s.put(h.dutyKey(testGroup), []byte("h2"), 0)
+		time.Sleep(leadership.Duration + 100*time.Millisecond)
+		if r := do(h, Write{}); r.Failure != nil {
+			t.Errorf("a write that no one disputes failed: %v", r.Failure)
+		}
+		s.with("c", func(m *fakeMember) { m.fenced = 2 })
+		wantCode(t, do(h, Write{}), InDoubt)
+	})
+}
+
+// A replica vanishes from the store and from the hosts' sight, and is alive: it alone receives
+// what the primary writes. Then the primary goes dark as well. The other replica answers, and
+// must not take over: it lacks what callers were told is kept.
+func TestReplicaThatOnlyVanishedMayHoldTheOnlyCopy(t *testing.T) {
+	playFleet(t, 2, 20, freshness.Latest{}, func(s *fakeSite, f *fakeFleet) {
+		h := f.holderOf()
+		do(h, Write{})
+		for _, each := range f.all() {
+			f.set(f.severed, each.settings.Host+" c", true)
+		}
+		s.list("c", "")
+		time.Sleep(time.Second)
+		s.with("b", func(m *fakeMember) { m.deaf = true })
+		for range 5 {
+			do(h, Write{})
+		}
+		time.Sleep(2 * time.Second)
+		s.with("a", func(m *fakeMember) { m.silent = true })
+		time.Sleep(2 * time.Second)
+		if got := s.leader(); got != "a" {
+			t.Errorf("%q was promoted", got)
+		}
+	})
+}
--- a/internal/gateway/lessee.go
+++ b/internal/gateway/lessee.go
@@ -25,8 +25,9 @@
 
 // LeaseReply answers a host that asks for a lease on the primary.
 type LeaseReply struct {
-	// Granted is for how long, or zero.
-	Granted time.Duration
+	// Granted is for how long, or zero. WritesOnly is as in a leadership.Lease.
+	Granted    time.Duration
+	WritesOnly bool
 	// Member is the primary and Term the one in which it leads.
 	Member string
 	Term   group.Term
@@ -135,9 +136,11 @@
 	}
 	had := g.lease.Covers(r.Member, asked)
 	g.leaderTerm = r.Term
-	g.lease = g.lease.Extend(r.Member, r.Term, asked, r.Granted)
+	g.lease = g.lease.Extend(leadership.Lease{
+		Member: r.Member, Term: r.Term, WritesOnly: r.WritesOnly, From: asked, Until: asked.Add(r.Granted),
+	})
 	m.recalled, m.refusedTerm = false, min(m.refusedTerm, r.Term-1)
-	if !had {
+	if !had && !r.WritesOnly {
 		g.log("lease", "member", r.Member, "term", r.Term, "for_ms", r.Granted.Milliseconds())
 	}
 	g.setLeader(r.Member, "leased")
@@ -158,6 +161,14 @@
 	g.lease = leadership.Lease{}
 }
 
+// keeps reports whether what the member acknowledged by the given time stays, by a lease of
+// either kind.
+func (g *Group) keeps(id string, at time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.lease.Keeps(id, at)
+}
+
 // leased reports whether the host holds a lease on the member.
 func (g *Group) leased(id string, at time.Time) bool {
 	g.mu.Lock()
@@ -176,23 +187,36 @@
 func (g *Group) endLease(id string, planned bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.log("lease_recalled", "member", id, "planned", planned)
+	if planned {
+		g.lease = g.lease.Handed()
+		return
+	}
 	if g.lease.Member == id {
 		g.lease = leadership.Lease{}
 	}
 	m := g.members[id]
-	g.log("lease_recalled", "member", id, "planned", planned)
-	if m == nil || planned {
+	if m == nil {
 		return
 	}
 	// The position that decides on the successor is read from now on. A write that the
 	// old primary acknowledges later, with a replica that was started again and knows of no
 	// fence, may be missing there, so its caller must not be told that it is kept.
-	m.recalled, m.refusedTerm = true, max(m.term, g.leaderTerm)
+	m.recalled = true
 	if g.leader == id {
 		g.setLeader("", "recalled")
 	}
 }
 
+// resume lets a primary lead on that was to be replaced and could not be.
+func (g *Group) resume(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if m := g.members[id]; m != nil {
+		m.recalled = false
+	}
+}
+
 // disowned reports whether what the member acknowledges may be lost, since it is being
 // replaced.
 func (g *Group) disowned(m *member) bool {
--- a/internal/gateway/offer.go
+++ b/internal/gateway/offer.go
@@ -196,10 +196,9 @@
 		if w.writes {
 			s.raise(reply.Position)
 		}
-		disowned := w.writes && g.disowned(p.member)
 		g.release(p)
-		if disowned {
-			return fail(InDoubt, p.member.ID+" was being replaced as it acknowledged the write"), nil
+		if w.writes && !g.stands(p.member) {
+			return fail(InDoubt, p.member.ID+" may have been replaced as it acknowledged the write"), nil
 		}
 		return reply, nil
 	}
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -51,6 +51,7 @@
 func (w *work) require(mark group.Position) {
 	if w.writes {
 		w.need.primary = true
+		w.group.needsPrimary()
 		return
 	}
 	switch c := w.route.Class.(type) {
--- a/internal/gateway/prover.go
+++ b/internal/gateway/prover.go
@@ -15,7 +15,8 @@
 	// done is closed when the others are set.
 	done    chan struct{}
 	primary string
-	ok      bool
+	// ok means that the primary leads, and undisputed that nobody is known to replace it.
+	ok, undisputed bool
 }
 
 // proofTimeout bounds that question. Members answer within a few statements' time, unless
@@ -46,15 +47,38 @@
 	return false
 }
 
-// proofFor returns the question that is under way, or a new one. While the last one failed
-// a moment ago that one stands, so that statements in a crowd ask members no more than need
-// be.
-func (g *Group) proofFor(id string) *proof {
+// stands reports whether a write that the member has acknowledged is certainly kept. While
+// this host holds a lease, nobody has set out to replace the member. Without one the other
+// members are asked: a primary on the wrong side of a partition, with a replica that nobody
+// could fence, acknowledges writes that the next primary lacks.
+func (g *Group) stands(m *member) bool {
+	now := g.now()
+	if g.disowned(m) {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*proofTimeout)
+	defer cancel()
+	for ctx.Err() == nil {
+		if g.keeps(m.ID, now) {
+			return true
+		}
+		p := g.question(m.ID)
+		select {
+		case <-p.done:
+		case <-ctx.Done():
+			return false
+		}
+		if !p.started.Before(now) && p.primary == m.ID {
+			return p.undisputed && !g.disowned(m)
+		}
+	}
+	return false
+}
+
+// question returns the question that is under way, or a new one.
+func (g *Group) question(id string) *proof {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.proof == nil && g.disproof != nil && g.disproof.primary == id && g.now().Before(g.proveAt) {
-		return g.disproof
-	}
 	if g.proof == nil {
 		g.proof = &proof{started: g.now(), done: make(chan struct{}), primary: id}
 		go g.askFollowers(g.proof, g.leaderTerm)
@@ -62,6 +86,19 @@
 	return g.proof
 }
 
+// proofFor returns the question that is under way, or a new one. While the last one failed
+// a moment ago that one stands, so that statements in a crowd ask members no more than need
+// be.
+func (g *Group) proofFor(id string) *proof {
+	g.mu.Lock()
+	failed, again := g.disproof, !g.now().Before(g.proveAt)
+	g.mu.Unlock()
+	if failed != nil && failed.primary == id && !again {
+		return failed
+	}
+	return g.question(id)
+}
+
 // askFollowers asks all members but the primary who leads. A host that has not heard of a
 // term yet asks the primary as well.
 func (g *Group) askFollowers(p *proof, term group.Term) {
@@ -79,7 +116,9 @@
 			term = a.status.Term
 		}
 	}
-	p.ok = leadership.Unchallenged(p.primary, term, all, toAnswers(answers))
+	said := toAnswers(answers)
+	p.ok = leadership.Unchallenged(p.primary, term, all, said)
+	p.undisputed = leadership.Undisputed(p.primary, term, said)
 	g.mu.Lock()
 	g.proof = nil
 	known := g.disproof != nil
@@ -108,7 +147,8 @@
 func toAnswers(in []answered) []leadership.Answer {
 	out := make([]leadership.Answer, len(in))
 	for i, a := range in {
-		out[i] = leadership.Answer{Member: a.member.ID, Asked: a.asked, Answered: a.err == nil, Leads: a.status.Leads, Term: a.status.Term}
+		out[i] = leadership.Answer{Member: a.member.ID, Asked: a.asked, Answered: a.err == nil,
+			Leads: a.status.Leads, Term: a.status.Term, Fenced: a.status.Fenced}
 	}
 	return out
 }
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -288,10 +288,9 @@
 			sleep(ctx, busyPause)
 			continue
 		}
-		disowned := t.wrote && reply.Failure == nil && g.disowned(p.member)
 		s.committed(p, asked, reply)
-		if disowned {
-			return fail(InDoubt, p.member.ID+" was being replaced as it acknowledged the commit")
+		if t.wrote && reply.Failure == nil && !g.stands(p.member) {
+			return fail(InDoubt, p.member.ID+" may have been replaced as it acknowledged the commit")
 		}
 		return reply
 	}
--- a/io/peer/gateway_messages.go
+++ b/io/peer/gateway_messages.go
@@ -533,6 +533,7 @@
 
 func (m *leaseReply) fields(w *fieldWriter) {
 	w.duration("granted_us", m.Granted)
+	w.bool("writes_only", m.WritesOnly)
 	w.str("member", m.Member)
 	w.uint("term", uint64(m.Term))
 	w.message("position", (*positionMessage)(&m.Position))
@@ -543,6 +544,8 @@
 	switch name {
 	case "granted_us":
 		return r.duration(&m.Granted)
+	case "writes_only":
+		return r.bool(&m.WritesOnly)
 	case "member":
 		return r.str(&m.Member)
 	case "term":
