Refuse at once what the primary's outage will outlast; prove before writes too

Hypothesis: callers with 600 ms are held for 120 to 280 ms though a promotion takes a second. Change: core/outage learns how long outages last; a statement whose primary is not expected back before its wait bound is refused at once, not run, with when to come back, spread by half. Writes are proven like reads, so that a host beside a replaced primary refuses them instead of leaving them in doubt. While the primary is being replaced no detours are tried. Conclusion: kept for the callers' sake: they are told at once, and doubt is avoided.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -387,7 +387,7 @@
 		s.tx, s.state = nil, Idle
 		return fail(InDoubt, "host "+server.ID+" was lost with the commit")
 	}
-	return s.failed(fail(Aborted, "host "+server.ID+" was lost, "+retryAfter))
+	return s.failed(fail(Aborted, "host "+server.ID+" was lost, "+comeBack(0)))
 }
 
 // taken takes over what another host answered to a statement of a transaction.
--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -12,6 +12,7 @@
 	"pearlatch/core/group"
 	"pearlatch/core/leadership"
 	"pearlatch/core/membership"
+	"pearlatch/core/outage"
 )
 
 // Group is a database group as one host serves it. Use newGroup.
@@ -75,6 +76,10 @@
 	proofPause time.Duration
 	// sampledFrom is the member that the newest of ages was taken from.
 	sampledFrom string
+	// unprovenSince is since when the primary could not be proven to lead, or zero, and
+	// outages what was learned of its outages.
+	unprovenSince time.Time
+	outages       outage.Forecast
 	// searching is true while the members are asked who leads.
 	searching bool
 	controls  map[string]*control
@@ -245,6 +250,9 @@
 	g.log("leader", "member", id, "before", g.leader, "why", why)
 	if id != "" {
 		g.missedPrimaries(id)
+		if g.leader == "" {
+			g.primaryBack()
+		}
 	}
 	g.leader = id
 	g.askAgain()
--- /dev/null
+++ b/internal/gateway/hopeless.go
@@ -0,0 +1,88 @@
+package gateway
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// shortestReturn is the shortest time after which a refused caller is told to come back:
+	// about the time in which a queue of a member's slots empties.
+	shortestReturn = 50 * time.Millisecond
+	// longestReturn bounds it: an outage may end before its forecast.
+	longestReturn = 2 * time.Second
+)
+
+// away returns for how long the primary has been out of reach, not known, or not proven to
+// lead. The group's lock is held.
+func (g *Group) away(now time.Time) time.Duration {
+	if g.lease.Covers(g.leader, now) && !g.silentLeader() {
+		return 0
+	}
+	since := g.unprovenSince
+	if g.leader == "" {
+		since = earlier(since, g.leaderlessSince)
+	} else if m := g.members[g.leader]; m != nil {
+		since = earlier(since, m.silentSince)
+	}
+	if since.IsZero() {
+		return 0
+	}
+	return now.Sub(since)
+}
+
+// silentLeader reports whether the primary has not answered lately. The group's lock is held.
+func (g *Group) silentLeader() bool {
+	m := g.members[g.leader]
+	return m != nil && !m.silentSince.IsZero()
+}
+
+// earlier returns the earlier of two times of which either may be zero.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// hopeless reports whether a statement that needs the primary and may wait until the given
+// time will not live to see it, and when its caller should come back. Holding it would cost the
+// caller the time for another try, and keep what can be served from its place.
+func (g *Group) hopeless(until time.Time) (time.Duration, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	lasted := g.away(now)
+	if lasted < reachPatience {
+		return 0, false
+	}
+	remaining := g.outages.Remaining(lasted)
+	return remaining, remaining > until.Sub(now)
+}
+
+// primaryBack learns from an outage of the primary that has ended. The group's lock is held.
+func (g *Group) primaryBack() {
+	now := g.now()
+	since := g.unprovenSince
+	if g.leader == "" {
+		since = earlier(since, g.leaderlessSince)
+	}
+	if lasted := now.Sub(since); !since.IsZero() && lasted >= reachPatience {
+		g.outages.Over(lasted)
+	}
+	g.unprovenSince = time.Time{}
+}
+
+// comeBack says when a refused caller may come back, spread by half so that callers that were
+// refused together don't return together.
+func comeBack(after time.Duration) string {
+	after = min(max(after, shortestReturn), longestReturn)
+	after += rand.N(after/2 + 1)
+	return fmt.Sprintf("retry_after_ms=%d", after.Milliseconds())
+}
+
+// refuseAt refuses a statement at once whose primary is not expected back in time.
+func refuseAt(code Code, after time.Duration) *Failure {
+	return &Failure{code, "the primary is not expected back in time, " + comeBack(after)}
+}
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -200,7 +200,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.config == nil {
-		return Route{}, nil, &Failure{Busy, "no configuration yet, " + retryAfter}
+		return Route{}, nil, &Failure{Busy, "no configuration yet, " + comeBack(0)}
 	}
 	r, ok := h.config.Routes[database]
 	if !ok {
--- a/internal/gateway/lessee.go
+++ b/internal/gateway/lessee.go
@@ -143,6 +143,9 @@
 	if !had && !r.WritesOnly {
 		g.log("lease", "member", r.Member, "term", r.Term, "for_ms", r.Granted.Milliseconds())
 	}
+	if !r.WritesOnly {
+		g.primaryBack()
+	}
 	g.setLeader(r.Member, "leased")
 	if r.Position != (group.Position{}) {
 		g.sampled(r.Member, asked.Add(-r.Age), r.Position)
--- a/internal/gateway/offer.go
+++ b/internal/gateway/offer.go
@@ -37,6 +37,9 @@
 		w.require(s.mark)
 	}
 	for {
+		if f := w.hopeless(Busy); f != nil && !w.need.sendOn {
+			return Reply{Failure: f}
+		}
 		w.need.deadline = w.waitUntil()
 		p, err := w.group.acquire(ctx, w.need)
 		if errors.Is(err, errSendOn) {
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -50,8 +50,9 @@
 // require says what a member must hold, or be, for a session with the mark.
 func (w *work) require(mark group.Position) {
 	if w.writes {
-		w.need.primary = true
-		w.group.needsPrimary()
+		// What is written must not go to a primary that may have been replaced either: its
+		// write would hang until the caller's time is up, and be in doubt.
+		w.need.primary, w.verify = true, true
 		return
 	}
 	switch c := w.route.Class.(type) {
@@ -108,13 +109,23 @@
 	return started.Add(wait)
 }
 
-// retryAfter is when a refused caller may come back: about the time in which a
-// queue of a member's slots empties.
-const retryAfter = "retry_after_ms=50"
-
 func refuse(w work) Reply {
-	if w.need.primary {
-		return fail(Busy, "no connection to the primary in time, "+retryAfter)
+	if !w.need.primary {
+		return fail(Busy, "no connection in time, "+comeBack(0))
+	}
+	remaining, _ := w.group.hopeless(w.waitUntil())
+	return fail(Busy, "no connection to the primary in time, "+comeBack(remaining))
+}
+
+// hopeless returns a refusal with the code for a statement whose primary is not expected
+// back in time, or nil.
+func (w *work) hopeless(code Code) *Failure {
+	if !w.need.primary || w.passOn {
+		return nil
+	}
+	w.group.needsPrimary()
+	if remaining, ok := w.group.hopeless(w.waitUntil()); ok {
+		return refuseAt(code, remaining)
 	}
-	return fail(Busy, "no connection in time, "+retryAfter)
+	return nil
 }
--- a/internal/gateway/prover.go
+++ b/internal/gateway/prover.go
@@ -142,7 +142,9 @@
 	if p.ok {
 		g.proven, g.disproof, g.proofPause = *p, nil, 0
 		g.leaderTerm = max(g.leaderTerm, p.term)
+		g.primaryBack()
 	} else {
+		g.unprovenSince = earlier(g.unprovenSince, p.started)
 		g.proofPause = min(max(2*g.proofPause, firstProofPause), longestProofPause)
 		g.disproof, g.proveAt = p, g.now().Add(g.proofPause)
 	}
--- a/internal/gateway/serving.go
+++ b/internal/gateway/serving.go
@@ -99,8 +99,12 @@
 	return g.primaryLost()
 }
 
-// primaryLost is primaryUnreached with the group's lock held.
+// primaryLost is primaryUnreached with the group's lock held. While the primary is being
+// replaced no other host reaches one either.
 func (g *Group) primaryLost() bool {
+	if g.leader == "" && g.replacing() {
+		return false
+	}
 	since := g.leaderlessSince
 	if m := g.members[g.leader]; m != nil {
 		since = m.silentSince
@@ -108,6 +112,12 @@
 	return !since.IsZero() && g.now().Sub(since) > reachPatience
 }
 
+// replacing reports whether the holder of the duty has set out to replace the primary. The
+// group's lock is held.
+func (g *Group) replacing() bool {
+	return slices.ContainsFunc(g.order, func(m *member) bool { return m.recalled })
+}
+
 // serverOrder returns the other hosts that serve the group.
 func (g *Group) serverOrder() []membership.Host {
 	g.mu.Lock()
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -111,7 +111,7 @@
 			return reply
 		}
 		if !s.host.now().Before(t.work.deadline) {
-			return s.failed(fail(Aborted, "no time left, "+retryAfter))
+			return s.failed(fail(Aborted, "no time left, "+comeBack(0)))
 		}
 		next.pause(ctx)
 	}
@@ -129,13 +129,16 @@
 	t := s.tx
 	w := &t.work
 	for {
+		if f := w.hopeless(Aborted); f != nil && !w.need.sendOn {
+			return f
+		}
 		w.need.deadline = w.waitUntil()
 		p, err := w.group.acquire(ctx, w.need)
 		if errors.Is(err, errSendOn) {
 			return err
 		}
 		if err != nil {
-			return &Failure{Aborted, "no connection in time, " + retryAfter}
+			return &Failure{Aborted, "no connection in time, " + comeBack(0)}
 		}
 		next := s.open(ctx, p)
 		if next == nil {
@@ -143,7 +146,7 @@
 			return nil
 		}
 		if !w.group.now().Before(w.waitUntil()) {
-			return &Failure{Aborted, "no member could begin the transaction in time, " + retryAfter}
+			return &Failure{Aborted, "no member could begin the transaction in time, " + comeBack(0)}
 		}
 		next.pause(ctx)
 	}
@@ -205,7 +208,7 @@
 			w.need.avoid = p.member.ID
 			return Reply{}, &again{}
 		}
-		return s.failed(fail(Aborted, "the connection to "+p.member.ID+" failed, "+retryAfter)), nil
+		return s.failed(fail(Aborted, "the connection to "+p.member.ID+" failed, "+comeBack(0))), nil
 	}
 	g.took(p.member, asked)
 	p.used = g.now()
@@ -279,7 +282,7 @@
 			g.discard(p, err)
 			s.host.logOffer(s, r, w, p.member.ID, "broken", err)
 			if !t.wrote {
-				return fail(Aborted, "the connection failed; nothing was written, "+retryAfter)
+				return fail(Aborted, "the connection failed; nothing was written, "+comeBack(0))
 			}
 			return fail(InDoubt, "the connection to "+p.member.ID+" failed after the commit was sent")
 		}
