Let the hosts that serve tell the holder how the group is; don't finish orders without fences

Hypothesis: the holder of the duty is often not the host that serves, and then asks at its full pace; a host that sees the primary fail could tell it at once. Change: the question for a lease says whether the group is well there, or the primary fails to answer. An open order of an earlier holder is given again only while all other replicas are fenced, or once its member holds what the primary has. A hand-over that can't be ordered releases its fences. A proof of the last 0.6 s lets a write be sent without a lease; it is settled after the answer as before.

--- a/internal/gateway/calm.go
+++ b/internal/gateway/calm.go
@@ -14,17 +14,56 @@
 	// hangingWrite is how long a write may be without an answer until the replicas are asked
 	// whether they receive. Writes take up to 50 ms.
 	hangingWrite = 200 * time.Millisecond
-	// laggingMemory is how long after a replica lacked a position the group is not calm: the
+	// laggingMemory is how long after a replica was far behind the group is not calm: the
 	// primary may need relief.
 	laggingMemory = time.Second
 )
 
-// calm reports whether statements of this host alone show that the primary serves, writes are
-// acknowledged and replicas keep up, so that the holder of the duty need not ask.
+// calm reports whether statements show that the primary serves, writes are acknowledged and
+// replicas keep up, so that the holder of the duty need not ask: its own, or those of a host that
+// said so when it asked for its lease.
 func (g *Group) calm() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
+	if m := g.members[g.leader]; m == nil || !m.silentSince.IsZero() || len(g.missing()) > 0 {
+		return false
+	}
+	return g.calmHere(now) || now.Sub(g.reportedCalm) < leaseRenewal+watchPause
+}
+
+// hear takes over what another host that serves the group says of it. A primary that fails to
+// answer there is looked at once, and not only when the members are asked next.
+func (g *Group) hear(r LeaseRequest) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if r.Calm {
+		g.reportedCalm = g.now()
+	}
+	if r.Suspects {
+		g.reportedCalm = time.Time{}
+		g.wakeHolder()
+	}
+}
+
+// wakeHolder makes the holder of the duty ask the members now, if this host is it.
+func (g *Group) wakeHolder() {
+	select {
+	case g.alarm <- struct{}{}:
+	default:
+	}
+}
+
+// report says whether this host's own statements show that all is well, and whether the
+// primary failed to answer them.
+func (g *Group) report() (calm, suspects bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.calmHere(g.now()), g.silentLeader()
+}
+
+// calmHere reports whether this host's own statements show that all is well.
+func (g *Group) calmHere(now time.Time) bool {
 	m := g.members[g.leader]
 	switch {
 	case m == nil || m.Leaving || !m.missingSince.IsZero() || !m.silentSince.IsZero():
--- a/internal/gateway/duty.go
+++ b/internal/gateway/duty.go
@@ -53,6 +53,8 @@
 	// That is zero while it is not known.
 	record         leadership.Record
 	recordRevision int64
+	// inherited is true once the record of the holder before was read.
+	inherited bool
 	// standing is what leases on the primary are granted on, and grants are those that may
 	// hold.
 	standing standing
@@ -203,7 +205,7 @@
 	}
 	d.mu.Lock()
 	d.held, d.lease, d.token, d.since, d.renewed, d.lasts = true, lease, revision, d.host.now(), asked, lasts
-	d.ordered, d.recordRevision, d.standing, d.grants, d.resigned = "", 0, standing{}, leadership.Grants{}, false
+	d.inherited, d.ordered, d.recordRevision, d.standing, d.grants, d.resigned = false, "", 0, standing{}, leadership.Grants{}, false
 	d.mu.Unlock()
 	d.vacant = time.Time{}
 	d.log("duty_taken", "token", revision)
--- a/internal/gateway/fakefleet_test.go
+++ b/internal/gateway/fakefleet_test.go
@@ -221,12 +221,12 @@
 	return h.ProbeFor(groupName, memberID)
 }
 
-func (p *fakePeers) Lease(ctx context.Context, to netip.AddrPort, groupName, host string) (LeaseReply, error) {
+func (p *fakePeers) Lease(ctx context.Context, to netip.AddrPort, r LeaseRequest) (LeaseReply, error) {
 	h, err := p.reach(ctx, to)
 	if err != nil {
 		return LeaseReply{}, err
 	}
-	return h.GrantLease(groupName, host), nil
+	return h.GrantLease(r), nil
 }
 
 func (p *fakePeers) EndLease(ctx context.Context, to netip.AddrPort, groupName, memberID string, planned bool) error {
--- a/internal/gateway/grantor.go
+++ b/internal/gateway/grantor.go
@@ -28,14 +28,15 @@
 
 // GrantLease grants a host a lease on the primary of a group, if this one holds the duty
 // and knows the primary.
-func (h *Host) GrantLease(groupName, host string) LeaseReply {
+func (h *Host) GrantLease(r LeaseRequest) LeaseReply {
 	h.mu.Lock()
-	d := h.duties[groupName]
+	d := h.duties[r.Group]
 	h.mu.Unlock()
 	if d == nil {
 		return LeaseReply{}
 	}
-	return d.grant(host)
+	d.group.hear(r)
+	return d.grant(r.Host)
 }
 
 func (d *duty) grant(host string) LeaseReply {
--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -81,10 +81,12 @@
 	unprovenSince time.Time
 	outages       outage.Forecast
 	// writing counts writes without an answer; writingSince is since when none of them has
-	// been acknowledged, or zero. lackedAt is when a replica last lacked a position.
+	// been acknowledged, or zero. lackedAt is when a replica was last seen far behind.
 	writing      int
 	writingSince time.Time
 	lackedAt     time.Time
+	// reportedCalm is when another host that serves the group last said that it is well there.
+	reportedCalm time.Time
 	// searching is true while the members are asked who leads.
 	searching bool
 	controls  map[string]*control
@@ -447,11 +449,15 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
-	m.held, g.lackedAt = held, now
+	m.held = held
 	pause := lagRetryMax
-	if since := g.ages.Since(held); !since.IsZero() {
+	since := g.ages.Since(held)
+	if !since.IsZero() {
 		pause = min(lagRetryMax, max(lagRetry, now.Sub(since)/lagRetryShare))
 	}
+	if now.Sub(since) > g.age/2 {
+		g.lackedAt = now // far enough behind for the primary to need relief soon
+	}
 	m.lacksUntil = now.Add(pause)
 }
 
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -35,7 +35,9 @@
 		return
 	}
 	w.log("successor", "member", best.ID, "term", term, "planned", true)
-	w.promote(ctx, best.ID, choice{listed: started, held: heldBy(best.ID, replicas)})
+	if !w.promote(ctx, best.ID, choice{listed: started, held: heldBy(best.ID, replicas)}) {
+		w.group.orderAll(others, Release{}, orderTimeout)
+	}
 }
 
 // heir returns the replica that takes over from a leaving primary.
--- a/internal/gateway/leadership_test.go
+++ b/internal/gateway/leadership_test.go
@@ -261,11 +261,11 @@
 		s.down = true
 		s.mu.Unlock()
 		time.Sleep(dutyLease - 200*time.Millisecond)
-		if got := h.GrantLease(testGroup, "h2"); got.Granted > 300*time.Millisecond {
+		if got := h.GrantLease(LeaseRequest{Group: testGroup, Host: "h2"}); got.Granted > 300*time.Millisecond {
 			t.Errorf("a lease of %s outlives the duty", got.Granted)
 		}
 		time.Sleep(400 * time.Millisecond)
-		if got := h.GrantLease(testGroup, "h2"); got.Granted > 0 {
+		if got := h.GrantLease(LeaseRequest{Group: testGroup, Host: "h2"}); got.Granted > 0 {
 			t.Errorf("a lease of %s was granted without the duty", got.Granted)
 		}
 		s.mu.Lock()
--- a/internal/gateway/lessee.go
+++ b/internal/gateway/lessee.go
@@ -23,6 +23,14 @@
 	leaseWanted = 2 * time.Second
 )
 
+// LeaseRequest asks for a lease on the primary of a group, on behalf of a host.
+type LeaseRequest struct {
+	Group, Host string
+	// Calm is true if the host's own statements show that the group is well, and Suspects if
+	// the primary has failed to answer there since it last did.
+	Calm, Suspects bool
+}
+
 // LeaseReply answers a host that asks for a lease on the primary.
 type LeaseReply struct {
 	// Granted is for how long, or zero. WritesOnly is as in a leadership.Lease.
@@ -91,13 +99,17 @@
 	if d != nil && d.isHeld() {
 		return d.grant(h.settings.Host), nil
 	}
+	r := LeaseRequest{Group: groupName, Host: h.settings.Host}
+	if g := h.group(groupName); g != nil {
+		r.Calm, r.Suspects = g.report()
+	}
 	addr, ok := h.fleet.address(holder)
 	if !ok || h.ports.Peers == nil {
 		return LeaseReply{}, errNoHolder
 	}
 	call, cancel := context.WithTimeout(ctx, leaseAnswer)
 	defer cancel()
-	return h.ports.Peers.Lease(call, addr, groupName, h.settings.Host)
+	return h.ports.Peers.Lease(call, addr, r)
 }
 
 // wantsLease reports whether the group's primary was needed here lately.
--- a/internal/gateway/offer.go
+++ b/internal/gateway/offer.go
@@ -157,13 +157,21 @@
 	g.needsPrimary()
 	call, cancel := context.WithTimeout(ctx, w.deadline.Sub(g.now()))
 	defer cancel()
-	if g.prove(call, p.member.ID, w.need.arrived) {
+	since := w.need.arrived
+	if w.writes {
+		since = since.Add(-recentProof) // whether it is kept is settled afterwards
+	}
+	if g.prove(call, p.member.ID, since) {
 		return nil
 	}
 	g.release(p)
 	return &again{wait: proofPause}
 }
 
+// recentProof is how old a proof may be that lets a write be sent: as long as it takes to find
+// out that a primary is lost. It spares a question for each write while there is no lease.
+const recentProof = 600 * time.Millisecond
+
 // proofPause is the pause before a leadership is to be proven again that could not be.
 const proofPause = 20 * time.Millisecond
 
--- a/internal/gateway/open.go
+++ b/internal/gateway/open.go
@@ -114,9 +114,7 @@
 	}
 	if m.ID == g.leader {
 		go g.wantLeader()
-		select {
-		case g.alarm <- struct{}{}:
-		default:
-		}
+		g.wakeHolder()
+		g.askAgain()
 	}
 }
--- a/internal/gateway/order.go
+++ b/internal/gateway/order.go
@@ -17,28 +17,30 @@
 	held group.Position
 }
 
-// promote orders the promotion and waits until the member leads.
-func (w *watcher) promote(ctx context.Context, id string, c choice) {
+// promote orders the promotion and waits until the member leads. It returns false if it gave no
+// order.
+func (w *watcher) promote(ctx context.Context, id string, c choice) (given bool) {
 	if open := w.openOrder(); open != "" && open != id {
-		if w.answers(open) {
+		if s, ok := w.status(open); ok && s.Received.Compare(c.held) >= 0 {
 			// The order for that member may be carried out at any moment. It lacks
 			// nothing, so it is ordered again.
 			id, c = open, choice{}
 		} else if err := w.outlive(ctx); err != nil {
 			w.log("promotion_held_back", "member", id, "open", open, "err", err)
-			return
+			return false
 		}
 	}
 	if err := w.recordOrder(ctx, id); err != nil {
 		w.log("order_not_recorded", "member", id, "err", err)
 		if !w.host.settings.PromotionTokens {
-			return // the next holder would not know of the order
+			return false // the next holder would not know of the order
 		}
 	}
 	started := w.host.now()
 	for w.holds() && ctx.Err() == nil && w.host.now().Sub(started) < leadTimeout {
+		given = true
 		if !w.order(ctx, id) {
-			return
+			return given
 		}
 		if led, ok := w.leads(ctx, id); ok {
 			w.stand(led)
@@ -49,11 +51,12 @@
 			// What the old primary wrote alone is gone: it says nothing against the new one.
 			w.silent, w.written = 0, group.Position{}
 			w.group.renewed(c)
-			return
+			return given
 		}
 	}
 	w.group.meters.promotion(w.group.name, "open", w.host.now().Sub(started))
 	w.log("promotion_open", "member", id)
+	return given
 }
 
 // outlive makes sure that an open order for a member that is gone is not carried out late,
@@ -72,6 +75,31 @@
 // errOrderOpen means that an earlier order may still be carried out.
 var errOrderOpen = errors.New("an earlier order may still be carried out")
 
+// finishOrder gives an open order again while the primary before still leads, since it may be
+// carried out at any moment. The fences that make it safe stay. If one is missing, the order was
+// given up or a replica was started again: then all but the member are fenced anew, and it must
+// first receive what the primary has.
+func (w *watcher) finishOrder(ctx context.Context, open string, primary answered, replicas []answered) {
+	var unfenced []Member
+	target := answered{err: errNotAsked}
+	for _, r := range replicas {
+		switch {
+		case r.member.ID == open:
+			target = r
+		case r.err != nil || r.status.Fenced <= primary.status.Term:
+			unfenced = append(unfenced, r.member)
+		}
+	}
+	if len(unfenced) > 0 {
+		w.group.orderAll(unfenced, Fence{Term: max(newest(replicas), primary.status.Term) + 1}, orderTimeout)
+		if target.err != nil || target.status.Received.Compare(primary.status.Received) < 0 {
+			w.log("order_awaits_log", "member", open, "unfenced", len(unfenced))
+			return
+		}
+	}
+	w.promote(ctx, open, choice{})
+}
+
 // answers reports whether the member answers.
 func (w *watcher) answers(id string) bool {
 	m, ok := w.group.lookup(id)
@@ -82,6 +110,16 @@
 	return err == nil || refusedByMember(err)
 }
 
+// status returns the member's status, if it tells.
+func (w *watcher) status(id string) (Status, bool) {
+	m, ok := w.group.lookup(id)
+	if !ok {
+		return Status{}, false
+	}
+	s, err := w.group.command(m, Probe{}, orderTimeout)
+	return s, err == nil
+}
+
 // order names the successor to the platform. It returns false when the order was
 // refused.
 func (w *watcher) order(ctx context.Context, id string) bool {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -19,8 +19,8 @@
 	Recall(ctx context.Context, to netip.AddrPort, from string, serial uint64) (Recalled, error)
 	// Probe lets the host ask a member for its status.
 	Probe(ctx context.Context, to netip.AddrPort, groupName, memberID string) (Status, error)
-	// Lease asks the host for a lease on the primary of a group, on behalf of another one.
-	Lease(ctx context.Context, to netip.AddrPort, groupName, host string) (LeaseReply, error)
+	// Lease asks the host for a lease on the primary of a group.
+	Lease(ctx context.Context, to netip.AddrPort, r LeaseRequest) (LeaseReply, error)
 	// EndLease asks the host to give such a lease back. Without an error it has.
 	EndLease(ctx context.Context, to netip.AddrPort, groupName, memberID string, planned bool) error
 	// Feed lets the host pass on what changed in the store after the revision.
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -84,7 +84,9 @@
 	d.group.adoptFloor(r, found.Revision)
 	d.group.ledIn(r.Term)
 	d.mu.Lock()
-	d.ordered, d.orderedToken, d.orderedAt = ordered, 0, d.host.now()
+	if !d.inherited { // later, this holder knows best which order it gave
+		d.inherited, d.ordered, d.orderedToken, d.orderedAt = true, ordered, 0, d.host.now()
+	}
 	d.mu.Unlock()
 	d.log("record_inherited", "before", holder, "term", r.Term, "floor", r.Floor, "ordered", ordered)
 	return nil
@@ -123,6 +125,13 @@
 	return nil
 }
 
+// knowsOrders reports whether this host knows of all recorded orders of earlier holders.
+func (d *duty) knowsOrders() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.inherited
+}
+
 // recorded returns the record as this host wrote it, or false if that is not certain.
 func (d *duty) recorded() (leadership.Record, bool) {
 	d.mu.Lock()
--- a/internal/gateway/watcher.go
+++ b/internal/gateway/watcher.go
@@ -69,6 +69,7 @@
 		case <-ctx.Done():
 			return
 		case <-d.group.alarm:
+			w.asked = time.Time{}
 		case <-time.After(w.pause()):
 		}
 		if !d.holds() {
@@ -153,10 +154,10 @@
 // all that were recorded. Where the platform checks tokens, a holder that does not reach the
 // store orders without a record, so a while must have gone by.
 func (w *watcher) settled() bool {
-	if _, inherited := w.recorded(); !inherited && !w.host.settings.PromotionTokens {
-		return false
+	if w.host.settings.PromotionTokens {
+		return w.sinceTakeover() >= takeoverPause
 	}
-	return !w.host.settings.PromotionTokens || w.sinceTakeover() >= takeoverPause
+	return w.knowsOrders()
 }
 
 // led acts on a round in which a primary answered.
@@ -170,9 +171,7 @@
 			w.settledOrder()
 			return
 		}
-		// The order may be carried out at any moment, so the fences that make it safe
-		// stay, and it is given again.
-		w.promote(ctx, open, choice{})
+		w.finishOrder(ctx, open, primary, replicas)
 		return
 	}
 	w.settledOrder()
--- a/io/peer/gateway_client.go
+++ b/io/peer/gateway_client.go
@@ -75,8 +75,8 @@
 }
 
 // Lease implements gateway.Peers.
-func (c *GatewayClient) Lease(ctx context.Context, to netip.AddrPort, groupName, host string) (gateway.LeaseReply, error) {
-	reply, err := c.question(ctx, to, &linkRequest{lease: &leaseRequest{groupName, host}})
+func (c *GatewayClient) Lease(ctx context.Context, to netip.AddrPort, r gateway.LeaseRequest) (gateway.LeaseReply, error) {
+	reply, err := c.question(ctx, to, &linkRequest{lease: (*leaseRequest)(&r)})
 	if err != nil {
 		return gateway.LeaseReply{}, err
 	}
--- a/io/peer/gateway_messages.go
+++ b/io/peer/gateway_messages.go
@@ -510,20 +510,26 @@
 	return false
 }
 
-// leaseRequest asks for a lease on the primary of a group.
-type leaseRequest struct{ group, host string }
+// leaseRequest is a gateway.LeaseRequest on the wire.
+type leaseRequest gateway.LeaseRequest
 
 func (m *leaseRequest) fields(w *fieldWriter) {
-	w.str("group", m.group)
-	w.str("host", m.host)
+	w.str("group", m.Group)
+	w.str("host", m.Host)
+	w.bool("calm", m.Calm)
+	w.bool("suspects", m.Suspects)
 }
 
 func (m *leaseRequest) field(name string, r *fieldReader) bool {
 	switch name {
 	case "group":
-		return r.str(&m.group)
+		return r.str(&m.Group)
 	case "host":
-		return r.str(&m.host)
+		return r.str(&m.Host)
+	case "calm":
+		return r.bool(&m.Calm)
+	case "suspects":
+		return r.bool(&m.Suspects)
 	}
 	return false
 }
--- a/io/peer/link_server.go
+++ b/io/peer/link_server.go
@@ -47,7 +47,7 @@
 		case in.recall != nil:
 			l.send(&linkReply{lane: in.lane, recalled: answerRecall(h, in.recall)})
 		case in.lease != nil:
-			granted := h.GrantLease(in.lease.group, in.lease.host)
+			granted := h.GrantLease(gateway.LeaseRequest(*in.lease))
 			l.send(&linkReply{lane: in.lane, lease: (*leaseReply)(&granted)})
 		case in.ends != nil:
 			h.EndLease(in.ends.group, in.ends.member, in.ends.planned)
