Take duties sooner after a restart; no proof-of-token call where tokens are not checked

Change: duties are looked at every 100 ms, hosts that don't answer are not counted in the order, the first round of a new holder comes at once, a token is raised only where the platform checks it, and a proof that failed though some members answered is tried again after 10 ms (a lost packet).

--- a/internal/gateway/duty.go
+++ b/internal/gateway/duty.go
@@ -26,9 +26,10 @@
 	dutyRetry = 600 * time.Millisecond
 	// dutyStagger is how much longer each host of a lower rank waits before it
 	// takes a duty that nobody holds, so that the first one usually succeeds.
-	dutyStagger = 300 * time.Millisecond
-	// dutyPoll is the pause between looks at duties that others may leave.
-	dutyPoll = 250 * time.Millisecond
+	dutyStagger = 150 * time.Millisecond
+	// dutyPoll is the pause between looks at duties that others may leave. After a restart of
+	// all hosts nobody grants leases until the duties are taken again.
+	dutyPoll = 100 * time.Millisecond
 	// takeoverPause is how long a new holder waits before its first promotion: an
 	// order that the holder before gave at the last moment is carried out by then.
 	takeoverPause = 1200 * time.Millisecond
@@ -170,9 +171,10 @@
 	}()
 }
 
-// rank returns how many hosts come before this one for the group.
+// rank returns how many hosts come before this one for the group, of those that answer.
 func (h *Host) rank(group string) int {
 	hosts, _ := h.fleet.listed()
+	hosts = h.fleet.usable(hosts)
 	for i, each := range membership.Rank(group, hosts) {
 		if each.ID == h.settings.Host {
 			return i
@@ -210,6 +212,7 @@
 	d.vacant = time.Time{}
 	d.log("duty_taken", "token", revision)
 	d.tryInherit(ctx)
+	d.group.wake()
 }
 
 func (d *duty) renew(ctx context.Context) {
@@ -322,11 +325,11 @@
 	d.raised = max(d.raised, token)
 }
 
-// current reports whether the platform has seen the newest token.
+// current reports whether the platform has seen the newest token, where it checks tokens.
 func (d *duty) current() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.raised == d.token
+	return !d.host.settings.PromotionTokens || d.raised == d.token
 }
 
 func (d *duty) log(event string, fields ...any) {
--- a/internal/gateway/prover.go
+++ b/internal/gateway/prover.go
@@ -95,6 +95,19 @@
 	return g.leaderTerm
 }
 
+// answered reports whether some of the others answered, and none disproved. A packet may have
+// got lost, and the next question do.
+func (p *proof) answered() bool {
+	some := false
+	for _, a := range p.answers {
+		if a.Leads || a.Answered && a.Term > p.term {
+			return false
+		}
+		some = some || a.Answered
+	}
+	return some
+}
+
 // proofFor returns the question that is under way, or a new one. While the last one failed
 // a moment ago that one stands, so that statements in a crowd ask members no more than need
 // be.
@@ -146,6 +159,9 @@
 	} else {
 		g.unprovenSince = earlier(g.unprovenSince, p.started)
 		g.proofPause = min(max(2*g.proofPause, firstProofPause), longestProofPause)
+		if p.answered() {
+			g.proofPause = firstProofPause
+		}
 		g.disproof, g.proveAt = p, g.now().Add(g.proofPause)
 	}
 	return p.ok == failing
