--- a/internal/gateway/calm.go
+++ b/internal/gateway/calm.go
@@ -14,6 +14,9 @@
 	// hangingWrite is how long a write may be without an answer until the replicas are asked
 	// whether they receive. Writes take up to 50 ms.
 	hangingWrite = 200 * time.Millisecond
+	// suspicionTold is for how long after the primary failed to answer a host the holder is told
+	// so: until the next few statements have shown more.
+	suspicionTold = time.Second
 	// laggingMemory is how long after a replica was far behind the group is not calm: the
 	// primary may need relief.
 	laggingMemory = time.Second
@@ -66,7 +69,11 @@
 func (g *Group) report() (calm, suspects bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.calmHere(g.now()), g.silentLeader()
+	now := g.now()
+	m := g.members[g.leader]
+	// A host that has not used the primary since would report its old failure for ever.
+	suspects = m != nil && !m.silentSince.IsZero() && now.Sub(m.silentSince) < suspicionTold
+	return g.calmHere(now), suspects
 }
 
 // calmHere reports whether this host's own statements show that all is well.
--- a/internal/gateway/calm_test.go
+++ b/internal/gateway/calm_test.go
@@ -55,3 +55,24 @@
 		}
 	})
 }
+
+// A host lost the primary once and has not needed it since. What it says when it asks where the
+// log stands must not make the holder of the duty ask all members each time.
+func TestOldSuspicionIsNotToldForEver(t *testing.T) {
+	play(t, freshness.Latest{}, func(s *fakeSite, h *Host) {
+		do(h, Write{})
+		g := h.groups[testGroup]
+		g.mu.Lock()
+		g.members["a"].silentSince = g.now()
+		g.mu.Unlock()
+		if _, suspects := g.report(); !suspects {
+			t.Error("a fresh failure is not told")
+		}
+		g.mu.Lock()
+		g.members["a"].silentSince = g.now().Add(-2 * suspicionTold)
+		g.mu.Unlock()
+		if _, suspects := g.report(); suspects {
+			t.Error("an old failure is told")
+		}
+	})
+}
