A reset is no proof that a member has ended; a grant that crosses a recall is void

Found by reading: the proof by all others took a reset connection for a member that has ended, and members reset connections beyond their limit; and a lease granted just before a recall could arrive after it. Tests: TestResetIsNoProofThatAMemberHasEnded, TestGrantThatComesAfterARecallIsVoid, both fail before.

--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -14,6 +14,10 @@
 	ErrFenced    = errors.New("a higher fencing token was used, or the member does not run")
 )
 
+// processEnded reports whether nothing listens at an address whose machine answers. A reset
+// alone does not show it: a member resets connections beyond its limit.
+func processEnded(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
 // connectionRefused reports whether nothing listens at an address whose machine
 // answers: the process there has ended.
 func connectionRefused(err error) bool {
--- a/internal/gateway/fakeconn_test.go
+++ b/internal/gateway/fakeconn_test.go
@@ -65,7 +65,7 @@
 // answerless waits as a call does whose answer never comes.
 func (c *fakeConn) answerless(timeout time.Duration) error {
 	c.site.mu.Lock()
-	crashed, silent := c.m.crashed || c.m.born != c.born, c.m.silent
+	crashed, silent := c.m.crashed || c.m.resets || c.m.born != c.born, c.m.silent
 	c.site.mu.Unlock()
 	silent = silent || c.severed != nil && c.severed()
 	if crashed {
--- a/internal/gateway/fakesite_test.go
+++ b/internal/gateway/fakesite_test.go
@@ -41,6 +41,7 @@
 	crashed bool // connections are refused
 	silent  bool // nothing is answered
 	deaf    bool // receives nothing
+	resets  bool // resets connections for questions, as a full member does
 	cut     bool // parted from the other members: if replaced, it leads on in its term
 	born    int  // which run of the member this is
 	lagging bool // applies nothing
--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -67,7 +67,9 @@
 	// primaryNeeded is when a statement last needed the primary.
 	lease leadership.Lease
 	// handed is the lease for writes on the primary before, if the change was planned.
-	handed        leadership.Lease
+	handed leadership.Lease
+	// recalledAt is when the holder last took a lease back: one asked for until then is void.
+	recalledAt    time.Time
 	leaseAlarm    chan struct{}
 	primaryNeeded time.Time
 	// proof is the question to all other members whether the primary leads that is under
@@ -501,7 +503,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m := g.members[a.member.ID]
-	return m == nil || m.Leaving || connectionRefused(a.err)
+	return m == nil || m.Leaving || processEnded(a.err)
 }
 
 // lost returns the members that the platform has not listed for long.
--- a/internal/gateway/leadership_test.go
+++ b/internal/gateway/leadership_test.go
@@ -372,3 +372,44 @@
 		}
 	})
 }
+
+// The host holds no lease, and the member that leads now resets its connections, since it has too
+// many. The other one has not heard of the new term. That is no proof for the old primary: only a
+// process that has ended can't lead.
+func TestResetIsNoProofThatAMemberHasEnded(t *testing.T) {
+	play(t, freshness.Latest{}, func(s *fakeSite, h *Host) {
+		do(h, Write{})
+		s.put(h.dutyKey(testGroup), []byte("h2"), 0)
+		time.Sleep(leadership.Duration + 100*time.Millisecond)
+		s.with("b", func(m *fakeMember) { m.resets = true })
+		if r := do(h, Read{}); r.Failure == nil {
+			t.Error("a read was served beside a member that may lead")
+		}
+		s.with("b", func(m *fakeMember) { m.resets, m.crashed = false, true })
+		time.Sleep(longestProofPause)
+		if r := do(h, Read{}); r.Failure != nil {
+			t.Errorf("a read failed beside a member that has ended: %v", r.Failure)
+		}
+	})
+}
+
+// The holder grants a lease, and takes all leases back while the grant is still on its way. The
+// host must not use it when it comes: the holder counts it as returned.
+func TestGrantThatComesAfterARecallIsVoid(t *testing.T) {
+	play(t, freshness.Latest{}, func(s *fakeSite, h *Host) {
+		do(h, Write{})
+		g := h.groups[testGroup]
+		asked := h.now()
+		granted := h.GrantLease(LeaseRequest{Group: testGroup, Host: "h1"})
+		if granted.Granted == 0 {
+			t.Fatal("no lease was granted")
+		}
+		for _, planned := range []bool{true, false} {
+			h.EndLease(testGroup, "a", planned)
+			g.takeLease(asked, granted)
+			if g.leased("a", h.now()) {
+				t.Errorf("the lease holds, planned: %v", planned)
+			}
+		}
+	})
+}
--- a/internal/gateway/lessee.go
+++ b/internal/gateway/lessee.go
@@ -168,7 +168,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m := g.members[r.Member]
-	if m == nil || m.gone || r.Term < g.leaderTerm {
+	if m == nil || m.gone || r.Term < g.leaderTerm || !asked.After(g.recalledAt) {
 		return
 	}
 	had := g.lease.Covers(r.Member, asked)
@@ -232,6 +232,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.log("lease_recalled", "member", id, "planned", planned)
+	// A lease that was granted just before may still be on its way here. The holder takes it for
+	// returned with this answer.
+	g.recalledAt = g.now()
 	if planned {
 		g.lease = g.lease.Handed()
 		return
--- a/internal/gateway/prover.go
+++ b/internal/gateway/prover.go
@@ -178,7 +178,7 @@
 func toAnswers(in []answered) []leadership.Answer {
 	out := make([]leadership.Answer, len(in))
 	for i, a := range in {
-		out[i] = leadership.Answer{Member: a.member.ID, Asked: a.asked, Answered: a.err == nil, Ended: connectionRefused(a.err),
+		out[i] = leadership.Answer{Member: a.member.ID, Asked: a.asked, Answered: a.err == nil, Ended: processEnded(a.err),
 			Leads: a.status.Leads, Term: a.status.Term, Fenced: a.status.Fenced}
 	}
 	return out
