A holder whose duty is not certain takes no samples

Cause: where tokens are checked a holder goes on while it can't renew its duty; what the primary that it sees answered counted as a position of the group, though another holder may have promoted another member. Found by reading. TestUncertainHolderTakesNoSamples fails before.

--- a/internal/gateway/duty.go
+++ b/internal/gateway/duty.go
@@ -246,6 +246,13 @@
 	go d.host.endLease(lease)
 }
 
+// certain reports whether nobody else can have held the duty at the given time.
+func (d *duty) certain(at time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.held && at.Before(d.renewed.Add(d.lasts))
+}
+
 // isHeld reports whether this host took the duty and knows of no other holder.
 func (d *duty) isHeld() bool {
 	d.mu.Lock()
--- a/internal/gateway/leadership_test.go
+++ b/internal/gateway/leadership_test.go
@@ -413,3 +413,23 @@
 		}
 	})
 }
+
+// The store turns the holder away for longer than its duty lasts, and the platform checks tokens,
+// so that it goes on to look after the group. Another holder may have promoted another member: what
+// the primary that it sees answers is no sample of what was acknowledged.
+func TestUncertainHolderTakesNoSamples(t *testing.T) {
+	play(t, freshness.MaxAge{Age: time.Second}, func(s *fakeSite, h *Host) {
+		do(h, Write{})
+		s.mu.Lock()
+		s.down = true
+		s.mu.Unlock()
+		time.Sleep(dutyLease + 2*time.Second)
+		g := h.groups[testGroup]
+		if _, at := g.sample(); h.now().Sub(at) < time.Second {
+			t.Errorf("a sample of %s ago without a certain duty", h.now().Sub(at))
+		}
+		s.mu.Lock()
+		s.down = false
+		s.mu.Unlock()
+	})
+}
--- a/internal/gateway/watcher.go
+++ b/internal/gateway/watcher.go
@@ -201,6 +201,9 @@
 // stand records what the primary answered, on which leases are granted. Nobody else can
 // have promoted another member, so its position is a sample.
 func (w *watcher) stand(primary answered) {
+	if !w.certain(primary.asked) {
+		return // another holder may have promoted another member meanwhile
+	}
 	s := standing{member: primary.member.ID, term: primary.status.Term, heard: primary.asked, position: primary.status.Received}
 	w.stands(s)
 	w.group.ledAt(s)
