--- a/internal/gateway/leadership_test.go
+++ b/internal/gateway/leadership_test.go
@@ -433,3 +433,32 @@
 		s.mu.Unlock()
 	})
 }
+
+// A host without a lease has just proven the primary when another member takes over, and the old
+// primary is cut off. A chef's transaction that may write reads there first: the proof from before
+// it must not do, as it does for a write alone, which would hang.
+func TestTransactionThatMayWriteReadsNothingOld(t *testing.T) {
+	play(t, freshness.Latest{}, func(s *fakeSite, h *Host) {
+		do(h, Write{})
+		s.put(h.dutyKey(testGroup), []byte("h2"), 0)
+		time.Sleep(leadership.Duration + 100*time.Millisecond)
+		do(h, Write{})
+		time.Sleep(10 * time.Millisecond)
+		s.with("a", func(m *fakeMember) { m.cut = true })
+		s.lead(s.member("b"))
+		h.groups[testGroup].setLeaderForTest("a")
+		chef := open(t, h)
+		on(chef, Begin{})
+		if r := on(chef, Read{}); r.Failure == nil && row(r) == "a" {
+			t.Error("the replaced primary answered")
+		}
+		chef.Close()
+	})
+}
+
+// setLeaderForTest makes the host believe in a primary, as one does that has not heard of the next.
+func (g *Group) setLeaderForTest(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.setLeader(id, "test")
+}
--- a/internal/gateway/offer.go
+++ b/internal/gateway/offer.go
@@ -192,7 +192,7 @@
 
 // provenSince returns since when the primary must be known to have led.
 func (w *work) provenSince() time.Time {
-	if w.writes {
+	if w.writes && !w.reads {
 		return w.need.arrived.Add(-recentProof) // whether it is kept is settled afterwards
 	}
 	return w.need.arrived
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -15,6 +15,8 @@
 	writes   bool
 	shape    *Shape
 	verify   bool
+	// reads is true for a transaction: also one that may write must read nothing old.
+	reads bool
 	deadline time.Time
 	// passOn is true when other hosts serve the group. What a member must hold is
 	// then decided there.
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -32,8 +32,7 @@
 	if failure != nil {
 		return Reply{Failure: failure}
 	}
-	// Also in a transaction that may write, what is read must not be old.
-	w.verify = w.verify || !st.ReadOnly
+	w.reads, w.verify = true, w.verify || !st.ReadOnly
 	s.tx = &transaction{readOnly: st.ReadOnly, started: arrived, work: w}
 	s.state = InTransaction
 	return Reply{}
