--- a/internal/gateway/fakefleet_test.go
+++ b/internal/gateway/fakefleet_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,6 +27,8 @@
 	// severed holds the ways that are cut, as "host member".
 	severed map[string]bool
 	carried map[string]int // requests by the host that took them
+	// questions counts those for leases and positions.
+	questions atomic.Int64
 }
 
 // newFakeFleet starts hosts in two availability zones before members that take the
@@ -226,6 +229,7 @@
 	if err != nil {
 		return LeaseReply{}, err
 	}
+	p.fleet.questions.Add(1)
 	return h.GrantLease(r), nil
 }
 
--- a/internal/gateway/near.go
+++ b/internal/gateway/near.go
@@ -28,12 +28,22 @@
 	return false
 }
 
+// hasNear reports whether this host may keep connections to replicas of its availability zone.
+func (g *Group) hasNear() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.nearShare > 0
+}
+
 // isNear reports whether the member is a replica of this host's availability zone.
 func (g *Group) isNear(m *member) bool { return m.Zone == g.zone && m.ID != g.leader }
 
 // runNear runs a read on the replica of this availability zone. It returns false if that did
 // not answer, and the read is to be passed on.
 func (s *Session) runNear(ctx context.Context, r Request, w *work) (Reply, bool) {
+	if !w.group.hasNear() {
+		return Reply{}, false // nor is the primary's position to be asked for
+	}
 	local := *w
 	local.passOn = false
 	local.require(s.mark)
