--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -9,14 +9,14 @@
 
 // work describes a statement or a transaction on its way to a member.
 type work struct {
-	group    *Group
-	route    Route
-	need     need
-	writes   bool
-	shape    *Shape
-	verify   bool
+	group  *Group
+	route  Route
+	need   need
+	writes bool
+	shape  *Shape
+	verify bool
 	// reads is true for a transaction: also one that may write must read nothing old.
-	reads bool
+	reads    bool
 	deadline time.Time
 	// passOn is true when other hosts serve the group. What a member must hold is
 	// then decided there.
