A new holder goes on where the last one stopped

Change: on taking the duty all members may lead again, and the last primary is the one looked after. TestNextHolderGoesOnWhereTheLastOneStopped fails both ways before.

--- a/internal/gateway/duty.go
+++ b/internal/gateway/duty.go
@@ -211,6 +211,7 @@
 	d.mu.Unlock()
 	d.vacant = time.Time{}
 	d.log("duty_taken", "token", revision)
+	d.group.resumeAll()
 	d.tryInherit(ctx)
 	d.group.wake()
 }
--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -59,6 +59,8 @@
 	// when it has been empty.
 	leader          string
 	leaderlessSince time.Time
+	// formerLeader is the one believed in before, while leader is empty.
+	formerLeader string
 	// leaderTerm is the highest term in which a member was seen to lead.
 	leaderTerm group.Term
 	// ages samples the primary's position.
@@ -304,6 +306,9 @@
 			g.primaryBack()
 		}
 	}
+	if g.leader != "" {
+		g.formerLeader = g.leader
+	}
 	g.leader = id
 	g.askAgain()
 	g.dispatch()
@@ -333,6 +338,19 @@
 	return Member{}
 }
 
+// primaryToWatch returns the primary that a new holder of the duty looks after: the one believed
+// in, or the last one, if it was being replaced.
+func (g *Group) primaryToWatch() Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, id := range []string{g.leader, g.formerLeader} {
+		if m := g.members[id]; m != nil {
+			return m.Member
+		}
+	}
+	return Member{}
+}
+
 // primaryMissing returns for how long the platform has not listed the primary.
 func (g *Group) primaryMissing() time.Duration {
 	g.mu.Lock()
--- a/internal/gateway/indirect.go
+++ b/internal/gateway/indirect.go
@@ -30,7 +30,7 @@
 	found := make(chan answered, 1)
 	primary := w.primary
 	if primary.ID == "" {
-		primary = w.group.leaderMember()
+		primary = w.group.primaryToWatch()
 	}
 	go func() { found <- w.probeIndirectly(ctx, primary, stop) }()
 	answers := w.group.orderAll(w.group.list(), Probe{}, orderTimeout)
--- a/internal/gateway/leadership_test.go
+++ b/internal/gateway/leadership_test.go
@@ -502,3 +502,31 @@
 		})
 	}
 }
+
+// A holder took the leases back to replace a primary, and ended before it ordered anything. The
+// host that takes the duty over had given its lease back, and believes in no primary since. If the
+// old one answers, it must lead on; if not, another must take over.
+func TestNextHolderGoesOnWhereTheLastOneStopped(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		t.Run(fmt.Sprint("silent ", silent), func(t *testing.T) {
+			synctest.Test(t, func(*testing.T) {
+				s := newFakeSite("a", "b", "c")
+				_, stop1 := hostOn(s, "h1", freshness.Latest{})
+				time.Sleep(3 * time.Second)
+				h2, stop2 := hostOn(s, "h2", freshness.Latest{})
+				do(h2, Write{})
+				time.Sleep(time.Second)
+				s.with("a", func(m *fakeMember) { m.silent = silent })
+				h2.EndLease(testGroup, "a", false)
+				stop1()
+				served(t, h2, 6*time.Second)
+				if took := s.leader() != "a"; took != silent {
+					t.Errorf("%q leads", s.leader())
+				}
+				wantNothingLost(t, s)
+				stop2()
+				time.Sleep(20 * time.Second)
+			})
+		})
+	}
+}
--- a/internal/gateway/lessee.go
+++ b/internal/gateway/lessee.go
@@ -253,6 +253,16 @@
 	}
 }
 
+// resumeAll lets every member lead that an earlier holder of the duty set out to replace. What
+// became of that, the new one finds out from the record and the members.
+func (g *Group) resumeAll() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, m := range g.order {
+		m.recalled = false
+	}
+}
+
 // resume lets a primary lead on that was to be replaced and could not be.
 func (g *Group) resume(id string) {
 	g.mu.Lock()
--- a/internal/gateway/watcher.go
+++ b/internal/gateway/watcher.go
@@ -103,7 +103,7 @@
 		return
 	}
 	if w.primary.ID == "" {
-		w.primary = w.group.leaderMember()
+		w.primary = w.group.primaryToWatch()
 	}
 	if w.group.heardSince(w.primary.ID, started) {
 		// It serves statements, and its queue is too full for questions.
