--- a/core/serving/near.go
+++ b/core/serving/near.go
@@ -4,7 +4,8 @@
 
 // Near returns how many connections each host may keep to a replica of its own availability
 // zone, while k other hosts serve the group: it then answers reads there by itself, without
-// a hop. It is zero where that would leave a host fewer than directShare.
+// a hop. It is directShare, or zero where there are too few. More would be used seldom, and stay
+// behind at the members for seconds when all hosts lose power: then nobody gets a new one.
 //
 // Where one of nine hosts served a group of three members for all, two of three reads crossed
 // availability zones twice, and all waited for the loss of that host to be found out.
@@ -15,8 +16,21 @@
 			n++
 		}
 	}
-	if near := connections / n; near >= directShare {
-		return near
+	if connections/n < directShare {
+		return 0
 	}
-	return 0
+	return directShare
+}
+
+// NearTaken returns how many connections to a replica the hosts of one availability zone may keep
+// for reads near by, at most. Those that serve the group leave them free.
+func NearTaken(hosts []membership.Host, connections int) int {
+	inZone, most := map[string]int{}, 0
+	for _, h := range hosts {
+		inZone[h.Zone]++
+		if near := Near(h, hosts, connections); near > 0 {
+			most = max(most, near*inZone[h.Zone])
+		}
+	}
+	return most
 }
--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -50,7 +50,8 @@
 	triedAt time.Time
 	// nearShare is how many connections this host may keep to a replica of its own
 	// availability zone, while others serve the group.
-	nearShare int
+	// nearTaken is how many of a replica's connections others keep while this one serves.
+	nearShare, nearTaken int
 	// age is the shortest age that a route of the group accepts, or zero.
 	age     time.Duration
 	waiters []*waiter
@@ -142,7 +143,7 @@
 		g.log("serving", "here", here, "hosts", p.hosts)
 	}
 	g.pooled, g.servers, g.detours, g.ranked = p.pooled, p.others, p.detours, p.ranked
-	g.nearShare = p.near
+	g.nearShare, g.nearTaken = p.near, p.nearTaken
 	g.dispatch()
 }
 
--- a/internal/gateway/open.go
+++ b/internal/gateway/open.go
@@ -55,14 +55,17 @@
 	if len(g.servers) > 0 {
 		return g.shareOf(m)
 	}
-	return g.share() + m.allowance.extra
+	return g.shareOf(m) + m.allowance.extra
 }
 
 // shareOf is the host's share of the member's connections. A host that does not serve the group
 // has one of the replicas of its availability zone.
 func (g *Group) shareOf(m *member) int {
-	if len(g.servers) > 0 && g.isNear(m) {
+	switch {
+	case len(g.servers) > 0 && g.isNear(m):
 		return max(g.nearShare, g.share())
+	case g.pooled && len(g.servers) == 0 && m.ID != g.leader:
+		return max(g.nearShare, g.share()-g.nearTaken, 1)
 	}
 	return g.share()
 }
--- a/internal/gateway/serving.go
+++ b/internal/gateway/serving.go
@@ -175,6 +175,8 @@
 	// near is how many connections this host may keep to a replica of its own availability
 	// zone while others serve.
 	near int
+	// nearTaken is how many connections to a replica other hosts may keep while this one serves.
+	nearTaken int
 }
 
 // planOf says who serves a group. h.mu is held.
@@ -188,6 +190,7 @@
 		p.pooled = p.hosts > 0
 		if len(p.others) == 0 {
 			p.detours = h.detours(hosts)
+			p.nearTaken = serving.NearTaken(hosts, connections)
 		} else {
 			p.near = serving.Near(h.self(), hosts, connections)
 		}
