--- a/internal/gateway/calm_test.go
+++ b/internal/gateway/calm_test.go
@@ -59,7 +59,7 @@
 // A host lost the primary once and has not needed it since. What it says when it asks where the
 // log stands must not make the holder of the duty ask all members each time.
 func TestOldSuspicionIsNotToldForEver(t *testing.T) {
-	play(t, freshness.Latest{}, func(s *fakeSite, h *Host) {
+	play(t, freshness.Latest{}, func(_ *fakeSite, h *Host) {
 		do(h, Write{})
 		g := h.groups[testGroup]
 		g.mu.Lock()
--- a/internal/gateway/leadership_test.go
+++ b/internal/gateway/leadership_test.go
@@ -397,7 +397,7 @@
 // The holder grants a lease, and takes all leases back while the grant is still on its way. The
 // host must not use it when it comes: the holder counts it as returned.
 func TestGrantThatComesAfterARecallIsVoid(t *testing.T) {
-	play(t, freshness.Latest{}, func(s *fakeSite, h *Host) {
+	play(t, freshness.Latest{}, func(_ *fakeSite, h *Host) {
 		do(h, Write{})
 		g := h.groups[testGroup]
 		asked := h.now()
@@ -468,14 +468,12 @@
 // primary is dead by then, and a new holder takes the duty, with what the one before recorded. The
 // members say when they were born, so nobody has left: the replica that holds all takes over.
 func TestLapsedEntriesLeaveTheFloorValid(t *testing.T) {
-	for _, born := range []int{0, 7} {
+	// Without births they may have started again with nothing.
+	for born, want := range map[int]string{0: "a", 7: "b"} {
 		t.Run(fmt.Sprint("born ", born), func(t *testing.T) {
 			synctest.Test(t, func(*testing.T) {
 				s := newFakeSite("a", "b", "c")
-				for _, id := range []string{"a", "b", "c"} {
-					s.with(id, func(m *fakeMember) { m.born = born })
-					s.list(id, "ready")
-				}
+				s.bear(born)
 				h1, stop1 := hostOn(s, "h1", freshness.Latest{})
 				time.Sleep(3 * time.Second)
 				_, stop2 := hostOn(s, "h2", freshness.Latest{})
@@ -484,14 +482,8 @@
 				time.Sleep(2 * time.Second)
 				s.with("a", func(m *fakeMember) { m.crashed = true })
 				stop1()
-				for _, id := range []string{"b", "c"} {
-					s.list(id, "")
-					time.Sleep(50 * time.Millisecond)
-					s.list(id, "ready")
-				}
+				s.lapse("b", "c")
 				time.Sleep(6 * time.Second)
-				// Without births they may have started again with nothing.
-				want := map[int]string{0: "a", 7: "b"}[born]
 				if got := s.leader(); got != want {
 					t.Errorf("%q leads, want %q", got, want)
 				}
@@ -503,6 +495,23 @@
 	}
 }
 
+// bear lets all members say that they were born then.
+func (s *fakeSite) bear(born int) {
+	for _, m := range s.members {
+		s.with(m.id, func(m *fakeMember) { m.born = born })
+		s.list(m.id, "ready")
+	}
+}
+
+// lapse removes the members' entries for a moment.
+func (s *fakeSite) lapse(ids ...string) {
+	for _, id := range ids {
+		s.list(id, "")
+		time.Sleep(50 * time.Millisecond)
+		s.list(id, "ready")
+	}
+}
+
 // A holder took the leases back to replace a primary, and ended before it ordered anything. The
 // host that takes the duty over had given its lease back, and believes in no primary since. If the
 // old one answers, it must lead on; if not, another must take over.
--- a/internal/gateway/offer.go
+++ b/internal/gateway/offer.go
@@ -31,12 +31,7 @@
 // again only while it has certainly not run, or when it only reads.
 func (s *Session) runSingle(ctx context.Context, r Request, w work) Reply {
 	if w.passOn {
-		if !w.writes {
-			if reply, ok := s.runNear(ctx, r, &w); ok {
-				return reply
-			}
-		}
-		if reply, ok := s.forwardSingle(ctx, r, &w); ok {
+		if reply, ok := s.runElsewhere(ctx, r, &w); ok {
 			return reply
 		}
 		w.require(s.mark)
@@ -71,6 +66,17 @@
 	}
 }
 
+// runElsewhere runs a statement of a group that others serve: on the replica of this host's zone if
+// it reads and that can, or on a host that serves. It returns false if none took it.
+func (s *Session) runElsewhere(ctx context.Context, r Request, w *work) (Reply, bool) {
+	if !w.writes {
+		if reply, ok := s.runNear(ctx, r, w); ok {
+			return reply, true
+		}
+	}
+	return s.forwardSingle(ctx, r, w)
+}
+
 // again says why a statement is offered again.
 type again struct {
 	failure *Failure
--- a/internal/gateway/serving_test.go
+++ b/internal/gateway/serving_test.go
@@ -560,7 +560,7 @@
 // in the order, which opens connections of its own. If each served itself, twelve hosts would
 // fight over the six connections that a member takes.
 func TestNextHostServesInPlaceOfOneThatIsGone(t *testing.T) {
-	playFleet(t, 12, 6, freshness.Latest{}, func(s *fakeSite, f *fakeFleet) {
+	playFleet(t, 12, 6, freshness.Latest{}, func(_ *fakeSite, f *fakeFleet) {
 		here, elsewhere := f.serving()
 		if len(here) != 1 {
 			t.Fatalf("%d hosts serve", len(here))
@@ -571,36 +571,47 @@
 			go do(h, Read{})
 		}
 		time.Sleep(1500 * time.Millisecond)
-		var wait sync.WaitGroup
-		var failed atomic.Int64
-		for _, h := range elsewhere {
-			wait.Go(func() {
-				for range 10 {
-					if r := do(h, Read{}); r.Failure != nil {
-						failed.Add(1)
-					}
-				}
-			})
-		}
-		wait.Wait()
-		if n := failed.Load(); n > 0 {
+		if n := failedReads(elsewhere, 10); n > 0 {
 			t.Errorf("%d of 110 reads failed", n)
 		}
-		deputies := 0
-		for _, h := range elsewhere {
-			g := h.group(testGroup)
-			g.mu.Lock()
-			if g.deputy(h.now()) {
-				deputies++
-			}
-			g.mu.Unlock()
-		}
-		if deputies != 1 {
-			t.Errorf("%d hosts serve in place of the one that is gone", deputies)
+		if n := deputies(elsewhere); n != 1 {
+			t.Errorf("%d hosts serve in place of the one that is gone", n)
 		}
 	})
 }
 
+// failedReads lets callers of all hosts read at once, each one after the other, and returns how
+// many failed.
+func failedReads(hosts []*Host, each int) int64 {
+	var wait sync.WaitGroup
+	var failed atomic.Int64
+	for _, h := range hosts {
+		wait.Go(func() {
+			for range each {
+				if r := do(h, Read{}); r.Failure != nil {
+					failed.Add(1)
+				}
+			}
+		})
+	}
+	wait.Wait()
+	return failed.Load()
+}
+
+// deputies counts the hosts that serve the group in place of others.
+func deputies(hosts []*Host) int {
+	n := 0
+	for _, h := range hosts {
+		g := h.group(testGroup)
+		g.mu.Lock()
+		if g.deputy(h.now()) {
+			n++
+		}
+		g.mu.Unlock()
+	}
+	return n
+}
+
 // One host serves a group for nine. Reads that may be a second old run on the replica of the
 // caller's own zone, without a hop; once that falls behind, or does not answer, they go by way of the
 // host that serves, and no caller notices.
@@ -611,32 +622,16 @@
 			t.Fatalf("%d hosts serve", len(here))
 		}
 		do(here[0], Write{})
-		near := map[string]string{"z0": "a", "z1": "b", "z2": "c"}
-		var h *Host
-		for _, each := range elsewhere {
-			if each.settings.Zone != "z0" { // where the primary is
-				h = each
-			}
-		}
-		own := near[h.settings.Zone]
+		h, own := besideReplica(elsewhere)
 		do(h, Read{}) // the host asks where the primary's log stands
 		time.Sleep(700 * time.Millisecond)
-		counted := func() int {
-			f.mu.Lock()
-			defer f.mu.Unlock()
-			n := 0
-			for _, k := range f.carried {
-				n += k
-			}
-			return n
-		}
-		before := counted()
+		before := f.carriedAll()
 		for range 20 {
 			if r := do(h, Read{}); r.Failure != nil || row(r) != own {
 				t.Errorf("the read was answered with %v by %s, want %s", r.Failure, row(r), own)
 			}
 		}
-		if n := counted() - before; n > 0 {
+		if n := f.carriedAll() - before; n > 0 {
 			t.Errorf("%d of 20 reads were passed on", n)
 		}
 		s.with(own, func(m *fakeMember) { m.silent = true })
@@ -647,3 +642,26 @@
 		}
 	})
 }
+
+// besideReplica returns one of the hosts that is in the zone of a replica, and that replica.
+func besideReplica(hosts []*Host) (*Host, string) {
+	for _, h := range hosts {
+		for id, zone := range zoneOfMember {
+			if id != "a" && zone == h.settings.Zone {
+				return h, id
+			}
+		}
+	}
+	return nil, ""
+}
+
+// carriedAll returns how many requests hosts took for others.
+func (f *fakeFleet) carriedAll() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, each := range f.carried {
+		n += each
+	}
+	return n
+}
