--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -220,33 +220,6 @@
 	}
 }
 
-// left records that a replica may have gone with its log.
-func (g *Group) left(at time.Time) {
-	g.departed, g.departedRevision = latest(g.departed, at), g.revision
-}
-
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
-// floorValid reports whether the floor covers all members that have left, and those that are
-// missing: they may have left. One that is back under the same birth took nothing along, so that
-// entries which lapsed while the store was away cost no more than that.
-func (g *Group) floorValid() bool {
-	if g.floor == (group.Position{}) || !g.floorAt.After(g.departed) {
-		return false
-	}
-	for _, m := range g.order {
-		if left := m.mayHaveLeft(); !left.IsZero() && !g.floorAt.After(left) {
-			return false
-		}
-	}
-	return true
-}
-
 // reborn forgets a member that was started again under its identifier: it holds nothing
 // of before, not even the fence that kept it from receiving, and its connections are gone.
 func (g *Group) reborn(m *member) {
@@ -319,16 +292,6 @@
 	}
 }
 
-// missedPrimaries counts members as replicas that the platform lost sight of while they led:
-// since another one leads, they have acknowledged for that one.
-func (g *Group) missedPrimaries(leader string) {
-	for _, m := range g.missing() {
-		if m.ID != leader {
-			m.missedLeading = false
-		}
-	}
-}
-
 // leaderMember returns the primary as believed, or the zero Member.
 func (g *Group) leaderMember() Member {
 	g.mu.Lock()
@@ -401,68 +364,6 @@
 	}
 }
 
-// complete reports whether a log that ends at p holds everything that members
-// acknowledged which have left since.
-func (g *Group) complete(p group.Position) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.floorValid() && p.Compare(g.floor) >= 0
-}
-
-// adoptFloor takes over what the record of an earlier holder says of the log that a
-// successor must have.
-func (g *Group) adoptFloor(r leadership.Record, revision int64) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.inherited, g.inheritedRevision = r, revision
-	g.tryAdopt()
-}
-
-// tryAdopt adopts the inherited floor once all its members are listed, unless one has left since.
-func (g *Group) tryAdopt() {
-	if g.inheritedRevision == 0 || g.departedRevision >= g.inheritedRevision || g.floorValid() || !g.inherited.Covers(g.lifetimes()) {
-		return
-	}
-	for _, m := range g.order {
-		if !m.mayHaveLeft().IsZero() {
-			return
-		}
-	}
-	g.floor, g.floorAt = g.inherited.Floor, g.now()
-	g.log("floor_adopted", "position", g.floor, "revision", g.inheritedRevision)
-	g.inheritedRevision = 0
-}
-
-// lifetimes returns the members that are listed.
-func (g *Group) lifetimes() []leadership.Lifetime {
-	var out []leadership.Lifetime
-	for _, m := range g.order {
-		if m.missingSince.IsZero() && !m.gone {
-			out = append(out, leadership.Lifetime{Member: m.ID, Born: m.Born})
-		}
-	}
-	return out
-}
-
-// successorNeeds returns what a successor of the primary must hold, as it is to be
-// recorded, or false while that is not known.
-func (g *Group) successorNeeds() (leadership.Record, bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return leadership.Record{Term: g.leaderTerm, Members: g.lifetimes(), Floor: g.floor}, g.floorValid() && len(g.missing()) == 0
-}
-
-// missing returns the members that the platform has lost sight of.
-func (g *Group) missing() []*member {
-	var out []*member
-	for _, m := range g.order {
-		if !m.missingSince.IsZero() {
-			out = append(out, m)
-		}
-	}
-	return out
-}
-
 // ledAt records where the log of the primary stood when the holder of the duty asked it.
 func (g *Group) ledAt(s standing) {
 	g.mu.Lock()
@@ -490,16 +391,6 @@
 	return m.heard, !m.heard.IsZero()
 }
 
-// renewed records that a primary leads which was chosen among the members listed at
-// some time: its log then held whatever members had acknowledged that left before.
-func (g *Group) renewed(c choice) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if c.held != (group.Position{}) && g.departed.Before(c.listed) {
-		g.floor, g.floorAt = c.held, c.listed
-	}
-}
-
 // shortestAge returns the shortest age that a route of the group accepts, or zero.
 func (g *Group) shortestAge() time.Duration {
 	g.mu.Lock()
--- /dev/null
+++ b/io/peer/lease_messages.go
@@ -0,0 +1,85 @@
+package peer
+
+import "pearlatch/internal/gateway"
+
+// leaseRequest is a gateway.LeaseRequest on the wire.
+type leaseRequest gateway.LeaseRequest
+
+func (m *leaseRequest) fields(w *fieldWriter) {
+	w.str("group", m.Group)
+	w.str("host", m.Host)
+	w.bool("calm", m.Calm)
+	w.bool("suspects", m.Suspects)
+	w.bool("sample_only", m.SampleOnly)
+}
+
+func (m *leaseRequest) field(name string, r *fieldReader) bool {
+	switch name {
+	case "group":
+		return r.str(&m.Group)
+	case "host":
+		return r.str(&m.Host)
+	case "calm":
+		return r.bool(&m.Calm)
+	case "suspects":
+		return r.bool(&m.Suspects)
+	case "sample_only":
+		return r.bool(&m.SampleOnly)
+	}
+	return false
+}
+
+// leaseReply is a gateway.LeaseReply on the wire.
+type leaseReply gateway.LeaseReply
+
+func (m *leaseReply) fields(w *fieldWriter) {
+	w.duration("granted_us", m.Granted)
+	w.bool("writes_only", m.WritesOnly)
+	w.str("member", m.Member)
+	w.uint("term", uint64(m.Term))
+	w.message("position", (*positionMessage)(&m.Position))
+	w.duration("age_us", m.Age)
+}
+
+func (m *leaseReply) field(name string, r *fieldReader) bool {
+	switch name {
+	case "granted_us":
+		return r.duration(&m.Granted)
+	case "writes_only":
+		return r.bool(&m.WritesOnly)
+	case "member":
+		return r.str(&m.Member)
+	case "term":
+		return readUint(r, &m.Term)
+	case "position":
+		r.message((*positionMessage)(&m.Position))
+		return true
+	case "age_us":
+		return r.duration(&m.Age)
+	}
+	return false
+}
+
+// endLeaseRequest asks a host to give its lease on a primary back.
+type endLeaseRequest struct {
+	group, member string
+	planned       bool
+}
+
+func (m *endLeaseRequest) fields(w *fieldWriter) {
+	w.str("group", m.group)
+	w.str("member", m.member)
+	w.bool("planned", m.planned)
+}
+
+func (m *endLeaseRequest) field(name string, r *fieldReader) bool {
+	switch name {
+	case "group":
+		return r.str(&m.group)
+	case "member":
+		return r.str(&m.member)
+	case "planned":
+		return r.bool(&m.planned)
+	}
+	return false
+}
