--- a/core/serving/near.go
+++ b/core/serving/near.go
@@ -10,13 +10,19 @@
 // Where one of nine hosts served a group of three members for all, two of three reads crossed
 // availability zones twice, and all waited for the loss of that host to be found out.
 func Near(self membership.Host, hosts []membership.Host, connections int) int {
-	n := 1 // the share of those that serve
+	staying := 0
 	for _, h := range hosts {
 		if h.Zone == self.Zone && !h.Leaving {
-			n++
+			staying++
 		}
 	}
-	if connections/n < directShare {
+	return nearShare(staying, connections)
+}
+
+// nearShare is Near for a host of an availability zone in which so many stay.
+func nearShare(staying, connections int) int {
+	const servers = 1 // the share of those that serve
+	if connections/(servers+staying) < directShare {
 		return 0
 	}
 	return directShare
@@ -25,12 +31,15 @@
 // NearTaken returns how many connections to a replica the hosts of one availability zone may keep
 // for reads near by, at most. Those that serve the group leave them free.
 func NearTaken(hosts []membership.Host, connections int) int {
-	inZone, most := map[string]int{}, 0
+	inZone, staying, most := map[string]int{}, map[string]int{}, 0
 	for _, h := range hosts {
 		inZone[h.Zone]++
-		if near := Near(h, hosts, connections); near > 0 {
-			most = max(most, near*inZone[h.Zone])
+		if !h.Leaving {
+			staying[h.Zone]++
 		}
 	}
+	for zone, n := range inZone {
+		most = max(most, n*nearShare(staying[zone], connections))
+	}
 	return most
 }
--- a/internal/gateway/calm.go
+++ b/internal/gateway/calm.go
@@ -49,13 +49,6 @@
 	}
 }
 
-// wake is wakeHolder without the group's lock.
-func (g *Group) wake() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.wakeHolder()
-}
-
 // wakeHolder makes the holder of the duty ask the members now, if this host is it.
 func (g *Group) wakeHolder() {
 	select {
--- a/internal/gateway/duty.go
+++ b/internal/gateway/duty.go
@@ -119,7 +119,6 @@
 	h := d.host
 	h.mu.Lock()
 	entry, taken := h.items[h.dutyKey(d.group.name)]
-	rank := h.rank(d.group.name)
 	h.mu.Unlock()
 	d.mu.Lock()
 	held, token, renewed, inherited := d.held, d.token, d.renewed, d.recordRevision != 0
@@ -143,7 +142,7 @@
 		d.vacant = time.Time{}
 	case d.vacant.IsZero():
 		d.vacant = now
-	case now.Sub(d.vacant) >= time.Duration(rank)*dutyStagger:
+	case now.Sub(d.vacant) >= time.Duration(h.rank(d.group.name))*dutyStagger:
 		d.take(ctx, 0)
 	}
 }
@@ -218,7 +217,7 @@
 	d.log("duty_taken", "token", revision)
 	d.group.resumeAll()
 	d.tryInherit(ctx)
-	d.group.wake()
+	d.group.wakeHolder()
 }
 
 func (d *duty) renew(ctx context.Context) {
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -104,12 +104,19 @@
 
 // usable returns those of the hosts that are not suspect, in the same order.
 func (f *fleet) usable(hosts []membership.Host) []membership.Host {
+	return f.firstUsable(hosts, len(hosts))
+}
+
+// firstUsable returns the first k of them. It looks no further, since each statement that is passed
+// on asks for a few hosts of a long list.
+func (f *fleet) firstUsable(hosts []membership.Host, k int) []membership.Host {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	out := make([]membership.Host, 0, len(hosts))
-	for _, h := range hosts {
-		if p := f.peers[h.ID]; p == nil || !p.suspect {
-			out = append(out, h)
+	k = min(k, len(hosts))
+	out := make([]membership.Host, 0, k)
+	for i := 0; i < len(hosts) && len(out) < k; i++ {
+		if p := f.peers[hosts[i].ID]; p == nil || !p.suspect {
+			out = append(out, hosts[i])
 		}
 	}
 	return out
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -330,17 +330,8 @@
 // register keeps the host's entry in the store until the host is told to stop: others
 // then turn elsewhere, and what is open here can end.
 func (h *Host) register(ctx context.Context) {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := until(ctx, h.stopped)
 	defer cancel()
-	stop := make(chan struct{})
-	defer close(stop)
-	go func() {
-		select {
-		case <-h.stopped:
-			cancel()
-		case <-stop:
-		}
-	}()
 	var lease int64
 	for ctx.Err() == nil {
 		if lease == 0 {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -267,7 +267,7 @@
 // turns to them. In place of those that failed lately the next ones of the ranking serve.
 func (h *Host) serversOf(g *Group) []membership.Host {
 	ranked, k := g.ranking()
-	usable := slices.DeleteFunc(slices.Clone(h.firstUsable(ranked, k)), func(o membership.Host) bool {
+	usable := slices.DeleteFunc(h.fleet.firstUsable(ranked, k), func(o membership.Host) bool {
 		return o.ID == h.settings.Host
 	})
 	if len(usable) == 0 {
@@ -288,7 +288,7 @@
 // regain asks a host that failed until it answers or is no longer listed, so that no
 // caller has to find out.
 func (h *Host) regain(id string) {
-	ctx, cancel := h.untilEnd()
+	ctx, cancel := until(context.Background(), h.ended)
 	defer cancel()
 	for pause := regainPause; sleep(ctx, pause); pause = min(2*pause, regainPauseMax) {
 		addr, suspect := h.fleet.suspect(id)
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -232,12 +232,12 @@
 	return out
 }
 
-// untilEnd returns a context that ends with Run.
-func (h *Host) untilEnd() (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(context.Background())
+// until returns a context that ends with its parent, and once done is closed.
+func until(parent context.Context, done <-chan struct{}) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(parent)
 	go func() {
 		select {
-		case <-h.ended:
+		case <-done:
 			cancel()
 		case <-ctx.Done():
 		}
--- a/internal/gateway/indirect.go
+++ b/internal/gateway/indirect.go
@@ -53,8 +53,7 @@
 // soon. It returns the first answer.
 func (w *watcher) probeIndirectly(ctx context.Context, m Member, stop chan struct{}) answered {
 	out := answered{member: m, err: errNotAsked}
-	hosts := w.host.fleet.usable(w.host.detoursNow())
-	if m.ID == "" || len(hosts) == 0 {
+	if m.ID == "" {
 		return out
 	}
 	select {
@@ -62,6 +61,8 @@
 		return out
 	case <-time.After(indirectAfter):
 	}
+	listed, _ := w.host.fleet.listed()
+	hosts := w.host.fleet.usable(w.host.others(listed))
 	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
 	hosts = hosts[:min(len(hosts), indirectHosts)]
 	call, cancel := context.WithTimeout(ctx, indirectTimeout)
--- a/internal/gateway/serving.go
+++ b/internal/gateway/serving.go
@@ -42,7 +42,7 @@
 // 0.9 with a deputy.
 func (h *Host) deputizes(g *Group) bool {
 	ranked, k := g.ranking()
-	for _, o := range h.firstUsable(ranked, k) {
+	for _, o := range h.fleet.firstUsable(ranked, k) {
 		if o.ID == h.settings.Host {
 			return true
 		}
@@ -50,12 +50,6 @@
 	return false
 }
 
-// firstUsable returns the first k of the ranked hosts that are not suspect.
-func (h *Host) firstUsable(ranked []membership.Host, k int) []membership.Host {
-	usable := h.fleet.usable(ranked)
-	return usable[:min(k, len(usable))]
-}
-
 // ranking returns the hosts in the order in which they serve the group, and how many do. It
 // is empty while this host is one of them, or all are.
 func (g *Group) ranking() ([]membership.Host, int) {
@@ -189,7 +183,7 @@
 		p.hosts, p.others, p.ranked = h.whoServes(name, hosts, connections)
 		p.pooled = p.hosts > 0
 		if len(p.others) == 0 {
-			p.detours = h.detours(hosts)
+			p.detours = serving.Order(h.self(), h.others(hosts))
 			p.nearTaken = serving.NearTaken(hosts, connections)
 		} else {
 			p.near = serving.Near(h.self(), hosts, connections)
@@ -202,22 +196,14 @@
 	return p
 }
 
-// detoursNow returns all other hosts that this one can speak to now.
-func (h *Host) detoursNow() []membership.Host {
-	hosts, _ := h.fleet.listed()
-	return h.detours(hosts)
-}
-
-// detours returns all other hosts that this one can speak to.
-func (h *Host) detours(listed []membership.Host) []membership.Host {
+// others returns all other hosts that this one can speak to.
+func (h *Host) others(listed []membership.Host) []membership.Host {
 	if h.ports.Peers == nil {
 		return nil
 	}
-	self := h.self()
-	others := slices.DeleteFunc(slices.Clone(listed), func(o membership.Host) bool {
-		return o.ID == self.ID || o.Leaving || !o.Peer.IsValid()
+	return slices.DeleteFunc(slices.Clone(listed), func(o membership.Host) bool {
+		return o.ID == h.settings.Host || o.Leaving || !o.Peer.IsValid()
 	})
-	return serving.Order(self, others)
 }
 
 // whoServes returns how many hosts serve a group, or zero for all of them, and those to
