One piece for what stood twice between hosts and in proofs

- Five readers of a number in a message are one, readNumber.
- A stream of its own was opened in three places, now openStream; the stream of an exchange no longer takes a call that was always the same.
- Waiting for a proof, asking whether a question is needed at all, and asking a member by its id each stood twice.
- leadership.Answer held a time that nobody read.

--- a/core/leadership/proof.go
+++ b/core/leadership/proof.go
@@ -1,15 +1,10 @@
 package leadership
 
-import (
-	"time"
-
-	"pearlatch/core/group"
-)
+import "pearlatch/core/group"
 
 // Answer is what a member said of itself when it was asked, or that it said nothing.
 type Answer struct {
 	Member   string
-	Asked    time.Time
 	Answered bool
 	// Ended is true for a member whose process has certainly ended: its host refuses the
 	// connection.
--- a/internal/gateway/fakefleet_test.go
+++ b/internal/gateway/fakefleet_test.go
@@ -330,3 +330,13 @@
 }
 
 func (f *fakeFeed) Close() { f.cancel() }
+
+// wantNoGuests checks that no request or transaction of another host is open anywhere.
+func (f *fakeFleet) wantNoGuests(t *testing.T) {
+	t.Helper()
+	for _, h := range f.all() {
+		if h.Guests() != 0 {
+			t.Errorf("%s has %d guests", h.settings.Host, h.Guests())
+		}
+	}
+}
--- a/internal/gateway/fakestore_test.go
+++ b/internal/gateway/fakestore_test.go
@@ -178,3 +178,10 @@
 	}
 	return nil
 }
+
+// setDown makes the store answer nobody, or all again.
+func (s *fakeSite) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
--- a/internal/gateway/indirect.go
+++ b/internal/gateway/indirect.go
@@ -46,8 +46,8 @@
 	return answers
 }
 
-// errNotAsked means that nobody was asked.
-var errNotAsked = errors.New("no other host was asked")
+// errNotAsked means that a member was not asked.
+var errNotAsked = errors.New("the member was not asked")
 
 // probeIndirectly asks other hosts for the status of a member, unless stop is closed
 // soon. It returns the first answer.
--- a/internal/gateway/leadership_test.go
+++ b/internal/gateway/leadership_test.go
@@ -229,9 +229,7 @@
 func TestFollowersProveThePrimaryWhileTheStoreIsAway(t *testing.T) {
 	play(t, freshness.Latest{}, func(s *fakeSite, h *Host) {
 		do(h, Write{})
-		s.mu.Lock()
-		s.down = true
-		s.mu.Unlock()
+		s.setDown(true)
 		time.Sleep(dutyLease + time.Second)
 		if h.group(testGroup).leased("a", h.now()) {
 			t.Fatal("the host holds a lease")
@@ -247,9 +245,7 @@
 		if r := do(h, Read{}); r.Failure == nil {
 			t.Error("a read of the latest was served though a member that may lead is silent")
 		}
-		s.mu.Lock()
-		s.down = false
-		s.mu.Unlock()
+		s.setDown(false)
 	})
 }
 
@@ -258,9 +254,7 @@
 func TestLeaseEndsWithTheDuty(t *testing.T) {
 	play(t, freshness.Latest{}, func(s *fakeSite, h *Host) {
 		do(h, Read{})
-		s.mu.Lock()
-		s.down = true
-		s.mu.Unlock()
+		s.setDown(true)
 		time.Sleep(dutyLease - 200*time.Millisecond)
 		if got := h.GrantLease(LeaseRequest{Group: testGroup, Host: "h2"}); got.Granted > 300*time.Millisecond {
 			t.Errorf("a lease of %s outlives the duty", got.Granted)
@@ -269,9 +263,7 @@
 		if got := h.GrantLease(LeaseRequest{Group: testGroup, Host: "h2"}); got.Granted > 0 {
 			t.Errorf("a lease of %s was granted without the duty", got.Granted)
 		}
-		s.mu.Lock()
-		s.down = false
-		s.mu.Unlock()
+		s.setDown(false)
 	})
 }
 
@@ -421,17 +413,13 @@
 func TestUncertainHolderTakesNoSamples(t *testing.T) {
 	play(t, freshness.MaxAge{Age: time.Second}, func(s *fakeSite, h *Host) {
 		do(h, Write{})
-		s.mu.Lock()
-		s.down = true
-		s.mu.Unlock()
+		s.setDown(true)
 		time.Sleep(dutyLease + 2*time.Second)
 		g := h.groups[testGroup]
 		if _, at := g.sample(); h.now().Sub(at) < time.Second {
 			t.Errorf("a sample of %s ago without a certain duty", h.now().Sub(at))
 		}
-		s.mu.Lock()
-		s.down = false
-		s.mu.Unlock()
+		s.setDown(false)
 	})
 }
 
--- a/internal/gateway/lessee.go
+++ b/internal/gateway/lessee.go
@@ -186,8 +186,6 @@
 	}
 	if !r.WritesOnly {
 		g.primaryBack()
-	}
-	if !r.WritesOnly {
 		// In a planned change the heir may lead already, and the holder not know of it yet.
 		g.setLeader(r.Member, "leased")
 	}
--- a/internal/gateway/offer.go
+++ b/internal/gateway/offer.go
@@ -208,7 +208,7 @@
 // where it must.
 func (s *Session) proven(w *work, p *pooled) *again {
 	g := w.group
-	if !w.verify || g.leased(p.member.ID, g.now()) || g.ledSince(p.member.ID, w.provenSince()) {
+	if !w.verify || g.knownToLead(p.member.ID, w.provenSince()) {
 		return nil
 	}
 	g.release(p)
--- a/internal/gateway/order.go
+++ b/internal/gateway/order.go
@@ -21,7 +21,7 @@
 // order.
 func (w *watcher) promote(ctx context.Context, id string, c choice) (given bool) {
 	if open := w.openOrder(); open != "" && open != id {
-		if s, ok := w.status(open); ok && s.Received.Compare(c.held) >= 0 {
+		if s, err := w.probe(open); err == nil && s.Received.Compare(c.held) >= 0 {
 			// The order for that member may be carried out at any moment. It lacks
 			// nothing, so it is ordered again.
 			id, c = open, choice{}
@@ -102,22 +102,17 @@
 
 // answers reports whether the member answers.
 func (w *watcher) answers(id string) bool {
-	m, ok := w.group.lookup(id)
-	if !ok {
-		return false
-	}
-	_, err := w.group.command(m, Probe{}, orderTimeout)
+	_, err := w.probe(id)
 	return err == nil || refusedByMember(err)
 }
 
-// status returns the member's status, if it tells.
-func (w *watcher) status(id string) (Status, bool) {
+// probe asks the member for its status.
+func (w *watcher) probe(id string) (Status, error) {
 	m, ok := w.group.lookup(id)
 	if !ok {
-		return Status{}, false
+		return Status{}, errNotAsked
 	}
-	s, err := w.group.command(m, Probe{}, orderTimeout)
-	return s, err == nil
+	return w.group.command(m, Probe{}, orderTimeout)
 }
 
 // order names the successor to the platform. It returns false when the order was
--- a/internal/gateway/prover.go
+++ b/internal/gateway/prover.go
@@ -31,14 +31,12 @@
 // everything that had been acknowledged. A lease says so by itself. Without one the other
 // members are asked.
 func (g *Group) prove(ctx context.Context, id string, since time.Time) bool {
-	if g.leased(id, g.now()) || g.ledSince(id, since) {
+	if g.knownToLead(id, since) {
 		return true
 	}
 	for ctx.Err() == nil {
 		p := g.proofFor(id)
-		select {
-		case <-p.done:
-		case <-ctx.Done():
+		if !p.wait(ctx) {
 			return false
 		}
 		switch {
@@ -64,9 +62,7 @@
 			return true
 		}
 		p := g.question(id)
-		select {
-		case <-p.done:
-		case <-ctx.Done():
+		if !p.wait(ctx) {
 			return false
 		}
 		if !p.started.Before(now) {
@@ -76,6 +72,21 @@
 	return false
 }
 
+// knownToLead reports whether no question is needed for that.
+func (g *Group) knownToLead(id string, since time.Time) bool {
+	return g.leased(id, g.now()) || g.ledSince(id, since)
+}
+
+// wait waits for the answers and returns false when ctx ended.
+func (p *proof) wait(ctx context.Context) bool {
+	select {
+	case <-p.done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // question returns the question that is under way, or a new one.
 func (g *Group) question(id string) *proof {
 	g.mu.Lock()
@@ -178,7 +189,7 @@
 func toAnswers(in []answered) []leadership.Answer {
 	out := make([]leadership.Answer, len(in))
 	for i, a := range in {
-		out[i] = leadership.Answer{Member: a.member.ID, Asked: a.asked, Answered: a.err == nil, Ended: processEnded(a.err),
+		out[i] = leadership.Answer{Member: a.member.ID, Answered: a.err == nil, Ended: processEnded(a.err),
 			Leads: a.status.Leads, Term: a.status.Term, Fenced: a.status.Fenced}
 	}
 	return out
--- a/internal/gateway/serving_test.go
+++ b/internal/gateway/serving_test.go
@@ -75,11 +75,7 @@
 		if r := on(caller, Rollback{}); r.Failure != nil || r.State != Idle {
 			t.Errorf("rollback: %+v", r)
 		}
-		for _, h := range f.all() {
-			if h.Guests() != 0 {
-				t.Errorf("%s has %d guests", h.settings.Host, h.Guests())
-			}
-		}
+		f.wantNoGuests(t)
 	})
 }
 
@@ -97,11 +93,7 @@
 		if r := on(caller, Read{}); r.Failure != nil {
 			t.Errorf("after the end: %v", r.Failure)
 		}
-		for _, h := range f.all() {
-			if h.Guests() != 0 {
-				t.Errorf("%s has %d guests", h.settings.Host, h.Guests())
-			}
-		}
+		f.wantNoGuests(t)
 	})
 }
 
--- a/internal/gateway/source_test.go
+++ b/internal/gateway/source_test.go
@@ -106,15 +106,11 @@
 // configuration changed. What was removed meanwhile must be gone everywhere.
 func TestNewsOfRemovalsAfterAnOutage(t *testing.T) {
 	playFleet(t, 12, 20, freshness.Latest{}, func(s *fakeSite, f *fakeFleet) {
-		s.mu.Lock()
-		s.down = true
-		s.mu.Unlock()
+		s.setDown(true)
 		time.Sleep(3 * time.Second)
 		s.list("c", "")
 		f.newConfig(2, 20)
-		s.mu.Lock()
-		s.down = false
-		s.mu.Unlock()
+		s.setDown(false)
 		time.Sleep(2500 * time.Millisecond)
 		for _, h := range f.all() {
 			if h.configVersion() != 2 {
--- a/io/peer/calls.go
+++ b/io/peer/calls.go
@@ -88,7 +88,7 @@
 	case "incarnation":
 		return r.uint(&m.Host.Incarnation)
 	case "state":
-		return readEnum(r, &m.State)
+		return readNumber(r, &m.State)
 	}
 	return false
 }
@@ -161,9 +161,9 @@
 func (m *Cancel) field(name string, r *fieldReader) bool {
 	switch name {
 	case "process":
-		return readUint32(r, &m.Key.Process)
+		return readNumber(r, &m.Key.Process)
 	case "secret":
-		return readUint32(r, &m.Key.Secret)
+		return readNumber(r, &m.Key.Secret)
 	case "owner":
 		return r.bool(&m.Owner)
 	}
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -274,7 +274,7 @@
 	x.Passed = false
 	first := x.stream == nil
 	if first {
-		s, err := x.client.takeStream(ctx, x.addr, exchangeCall)
+		s, err := x.client.takeStream(ctx, x.addr)
 		if err != nil {
 			return statement.Outcome{}, errors.Wrap(ErrNotSent, err.Error())
 		}
@@ -331,9 +331,22 @@
 // It is longer than the owner's own grace towards the member.
 const answerGrace = time.Second
 
-// takeStream returns a stream of the call with a connection of its own. A client keeps
-// streams of one call only.
-func (c *Client) takeStream(ctx context.Context, addr netip.AddrPort, call string) (*stream, error) {
+// openStream opens a stream of the call with a connection of its own.
+func (c *Client) openStream(ctx context.Context, addr netip.AddrPort, call string) (*stream, error) {
+	conn, err := c.dial(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	opened, err := conn.NewStream(context.Background(), call, encoding{})
+	if err != nil {
+		_ = conn.Close()
+		return nil, errors.Wrapf(err, "open %s to host %s", call, addr)
+	}
+	return &stream{conn: conn, drpc: opened}, nil
+}
+
+// takeStream returns a stream for an exchange.
+func (c *Client) takeStream(ctx context.Context, addr netip.AddrPort) (*stream, error) {
 	c.mu.Lock()
 	rest, s, ok := take(c.streams[addr], (*stream).usable, (*stream).close)
 	c.idle -= len(c.streams[addr]) - len(rest)
@@ -349,16 +362,10 @@
 	if ok {
 		return s, nil
 	}
-	conn, err := c.dial(ctx, addr)
+	s, err := c.openStream(ctx, addr, exchangeCall)
 	if err != nil {
 		return nil, err
 	}
-	opened, err := conn.NewStream(context.Background(), call, encoding{})
-	if err != nil {
-		_ = conn.Close()
-		return nil, errors.Wrapf(err, "open %s to host %s", call, addr)
-	}
-	s = &stream{conn: conn, drpc: opened}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.use(addr, s)
--- a/io/peer/codec.go
+++ b/io/peer/codec.go
@@ -334,10 +334,10 @@
 	return true
 }
 
-// readEnum reads a number into an enum.
-func readEnum[E ~int](r *fieldReader, v *E) bool {
+// readNumber reads a number into a type of its own.
+func readNumber[N ~int | ~int64 | ~uint8 | ~uint32 | ~uint64](r *fieldReader, v *N) bool {
 	var n uint64
 	r.uint(&n)
-	*v = E(n)
+	*v = N(n)
 	return true
 }
--- a/io/peer/gateway_client.go
+++ b/io/peer/gateway_client.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"storj.io/drpc/drpcconn"
 
 	"pearlatch/internal/gateway"
 )
@@ -114,17 +113,12 @@
 
 // Feed implements gateway.Peers.
 func (c *GatewayClient) Feed(ctx context.Context, to netip.AddrPort, after int64) (gateway.Feed, error) {
-	conn, err := c.client.dial(ctx, to)
+	s, err := c.client.openStream(ctx, to, feedCall)
 	if err != nil {
 		return nil, err
 	}
-	opened, err := conn.NewStream(context.Background(), feedCall, encoding{})
-	if err != nil {
-		_ = conn.Close()
-		return nil, errors.Wrapf(err, "open a feed from host %s", to)
-	}
-	f := &feed{conn: conn, addr: to, stream: &stream{conn: conn, drpc: opened}}
-	if err := opened.MsgSend(&feedRequest{after}, encoding{}); err != nil {
+	f := &feed{addr: to, stream: s}
+	if err := s.drpc.MsgSend(&feedRequest{after}, encoding{}); err != nil {
 		f.Close()
 		return nil, errors.Wrapf(err, "ask host %s for news", to)
 	}
@@ -133,7 +127,6 @@
 
 // feed is a stream of news.
 type feed struct {
-	conn   *drpcconn.Conn
 	addr   netip.AddrPort
 	stream *stream
 }
--- a/io/peer/gateway_messages.go
+++ b/io/peer/gateway_messages.go
@@ -25,21 +25,13 @@
 func (m *positionMessage) field(name string, r *fieldReader) bool {
 	switch name {
 	case "term":
-		return readUint(r, &m.Term)
+		return readNumber(r, &m.Term)
 	case "lsn":
-		return readUint(r, &m.LSN)
+		return readNumber(r, &m.LSN)
 	}
 	return false
 }
 
-// readUint reads a number into a type of its own.
-func readUint[N ~uint64](r *fieldReader, v *N) bool {
-	var n uint64
-	r.uint(&n)
-	*v = N(n)
-	return true
-}
-
 // shapeMessage is the text of a prepared statement on the wire.
 type shapeMessage gateway.Shape
 
@@ -180,7 +172,7 @@
 	case "target_us":
 		return r.duration(&m.Target)
 	case "priority":
-		return readEnum(r, &m.Priority)
+		return readNumber(r, &m.Priority)
 	}
 	return false
 }
@@ -401,7 +393,7 @@
 	case "process":
 		return r.str(&m.Process)
 	case "declined":
-		return readSmall(r, &m.Declined)
+		return readNumber(r, &m.Declined)
 	case "rows":
 		var list []rowMessage
 		readList(r, &list)
@@ -416,7 +408,7 @@
 		r.message((*failureMessage)(m.Reply.Failure))
 		return true
 	case "state":
-		return readSmall(r, &m.Reply.State)
+		return readNumber(r, &m.Reply.State)
 	case "mark":
 		r.message((*positionMessage)(&m.Mark))
 		return true
@@ -424,14 +416,6 @@
 	return false
 }
 
-// readSmall reads a number into an enum of one byte.
-func readSmall[E ~uint8](r *fieldReader, v *E) bool {
-	var n uint64
-	r.uint(&n)
-	*v = E(n)
-	return true
-}
-
 // rowMessage is a row of an answer on the wire.
 type rowMessage struct{ text string }
 
@@ -452,7 +436,7 @@
 func (m *failureMessage) field(name string, r *fieldReader) bool {
 	switch name {
 	case "code":
-		return readSmall(r, &m.Code)
+		return readNumber(r, &m.Code)
 	case "detail":
 		return r.str(&m.Detail)
 	}
@@ -549,15 +533,15 @@
 		r.message((*positionMessage)(&m.Received))
 		return true
 	case "term":
-		return readUint(r, &m.Term)
+		return readNumber(r, &m.Term)
 	case "fenced":
-		return readUint(r, &m.Fenced)
+		return readNumber(r, &m.Fenced)
 	case "lag_us":
 		return r.duration(&m.Lag)
 	case "running":
-		return readEnum(r, &m.Running)
+		return readNumber(r, &m.Running)
 	case "connections":
-		return readEnum(r, &m.Connections)
+		return readNumber(r, &m.Connections)
 	}
 	return false
 }
@@ -568,14 +552,7 @@
 func (m *feedRequest) fields(w *fieldWriter) { w.uint("after", uint64(m.after)) }
 
 func (m *feedRequest) field(name string, r *fieldReader) bool {
-	return name == "after" && readInt(r, &m.after)
-}
-
-func readInt(r *fieldReader, v *int64) bool {
-	var n uint64
-	r.uint(&n)
-	*v = int64(n)
-	return true
+	return name == "after" && readNumber(r, &m.after)
 }
 
 // newsMessage is gateway.News on the wire.
@@ -601,7 +578,7 @@
 func (m *newsMessage) field(name string, r *fieldReader) bool {
 	switch name {
 	case "revision":
-		return readInt(r, &m.Revision)
+		return readNumber(r, &m.Revision)
 	case "whole":
 		return r.bool(&m.Whole)
 	case "age_us":
@@ -647,7 +624,7 @@
 		m.Value = value
 		return true
 	case "revision":
-		return readInt(r, &m.Revision)
+		return readNumber(r, &m.Revision)
 	case "removed":
 		return r.bool(&m.Removed)
 	}
--- a/io/peer/lease_messages.go
+++ b/io/peer/lease_messages.go
@@ -50,7 +50,7 @@
 	case "member":
 		return r.str(&m.Member)
 	case "term":
-		return readUint(r, &m.Term)
+		return readNumber(r, &m.Term)
 	case "position":
 		r.message((*positionMessage)(&m.Position))
 		return true
--- a/io/peer/link_client.go
+++ b/io/peer/link_client.go
@@ -79,17 +79,12 @@
 
 // openLink opens a link to a host.
 func (c *Client) openLink(addr netip.AddrPort) (*link, error) {
-	conn, err := c.dial(context.Background(), addr)
+	s, err := c.openStream(context.Background(), addr, linkCall)
 	if err != nil {
 		return nil, err
 	}
-	opened, err := conn.NewStream(context.Background(), linkCall, encoding{})
-	if err != nil {
-		_ = conn.Close()
-		return nil, errors.Wrapf(err, "open a link to host %s", addr)
-	}
-	k := &link{addr: addr, stream: &stream{conn: conn, drpc: opened}, pending: map[uint64]chan *linkReply{}, heard: time.Now()}
-	k.writer = newLinkWriter(opened, k.end)
+	k := &link{addr: addr, stream: s, pending: map[uint64]chan *linkReply{}, heard: time.Now()}
+	k.writer = newLinkWriter(s.drpc, k.end)
 	go k.read()
 	return k, nil
 }
--- a/io/peer/unit.go
+++ b/io/peer/unit.go
@@ -48,13 +48,13 @@
 		r.message((*requestMessage)(m))
 		return true
 	case "kind":
-		return readEnum(r, &m.unit.Kind)
+		return readNumber(r, &m.unit.Kind)
 	case "data":
 		return r.bytes(&m.unit.Data)
 	case "expect":
-		return readEnum(r, &m.unit.Expect)
+		return readNumber(r, &m.unit.Expect)
 	case "replies":
-		return readEnum(r, &m.unit.Replies)
+		return readNumber(r, &m.unit.Replies)
 	case "begins":
 		return r.bool(&m.unit.Begins)
 	case "pins":
@@ -109,26 +109,19 @@
 		q.Class = class
 		return true
 	case "priority":
-		return readEnum(r, &q.Priority)
+		return readNumber(r, &q.Priority)
 	case "idempotent":
 		return r.bool(&q.Idempotent)
 	case "patience_us":
 		return r.duration(&q.Patience)
 	case "process":
-		return readUint32(r, &q.Key.Process)
+		return readNumber(r, &q.Key.Process)
 	case "secret":
-		return readUint32(r, &q.Key.Secret)
+		return readNumber(r, &q.Key.Secret)
 	}
 	return false
 }
 
-func readUint32(r *fieldReader, v *uint32) bool {
-	var n uint64
-	r.uint(&n)
-	*v = uint32(n)
-	return true
-}
-
 // preparedMessage is a named statement that a unit refers to.
 type preparedMessage statement.Prepared
 
