--- /dev/null
+++ b/internal/gateway/record_test.go
@@ -0,0 +1,124 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pearlatch/core/freshness"
+	"pearlatch/core/group"
+	"pearlatch/core/leadership"
+)
+
+// The primary goes dark, and the host that holds the duty ends before it has replaced it.
+// The next holder has never spoken to the primary. What a successor must hold stands in the
+// store, so it need not wait for the old primary to come back.
+func TestNewHolderKnowsWhatASuccessorNeeds(t *testing.T) {
+	synctest.Test(t, func(*testing.T) {
+		s := newFakeSite("a", "b", "c")
+		h1, stop1 := hostOn(s, "h1", freshness.Latest{})
+		time.Sleep(3 * time.Second)
+		_, stop2 := hostOn(s, "h2", freshness.Latest{})
+		do(h1, Write{})
+		s.with("c", func(m *fakeMember) { m.deaf = true })
+		do(h1, Write{})
+		time.Sleep(time.Second)
+		s.with("a", func(m *fakeMember) { m.silent = true })
+		stop1()
+		time.Sleep(dutyLease + takeoverPause + 3*time.Second)
+		if got := s.leader(); got != "b" {
+			t.Errorf("%q leads, want b", got)
+		}
+		wantNothingLost(t, s)
+		stop2()
+		time.Sleep(20 * time.Second)
+	})
+}
+
+// The platform checks no tokens, leaves an order unanswered and carries it out three seconds
+// later. The holder dies right after it, and the old primary comes back. The next holder must
+// know of the order: if it let the old primary acknowledge writes with the other replica,
+// they would be lost.
+func TestNextHolderKnowsOfAnOpenOrder(t *testing.T) {
+	synctest.Test(t, func(*testing.T) {
+		s := newFakeSite("a", "b", "c")
+		s.unfenced = true
+		_, stop1 := hostOn(s, "h1", freshness.Latest{})
+		h2, stop2 := hostOn(s, "h2", freshness.Latest{})
+		stop := map[string]func(){"h1": stop1, "h2": stop2}
+		time.Sleep(3 * time.Second)
+		do(h2, Write{})
+		s.mu.Lock()
+		holder := string(s.items["own/duty/"+testGroup].Value)
+		s.late = 6 * time.Second
+		s.mu.Unlock()
+		s.with("a", func(m *fakeMember) { m.silent = true })
+		time.Sleep(1300 * time.Millisecond)
+		stop[holder]()
+		delete(stop, holder)
+		s.mu.Lock()
+		s.late = 0
+		s.mu.Unlock()
+		s.with("a", func(m *fakeMember) { m.silent = false })
+		s.with("b", func(m *fakeMember) { m.deaf = true })
+		for range 160 {
+			if holder != "h2" {
+				do(h2, Write{})
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		wantNothingLost(t, s)
+		for _, f := range stop {
+			f()
+		}
+		time.Sleep(20 * time.Second)
+	})
+}
+
+// The record of a holder reads back as it was written.
+func TestRecordReadsBack(t *testing.T) {
+	r := leadership.Record{
+		Holder: "h1", Term: 3, Floor: group.Position{Term: 2, LSN: 77}, Ordered: "b",
+		Members: []leadership.Lifetime{{Member: "a", Born: 5}, {Member: "b"}},
+	}
+	value, err := encodeRecord(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := decodeRecord(value)
+	if err != nil || !got.SameMembers(r.Members) || got.Ordered != "b" || got.Floor != r.Floor || got.Term != r.Term || got.Holder != "h1" {
+		t.Errorf("%+v, %v", got, err)
+	}
+	if _, err := decodeRecord([]byte("{")); err == nil {
+		t.Error("a broken record was read")
+	}
+}
+
+// A holder took the leases back to replace a primary, and ended before it ordered anything. The
+// host that takes the duty over had given its lease back, and believes in no primary since. If the
+// old one answers, it must lead on; if not, another must take over.
+func TestNextHolderGoesOnWhereTheLastOneStopped(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		t.Run(fmt.Sprint("silent ", silent), func(t *testing.T) {
+			synctest.Test(t, func(*testing.T) {
+				s := newFakeSite("a", "b", "c")
+				_, stop1 := hostOn(s, "h1", freshness.Latest{})
+				time.Sleep(3 * time.Second)
+				h2, stop2 := hostOn(s, "h2", freshness.Latest{})
+				do(h2, Write{})
+				time.Sleep(time.Second)
+				s.with("a", func(m *fakeMember) { m.silent = silent })
+				h2.EndLease(testGroup, "a", false)
+				stop1()
+				served(t, h2, 6*time.Second)
+				if took := s.leader() != "a"; took != silent {
+					t.Errorf("%q leads", s.leader())
+				}
+				wantNothingLost(t, s)
+				stop2()
+				time.Sleep(20 * time.Second)
+			})
+		})
+	}
+}
