--- a/core/membership/host.go
+++ b/core/membership/host.go
@@ -15,9 +15,6 @@
 	Peer netip.AddrPort
 	// Leaving is true once the platform or the host itself announces the end.
 	Leaving bool
-	// Cores is the processor time that the host has, as a number of cores. Zero means that it does
-	// not say.
-	Cores float64
 	// Incarnation rises each time that the host refutes a suspicion.
 	Incarnation uint64
 }
--- a/core/serving/table.go
+++ b/core/serving/table.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -62,7 +61,7 @@
 // claim is a host's claim to a group. Higher scores come first.
 type claim struct {
 	host  *listed
-	score float64
+	score uint64
 }
 
 // Update takes over a new list of hosts. It reports whether it differs from the one before.
@@ -258,26 +257,9 @@
 	return cmp.Compare(a.host.ID, b.host.ID)
 }
 
-// score is the host's claim to the group by weighted rendezvous hashing: among hosts that stay,
-// each comes first for a part of the groups that is its part of the fleet's strength.
-//
-// See Schindelhauer and Schomaker, "Weighted Distributed Hash Tables", SPAA 2005.
-func (c *claims) score(h *listed) float64 {
+// score is the host's claim to the group by rendezvous hashing.
+func (c *claims) score(h *listed) uint64 {
 	d := c.prefix
 	_, _ = d.WriteString(h.ID)
-	const bits = 53 // of a float64's mantissa
-	u := (float64(d.Sum64()>>(64-bits)) + 0.5) / (1 << bits)
-	return -strength(h.Host) / math.Log(u)
-}
-
-// leastCores is what a host counts for that does not say how strong it is, or says what can't be:
-// as much as the weakest of the users' hosts.
-const leastCores = 0.1
-
-// strength returns the host's weight among others.
-func strength(h membership.Host) float64 {
-	if !(h.Cores >= leastCores) || math.IsInf(h.Cores, 0) {
-		return leastCores
-	}
-	return h.Cores
+	return d.Sum64()
 }
