--- /dev/null
+++ b/internal/process/gateway.go
@@ -0,0 +1,200 @@
+// Package process runs a host on the users' platform as a process: its ports, its listeners, its
+// signals and its end.
+package process
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"pearlatch/internal/boottime"
+	"pearlatch/internal/eventlog"
+	"pearlatch/internal/gateway"
+	"pearlatch/internal/socket"
+	"pearlatch/io/operator"
+	"pearlatch/io/peer"
+	"pearlatch/platform"
+)
+
+// Run runs a host with the settings of a file until the process gets SIGTERM and has drained.
+// It writes its lines to out.
+func Run(s *platform.Settings, path string, out io.Writer) error {
+	lines := eventlog.New(out, boottime.Now)
+	defer lines.Close()
+	logger := log.With(lines, "ts", log.DefaultTimestampUTC)
+	g := &gatewayProcess{settings: s, logger: logger, registry: metrics.NewRegistry(), lines: lines, traffic: &peer.Traffic{}}
+	h := gateway.NewHost(s.Gateway, g.ports(), logger, boottime.Now)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	accept := &platform.Callers{Host: h}
+	if err := g.listen(ctx, h, accept); err != nil {
+		return err
+	}
+	stopped, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	go reloadOn(hup, path, h, logger)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		h.Run(ctx)
+	}()
+	_ = level.Info(logger).Log("event", "start", "metrics", s.Metrics, "host", s.Gateway.Host, "zone", s.Gateway.Zone)
+	<-stopped.Done()
+	drainGateway(h, accept, s.Gateway.Grace)
+	cancel()
+	select {
+	case <-done:
+	case <-time.After(finishTime):
+	}
+	_ = level.Info(logger).Log("event", "stop", "host", s.Gateway.Host)
+	return nil
+}
+
+// gatewayProcess holds what a gateway's ports and listeners share.
+type gatewayProcess struct {
+	settings *platform.Settings
+	logger   log.Logger
+	registry metrics.Registry
+	lines    *eventlog.Logger
+	traffic  *peer.Traffic
+}
+
+// ports returns the host's ways to the outside.
+func (g *gatewayProcess) ports() gateway.Ports {
+	s := g.settings
+	dialer := platform.Dialer{Local: s.Callers.Addr(), Who: s.Gateway.Host}
+	p := gateway.Ports{
+		Dialer: dialer, Store: platform.NewStore(s.Store, dialer), Promoter: platform.NewPromoter(s.Promotions, dialer),
+		Decode: platform.Decoder{}, Keys: platform.Keys, Metrics: g.registry,
+	}
+	if s.Gateway.Peer.IsValid() {
+		p.Peers = peer.NewGatewayClient(s.Gateway.Peer.Addr(), g.traffic)
+	}
+	return p
+}
+
+// listen opens the host's listeners and serves them.
+func (g *gatewayProcess) listen(ctx context.Context, h *gateway.Host, accept *platform.Callers) error {
+	s := g.settings
+	refresh := func() {
+		h.RefreshMetrics()
+		showDropped(g.registry, g.lines)
+	}
+	served := []struct {
+		what  string
+		addr  netip.AddrPort
+		serve func(net.Listener) error
+	}{
+		{"callers", s.Callers, accept.Serve},
+		{"ready", s.Ready, func(lis net.Listener) error { return serveHTTP(lis, platform.ReadyHandler(h.Ready)) }},
+		{"metrics", s.Metrics, func(lis net.Listener) error {
+			return serveHTTP(lis, operator.GatewayHandler(g.registry, refresh, h.Beliefs))
+		}},
+		{"peers", s.Gateway.Peer, func(lis net.Listener) error { return peer.ServeGateway(ctx, lis, h, g.traffic) }},
+	}
+	for _, each := range served {
+		if !each.addr.IsValid() {
+			continue
+		}
+		lis, err := socket.Listen(ctx, each.addr)
+		if err != nil {
+			return errors.Wrapf(err, "for %s", each.what)
+		}
+		go serveUntilClosed(g.logger, each.what, func() error { return each.serve(lis) })
+	}
+	return nil
+}
+
+// showDropped counts the log lines that were dropped among the metrics.
+func showDropped(r metrics.Registry, lines *eventlog.Logger) {
+	for event, n := range lines.Dropped() {
+		metrics.GetOrRegisterGauge(fmt.Sprintf("log_lines_dropped_total{event=%q}", event), r).Update(n)
+	}
+}
+
+// reloadPoll is the pause between two looks at the settings file, which may change
+// without a signal.
+const reloadPoll = 2 * time.Second
+
+// reloadOn reads the settings again at each signal and when the file has changed. A
+// file with mistakes changes nothing. Addresses and names hold until the process ends.
+func reloadOn(signals <-chan os.Signal, path string, h *gateway.Host, logger log.Logger) {
+	read := modified(path)
+	for {
+		select {
+		case <-signals:
+		case <-time.After(reloadPoll):
+			if modified(path).Equal(read) {
+				continue
+			}
+		}
+		read = modified(path)
+		s, err := platform.LoadSettings(path)
+		if err == nil {
+			h.Reload(s.Gateway)
+		}
+		_ = level.Info(logger).Log("event", "reload", "settings", path, "err", err)
+	}
+}
+
+// modified returns when the file was changed last, or the zero time if it is missing.
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
+
+// headerTimeout bounds how long a client may take to send its headers.
+const headerTimeout = 5 * time.Second
+
+func serveHTTP(lis net.Listener, handler http.Handler) error {
+	return (&http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}).Serve(lis)
+}
+
+func serveUntilClosed(logger log.Logger, what string, serve func() error) {
+	if err := serve(); err != nil {
+		_ = level.Error(logger).Log("event", "listener_ended", "what", what, "err", err)
+	}
+}
+
+const (
+	// rotationTime is how long the platform may take to see that a host is not
+	// ready: two questions a second apart, and the way.
+	rotationTime = 2300 * time.Millisecond
+	// endMargin is kept between the end of the last session and that of the grace.
+	endMargin = 800 * time.Millisecond
+	// finishTime bounds what is given back to the store at the end.
+	finishTime = 300 * time.Millisecond
+	// drainPoll is the pause between two looks at what is left.
+	drainPoll = 50 * time.Millisecond
+)
+
+// drainGateway waits until callers are sent elsewhere, then ends sessions as they
+// become idle, and transactions at half of the grace.
+func drainGateway(h *gateway.Host, callers *platform.Callers, grace time.Duration) {
+	started := time.Now()
+	h.Stop()
+	time.Sleep(min(rotationTime, grace/3))
+	for time.Since(started) < grace-endMargin {
+		if callers.CloseIdle()+int(h.Guests()) == 0 {
+			return
+		}
+		time.Sleep(drainPoll)
+	}
+}
