Flaws of the soak are found on every run

A host with that flaw ends at once when it is told to stop, which is found only if a caller's request is under way. Statements of the model take 2 ms and callers rest for 30, so that mostly none was. Statements now take 60 ms there, with which callers have requests under way at every stop.

"callers share connections" once did not come to serve in a run of all tests with the race detector: the flaw handed a connection out for ever on which an answer had not come, so its host served nobody and there was nothing to mix.

It now crashes whoever leads, for five seconds, while one replica is deaf: the flaw promotes that one. As strict: the same promise must be found broken.

--- a/internal/soak/flaw_test.go
+++ b/internal/soak/flaw_test.go
@@ -7,6 +7,7 @@
 	"os/signal"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -41,23 +42,25 @@
 	for _, c := range []struct {
 		flaw, finding string
 		faults        []Fault
+		// work is how long a statement takes, or zero for the usual time.
+		work time.Duration
 	}{
-		{"positions are not asked for", "STALE", []Fault{lag, {Kind: LagMember, For: 3 * time.Second, Seed: 2}, {Kind: LagMember, For: 3 * time.Second, Seed: 3}}},
-		{"writes are sent twice", "TWICE", nil},
-		{"lost answers are refusals", "REFUSED", []Fault{{Kind: LoseAnswers, For: 3 * time.Second, Seed: 1}, {Kind: LoseAnswers, For: 3 * time.Second, Seed: 5}}},
-		{"values are changed", "MIXED", nil},
-		{"requests are renamed", "UNASKED", nil},
-		{"callers share connections", "PINNED", nil},
-		{"another member is promoted", "LOST", []Fault{{Kind: DeafenMember, For: 4 * time.Second, Seed: deafReplica}, {Kind: CrashMember, At: time.Second, For: 3 * time.Second, Seed: crashedPrimary}}},
-		{"configurations go back", "CONFIG", []Fault{{Kind: Configure, Seed: oddChanges}}},
-		{"an order to stop is an order", "LOST", []Fault{{Kind: StopHostsInTurn, For: time.Second}, {Kind: StopHost, At: time.Second}}},
-		{"the process ends", "EXIT", []Fault{{Kind: Configure, For: 3 * time.Second}}},
-		{"descriptors are kept", "LEAK", []Fault{{Kind: ResetHost, For: time.Second}}},
-		{"members are given up", "RECOVER", []Fault{{Kind: CrashMember, For: time.Second}}},
+		{"positions are not asked for", "STALE", []Fault{lag, {Kind: LagMember, For: 3 * time.Second, Seed: 2}, {Kind: LagMember, For: 3 * time.Second, Seed: 3}}, 0},
+		{"writes are sent twice", "TWICE", nil, 0},
+		{"lost answers are refusals", "REFUSED", []Fault{{Kind: LoseAnswers, For: 3 * time.Second, Seed: 1}, {Kind: LoseAnswers, For: 3 * time.Second, Seed: 5}}, 0},
+		{"values are changed", "MIXED", nil, 0},
+		{"requests are renamed", "UNASKED", nil, 0},
+		{"callers share connections", "PINNED", nil, 0},
+		{"another member is promoted", "LOST", []Fault{{Kind: DeafenMember, For: 7 * time.Second, Seed: deafReplica}, {Kind: CrashMember, At: time.Second, For: 5 * time.Second, Seed: crashedPrimary}}, 0},
+		{"configurations go back", "CONFIG", []Fault{{Kind: Configure, Seed: oddChanges}}, 0},
+		{"an order to stop is an order", "LOST", []Fault{{Kind: StopHostsInTurn, For: time.Second}, {Kind: StopHost, At: time.Second}}, alwaysUnderWay},
+		{"the process ends", "EXIT", []Fault{{Kind: Configure, For: 3 * time.Second}}, 0},
+		{"descriptors are kept", "LEAK", []Fault{{Kind: ResetHost, For: time.Second}}, 0},
+		{"members are given up", "RECOVER", []Fault{{Kind: CrashMember, For: time.Second}}, 0},
 	} {
 		t.Run(c.flaw, func(t *testing.T) {
 			t.Parallel()
-			found := playFlaw(t, c.flaw, c.faults)
+			found := playFlaw(t, c.flaw, c.faults, c.work)
 			for _, f := range found {
 				if strings.HasPrefix(f, c.finding) {
 					return
@@ -74,15 +77,22 @@
 // Seeds that settle which member a fault meets, and how often a configuration changes.
 const (
 	deafReplica    = 7
-	crashedPrimary = 1
+	crashedPrimary = 2
 	oddChanges     = 1
 )
 
+// alwaysUnderWay is a statement's time with which callers have requests under way whenever a host stops: their
+// pauses are half as long.
+const alwaysUnderWay = 60 * time.Millisecond
+
 // playFlaw plays faults on a small site whose hosts have a flaw, and returns what was found.
-func playFlaw(t *testing.T, flaw string, faults []Fault) []string {
+func playFlaw(t *testing.T, flaw string, faults []Fault, work time.Duration) []string {
 	t.Helper()
 	o := DefaultOptions()
 	o.Site.Hosts, o.Site.Groups, o.Recovery = 3, 1, 5*time.Second
+	if work > 0 {
+		o.Site.Work = work
+	}
 	o.Program, o.Folder = []string{os.Args[0]}, t.TempDir()
 	o.Environment = []string{flawVariable + "=" + flaw}
 	r, err := Run(context.Background(), o, 1, faults)
@@ -190,12 +200,15 @@
 type sharedConn struct {
 	gateway.Conn
 	mu sync.Mutex
+	// failed is true once an answer did not come: a connection that is dead for ever keeps the host from
+	// serving at all, and hides what sharing breaks.
+	failed atomic.Bool
 }
 
 func (d *sharingDialer) Dial(ctx context.Context, m gateway.Member) (gateway.Conn, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if c := d.spare[m.ID]; c != nil {
+	if c := d.spare[m.ID]; c != nil && !c.failed.Load() {
 		return c, nil
 	}
 	c, err := d.Dialer.Dial(ctx, m)
@@ -209,13 +222,21 @@
 func (c *sharedConn) Do(timeout time.Duration, commands ...gateway.Command) ([]gateway.Reply, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.Conn.Do(timeout, commands...)
+	replies, err := c.Conn.Do(timeout, commands...)
+	if err != nil {
+		c.failed.Store(true)
+	}
+	return replies, err
 }
 
 func (c *sharedConn) Control(timeout time.Duration, o gateway.Order) (gateway.Status, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.Conn.Control(timeout, o)
+	s, err := c.Conn.Control(timeout, o)
+	if err != nil {
+		c.failed.Store(true)
+	}
+	return s, err
 }
 
 // Close keeps the connection: others use it.
