A new holder outwaits one that lost the duty early and does not know

Cause: while the platform's store is away it may take the duty's entry and leave the lease alone, or turn the holder away and serve the others. The next holder waited one second before it replaced a primary; the first one still granted leases on the old one for up to three.

Change: a holder counts on its duty for 1.8 s after a renewal, and the next one waits as long, unless the duty was given back. A renewal that succeeds after one that failed proves nothing, so the entry is read. The new holder raises its token first of all, also where it knows no primary, by an order that names no member. A try to take a duty that failed is repeated after 0.2 to 3.2 s, not ten times a second.

Ruled out: that a token of such an order does not count.

Tests: TestNextHolderOutwaitsOneThatWasOusted (a lease outlasts the change by 371 ms before), TestRenewedLeaseIsNoDuty, TestTokenIsRaisedThough NoPrimaryIsKnown; each fails with its part taken out.

--- a/internal/gateway/duty.go
+++ b/internal/gateway/duty.go
@@ -29,9 +29,17 @@
 	// dutyPoll is the pause between looks at duties that others may leave. After a restart of
 	// all hosts nobody grants leases until the duties are taken again.
 	dutyPoll = 100 * time.Millisecond
+	// takeRetry is the pause after a try to take a duty that failed, takeRetryMax the longest one. A host
+	// that hears no news tried ten times a second to take what another one had taken, three calls each.
+	takeRetry    = 200 * time.Millisecond
+	takeRetryMax = 3200 * time.Millisecond
 	// takeoverPause is how long an order may take to be carried out that was accepted: the users'
 	// members take up to 1 s to lead.
 	takeoverPause = 1200 * time.Millisecond
+	// dutyCertain is how long after a renewal the holder counts on its duty: two renewals may get lost.
+	// The platform may take the entry away long before its lease ends, and the holder not hear of it, so
+	// the next holder waits as long before it replaces a primary on which this one may grant leases.
+	dutyCertain = 1800 * time.Millisecond
 )
 
 // duty is this host's part in the promotions of one group.
@@ -45,10 +53,13 @@
 	// token is the revision at which the duty's entry was last written: it rises
 	// with each holder, and with each decision of one.
 	token int64
-	// since is when the duty was taken; renewed is when its lease was last known
-	// to run, and lasts for how long it then does.
+	// since is when the duty was taken; renewed is when the entry was last known to be this host's.
 	since, renewed time.Time
-	lasts          time.Duration
+	// unbroken is true while each renewal since then has succeeded.
+	unbroken bool
+	// raisedAt is when the platform first acknowledged a token of this host since it took the duty, or
+	// zero.
+	raisedAt time.Time
 	// record is what lies in the store for the next holder, as written at recordRevision.
 	// That is zero while it is not known.
 	record         leadership.Record
@@ -68,8 +79,10 @@
 	resigned bool
 	// tried is when a renewal was last tried.
 	tried time.Time
-	// vacant is since when nobody has held the duty, or zero.
-	vacant time.Time
+	// vacant is since when nobody has held the duty, or zero. After a try to take it that failed the next
+	// one comes no sooner than retryAt, after takePause.
+	vacant, retryAt time.Time
+	takePause       time.Duration
 	// ordered is the member named by the last order, orderedToken its token and orderedAt
 	// when it was given last, until it is seen to lead. Empty means that no order is open.
 	ordered      string
@@ -120,6 +133,7 @@
 	h := d.host
 	h.mu.Lock()
 	entry, taken := h.items[h.dutyKey(d.group.name)]
+	known := h.revision
 	h.mu.Unlock()
 	d.mu.Lock()
 	held, token, renewed, inherited := d.held, d.token, d.renewed, d.recordRevision != 0
@@ -128,6 +142,9 @@
 	switch {
 	case held && taken && entry.Revision > token:
 		d.giveUp("taken by " + string(entry.Value))
+	case held && !taken && known > token:
+		// The platform may take an entry away and leave its lease alone.
+		d.giveUp("entry taken away")
 	case held && h.stopping.Load():
 		d.resign(ctx)
 	case held && now.Sub(renewed) > dutyRenewal && now.Sub(d.tried) > dutyRetry:
@@ -140,10 +157,10 @@
 		// An earlier process of this host held the duty: it has ended.
 		d.take(ctx, entry.Revision)
 	case taken || !h.mayServe():
-		d.vacant = time.Time{}
+		d.vacant, d.takePause = time.Time{}, 0
 	case d.vacant.IsZero():
 		d.vacant = now
-	case now.Sub(d.vacant) >= time.Duration(h.fleet.place(d.group.name))*dutyStagger:
+	case now.Sub(d.vacant) >= time.Duration(h.fleet.place(d.group.name))*dutyStagger && !now.Before(d.retryAt):
 		d.take(ctx, 0)
 	}
 }
@@ -181,51 +198,84 @@
 	call, cancel := context.WithTimeout(ctx, leaseTimeout)
 	defer cancel()
 	asked := d.host.now()
-	lasts := max(dutyLease, d.host.settings.LeaseFloor)
-	lease, err := d.host.ports.Store.Grant(call, lasts)
+	lease, err := d.host.ports.Store.Grant(call, max(dutyLease, d.host.settings.LeaseFloor))
 	if err != nil {
-		d.log("duty_not_taken", "err", err)
-		d.vacant = d.host.now()
+		d.notTaken(err)
 		return
 	}
 	revision, err := d.host.ports.Store.Put(call, d.host.dutyKey(d.group.name), entry, []byte(d.host.settings.Host), lease)
 	if err != nil {
 		// Whether the entry was written or not, its lease ends now, and with it
 		// the entry: nobody acts under it.
-		d.log("duty_not_taken", "err", err)
-		d.vacant = d.host.now()
+		d.notTaken(err)
 		d.host.endLease(lease)
 		return
 	}
 	d.mu.Lock()
-	d.held, d.lease, d.token, d.since, d.renewed, d.lasts = true, lease, revision, d.host.now(), asked, lasts
-	d.reclaimed, d.handedBack = entry != 0, false
+	d.held, d.lease, d.token, d.since, d.renewed, d.unbroken = true, lease, revision, d.host.now(), asked, true
+	d.reclaimed, d.handedBack, d.raisedAt = entry != 0, false, time.Time{}
 	d.inherited, d.ordered, d.recordRevision, d.standing, d.grants, d.resigned = false, "", 0, standing{}, leadership.Grants{}, false
 	d.mu.Unlock()
-	d.vacant = time.Time{}
+	d.vacant, d.takePause = time.Time{}, 0
 	d.log("duty_taken", "token", revision)
 	d.group.resumeAll()
 	d.tryInherit(ctx)
 	d.group.wakeHolder()
 }
 
+// notTaken puts the next try off.
+func (d *duty) notTaken(err error) {
+	d.log("duty_not_taken", "err", err)
+	d.vacant = d.host.now()
+	d.takePause = min(max(2*d.takePause, takeRetry), takeRetryMax)
+	d.retryAt = d.vacant.Add(d.takePause)
+}
+
+// renew renews the duty's lease. After a renewal that failed, the platform may have taken the entry away
+// and kept the lease, so that the next renewal succeeds: the entry itself is looked at then.
 func (d *duty) renew(ctx context.Context) {
 	asked := d.host.now()
 	d.mu.Lock()
-	lease, renewed := d.lease, d.renewed
+	lease, renewed, unbroken := d.lease, d.renewed, d.unbroken
 	d.mu.Unlock()
 	err := d.host.renew(ctx, lease)
-	if errors.Is(err, ErrNoLease) {
+	if err == nil && !unbroken {
+		asked = d.host.now()
+		err = d.stillOwn(ctx)
+	}
+	switch {
+	case errors.Is(err, ErrNoLease):
 		d.giveUp("lease ended")
 		return
+	case errors.Is(err, errTaken):
+		d.giveUp("entry taken away")
+		return
+	case err != nil:
+		d.log("duty_not_renewed", "age_ms", asked.Sub(renewed).Milliseconds(), "err", err)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.unbroken = err == nil; d.unbroken {
+		d.renewed = asked
 	}
+}
+
+// errTaken means that the duty's entry is not this host's any more.
+var errTaken = errors.New("the duty's entry is gone or another host's")
+
+// stillOwn looks at the duty's entry.
+func (d *duty) stillOwn(ctx context.Context) error {
+	key := d.host.dutyKey(d.group.name)
+	i, err := d.host.read(ctx, key)
 	if err != nil {
-		d.log("duty_not_renewed", "age_ms", asked.Sub(renewed).Milliseconds(), "err", err)
-		return
+		return err
 	}
 	d.mu.Lock()
-	d.renewed = asked
-	d.mu.Unlock()
+	defer d.mu.Unlock()
+	if i.Revision != d.token {
+		return errTaken
+	}
+	return nil
 }
 
 func (d *duty) giveUp(why string) {
@@ -240,26 +290,46 @@
 	go d.host.endLease(lease)
 }
 
-// certain reports whether nobody else can have held the duty at the given time.
+// certain reports whether nobody else can have held the duty at the given time, and replaced a primary.
 func (d *duty) certain(at time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.held && at.Before(d.renewed.Add(d.lasts))
+	return d.held && at.Before(d.certainUntil())
 }
 
+// certainUntil returns until when this host may grant leases, and order without a token that the platform
+// checks. d.mu is held.
+func (d *duty) certainUntil() time.Time { return d.renewed.Add(dutyCertain) }
+
 // unrecordedUntil returns until when an earlier holder may have ordered without a record: until
-// this host took the duty, until this process began if it was an earlier one of the same host's,
-// or the zero time if the holder had given the duty back.
-func (d *duty) unrecordedUntil() time.Time {
+// the platform had seen this host's token, until this process began if the holder was an earlier one of
+// the same host's, or the zero time if the holder had given the duty back. It returns false while the
+// platform has not seen it.
+func (d *duty) unrecordedUntil() (time.Time, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch {
+	case d.handedBack:
+		return time.Time{}, true
+	case d.reclaimed:
+		return d.host.started, true
+	}
+	return d.raisedAt, !d.raisedAt.IsZero()
+}
+
+// outwaited returns when the leases have ended that earlier holders may have granted: at once if the one
+// before had given the duty back, soon after its process ended if it was this host's, and else once it
+// can't be certain of its duty any more.
+func (d *duty) outwaited() time.Time {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	switch {
 	case d.handedBack:
 		return time.Time{}
 	case d.reclaimed:
-		return d.host.started
+		return d.host.started.Add(leadership.Duration)
 	}
-	return d.since
+	return d.since.Add(dutyCertain)
 }
 
 // isHeld reports whether this host took the duty and knows of no other holder.
@@ -279,7 +349,7 @@
 	if !d.held {
 		return false
 	}
-	return d.host.settings.PromotionTokens || d.host.now().Sub(d.renewed) < d.lasts-dutyRenewal
+	return d.host.settings.PromotionTokens || d.host.now().Before(d.certainUntil())
 }
 
 // renewToken takes a higher token for another decision.
@@ -327,18 +397,14 @@
 	return !d.host.settings.PromotionTokens && d.host.now().Sub(d.orderedAt) > lateOrder
 }
 
-// sinceTakeover returns how long ago this host took the duty.
-func (d *duty) sinceTakeover() time.Duration {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.host.now().Sub(d.since)
-}
-
 // acknowledged records that the platform has seen the token.
 func (d *duty) acknowledged(token int64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.raised = max(d.raised, token)
+	if d.raisedAt.IsZero() {
+		d.raisedAt = d.host.now()
+	}
 }
 
 // current reports whether the platform has seen the newest token, where it checks tokens.
--- /dev/null
+++ b/internal/gateway/duty_test.go
@@ -0,0 +1,99 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pearlatch/core/freshness"
+)
+
+// takeAway removes the duty's entry, and leaves its lease alone.
+func (s *fakeSite) takeAway(h *Host) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.removeLocked(h.dutyKey(testGroup))
+}
+
+func (s *fakeSite) revisionOf(key string) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.items[key].Revision
+}
+
+// The platform turns the holder of the duty away and takes its entry. The next holder, which does not
+// reach the primary, promotes another member, while the one before still grants leases on the old
+// one: a host that reaches only that one would read old data. No lease may outlast the change.
+func TestNextHolderOutwaitsOneThatWasOusted(t *testing.T) {
+	playFleet(t, 3, 20, freshness.Latest{}, func(s *fakeSite, f *fakeFleet) {
+		for _, h := range f.all() {
+			do(h, Write{})
+		}
+		holder := f.holderOf()
+		for _, h := range f.all() {
+			if h != holder {
+				f.set(f.severed, h.settings.Host+" a", true)
+			}
+		}
+		s.with("a", func(m *fakeMember) { m.cut = true })
+		f.set(f.dark, holder.settings.Host, true)
+		f.set(f.turnedAway, holder.settings.Host, true)
+		s.takeAway(holder)
+		var ends time.Time
+		for until := time.Now().Add(15 * time.Second); s.leader() == "a" && time.Now().Before(until); {
+			if r := holder.GrantLease(LeaseRequest{Group: testGroup, Host: "x"}); r.Granted > 0 {
+				ends = time.Now().Add(r.Granted)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		if s.leader() == "a" {
+			t.Fatal("the primary was not replaced")
+		}
+		if left := time.Until(ends); left > 0 {
+			t.Errorf("a lease on the old primary holds for %s more", left)
+		}
+	})
+}
+
+// The holder of the duty is turned away by the store, its entry is taken, and let in again: its lease
+// still stands, so that a renewal succeeds. It must not take that for the duty.
+func TestRenewedLeaseIsNoDuty(t *testing.T) {
+	playFleet(t, 3, 20, freshness.Latest{}, func(s *fakeSite, f *fakeFleet) {
+		holder := f.holderOf()
+		f.set(f.dark, holder.settings.Host, true) // nor does it hear of it from others
+		f.set(f.turnedAway, holder.settings.Host, true)
+		s.takeAway(holder)
+		time.Sleep(dutyRenewal + dutyPoll + leaseTimeout + 50*time.Millisecond) // a renewal has failed
+		d, _ := holder.dutyOf(holder.group(testGroup))
+		f.set(f.turnedAway, holder.settings.Host, false)
+		d.renew(context.Background())
+		if d.certain(time.Now()) {
+			t.Error("the host counts on a duty that was taken away")
+		}
+	})
+}
+
+// The holder before can't reach the store and does not know that its entry has lapsed. The next one has
+// held the duty for a second and reaches no member yet. From then on the platform must refuse what the
+// one before orders: carried out later, it would promote a member while the next one grants leases on
+// another.
+func TestTokenIsRaisedThoughNoPrimaryIsKnown(t *testing.T) {
+	synctest.Test(t, func(*testing.T) {
+		s := newFakeSite("a", "b", "c")
+		_, stop1 := hostOn(s, "h1", freshness.Latest{})
+		time.Sleep(3 * time.Second)
+		old := s.revisionOf("own/duty/" + testGroup)
+		for _, id := range []string{"a", "b", "c"} {
+			s.with(id, func(m *fakeMember) { m.silent = true })
+		}
+		stop1()
+		_, stop2 := hostOn(s, "h2", freshness.Latest{})
+		time.Sleep(dutyLease + 3*time.Second)
+		if err := s.carryOut("h1", old, "b"); err == nil {
+			t.Errorf("an order with the token %d was taken", old)
+		}
+		stop2()
+		time.Sleep(10 * time.Second)
+	})
+}
--- a/internal/gateway/fakesite_test.go
+++ b/internal/gateway/fakesite_test.go
@@ -179,6 +179,14 @@
 	return s.carryOut(holder, token, id)
 }
 
+// Raise implements Promoter.
+func (s *fakeSite) Raise(_ context.Context, _ string, token int64, _ string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.token = max(s.token, token)
+	return nil
+}
+
 func (s *fakeSite) carryOut(holder string, token int64, id string) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -319,6 +319,22 @@
 	}
 }
 
+// read reads a key of the store. One that does not exist has the revision zero.
+func (h *Host) read(ctx context.Context, key string) (Item, error) {
+	call, cancel := context.WithTimeout(ctx, leaseTimeout)
+	defer cancel()
+	s, err := h.ports.Store.List(call, key)
+	if err != nil {
+		return Item{}, err
+	}
+	for _, i := range s.Items {
+		if i.Key == key {
+			return i, nil
+		}
+	}
+	return Item{Key: key}, nil
+}
+
 func (h *Host) renew(ctx context.Context, lease int64) error {
 	call, cancel := context.WithTimeout(ctx, leaseTimeout)
 	defer cancel()
--- a/internal/gateway/grantor.go
+++ b/internal/gateway/grantor.go
@@ -66,7 +66,7 @@
 	if alive && heard.After(s.heard) {
 		s.heard = heard
 	}
-	granted := d.grants.Grant(host, now, leadership.Standing{Heard: s.heard, DutyEnds: d.renewed.Add(d.lasts), HandsOver: s.handsOver})
+	granted := d.grants.Grant(host, now, leadership.Standing{Heard: s.heard, DutyEnds: d.certainUntil(), HandsOver: s.handsOver})
 	if granted == 0 && now.Sub(d.woken) >= watchPause {
 		// The primary may not have been asked for long, since nobody needed it.
 		d.woken = now
@@ -116,12 +116,10 @@
 			return false
 		}
 	}
-	if since := w.sinceTakeover(); since < leadership.Duration {
-		// Leases of the holder before may still hold, if it was an earlier process of this
-		// host, or lost its entry early.
-		if !sleep(ctx, leadership.Duration-since) {
-			return false
-		}
+	// Leases of the holder before may still hold, if it was an earlier process of this host, or lost its
+	// entry early.
+	if !sleep(ctx, w.outwaited().Sub(w.host.now())) {
+		return false
 	}
 	w.group.meters.recall(w.group.name, w.host.now().Sub(started))
 	return w.holds()
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -165,4 +165,7 @@
 	// higher token was used. Any other error leaves open whether the order is
 	// carried out, also seconds later.
 	Promote(ctx context.Context, holder string, token int64, groupName, memberID string) error
+	// Raise makes the platform refuse orders with older tokens for the group, and changes nothing
+	// else. It is used where the platform checks tokens.
+	Raise(ctx context.Context, holder string, token int64, groupName string) error
 }
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -59,19 +59,12 @@
 // inherit reads the record of the holder before, and writes it anew under this one's name,
 // so that what the holder before still writes fails.
 func (d *duty) inherit(ctx context.Context) error {
-	key := d.host.recordKey(d.group.name)
-	call, cancel := context.WithTimeout(ctx, leaseTimeout)
-	defer cancel()
-	s, err := d.host.ports.Store.List(call, key)
+	found, err := d.host.read(ctx, d.host.recordKey(d.group.name))
 	if err != nil {
 		return err
 	}
-	var found Item
-	for _, i := range s.Items {
-		if i.Key == key {
-			found = i
-		}
-	}
+	call, cancel := context.WithTimeout(ctx, leaseTimeout)
+	defer cancel()
 	var r leadership.Record
 	if len(found.Value) > 0 {
 		if r, err = decodeRecord(found.Value); err != nil {
--- a/internal/gateway/watcher.go
+++ b/internal/gateway/watcher.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"pearlatch/core/group"
 )
 
@@ -104,6 +102,7 @@
 		return
 	}
 	w.asked = time.Time{}
+	w.raise(ctx)
 	answers := w.probeAll(ctx)
 	if w.group.adopt(answers) {
 		w.led(ctx, answers)
@@ -170,7 +169,8 @@
 	if !w.knowsOrders() {
 		return false
 	}
-	return !w.host.settings.PromotionTokens || w.host.now().Sub(w.unrecordedUntil()) >= takeoverPause
+	until, known := w.unrecordedUntil()
+	return !w.host.settings.PromotionTokens || known && w.host.now().Sub(until) >= takeoverPause
 }
 
 // led acts on a round in which a primary answered.
@@ -188,7 +188,6 @@
 		return
 	}
 	w.settledOrder()
-	w.raise(ctx)
 	if !w.settled() || !w.current() {
 		return
 	}
@@ -234,8 +233,9 @@
 	}
 }
 
-// raise makes the platform refuse orders of earlier holders, by naming the
-// primary that leads anyway.
+// raise makes the platform refuse orders of earlier holders. It comes before all else, also where no
+// primary is known: a holder before that can't reach the store may still order, and what it orders would
+// be carried out while this one grants leases on another member.
 func (w *watcher) raise(ctx context.Context) {
 	if w.current() {
 		return
@@ -245,12 +245,8 @@
 	w.mu.Unlock()
 	call, cancel := context.WithTimeout(ctx, promoteTimeout)
 	defer cancel()
-	err := w.host.ports.Promoter.Promote(call, w.host.settings.Host, token, w.group.name, w.primary.ID)
-	if err != nil {
+	if err := w.host.ports.Promoter.Raise(call, w.host.settings.Host, token, w.group.name); err != nil {
 		w.log("token_not_raised", "token", token, "err", err)
-		if errors.Is(err, ErrFenced) {
-			w.refused(ctx)
-		}
 		return
 	}
 	w.acknowledged(token)
--- a/internal/site/group.go
+++ b/internal/site/group.go
@@ -137,11 +137,14 @@
 func (g *Group) order(token int64, id string) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	m := g.member(id)
-	if m == nil || !m.running() || g.site.options.ChecksTokens && token < g.token {
+	if g.site.options.ChecksTokens && token < g.token {
 		return gateway.ErrFenced
 	}
 	g.token = max(g.token, token)
+	m := g.member(id)
+	if m == nil || !m.running() {
+		return gateway.ErrFenced
+	}
 	if !m.leads {
 		run := m.run
 		time.AfterFunc(g.site.options.PromoteTime, func() { g.lead(m, run) })
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -192,6 +192,13 @@
 
 func (s *Site) zone(i int) string { return fmt.Sprint("zone-", i%s.options.Zones) }
 
+var _ gateway.Promoter = (*Site)(nil)
+
+// Raise implements gateway.Promoter. Hosts raise a token by naming a member that does not run.
+func (s *Site) Raise(ctx context.Context, holder string, token int64, groupName string) error {
+	return s.Promote(ctx, holder, token, groupName, "")
+}
+
 // Promote implements gateway.Promoter.
 func (s *Site) Promote(ctx context.Context, _ string, token int64, groupName, memberID string) error {
 	for _, g := range s.groups {
--- a/io/peer/stubsite_test.go
+++ b/io/peer/stubsite_test.go
@@ -74,6 +74,8 @@
 func (s *stubSite) Renew(context.Context, int64) error                               { return nil }
 func (s *stubSite) End(context.Context, int64) error                                 { return nil }
 
+func (s *stubSite) Raise(context.Context, string, int64, string) error { return nil }
+
 func (s *stubSite) Promote(context.Context, string, int64, string, string) error { return nil }
 
 func (s *stubSite) Config([]byte) (*gateway.Config, error) {
