Client accounts and their keys, as the configuration names them

Keys are secrets of callers. Ways weighed: keep the document as it is and take care where it is shown; hash the keys where the document is read; hash them in the adapter of the store, before anything keeps the document.

Nothing uses the accounts yet.

--- a/internal/gateway/config.go
+++ b/internal/gateway/config.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"pearlatch/core/account"
 	"pearlatch/core/freshness"
 )
 
@@ -14,6 +15,8 @@
 	Routes map[string]Route
 	// Groups holds database groups by name.
 	Groups map[string]GroupConfig
+	// Accounts are the client accounts, or nil where callers need none.
+	Accounts *account.Directory
 	// TransactionIdle is how long a transaction may rest between statements.
 	TransactionIdle time.Duration
 }
@@ -30,6 +33,8 @@
 	Target time.Duration
 	// Priority is 0 for the most important.
 	Priority int
+	// Public routes ask callers for no account.
+	Public bool
 }
 
 // GroupConfig describes a database group.
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -253,7 +253,7 @@
 // not answer.
 func (s *Site) Configure(c gateway.Config) (version int64, ok bool) {
 	c.Version = s.version.Add(1)
-	return c.Version, s.store.Write(platform.Keys.Config, platform.EncodeConfig(c))
+	return c.Version, s.store.Write(platform.Keys.Config, platform.EncodeConfig(c, nil))
 }
 
 // Host returns a host's address.
