Callers act for a client account, by the key that they show

Change: a caller shows its key with its first message; an unknown one is refused at once (Unauthorized), on public routes none is needed. Each statement looks at the configuration in force, so a key that was taken away begins nothing more: what its open transaction wrote is rolled back, its idle sessions are told and closed with the configuration's arrival. The connections of the pool are opened in the account's name. A statement that is passed on carries its account; statements between hosts get a version, so that a host that knows of no accounts refuses them, and one without an account is declined where callers need one. A configuration that has lost its accounts is refused.

Weighed for open transactions of a key that is taken away: let them end (statements then run up to seconds after the bound, if the news came late), or roll them back at the next statement. The second is taken.

--- a/core/account/directory.go
+++ b/core/account/directory.go
@@ -52,8 +52,13 @@
 // Account returns the account of the name, or nil.
 func (d *Directory) Account(name string) *Account { return d.accounts[name] }
 
-// Len returns how many accounts there are.
-func (d *Directory) Len() int { return len(d.accounts) }
+// Len returns how many accounts there are. A nil directory has none.
+func (d *Directory) Len() int {
+	if d == nil {
+		return 0
+	}
+	return len(d.accounts)
+}
 
 // Names returns the names of all accounts, in order.
 func (d *Directory) Names() []string { return slices.Sorted(maps.Keys(d.accounts)) }
--- a/internal/gateway/enum_string.go
+++ b/internal/gateway/enum_string.go
@@ -40,11 +40,12 @@
 	_ = x[InDoubt-9]
 	_ = x[Malformed-10]
 	_ = x[NoDatabase-11]
+	_ = x[Unauthorized-12]
 }
 
-const _Code_name = "BusyAbortedLaggingReadOnlyMisroutedTooManyUnknownStatementFailedTimedOutInDoubtMalformedNoDatabase"
+const _Code_name = "BusyAbortedLaggingReadOnlyMisroutedTooManyUnknownStatementFailedTimedOutInDoubtMalformedNoDatabaseUnauthorized"
 
-var _Code_index = [...]uint8{0, 4, 11, 18, 26, 35, 42, 58, 64, 72, 79, 88, 98}
+var _Code_index = [...]uint8{0, 4, 11, 18, 26, 35, 42, 58, 64, 72, 79, 88, 98, 110}
 
 func (i Code) String() string {
 	idx := int(i) - 0
@@ -64,11 +65,12 @@
 	_ = x[NoTransaction-4]
 	_ = x[RecalledBefore-5]
 	_ = x[PrimaryUnreached-6]
+	_ = x[AccountMissing-7]
 }
 
-const _Declined_name = "AcceptedHostStopsGroupUnknownOtherProcessNoTransactionRecalledBeforePrimaryUnreached"
+const _Declined_name = "AcceptedHostStopsGroupUnknownOtherProcessNoTransactionRecalledBeforePrimaryUnreachedAccountMissing"
 
-var _Declined_index = [...]uint8{0, 8, 17, 29, 41, 54, 68, 84}
+var _Declined_index = [...]uint8{0, 8, 17, 29, 41, 54, 68, 84, 98}
 
 func (i Declined) String() string {
 	idx := int(i) - 0
--- a/internal/gateway/fakeconn_test.go
+++ b/internal/gateway/fakeconn_test.go
@@ -193,6 +193,7 @@
 		return Reply{Failure: &Failure{ReadOnly, c.m.id}, Position: c.applied()}, nil
 	}
 	c.m.runs = append(c.m.runs, f.Request.ID)
+	c.site.ranFor[f.Request.ID] = c.account
 	broken := c.m.breaks > 0
 	if broken {
 		c.m.breaks--
--- a/internal/gateway/fakesite_test.go
+++ b/internal/gateway/fakesite_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/go-kit/log"
 
+	"pearlatch/core/account"
 	"pearlatch/core/freshness"
 	"pearlatch/core/group"
 )
@@ -78,12 +79,14 @@
 	unfenced bool
 	history  []group.Position // acknowledged writes
 	dropped  []group.Position // those that a promoted member did not hold
+	// ranFor holds the account of the connection on which each statement ran.
+	ranFor map[string]string
 }
 
 func newFakeSite(ids ...string) *fakeSite {
 	s := &fakeSite{
 		cap: 20, items: map[string]Item{}, changed: make(chan struct{}),
-		leases: map[int64]time.Time{}, keyLease: map[string]int64{},
+		leases: map[int64]time.Time{}, keyLease: map[string]int64{}, ranFor: map[string]string{},
 	}
 	for i, id := range ids {
 		p := group.Position{Term: 1, LSN: 1}
@@ -273,8 +276,12 @@
 	if len(value) > 1 {
 		connections = int(value[1])
 	}
+	accounts, err := fakeAccounts(value)
+	if err != nil {
+		return nil, err
+	}
 	return &Config{
-		Version: int64(value[0]),
+		Version: int64(value[0]), Accounts: accounts,
 		Routes: map[string]Route{testDatabase: {
 			Name: "r", Group: testGroup, Class: d.class, Timeout: 800 * time.Millisecond, Target: 200 * time.Millisecond,
 		}},
@@ -282,6 +289,25 @@
 	}, nil
 }
 
+// fakeAccounts reads what follows the first two bytes of a configuration: an account a line, with its name
+// and its key.
+func fakeAccounts(value []byte) (*account.Directory, error) {
+	if len(value) <= 2 {
+		return nil, nil
+	}
+	var out []account.Account
+	for line := range strings.Lines(string(value[2:])) {
+		name, key, _ := strings.Cut(strings.TrimSpace(line), " ")
+		out = append(out, account.Account{Name: name, Keys: []account.Fingerprint{account.FingerprintOf(key)}})
+	}
+	return account.NewDirectory(out)
+}
+
+// withAccounts returns a configuration with these accounts.
+func withAccounts(version, connections byte, lines ...string) []byte {
+	return append([]byte{version, connections}, strings.Join(lines, "\n")...)
+}
+
 func (fakeDecoder) Member(key string, value []byte) (Member, error) {
 	var state, role string
 	var born int64
@@ -330,8 +356,11 @@
 var serial atomic.Int64
 
 // do runs a statement on a new session, as callers with one operation do.
-func do(h *Host, st Statement) Reply {
-	s, failure := h.Open(testDatabase)
+func do(h *Host, st Statement) Reply { return doAs(h, "", st) }
+
+// doAs does the same with a key.
+func doAs(h *Host, key string, st Statement) Reply {
+	s, failure := h.Open(testDatabase, account.Caller{Key: account.FingerprintOf(key)})
 	if failure != nil {
 		return Reply{Failure: failure}
 	}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -219,11 +219,18 @@
 	if h.config != nil && c.Version <= h.config.Version {
 		return false
 	}
+	if h.config != nil && h.config.Accounts != nil && c.Accounts == nil {
+		// Without accounts everybody would be let in.
+		h.log("config_refused", "version", c.Version, "err", "it has no accounts, and the one before had")
+		return false
+	}
 	if h.config == nil {
 		close(h.configured)
 	}
 	h.config = c
-	h.log("config", "version", c.Version, "routes", len(c.Routes))
+	close(h.reconfigured)
+	h.reconfigured = make(chan struct{})
+	h.log("config", "version", c.Version, "routes", len(c.Routes), "accounts", c.Accounts.Len(), "news_age_ms", h.now().Sub(h.heardAt).Milliseconds())
 	for name := range c.Groups {
 		if h.groups[name] == nil {
 			h.groups[name] = newGroup(name, h)
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -53,7 +53,7 @@
 func (s *Session) peerRequest(r Request, arrived time.Time, w *work) *PeerRequest {
 	h := s.host
 	return &PeerRequest{
-		From: h.process, Serial: h.serial.Add(1), Group: w.group.name, Database: s.database, Route: w.route,
+		From: h.process, Serial: h.serial.Add(1), Group: w.group.name, Database: s.database, Route: w.route, Account: w.need.Account,
 		Age: h.now().Sub(arrived), Mark: s.mark, Values: s.values, Shape: w.shape, Request: r,
 	}
 }
--- a/internal/gateway/guest.go
+++ b/internal/gateway/guest.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"pearlatch/core/account"
 	"pearlatch/core/freshness"
 )
 
@@ -19,9 +20,8 @@
 // visit is what a guest's session goes by in place of the host's own configuration: the
 // host that the caller is connected to decides about routes.
 type visit struct {
-	from  string
-	route Route
-	group *Group
+	from string
+	target
 	// insist is true when the caller's statement waits for the primary here, and
 	// sentBack is set when it does not and this host can't reach it.
 	insist, sentBack bool
@@ -78,6 +78,8 @@
 	switch {
 	case group == nil:
 		return GroupUnknown
+	case r.Account == "" && !r.Route.Public && g.host.asksForAccounts():
+		return AccountMissing
 	case !r.Insist && r.needsPrimary() && group.primaryUnreached():
 		return PrimaryUnreached
 	}
@@ -96,6 +98,13 @@
 	return writes || r.Shape != nil && r.Shape.Writes
 }
 
+// asksForAccounts reports whether callers need an account by this host's configuration.
+func (h *Host) asksForAccounts() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.config != nil && h.config.Accounts != nil
+}
+
 // Open reports whether a transaction is open.
 func (g *Guest) Open() bool { return g.session != nil && g.session.state == InTransaction }
 
@@ -117,7 +126,7 @@
 	h := g.host
 	now := h.now()
 	if !g.Open() {
-		g.session = &Session{host: h, database: r.Database, visit: &visit{from: r.From, route: r.Route, group: h.group(r.Group)}}
+		g.session = &Session{host: h, database: r.Database, visit: &visit{from: r.From, target: target{r.Route, h.group(r.Group), &account.Account{Name: r.Account}}}}
 	}
 	s := g.session
 	s.visit.insist, s.visit.sentBack = r.Insist, false
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log"
 	"github.com/rcrowley/go-metrics"
 
+	"pearlatch/core/account"
 	"pearlatch/core/membership"
 )
 
@@ -114,6 +115,8 @@
 
 	// informed is closed with the first news, and configured with the first configuration.
 	informed, configured chan struct{}
+	// reconfigured is closed and replaced with each configuration.
+	reconfigured chan struct{}
 	// watchedAt is when the store was last asked for changes. One goroutine uses it.
 	watchedAt time.Time
 
@@ -131,7 +134,7 @@
 	p.Store = meteredStore{store: p.Store, meters: m, now: now}
 	h := &Host{
 		started: now(), meters: m, settings: s, ports: p, logger: log.With(logger, "host", s.Host), now: now,
-		groups: map[string]*Group{}, items: map[string]Item{}, hostsSeen: map[string]seenHost{}, members: newMemberList(), informed: make(chan struct{}), configured: make(chan struct{}),
+		groups: map[string]*Group{}, items: map[string]Item{}, hostsSeen: map[string]seenHost{}, members: newMemberList(), informed: make(chan struct{}), configured: make(chan struct{}), reconfigured: make(chan struct{}),
 		stopped: make(chan struct{}), ended: make(chan struct{}), duties: map[string]*duty{}, changed: make(chan struct{}), process: fmt.Sprintf("%s-%08x", s.Host, rand.Uint32()),
 	}
 	h.fleet.self = membership.Host{ID: s.Host, Zone: s.Zone, Peer: s.Peer}
@@ -189,6 +192,16 @@
 	}
 }
 
+// Reconfigured returns a channel that is closed with the next configuration.
+func (h *Host) Reconfigured() <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.reconfigured
+}
+
+// Ended returns a channel that is closed once Run has returned.
+func (h *Host) Ended() <-chan struct{} { return h.ended }
+
 // TransactionIdle returns how long a transaction may rest between statements.
 func (h *Host) TransactionIdle() time.Duration {
 	h.mu.Lock()
@@ -202,18 +215,29 @@
 // defaultTransactionIdle holds while no configuration says otherwise.
 const defaultTransactionIdle = 3 * time.Second
 
-// route finds the route of a database and its group.
-func (h *Host) route(database string) (Route, *Group, *Failure) {
+// target is where a caller's statements go, and for whom.
+type target struct {
+	route   Route
+	group   *Group
+	account *account.Account
+}
+
+// route finds the route of a database, its group, and the account for which the caller acts.
+func (h *Host) route(database string, c account.Caller) (target, *Failure) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.config == nil {
-		return Route{}, nil, &Failure{Busy, "no configuration yet, " + comeBack(0)}
+		return target{}, &Failure{Busy, "no configuration yet, " + comeBack(0)}
 	}
 	r, ok := h.config.Routes[database]
 	if !ok {
-		return Route{}, nil, &Failure{NoDatabase, database}
+		return target{}, &Failure{NoDatabase, database}
 	}
-	return r, h.groups[r.Group], nil
+	a, ok := account.Admit(h.config.Accounts, r.Public, c)
+	if !ok {
+		return target{}, &Failure{Unauthorized, fmt.Sprintf("no account of configuration %d has the key", h.config.Version)}
+	}
+	return target{r, h.groups[r.Group], a}, nil
 }
 
 // trimPause is the pause between two looks at unused connections.
@@ -292,10 +316,10 @@
 		"request", r.ID, "database", s.database, "code", f.Code, "detail", f.Detail,
 		"took_ms", h.now().Sub(arrived).Milliseconds(), "state", s.state,
 	}
-	_, g, unknown := s.route()
-	if unknown == nil {
-		fields = append(fields, "config_version", h.configVersion(), "group", g.name)
-		fields = append(fields, g.inputs()...)
+	fields = append(fields, "config_version", h.configVersion())
+	if at, unknown := s.route(); unknown == nil {
+		fields = append(fields, "account", at.account.Name, "group", at.group.name)
+		fields = append(fields, at.group.inputs()...)
 	}
 	if s.visit != nil {
 		fields = append(fields, "for", s.visit.from)
@@ -303,6 +327,15 @@
 	h.log("statement_failed", fields...)
 }
 
+// logRefused writes the line of a caller that gets no session, with how old the news is that decided it.
+func (h *Host) logRefused(database string, f *Failure) {
+	h.mu.Lock()
+	age := h.now().Sub(h.heardAt)
+	h.mu.Unlock()
+	h.log("caller_refused", "database", database, "code", f.Code, "config_version", h.configVersion(), "news_age_ms", age.Milliseconds())
+	h.meters.count(fmt.Sprintf("callers_refused_total{code=%q}", f.Code), 1)
+}
+
 // logSentBack writes the line of another host's statement that this one did not run, since
 // it can't reach the primary.
 func (h *Host) logSentBack(s *Session, r Request, arrived time.Time) {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -62,6 +62,9 @@
 	Group    string
 	Database string
 	Route    Route
+	// Account is the caller's, whose key the sender has looked at, or empty where callers have none. The
+	// key itself stays with the sender.
+	Account string
 	// Age is how long ago the caller's request arrived, and BeginAge how long ago
 	// its transaction was begun.
 	Age, BeginAge time.Duration
@@ -126,6 +129,9 @@
 	RecalledBefore
 	// PrimaryUnreached means that the host can't reach the primary that the request needs.
 	PrimaryUnreached
+	// AccountMissing means that the sender named no account, though callers need one: it may not know of
+	// accounts yet.
+	AccountMissing
 )
 
 // Recalled says what became of a request. Its implementations are RecalledRunning,
--- a/internal/gateway/plan.go
+++ b/internal/gateway/plan.go
@@ -26,11 +26,12 @@
 
 // plan says what a request needs. For a transaction, arrived is its start.
 func (s *Session) plan(arrived time.Time, writes bool) (work, *Failure) {
-	route, g, err := s.route()
+	at, err := s.route()
 	if err != nil {
 		return work{}, err
 	}
-	w := work{group: g, route: route, writes: writes, need: pool.Need{Priority: route.Priority, Arrived: arrived}}
+	g := at.group
+	w := work{group: g, route: at.route, writes: writes, need: pool.Need{Account: at.account.Name, Priority: at.route.Priority, Arrived: arrived}}
 	if s.visit == nil && s.host.passesOn(g) {
 		w.passOn = true
 		return w, nil
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -49,6 +49,8 @@
 	Malformed
 	// NoDatabase means that no route has the caller's database.
 	NoDatabase
+	// Unauthorized means that no client account has the caller's key.
+	Unauthorized
 )
 
 // NotRun reports whether a member that answers with the code has certainly not
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"pearlatch/core/account"
 	"pearlatch/core/group"
 )
 
@@ -11,6 +12,7 @@
 type Session struct {
 	host     *Host
 	database string
+	caller   account.Caller
 	// values and prepared belong to the caller until the session ends.
 	values   map[string]string
 	prepared map[string]Shape
@@ -25,13 +27,23 @@
 	visit *visit
 }
 
-// Open starts a session with a database, or returns a *Failure.
-func (h *Host) Open(database string) (*Session, *Failure) {
-	if _, _, err := h.route(database); err != nil {
+// Open starts a caller's session with a database, or returns a *Failure.
+func (h *Host) Open(database string, c account.Caller) (*Session, *Failure) {
+	if _, err := h.route(database, c); err != nil {
+		h.logRefused(database, err)
 		return nil, err
 	}
 	h.sessions.Add(1)
-	return &Session{host: h, database: database}, nil
+	return &Session{host: h, database: database, caller: c}, nil
+}
+
+// Allowed reports whether the session's caller may begin anything now. A key that was taken away ends that.
+func (s *Session) Allowed() bool {
+	if s.visit != nil {
+		return true // its own host looks at that
+	}
+	_, err := s.host.route(s.database, s.caller)
+	return err == nil || err.Code != Unauthorized
 }
 
 // Close ends the session. An open transaction is rolled back.
@@ -51,12 +63,12 @@
 	s.tx = nil
 }
 
-// route returns the route and the group of the session's database.
-func (s *Session) route() (Route, *Group, *Failure) {
+// route returns where the session's statements go now, and for whom.
+func (s *Session) route() (target, *Failure) {
 	if s.visit != nil {
-		return s.visit.route, s.visit.group, nil
+		return s.visit.target, nil
 	}
-	return s.host.route(s.database)
+	return s.host.route(s.database, s.caller)
 }
 
 // Unheard records that the answer to the newest request could not be delivered.
@@ -72,6 +84,16 @@
 
 func (s *Session) do(ctx context.Context, r Request, arrived time.Time) Reply {
 	s.last = r.ID
+	if s.state == InTransaction && !s.Allowed() {
+		// Nothing that the account began is kept once its key was taken away.
+		s.host.logFailure(s, r, arrived, &Failure{Unauthorized, "the caller's key was taken away, rolled back"})
+		s.failed(Reply{})
+		if _, ends := r.Statement.(Commit); !ends {
+			reply := fail(Aborted, "the key was taken away")
+			reply.State = s.state
+			return reply
+		}
+	}
 	if s.state == Broken {
 		return s.doBroken(r)
 	}
--- a/internal/gateway/session_test.go
+++ b/internal/gateway/session_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"pearlatch/core/account"
 	"pearlatch/core/freshness"
 	"pearlatch/core/leadership"
 )
@@ -24,7 +25,7 @@
 
 func open(t *testing.T, h *Host) *Session {
 	t.Helper()
-	s, failure := h.Open(testDatabase)
+	s, failure := h.Open(testDatabase, account.Caller{})
 	if failure != nil {
 		t.Fatal(failure)
 	}
@@ -267,7 +268,7 @@
 
 func TestUnknownDatabase(t *testing.T) {
 	play(t, freshness.Latest{}, func(_ *fakeSite, h *Host) {
-		if _, f := h.Open("nobody"); f == nil || f.Code != NoDatabase {
+		if _, f := h.Open("nobody", account.Caller{}); f == nil || f.Code != NoDatabase {
 			t.Errorf("Open = %v", f)
 		}
 	})
@@ -307,7 +308,7 @@
 	for i, h := range hosts {
 		for j := range callers[i] {
 			wait.Go(func() {
-				k, failure := h.Open(testDatabase)
+				k, failure := h.Open(testDatabase, account.Caller{})
 				if failure != nil {
 					return
 				}
--- a/io/peer/gateway_messages.go
+++ b/io/peer/gateway_messages.go
@@ -14,6 +14,10 @@
 	memberCall = "/pearlatch.Gateway/ProbeMember"
 )
 
+// laneVersion is the version of statements on a lane. Up to version 1 they named no client account: a host
+// that does not know of accounts would run them under its own name, so it must refuse newer ones.
+const laneVersion = 2
+
 // positionMessage is a log position on the wire.
 type positionMessage group.Position
 
@@ -155,6 +159,7 @@
 	w.duration("timeout_us", m.Timeout)
 	w.duration("target_us", m.Target)
 	w.uint("priority", uint64(m.Priority))
+	w.bool("public", m.Public)
 }
 
 func (m *routeMessage) field(name string, r *fieldReader) bool {
@@ -173,6 +178,8 @@
 		return r.duration(&m.Target)
 	case "priority":
 		return readNumber(r, &m.Priority)
+	case "public":
+		return r.bool(&m.Public)
 	}
 	return false
 }
@@ -192,6 +199,7 @@
 	w.str("group", q.Group)
 	w.str("database", q.Database)
 	w.message("route", &routeMessage{Route: q.Route})
+	w.str("account", q.Account)
 	w.duration("age_us", q.Age)
 	w.duration("begin_age_us", q.BeginAge)
 	w.message("mark", (*positionMessage)(&q.Mark))
@@ -229,6 +237,8 @@
 		return r.str(&q.Group)
 	case "database":
 		return r.str(&q.Database)
+	case "account":
+		return r.str(&q.Account)
 	case "age_us":
 		return r.duration(&q.Age)
 	case "begin_age_us":
--- a/io/peer/link_client.go
+++ b/io/peer/link_client.go
@@ -163,7 +163,7 @@
 
 // Do implements gateway.Lane.
 func (l *lane) Do(ctx context.Context, r *gateway.PeerRequest) (*gateway.PeerReply, error) {
-	reply, err := l.link.ask(ctx, &linkRequest{lane: l.id, laneRequest: laneRequest{version: Version, PeerRequest: *r}})
+	reply, err := l.link.ask(ctx, &linkRequest{lane: l.id, laneRequest: laneRequest{version: laneVersion, PeerRequest: *r}})
 	if err != nil {
 		return nil, err
 	}
--- a/io/peer/link_server.go
+++ b/io/peer/link_server.go
@@ -52,7 +52,7 @@
 		case in.ends != nil:
 			h.EndLease(in.ends.group, in.ends.member, in.ends.planned)
 			l.send(&linkReply{lane: in.lane, ended: true})
-		case in.version != Version:
+		case in.version != laneVersion:
 			return errors.Errorf("a request of version %d", in.version)
 		default:
 			l.take(in)
