Quotas over all hosts: decisions, and worlds that look for a way round them

Cause: an account's quota binds all hosts together, in touch or not, over any five seconds, and no statement may cost a question.

The last is taken: core/quota has what hosts hold (Wallet), what a granter gives (Ledger) and both for the accounts of one granter (Shard), as values without I/O or clock.

Certainty moves from the gateway to core/leadership.

--- a/core/leadership/grants.go
+++ b/core/leadership/grants.go
@@ -7,6 +7,10 @@
 )
 
 const (
+	// Certainty is how long after a renewal the holder of a duty counts on it: two renewals may get lost.
+	// The platform may take the entry away long before its lease ends, and the holder not hear of it, so
+	// the next holder waits as long before it replaces a primary on which this one may grant leases.
+	Certainty = 1800 * time.Millisecond
 	// Duration bounds a lease. A primary counts as lost after about 0.6 s of silence, so a
 	// lease that ends a second after the last sign of life keeps a promotion waiting for
 	// 0.4 s at most, and that only for a host that can't be reached.
--- /dev/null
+++ b/core/quota/ledger.go
@@ -0,0 +1,275 @@
+package quota
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"pearlatch/core/account"
+	"pearlatch/core/leadership"
+)
+
+// Ledger is what the granter of some accounts knows of what it has given. Use NewLedger. It is not safe for
+// concurrent use.
+type Ledger struct {
+	// token is the granter's fencing token.
+	token int64
+	terms Terms
+	began time.Time
+	// certain is until when no successor can have begun, and until when this granter's time is over.
+	certain, until time.Time
+	// hosts holds all hosts that may hold portions, or have been granters.
+	hosts map[string]*host
+	// silent counts those that have not told what they hold; told is when the last of them had, or zero.
+	silent int
+	told   time.Time
+	books  map[string]*book
+}
+
+// host is a host that may hold portions.
+type host struct {
+	// process is the one that answered last, or empty. Portions of an earlier process ended with it.
+	process string
+	// silent is true until the host has told what it holds of earlier granters, or has certainly ended.
+	silent bool
+	// heard is when it last told, or asked.
+	heard time.Time
+	// holds names the accounts of which it may hold portions.
+	holds map[string]bool
+}
+
+// NewLedger returns the ledger of a granter with a fencing token, which begins now. The hosts named may hold
+// portions of earlier granters, or have been one.
+func NewLedger(token int64, t Terms, now time.Time, mayHold []string) *Ledger {
+	l := &Ledger{token: token, terms: t, began: now, hosts: map[string]*host{}, books: map[string]*book{}}
+	for _, id := range mayHold {
+		l.hosts[id] = &host{silent: true, holds: map[string]bool{}}
+	}
+	if l.silent = len(l.hosts); l.silent == 0 {
+		l.told = now
+	}
+	l.Extend(now)
+	return l
+}
+
+// Token returns the granter's fencing token.
+func (l *Ledger) Token() int64 { return l.token }
+
+// Extend records that the granter held its duty at a time, so that whoever succeeds it begins no sooner. It goes
+// on for Lifetime: its successor takes that into account.
+func (l *Ledger) Extend(held time.Time) {
+	l.certain, l.until = held.Add(leadership.Certainty), held.Add(Lifetime)
+}
+
+// Knows reports whether the host may be given portions: it is among those that a successor will ask.
+func (l *Ledger) Knows(id string) bool { return l.hosts[id] != nil }
+
+// Admit lets more hosts get portions. A successor must know of them first.
+func (l *Ledger) Admit(ids ...string) {
+	for _, id := range ids {
+		if l.hosts[id] == nil {
+			l.hosts[id] = &host{holds: map[string]bool{}}
+		}
+	}
+}
+
+// MayHold returns the hosts that may hold portions, in order.
+func (l *Ledger) MayHold() []string { return slices.Sorted(maps.Keys(l.hosts)) }
+
+// Forget drops a host that holds nothing, and of which no successor need know.
+func (l *Ledger) Forget(id string) { delete(l.hosts, id) }
+
+// Silent returns the hosts that have not told what they hold, in order.
+func (l *Ledger) Silent() []string {
+	var out []string
+	for id, h := range l.hosts {
+		if h.silent {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Unheard returns the hosts that hold portions and were not heard of since, in order. They may have ended.
+func (l *Ledger) Unheard(since time.Time) []string {
+	var out []string
+	for id, h := range l.hosts {
+		if len(h.holds) > 0 && h.heard.Before(since) {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Ended records that the host's process has certainly ended, and holds nothing.
+func (l *Ledger) Ended(id string, now time.Time) {
+	h := l.hosts[id]
+	if h == nil {
+		return
+	}
+	for name := range h.holds {
+		l.books[name].drop(id)
+	}
+	clear(h.holds)
+	h.process = ""
+	if !h.silent {
+		return
+	}
+	h.silent = false
+	if l.silent--; l.silent == 0 {
+		l.told = now
+	}
+}
+
+// Holding is what a host holds of an account.
+type Holding struct {
+	Account string
+	Portion Portion
+	Lasts   time.Duration
+}
+
+// Told records what a process of a host holds of earlier granters. From then on it takes nothing from them. It
+// must answer a question of the granter, so that processes are heard of in the order in which they ran.
+func (l *Ledger) Told(id, process string, holds []Holding, now time.Time) {
+	h := l.hosts[id]
+	if h == nil {
+		return
+	}
+	if h.process == process {
+		h.heard = now // what it got from this granter is known
+		return
+	}
+	l.Ended(id, now)
+	h.process, h.heard = process, now
+	for _, each := range holds {
+		b := l.book(each.Account, account.Quota{}, now)
+		b.set(id, part{held: each.Portion, offered: each.Portion, until: now.Add(each.Lasts + drift), demand: each.Portion.Rate / portionHeadroom})
+		b.serial = max(b.serial, each.Portion.Serial)
+		h.holds[each.Account] = true
+	}
+}
+
+// Question is what a host asks of an account.
+type Question struct {
+	Account string
+	// Quota is the account's, as the granter's configuration says.
+	Quota account.Quota
+	// Holding is the serial of the portion that the host uses, or zero.
+	Holding uint64
+	// Demand is how many operations its callers begin per second.
+	Demand float64
+	// Waiting is how many operations wait for a token, and Room how many more tokens the host may keep.
+	Waiting int
+	Room    float64
+}
+
+// Grant answers a Question.
+type Grant struct {
+	Account string
+	Serial  uint64
+	// Rate and Cap make the host's portion, which lasts for so long from when it was asked for.
+	Rate, Cap float64
+	Lasts     time.Duration
+	// Tokens may be used at once.
+	Tokens float64
+	// After is when more may be left for operations that got none.
+	After time.Duration
+}
+
+// Answer answers a process of a host. It returns false for one that takes tokens from another granter or has not
+// told yet what it holds, and once this granter's time is over.
+func (l *Ledger) Answer(id, process string, in Inquiry, now time.Time) ([]Grant, bool) {
+	h := l.hosts[id]
+	if h == nil || h.silent || h.process != process || in.Token != l.token || !now.Before(l.until) {
+		return nil, false
+	}
+	h.heard = now
+	out := make([]Grant, len(in.Questions))
+	for i, q := range in.Questions {
+		h.holds[q.Account] = true
+		out[i] = l.ask(id, q, now)
+	}
+	return out, true
+}
+
+// ask answers a question of a host.
+func (l *Ledger) ask(id string, q Question, now time.Time) Grant {
+	b := l.book(q.Account, q.Quota, now)
+	b.quota = q.Quota
+	v := view{l.terms, l.Known(now), now.Before(l.certain)}
+	b.advance(now, v)
+	if v.known {
+		b.prune(now)
+	}
+	p := part{}
+	if known := b.parts[id]; known != nil {
+		p = *known
+	}
+	p.learn(q)
+	b.set(id, p)
+	out := l.give(b, &p, q, v, now)
+	b.set(id, p)
+	b.limit(v)
+	out.Tokens = b.hand(q, p.offered.Cap)
+	if out.Tokens < float64(q.Waiting) {
+		out.After = b.wait(v)
+	}
+	return out
+}
+
+// learn takes over what the host says that it holds.
+func (p *part) learn(q Question) {
+	p.demand = q.Demand
+	switch q.Holding {
+	case p.offered.Serial:
+		p.held = p.offered
+	case p.held.Serial:
+	default:
+		p.held = Portion{} // it lost what it had
+	}
+	p.offered = p.held
+}
+
+// give makes a new portion for the host.
+func (l *Ledger) give(b *book, p *part, q Question, v view, now time.Time) Grant {
+	p.offered = b.portion(p, v)
+	b.serial++
+	p.offered.Serial = b.serial
+	lasts := min(Lifetime, l.until.Sub(now))
+	if v.known || p.until.IsZero() {
+		p.until = now.Add(lasts + drift)
+	} else {
+		// Earlier granters who do not know of this one count on its end.
+		lasts = min(lasts, p.until.Sub(now)-drift)
+	}
+	return Grant{Account: q.Account, Serial: p.offered.Serial, Rate: p.offered.Rate, Cap: p.offered.Cap, Lasts: lasts}
+}
+
+// Known reports whether the granter knows what hosts hold: all have told, or what earlier granters gave has ended.
+func (l *Ledger) Known(now time.Time) bool { return !now.Before(l.knownAt()) }
+
+// knownAt is from when on it knows, as far as it can tell now.
+func (l *Ledger) knownAt() time.Time {
+	end := l.began.Add(Lifetime + drift)
+	if l.told.IsZero() || end.Before(l.told) {
+		return end
+	}
+	return l.told
+}
+
+// book returns the book of an account. One that nobody has asked for has gathered tokens since the granter has
+// known what hosts hold.
+func (l *Ledger) book(name string, q account.Quota, now time.Time) *book {
+	b := l.books[name]
+	if b == nil {
+		at := l.knownAt()
+		if at.After(now) {
+			at = now
+		}
+		b = &book{quota: q, at: at, supply: l.terms.beginning(), parts: map[string]*part{}}
+		l.books[name] = b
+	}
+	return b
+}
--- /dev/null
+++ b/core/quota/ledger_test.go
@@ -0,0 +1,231 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	"pearlatch/core/account"
+)
+
+const ms = time.Millisecond
+
+var (
+	t0    = time.UnixMilli(1_000_000)
+	forty = account.Quota{Rate: 40, Burst: 40}
+	// strict is a tolerance of nothing.
+	strict = Terms{Window: 5 * time.Second}
+)
+
+// newLedgerOf returns the ledger of a granter that has heard of all these hosts at t0.
+func newLedgerOf(terms Terms, hosts ...string) *Ledger {
+	l := NewLedger(5, terms, t0, hosts)
+	for _, h := range hosts {
+		l.Told(h, h+".1", nil, t0)
+	}
+	return l
+}
+
+// ask asks for an account with the quota forty.
+func ask(t *testing.T, l *Ledger, host string, at time.Time, q Question) Grant {
+	t.Helper()
+	q.Account, q.Quota = "a", forty
+	out, ok := l.Answer(host, host+".1", Inquiry{Token: 5, Questions: []Question{q}}, at)
+	if !ok {
+		t.Fatalf("%s got no answer", host)
+	}
+	return out[0]
+}
+
+// Who takes tokens from another granter, or has not told what it holds, gets nothing: it may hold what this
+// granter does not know.
+func TestLedgerAnswersItsOwnFollowers(t *testing.T) {
+	l := newLedgerOf(strict, "h1")
+	l.Admit("h2")
+	questions := []Question{{Account: "a", Quota: forty, Waiting: 1}}
+	for _, c := range []struct {
+		what, host, process string
+		token               int64
+		at                  time.Time
+		want                bool
+	}{
+		{"a follower", "h1", "h1.1", 5, t0, true},
+		{"a follower of an earlier granter", "h1", "h1.1", 4, t0, false},
+		{"a follower of a later granter", "h1", "h1.1", 6, t0, false},
+		{"another process of the host", "h1", "h1.2", 5, t0, false},
+		{"a host that has told nothing", "h2", "h2.1", 5, t0, false},
+		{"a host that no successor would ask", "h3", "h3.1", 5, t0, false},
+		{"a follower after the granter's time", "h1", "h1.1", 5, t0.Add(Lifetime), false},
+	} {
+		if _, ok := l.Answer(c.host, c.process, Inquiry{Token: c.token, Questions: questions}, c.at); ok != c.want {
+			t.Errorf("%s: answered %v", c.what, ok)
+		}
+	}
+}
+
+// A host has most of the quota, and its callers leave. The granter offers it less, but the answer gets lost: the
+// host goes on with what it had. Until it shows that it knows, nobody else may get the difference.
+func TestPortionCountsUntilTheHostKnowsOfASmallerOne(t *testing.T) {
+	l := newLedgerOf(strict, "h1", "h2")
+	big := ask(t, l, "h1", t0, Question{Demand: 30})
+	ask(t, l, "h1", t0.Add(time.Second), Question{Holding: big.Serial, Demand: 30})
+	l.books["a"].parts["h1"].held = Portion{Serial: big.Serial, Rate: big.Rate, Cap: big.Cap}
+	ask(t, l, "h1", t0.Add(2*time.Second), Question{Holding: big.Serial}) // the answer gets lost
+	other := ask(t, l, "h2", t0.Add(2*time.Second), Question{Demand: 30})
+	if sum := big.Rate + other.Rate; sum > heldShare*forty.Rate+0.001 {
+		t.Errorf("two hosts hold %.1f of %.0f a second", sum, forty.Rate)
+	}
+	small := ask(t, l, "h1", t0.Add(3*time.Second), Question{Holding: big.Serial})
+	ask(t, l, "h1", t0.Add(4*time.Second), Question{Holding: small.Serial}) // it came
+	if other = ask(t, l, "h2", t0.Add(4*time.Second), Question{Holding: other.Serial, Demand: 30}); other.Rate < 30 {
+		t.Errorf("the other host got %.1f a second of what is free", other.Rate)
+	}
+}
+
+// The duty of the granter was taken away early, and its holder does not know. It has not heard of all hosts, nor has
+// its successor: of what a granter hands out meanwhile only one share is allowed for.
+func TestOneGranterHandsOutWhatComesMeanwhile(t *testing.T) {
+	terms := Terms{Window: 5 * time.Second, Share: 0.1, Operations: 20}
+	l := NewLedger(5, terms, t0, []string{"h1", "h2"})
+	l.Told("h1", "h1.1", nil, t0)
+	got := 0.0
+	for at := t0; at.Before(t0.Add(10 * time.Second)); at = at.Add(100 * ms) {
+		got += ask(t, l, "h1", at, Question{Waiting: 5}).Tokens
+	}
+	// It counts on its duty for 1.8 s after it last held it.
+	if most := terms.beginning() + 2.0*terms.meanwhile(forty); got > most || got < 1 {
+		t.Errorf("%.0f tokens were handed out, want at most %.0f", got, most)
+	}
+}
+
+// Callers come to a host for the first time while the quota is not used: they get their tokens at once, and the host a
+// portion that follows their demand, as the one of another host shrinks.
+func TestPortionsFollowDemand(t *testing.T) {
+	l := newLedgerOf(strict, "h1", "h2")
+	serials := map[string]uint64{}
+	rates := map[string]float64{}
+	step := func(at time.Time, host string, demand float64) Grant {
+		g := ask(t, l, host, at, Question{Holding: serials[host], Demand: demand, Waiting: 1, Room: 2})
+		serials[host], rates[host] = g.Serial, g.Rate
+		return g
+	}
+	at := t0.Add(2 * time.Second)
+	if g := step(at, "h1", 1); g.Tokens < 1 {
+		t.Errorf("the first caller got %.1f tokens", g.Tokens)
+	}
+	for range 5 {
+		at = at.Add(700 * ms)
+		step(at, "h1", 24)
+		step(at, "h2", 1)
+	}
+	if rates["h1"] < 24 || rates["h2"] > 2 {
+		t.Errorf("portions %v of a demand of 24 and 1", rates)
+	}
+	for range 5 {
+		at = at.Add(700 * ms)
+		step(at, "h1", 1)
+		step(at, "h2", 24)
+	}
+	if rates["h2"] < 24 || rates["h1"] > 2 {
+		t.Errorf("portions %v of a demand of 1 and 24", rates)
+	}
+}
+
+// Callers ask for more than the quota. What they get in the long run is the quota, and they are told when to come
+// back.
+func TestDemandBeyondTheQuota(t *testing.T) {
+	l := newLedgerOf(strict, "h1")
+	s := NewShard()
+	s.Follow(5)
+	began := 0
+	var after time.Duration
+	for at := t0; at.Before(t0.Add(20 * time.Second)); at = at.Add(10 * ms) {
+		l.Extend(at)
+		v, later := s.Begin("a", forty, at)
+		if v == Ask {
+			s.Wait("a")
+			if in, ok := s.Inquire(at); ok {
+				grants, _ := l.Answer("h1", "h1.1", in, at)
+				s.Receive(in.ID, 5, grants, at)
+			}
+			v, later = s.Leave("a", at)
+		}
+		if v == Admitted {
+			began++
+		} else {
+			after = max(after, later)
+		}
+	}
+	if began < 20*40*95/100 || began > 20*40+40 {
+		t.Errorf("%d operations began in 20 s, the quota is %d and a burst of 40", began, 20*40)
+	}
+	if after <= 0 || after > longestWait {
+		t.Errorf("a refused caller was told to come back after %s", after)
+	}
+}
+
+// The quota is lowered, and the host does not reach the granter: its portion shrinks all the same.
+func TestLoweredQuotaShrinksThePortion(t *testing.T) {
+	var b Bucket
+	b.Receive(Grant{Serial: 1, Rate: 20, Cap: 10, Lasts: Lifetime}, t0, t0)
+	b.Lowered(forty, account.Quota{Rate: 10, Burst: 10}, t0.Add(time.Second))
+	if p := b.Portion(t0.Add(time.Second)); p.Rate != 5 || p.Cap != 2.5 {
+		t.Errorf("portion %+v", p)
+	}
+	b.Lowered(account.Quota{Rate: 10, Burst: 10}, forty, t0.Add(time.Second))
+	if p := b.Portion(t0.Add(time.Second)); p.Rate != 5 {
+		t.Errorf("portion %+v after the quota was raised: the granter gives more, if there is more", p)
+	}
+}
+
+// The account has rested, and its callers come back to two hosts at the same moment. What both had kept, and
+// what the granter hands out then, is no more than the burst.
+func TestBurstAfterARestIsNoMoreThanTheBurst(t *testing.T) {
+	l := newLedgerOf(strict, "h1", "h2")
+	shards := map[string]*Shard{"h1": NewShard(), "h2": NewShard()}
+	inquire := func(host string, at time.Time) {
+		s := shards[host]
+		in, ok := s.Inquire(at)
+		if !ok {
+			return
+		}
+		grants, _ := l.Answer(host, host+".1", in, at)
+		s.Receive(in.ID, 5, grants, at)
+	}
+	at := t0
+	for host, s := range shards {
+		s.Follow(5)
+		for range 40 {
+			at = at.Add(25 * ms)
+			l.Extend(at)
+			s.Begin("a", forty, at)
+			inquire(host, at)
+		}
+	}
+	at = at.Add(3 * time.Second)
+	l.Extend(at)
+	for host := range shards {
+		inquire(host, at)
+	}
+	at = at.Add(600 * ms) // all buckets are full
+	begin := func(host string) bool {
+		s := shards[host]
+		v, _ := s.Begin("a", forty, at)
+		if v == Ask {
+			s.Wait("a")
+			inquire(host, at)
+			v, _ = s.Leave("a", at)
+		}
+		return v == Admitted
+	}
+	began := 0
+	for range 40 {
+		for host := range shards {
+			if begin(host) {
+				began++
+			}
+		}
+	}
+	if began > 40 || began < 35 {
+		t.Errorf("%d operations began at once, the burst is 40", began)
+	}
+}
--- /dev/null
+++ b/core/quota/terms.go
@@ -0,0 +1,55 @@
+package quota
+
+import (
+	"time"
+
+	"pearlatch/core/account"
+)
+
+const (
+	// Lifetime is how long a portion lasts that is not renewed. It outlasts the outages of the users' stores and
+	// the cuts between their hosts, of up to 12 s: callers of a host that is cut off are served meanwhile. A host
+	// that is lost without a trace keeps its portions from others for so long.
+	Lifetime = 13 * time.Second
+	// drift is how far two clocks may part within that time.
+	drift = 50 * time.Millisecond
+)
+
+// Terms are how far an account may exceed its quota in any Window, since hosts can't know each other's doings
+// at every moment: (rate x Window + burst) x (1 + Share) + Operations. Zero Terms let it exceed it by nothing.
+type Terms struct {
+	Window     time.Duration
+	Share      float64
+	Operations float64
+}
+
+// The tolerance is split up: what hosts may hold at once above the burst, what a granter begins with, and what
+// it hands out per second while it does not know what others hold. With four granters in
+// one window, of which two at a time may take themselves for the only one for Certainty, the parts add up to no more
+// than the whole.
+const (
+	holdingPart   = 0.2
+	beginningPart = 0.05
+	unknownPart   = 0.45
+	unknownShare  = 0.7
+)
+
+// capacity is how many tokens of an account there may be at once, with hosts and in store.
+func (t Terms) capacity(q account.Quota) float64 { return q.Burst + holdingPart*t.Operations }
+
+// beginning is how many tokens a granter begins with. Those before it may have spent all others.
+func (t Terms) beginning() float64 { return beginningPart * t.Operations }
+
+// meanwhile is the rate at which a granter hands out tokens above what is certain to be left, while it does not
+// know what others hold.
+func (t Terms) meanwhile(q account.Quota) float64 {
+	if t.Window <= 0 {
+		return 0
+	}
+	return unknownShare*t.Share*q.Rate + unknownPart*t.Operations/t.Window.Seconds()
+}
+
+// Bound is how many operations of an account may begin within the window.
+func (t Terms) Bound(q account.Quota) float64 {
+	return (q.Rate*t.Window.Seconds()+q.Burst)*(1+t.Share) + t.Operations
+}
--- a/internal/gateway/duty.go
+++ b/internal/gateway/duty.go
@@ -36,10 +36,6 @@
 	// takeoverPause is how long an order may take to be carried out that was accepted: the users'
 	// members take up to 1 s to lead.
 	takeoverPause = 1200 * time.Millisecond
-	// dutyCertain is how long after a renewal the holder counts on its duty: two renewals may get lost.
-	// The platform may take the entry away long before its lease ends, and the holder not hear of it, so
-	// the next holder waits as long before it replaces a primary on which this one may grant leases.
-	dutyCertain = 1800 * time.Millisecond
 )
 
 // duty is this host's part in the promotions of one group.
@@ -299,7 +295,7 @@
 
 // certainUntil returns until when this host may grant leases, and order without a token that the platform
 // checks. d.mu is held.
-func (d *duty) certainUntil() time.Time { return d.renewed.Add(dutyCertain) }
+func (d *duty) certainUntil() time.Time { return d.renewed.Add(leadership.Certainty) }
 
 // unrecordedUntil returns until when an earlier holder may have ordered without a record: until
 // the platform had seen this host's token, until this process began if the holder was an earlier one of
@@ -329,7 +325,7 @@
 	case d.reclaimed:
 		return d.host.started.Add(leadership.Duration)
 	}
-	return d.since.Add(dutyCertain)
+	return d.since.Add(leadership.Certainty)
 }
 
 // isHeld reports whether this host took the duty and knows of no other holder.
