--- a/core/leadership/record.go
+++ b/core/leadership/record.go
@@ -33,6 +33,8 @@
 	// HandedBack is true once the holder has given the duty back: it gives no more orders, also
 	// none that do not stand here.
 	HandedBack bool
+	// Grantees are the hosts that may hold portions of accounts' quotas from this holder or earlier ones.
+	Grantees []string
 }
 
 // Covers reports whether the record's floor holds for the members of now: none of those
--- a/core/quota/bench_test.go
+++ b/core/quota/bench_test.go
@@ -26,7 +26,8 @@
 			for b.Loop() {
 				n++
 				id := ids[n%len(ids)]
-				in.Questions[0] = Question{Account: fmt.Sprint("a", n%size.accounts), Quota: q, Demand: 2, Waiting: 1, Room: 1}
+				in.ID = uint64(n)
+				in.Questions[0] = Question{Account: fmt.Sprint("a", n%size.accounts), Quota: q, Demand: 2, Waiting: 1}
 				l.Answer(id, id+".1", in, now)
 			}
 		})
@@ -48,9 +49,9 @@
 			in, _ := s.Inquire(t0)
 			grants := make([]Grant, len(in.Questions))
 			for i, each := range in.Questions {
-				grants[i] = Grant{Account: each.Account, Serial: 1, Rate: 1e6, Cap: 1e6, Tokens: 1e6, Lasts: Lifetime}
+				grants[i] = Grant{Account: each.Account, Serial: 1, Rate: 1e9, Cap: 1e9, Lasts: Lifetime}
 			}
-			s.Receive(in.ID, 5, grants, t0)
+			s.Receive(in.ID, 5, Answer{Grants: grants}, t0)
 			n := 0
 			b.ReportAllocs()
 			for b.Loop() {
--- a/core/quota/book.go
+++ b/core/quota/book.go
@@ -1,24 +1,25 @@
 package quota
 
 import (
-	"math"
 	"time"
 
 	"pearlatch/core/account"
 )
 
 const (
-	// heldShare bounds what of an account's rate may be with hosts as portions: the rest is there for hosts
-	// whose callers have just come. heldCap bounds what of its capacity may gather there.
-	heldShare = 0.85
-	heldCap   = 0.5
+	// heldShare bounds what of an account's rate may be with hosts as portions, and heldCap what of its capacity
+	// may gather there: the rest is there for hosts whose callers have just come.
+	heldShare = 0.9
+	heldCap   = 0.8
 	// portionHeadroom is how much more than its callers' demand a host gets, where there is enough: demand is an
 	// average.
 	portionHeadroom = 1.15
-	// capTime is how much of its portion may gather with a host, and leastCap how many tokens in any
-	// case: a pause between two operations of a caller.
+	// capTime is for how long at once a host may keep tokens for its callers, and leastCap how many in any case.
 	capTime  = 600 * time.Millisecond
 	leastCap = 1.0
+	// leastRate is the least portion, in operations per second: one operation in the time over which demand is
+	// averaged makes no portion, two make one.
+	leastRate = 0.2
 )
 
 // book is what a granter knows of one account.
@@ -27,27 +28,61 @@
 	// supply is how many tokens were left at the time at.
 	supply float64
 	at     time.Time
-	// parts holds what hosts may hold, by host; rate, gathered and demanded are the sums of theirs.
-	parts                    map[string]*part
-	rate, gathered, demanded float64
-	serial                   uint64
+	// parts holds what hosts may hold, by host.
+	parts map[string]*part
+	// sums adds the parts up.
+	sums   sums
+	serial uint64
 	// prunedAt is when portions that had ended were last looked for.
 	prunedAt time.Time
 }
 
+// sums are over the parts of a book: the rates at which tokens may come to hosts by themselves now, and in all; what
+// may be gathered there now, and at most; and what their callers ask for.
+type sums struct{ awake, rate, gathered, caps, demand float64 }
+
+func (s *sums) add(p *part, sign float64) {
+	s.rate += sign * p.rate()
+	s.caps += sign * p.cap()
+	s.demand += sign * p.demand
+	if p.awake {
+		s.awake += sign * p.rate()
+		s.gathered += sign * p.cap()
+	} else {
+		s.gathered += sign * p.stock
+	}
+}
+
 // part is what a host may hold of an account's quota: the portion that it said it has, and the one that was
 // offered to it since, which it may have got or not.
 type part struct {
 	held, offered Portion
-	// until is when both have certainly ended.
+	// awake is true if tokens may come to the host by themselves. While none do it has no more than stock.
+	awake bool
+	stock float64
+	// until is when both portions have certainly ended.
 	until time.Time
 	// demand is in operations per second.
 	demand float64
 }
 
-// rate and gathered bound what the host may use.
-func (p *part) rate() float64     { return max(p.held.Rate, p.offered.Rate) }
-func (p *part) gathered() float64 { return max(p.held.Cap, p.offered.Cap) }
+// rate and cap bound what the host may use.
+func (p *part) rate() float64 { return max(p.held.Rate, p.offered.Rate) }
+func (p *part) cap() float64  { return max(p.held.Cap, p.offered.Cap) }
+
+// learn takes over what the host says that it holds. It may have been given tokens that it has not told of: those
+// come with a portion that it has not got either.
+func (p *part) learn(q Question) {
+	p.demand = q.Demand
+	switch q.Holding {
+	case p.offered.Serial:
+		p.held = p.offered
+	case p.held.Serial:
+	default:
+		p.held = Portion{} // it lost what it had
+	}
+	p.offered, p.stock = p.held, q.Tokens
+}
 
 // view is what a granter knows when it answers.
 type view struct {
@@ -60,9 +95,7 @@
 func (b *book) set(host string, p part) {
 	b.drop(host)
 	b.parts[host] = &p
-	b.rate += p.rate()
-	b.gathered += p.gathered()
-	b.demanded += p.demand
+	b.sums.add(&p, 1)
 }
 
 // drop forgets what a host held.
@@ -72,26 +105,35 @@
 		return
 	}
 	delete(b.parts, host)
+	b.sums.add(p, -1)
 	if len(b.parts) == 0 {
-		b.rate, b.gathered, b.demanded = 0, 0, 0 // and what rounding has left
+		b.sums = sums{} // and what rounding has left
+	}
+}
+
+// wake records whether tokens may come to the host by themselves, from the given time on.
+func (b *book) wake(host string, awake bool, at time.Time, v view) {
+	p := b.parts[host]
+	if p == nil || p.awake == awake {
 		return
 	}
-	b.rate -= p.rate()
-	b.gathered -= p.gathered()
-	b.demanded -= p.demand
+	b.advance(at, v)
+	changed := *p
+	changed.awake = awake
+	b.set(host, changed)
 }
 
-// advance lets tokens come until now: what is not with hosts, or while that is not known what Terms allow.
+// advance lets tokens come until now: what does not come to hosts by itself, or while that is not known what Terms
+// allow.
 func (b *book) advance(now time.Time, v view) {
-	inflow := b.inflow(v)
 	if elapsed := now.Sub(b.at); elapsed > 0 {
-		b.supply += inflow * elapsed.Seconds()
+		b.supply += b.inflow(v) * elapsed.Seconds()
 		b.at = now
 	}
 	b.limit(v)
 }
 
-// inflow is how many tokens come in a second that are not with hosts. Of those that come meanwhile, only one
+// inflow is how many tokens come in a second that do not come to hosts. Of those that come meanwhile, only one
 // granter at a time may hand out any.
 func (b *book) inflow(v view) float64 {
 	switch {
@@ -100,15 +142,15 @@
 	case !v.known:
 		return 0
 	}
-	return max(0, b.quota.Rate-b.rate)
+	return max(0, b.quota.Rate-b.sums.awake)
 }
 
-// limit drops tokens beyond the account's capacity, less what may gather with hosts. While that is not known a
+// limit drops tokens beyond the account's capacity, less what may be gathered with hosts. While that is not known a
 // second's tokens are kept.
 func (b *book) limit(v view) {
 	most := v.terms.beginning() + v.terms.meanwhile(b.quota)
 	if v.known {
-		most = max(v.terms.beginning(), v.terms.capacity(b.quota)-b.gathered)
+		most = max(v.terms.beginning(), v.terms.capacity(b.quota)-b.sums.gathered)
 	}
 	b.supply = min(b.supply, most)
 }
@@ -129,16 +171,14 @@
 	}
 }
 
-// hand hands out tokens for operations that wait, and of the rest no more than half of what is left, so that
-// others find some.
-func (b *book) hand(q Question, most float64) float64 {
-	tokens := min(math.Floor(b.supply), float64(q.Waiting))
-	if left := b.supply - tokens; left > 0 {
-		tokens += min(max(0, min(q.Room, most)), left/2)
-	}
-	tokens = max(0, tokens)
-	b.supply -= tokens
-	return tokens
+// hand hands out tokens for so many operations that wait, and of what is left then up to half as tokens ahead, for
+// which the host has room.
+func (b *book) hand(waiting int, room float64) (tokens int, ahead float64) {
+	tokens = max(0, min(int(b.supply), waiting))
+	b.supply -= float64(tokens)
+	ahead = max(0, min(room, b.supply/2))
+	b.supply -= ahead
+	return tokens, ahead
 }
 
 // portion returns what the host is to get as its portion. While it is not known what others hold the host keeps
@@ -148,14 +188,16 @@
 	if !v.known {
 		return p.held
 	}
-	left := heldShare*b.quota.Rate - (b.rate - p.rate())
+	left := heldShare*b.quota.Rate - (b.sums.rate - p.rate())
 	scale := portionHeadroom
-	if b.demanded*scale > heldShare*b.quota.Rate {
-		scale = heldShare * b.quota.Rate / b.demanded
+	if b.sums.demand*scale > heldShare*b.quota.Rate {
+		scale = heldShare * b.quota.Rate / b.sums.demand
+	}
+	out := Portion{Rate: min(p.demand*scale, left)}
+	out.Cap = min(leastCap+out.Rate*capTime.Seconds(), heldCap*v.terms.capacity(b.quota)-(b.sums.caps-p.cap()))
+	if p.demand < leastRate || out.Rate < leastRate/2 || out.Cap < leastCap {
+		return Portion{} // nobody would use it
 	}
-	out := Portion{Rate: max(0, min(p.demand*scale, left))}
-	room := heldCap*v.terms.capacity(b.quota) - (b.gathered - p.gathered())
-	out.Cap = max(0, min(leastCap+out.Rate*capTime.Seconds(), room))
 	return out
 }
 
--- a/core/quota/demand.go
+++ b/core/quota/demand.go
@@ -5,9 +5,9 @@
 	"time"
 )
 
-// demandTime is over which time demand is averaged: portions follow a change within a second or two, and
-// a caller's usual ups and downs don't move them.
-const demandTime = 1500 * time.Millisecond
+// demandTime is over which time demand is averaged: an account's callers come to a host every few seconds each, and a
+// refused one tries at several hosts.
+const demandTime = 4 * time.Second
 
 // demand is an average of how many operations begin per second. The zero demand is none.
 type demand struct {
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -12,10 +12,11 @@
 // Ledger is what the granter of some accounts knows of what it has given. Use NewLedger. It is not safe for
 // concurrent use.
 type Ledger struct {
-	// token is the granter's fencing token.
-	token int64
-	terms Terms
-	began time.Time
+	// first and token are the granter's fencing tokens: those of its duty's begin, and the newest one. All that
+	// lie between are its own.
+	first, token int64
+	terms        Terms
+	began        time.Time
 	// certain is until when no successor can have begun, and until when this granter's time is over.
 	certain, until time.Time
 	// hosts holds all hosts that may hold portions, or have been granters.
@@ -24,6 +25,8 @@
 	silent int
 	told   time.Time
 	books  map[string]*book
+	// dozing holds the hosts whose portions count as asleep.
+	dozing map[string]*host
 }
 
 // host is a host that may hold portions.
@@ -34,6 +37,13 @@
 	silent bool
 	// heard is when it last told, or asked.
 	heard time.Time
+	// asked is the ID of its last question, which was answered at answeredAt if answered is true.
+	asked      uint64
+	answered   bool
+	answeredAt time.Time
+	// asleepUntil is until when its portions certainly sleep, and awake whether they count as awake.
+	asleepUntil time.Time
+	awake       bool
 	// holds names the accounts of which it may hold portions.
 	holds map[string]bool
 }
@@ -41,9 +51,9 @@
 // NewLedger returns the ledger of a granter with a fencing token, which begins now. The hosts named may hold
 // portions of earlier granters, or have been one.
 func NewLedger(token int64, t Terms, now time.Time, mayHold []string) *Ledger {
-	l := &Ledger{token: token, terms: t, began: now, hosts: map[string]*host{}, books: map[string]*book{}}
+	l := &Ledger{first: token, token: token, terms: t, began: now, hosts: map[string]*host{}, books: map[string]*book{}, dozing: map[string]*host{}}
 	for _, id := range mayHold {
-		l.hosts[id] = &host{silent: true, holds: map[string]bool{}}
+		l.hosts[id] = &host{silent: true, awake: true, holds: map[string]bool{}}
 	}
 	if l.silent = len(l.hosts); l.silent == 0 {
 		l.told = now
@@ -55,6 +65,9 @@
 // Token returns the granter's fencing token.
 func (l *Ledger) Token() int64 { return l.token }
 
+// Raise records that the granter's fencing token has risen.
+func (l *Ledger) Raise(token int64) { l.token = max(l.token, token) }
+
 // Extend records that the granter held its duty at a time, so that whoever succeeds it begins no sooner. It goes
 // on for Lifetime: its successor takes that into account.
 func (l *Ledger) Extend(held time.Time) {
@@ -68,7 +81,7 @@
 func (l *Ledger) Admit(ids ...string) {
 	for _, id := range ids {
 		if l.hosts[id] == nil {
-			l.hosts[id] = &host{holds: map[string]bool{}}
+			l.hosts[id] = &host{awake: true, holds: map[string]bool{}}
 		}
 	}
 }
@@ -113,7 +126,8 @@
 		l.books[name].drop(id)
 	}
 	clear(h.holds)
-	h.process = ""
+	delete(l.dozing, id)
+	h.process, h.awake, h.asleepUntil = "", true, time.Time{}
 	if !h.silent {
 		return
 	}
@@ -142,25 +156,34 @@
 		return
 	}
 	l.Ended(id, now)
-	h.process, h.heard = process, now
+	h.process, h.heard, h.asked, h.answered, h.asleepUntil, h.awake = process, now, 0, false, time.Time{}, true
 	for _, each := range holds {
 		b := l.book(each.Account, account.Quota{}, now)
-		b.set(id, part{held: each.Portion, offered: each.Portion, until: now.Add(each.Lasts + drift), demand: each.Portion.Rate / portionHeadroom})
+		b.set(id, part{held: each.Portion, offered: each.Portion, awake: true, until: now.Add(each.Lasts + drift), demand: each.Portion.Rate / portionHeadroom})
 		b.serial = max(b.serial, each.Portion.Serial)
 		h.holds[each.Account] = true
 	}
 }
 
+// Heard reports whether the host's process has told what it holds.
+func (l *Ledger) Heard(id, process string) bool {
+	h := l.hosts[id]
+	return h != nil && !h.silent && h.process == process
+}
+
 // Question is what a host asks of an account.
 type Question struct {
 	Account string
 	// Quota is the account's, as the granter's configuration says.
 	Quota account.Quota
-	// Holding is the serial of the portion that the host uses, or zero.
+	// Holding is the serial of the portion that the host has, and Tokens what it has left.
 	Holding uint64
+	Tokens  float64
+	// Back is how many tokens it gives back.
+	Back int
 	// Demand is how many operations its callers begin per second.
 	Demand float64
-	// Waiting is how many operations wait for a token, and Room how many more tokens the host may keep.
+	// Waiting is how many operations wait for a token, and Room how many more tokens the host would like.
 	Waiting int
 	Room    float64
 }
@@ -172,33 +195,73 @@
 	// Rate and Cap make the host's portion, which lasts for so long from when it was asked for.
 	Rate, Cap float64
 	Lasts     time.Duration
-	// Tokens may be used at once.
-	Tokens float64
+	// Tokens are for operations that wait, and Ahead for those that come.
+	Tokens int
+	Ahead  float64
 	// After is when more may be left for operations that got none.
 	After time.Duration
 }
 
+// Answer answers an Inquiry.
+type Answer struct {
+	// Asleep is true if the host's portions are to sleep while it reaches the granter.
+	Asleep bool
+	Grants []Grant
+}
+
 // Answer answers a process of a host. It returns false for one that takes tokens from another granter or has not
 // told yet what it holds, and once this granter's time is over.
-func (l *Ledger) Answer(id, process string, in Inquiry, now time.Time) ([]Grant, bool) {
+func (l *Ledger) Answer(id, process string, in Inquiry, now time.Time) (Answer, bool) {
 	h := l.hosts[id]
-	if h == nil || h.silent || h.process != process || in.Token != l.token || !now.Before(l.until) {
-		return nil, false
+	if h == nil || h.silent || h.process != process || in.ID <= h.asked || in.Token < l.first || in.Token > l.token || !now.Before(l.until) {
+		return Answer{}, false
 	}
-	h.heard = now
-	out := make([]Grant, len(in.Questions))
+	v := view{l.terms, l.Known(now), now.Before(l.certain)}
+	l.wakeAll(now, v)
+	if in.Heard == h.asked && h.answered {
+		// The host counts from when it asked, which is a little earlier.
+		h.asleepUntil = h.answeredAt.Add(chargedAfter)
+		l.lull(id, h, now, v)
+	}
+	h.heard, h.asked, h.answered, h.answeredAt = now, in.ID, v.known, now
+	out := Answer{Asleep: v.known, Grants: make([]Grant, len(in.Questions))}
 	for i, q := range in.Questions {
 		h.holds[q.Account] = true
-		out[i] = l.ask(id, q, now)
+		out.Grants[i] = l.ask(id, h, q, v, now)
 	}
 	return out, true
 }
 
+// lull counts the host's portions as asleep.
+func (l *Ledger) lull(id string, h *host, now time.Time, v view) {
+	if !h.awake || !now.Before(h.asleepUntil) {
+		return
+	}
+	h.awake = false
+	l.dozing[id] = h
+	for name := range h.holds {
+		l.books[name].wake(id, false, now, v)
+	}
+}
+
+// wakeAll counts the portions of hosts as awake that have not been heard of for long.
+func (l *Ledger) wakeAll(now time.Time, v view) {
+	for id, h := range l.dozing {
+		if now.Before(h.asleepUntil) {
+			continue
+		}
+		h.awake = true
+		delete(l.dozing, id)
+		for name := range h.holds {
+			l.books[name].wake(id, true, h.asleepUntil, v)
+		}
+	}
+}
+
 // ask answers a question of a host.
-func (l *Ledger) ask(id string, q Question, now time.Time) Grant {
+func (l *Ledger) ask(id string, h *host, q Question, v view, now time.Time) Grant {
 	b := l.book(q.Account, q.Quota, now)
 	b.quota = q.Quota
-	v := view{l.terms, l.Known(now), now.Before(l.certain)}
 	b.advance(now, v)
 	if v.known {
 		b.prune(now)
@@ -207,31 +270,22 @@
 	if known := b.parts[id]; known != nil {
 		p = *known
 	}
+	p.awake = h.awake
 	p.learn(q)
+	b.supply += float64(q.Back)
 	b.set(id, p)
 	out := l.give(b, &p, q, v, now)
 	b.set(id, p)
 	b.limit(v)
-	out.Tokens = b.hand(q, p.offered.Cap)
-	if out.Tokens < float64(q.Waiting) {
+	out.Tokens, out.Ahead = b.hand(q.Waiting, min(q.Room, p.offered.Cap-q.Tokens))
+	p.stock += out.Ahead
+	b.set(id, p)
+	if out.Tokens < q.Waiting {
 		out.After = b.wait(v)
 	}
 	return out
 }
 
-// learn takes over what the host says that it holds.
-func (p *part) learn(q Question) {
-	p.demand = q.Demand
-	switch q.Holding {
-	case p.offered.Serial:
-		p.held = p.offered
-	case p.held.Serial:
-	default:
-		p.held = Portion{} // it lost what it had
-	}
-	p.offered = p.held
-}
-
 // give makes a new portion for the host.
 func (l *Ledger) give(b *book, p *part, q Question, v view, now time.Time) Grant {
 	p.offered = b.portion(p, v)
--- a/core/quota/ledger_test.go
+++ b/core/quota/ledger_test.go
@@ -25,15 +25,19 @@
 	return l
 }
 
+// asked counts the questions of these tests.
+var asked uint64
+
 // ask asks for an account with the quota forty.
 func ask(t *testing.T, l *Ledger, host string, at time.Time, q Question) Grant {
 	t.Helper()
 	q.Account, q.Quota = "a", forty
-	out, ok := l.Answer(host, host+".1", Inquiry{Token: 5, Questions: []Question{q}}, at)
+	asked++
+	out, ok := l.Answer(host, host+".1", Inquiry{ID: asked, Token: 5, Questions: []Question{q}}, at)
 	if !ok {
 		t.Fatalf("%s got no answer", host)
 	}
-	return out[0]
+	return out.Grants[0]
 }
 
 // Who takes tokens from another granter, or has not told what it holds, gets nothing: it may hold what this
@@ -42,7 +46,7 @@
 	l := newLedgerOf(strict, "h1")
 	l.Admit("h2")
 	questions := []Question{{Account: "a", Quota: forty, Waiting: 1}}
-	for _, c := range []struct {
+	for i, c := range []struct {
 		what, host, process string
 		token               int64
 		at                  time.Time
@@ -56,7 +60,7 @@
 		{"a host that no successor would ask", "h3", "h3.1", 5, t0, false},
 		{"a follower after the granter's time", "h1", "h1.1", 5, t0.Add(Lifetime), false},
 	} {
-		if _, ok := l.Answer(c.host, c.process, Inquiry{Token: c.token, Questions: questions}, c.at); ok != c.want {
+		if _, ok := l.Answer(c.host, c.process, Inquiry{ID: uint64(i + 1), Token: c.token, Questions: questions}, c.at); ok != c.want {
 			t.Errorf("%s: answered %v", c.what, ok)
 		}
 	}
@@ -66,34 +70,97 @@
 // host goes on with what it had. Until it shows that it knows, nobody else may get the difference.
 func TestPortionCountsUntilTheHostKnowsOfASmallerOne(t *testing.T) {
 	l := newLedgerOf(strict, "h1", "h2")
-	big := ask(t, l, "h1", t0, Question{Demand: 30})
-	ask(t, l, "h1", t0.Add(time.Second), Question{Holding: big.Serial, Demand: 30})
-	l.books["a"].parts["h1"].held = Portion{Serial: big.Serial, Rate: big.Rate, Cap: big.Cap}
-	ask(t, l, "h1", t0.Add(2*time.Second), Question{Holding: big.Serial}) // the answer gets lost
-	other := ask(t, l, "h2", t0.Add(2*time.Second), Question{Demand: 30})
-	if sum := big.Rate + other.Rate; sum > heldShare*forty.Rate+0.001 {
-		t.Errorf("two hosts hold %.1f of %.0f a second", sum, forty.Rate)
-	}
-	small := ask(t, l, "h1", t0.Add(3*time.Second), Question{Holding: big.Serial})
-	ask(t, l, "h1", t0.Add(4*time.Second), Question{Holding: small.Serial}) // it came
-	if other = ask(t, l, "h2", t0.Add(4*time.Second), Question{Holding: other.Serial, Demand: 30}); other.Rate < 30 {
+	bursty := account.Quota{Rate: 40, Burst: 400}
+	askOf := func(host string, at time.Time, holding uint64, demand float64) Grant {
+		asked++
+		in := Inquiry{ID: asked, Token: 5, Questions: []Question{{Account: "a", Quota: bursty, Holding: holding, Demand: demand}}}
+		out, ok := l.Answer(host, host+".1", in, at)
+		if !ok {
+			t.Fatalf("%s got no answer", host)
+		}
+		return out.Grants[0]
+	}
+	big := askOf("h1", t0, 0, 30)
+	askOf("h1", t0.Add(time.Second), big.Serial, 0) // the answer, with next to nothing, gets lost
+	other := askOf("h2", t0.Add(time.Second), 0, 30)
+	if sum := big.Rate + other.Rate; sum > heldShare*bursty.Rate+0.001 {
+		t.Errorf("two hosts hold %.1f of %.0f a second", sum, bursty.Rate)
+	}
+	small := askOf("h1", t0.Add(2*time.Second), big.Serial, 0)
+	askOf("h1", t0.Add(3*time.Second), small.Serial, 0) // it came
+	if other = askOf("h2", t0.Add(3*time.Second), other.Serial, 30); other.Rate < 30 {
 		t.Errorf("the other host got %.1f a second of what is free", other.Rate)
 	}
 }
 
+// A host's questions arrive, and no answer comes back: it can't know that its portions are to sleep on, and they
+// wake. The granter must count on that, and hand out only the rest.
+func TestPortionWakesThoughTheHostIsHeard(t *testing.T) {
+	l := newLedgerOf(strict, "h1", "h2")
+	say := func(heard uint64, at time.Time) (uint64, Answer) {
+		asked++
+		q := []Question{{Account: "a", Quota: forty, Demand: 20}}
+		out, ok := l.Answer("h1", "h1.1", Inquiry{ID: asked, Heard: heard, Token: 5, Questions: q}, at)
+		if !ok {
+			t.Fatal("no answer")
+		}
+		return asked, out
+	}
+	first, answer := say(0, t0)
+	at := t0.Add(800 * ms)
+	say(first, at)                 // the first answer came, and no other one will
+	for l.books["a"].supply >= 1 { // the burst is used up
+		ask(t, l, "h2", at, Question{Waiting: 40})
+	}
+	got := 0
+	for range 50 {
+		at = at.Add(100 * ms)
+		l.Extend(at)
+		say(first, at)
+		got += ask(t, l, "h2", at, Question{Waiting: 40}).Tokens
+	}
+	// The host counts from its first question, and wakes 2.4 s after it: here 1.6 s after the burst was used up.
+	if rate := answer.Grants[0].Rate; got > 40*5-int(rate*3.4) || rate < 20 {
+		t.Errorf("%d tokens were handed out in 5 s beside a portion of %.0f a second that sleeps for 1.6", got, rate)
+	}
+}
+
+// A host is cut off, and its tokens gather. Callers elsewhere find the burst less what may have gathered there.
+func TestBurstBesideAHostThatIsCutOff(t *testing.T) {
+	l := newLedgerOf(strict, "h1", "h2")
+	cut := ask(t, l, "h1", t0, Question{Demand: 20})
+	at := t0.Add(10 * time.Second)
+	l.Extend(at)
+	if g := ask(t, l, "h2", at, Question{Waiting: 100}); float64(g.Tokens) > forty.Burst-cut.Cap || cut.Cap < 10 {
+		t.Errorf("%d tokens at once beside %.0f that may have gathered with a host, the burst is 40", g.Tokens, cut.Cap)
+	}
+}
+
+// A question comes late, after a later one of the same host. What it says that the host holds holds no more.
+func TestLateQuestionsAreNotAnswered(t *testing.T) {
+	l := newLedgerOf(strict, "h1")
+	q := []Question{{Account: "a", Quota: forty, Demand: 5}}
+	if _, ok := l.Answer("h1", "h1.1", Inquiry{ID: 8, Token: 5, Questions: q}, t0); !ok {
+		t.Fatal("no answer")
+	}
+	if _, ok := l.Answer("h1", "h1.1", Inquiry{ID: 7, Token: 5, Questions: q}, t0.Add(ms)); ok {
+		t.Error("the late question was answered")
+	}
+}
+
 // The duty of the granter was taken away early, and its holder does not know. It has not heard of all hosts, nor has
 // its successor: of what a granter hands out meanwhile only one share is allowed for.
 func TestOneGranterHandsOutWhatComesMeanwhile(t *testing.T) {
 	terms := Terms{Window: 5 * time.Second, Share: 0.1, Operations: 20}
 	l := NewLedger(5, terms, t0, []string{"h1", "h2"})
 	l.Told("h1", "h1.1", nil, t0)
-	got := 0.0
+	got := 0
 	for at := t0; at.Before(t0.Add(10 * time.Second)); at = at.Add(100 * ms) {
 		got += ask(t, l, "h1", at, Question{Waiting: 5}).Tokens
 	}
 	// It counts on its duty for 1.8 s after it last held it.
-	if most := terms.beginning() + 2.0*terms.meanwhile(forty); got > most || got < 1 {
-		t.Errorf("%.0f tokens were handed out, want at most %.0f", got, most)
+	if most := terms.beginning() + 2.0*terms.meanwhile(forty); float64(got) > most || got < 1 {
+		t.Errorf("%d tokens were handed out, want at most %.0f", got, most)
 	}
 }
 
@@ -110,23 +177,17 @@
 	}
 	at := t0.Add(2 * time.Second)
 	if g := step(at, "h1", 1); g.Tokens < 1 {
-		t.Errorf("the first caller got %.1f tokens", g.Tokens)
-	}
-	for range 5 {
-		at = at.Add(700 * ms)
-		step(at, "h1", 24)
-		step(at, "h2", 1)
-	}
-	if rates["h1"] < 24 || rates["h2"] > 2 {
-		t.Errorf("portions %v of a demand of 24 and 1", rates)
+		t.Errorf("the first caller got %d tokens", g.Tokens)
 	}
-	for range 5 {
-		at = at.Add(700 * ms)
-		step(at, "h1", 1)
-		step(at, "h2", 24)
-	}
-	if rates["h2"] < 24 || rates["h1"] > 2 {
-		t.Errorf("portions %v of a demand of 1 and 24", rates)
+	for _, c := range []struct{ busy, rests string }{{"h1", "h2"}, {"h2", "h1"}} {
+		for range 5 {
+			at = at.Add(adaptPause)
+			step(at, c.busy, 24)
+			step(at, c.rests, 1)
+		}
+		if rates[c.busy] < 24 || rates[c.rests] > 2 {
+			t.Errorf("portions %v, of a demand of 24 at %s and 1 at %s", rates, c.busy, c.rests)
+		}
 	}
 }
 
@@ -144,8 +205,8 @@
 		if v == Ask {
 			s.Wait("a")
 			if in, ok := s.Inquire(at); ok {
-				grants, _ := l.Answer("h1", "h1.1", in, at)
-				s.Receive(in.ID, 5, grants, at)
+				answer, _ := l.Answer("h1", "h1.1", in, at)
+				s.Receive(in.ID, 5, answer, at)
 			}
 			v, later = s.Leave("a", at)
 		}
@@ -166,13 +227,13 @@
 // The quota is lowered, and the host does not reach the granter: its portion shrinks all the same.
 func TestLoweredQuotaShrinksThePortion(t *testing.T) {
 	var b Bucket
-	b.Receive(Grant{Serial: 1, Rate: 20, Cap: 10, Lasts: Lifetime}, t0, t0)
-	b.Lowered(forty, account.Quota{Rate: 10, Burst: 10}, t0.Add(time.Second))
-	if p := b.Portion(t0.Add(time.Second)); p.Rate != 5 || p.Cap != 2.5 {
-		t.Errorf("portion %+v", p)
+	b.receive(Grant{Serial: 1, Rate: 20, Cap: 10, Lasts: Lifetime}, t0, t0, t0)
+	b.lowered(forty, account.Quota{Rate: 10, Burst: 10}, t0.Add(time.Second), t0)
+	if p := b.portion; p.Rate != 5 || p.Cap != 2.5 || b.tokens != 2.5 {
+		t.Errorf("portion %+v, %.1f tokens", p, b.tokens)
 	}
-	b.Lowered(account.Quota{Rate: 10, Burst: 10}, forty, t0.Add(time.Second))
-	if p := b.Portion(t0.Add(time.Second)); p.Rate != 5 {
+	b.lowered(account.Quota{Rate: 10, Burst: 10}, forty, t0.Add(time.Second), t0)
+	if p := b.portion; p.Rate != 5 {
 		t.Errorf("portion %+v after the quota was raised: the granter gives more, if there is more", p)
 	}
 }
@@ -188,8 +249,8 @@
 		if !ok {
 			return
 		}
-		grants, _ := l.Answer(host, host+".1", in, at)
-		s.Receive(in.ID, 5, grants, at)
+		answer, _ := l.Answer(host, host+".1", in, at)
+		s.Receive(in.ID, 5, answer, at)
 	}
 	at := t0
 	for host, s := range shards {
@@ -201,12 +262,15 @@
 			inquire(host, at)
 		}
 	}
-	at = at.Add(3 * time.Second)
-	l.Extend(at)
-	for host := range shards {
-		inquire(host, at)
+	for range 5 { // portions shrink, and the granter hears that they have
+		at = at.Add(refreshPause)
+		l.Extend(at)
+		for host := range shards {
+			inquire(host, at)
+		}
 	}
-	at = at.Add(600 * ms) // all buckets are full
+	at = at.Add(time.Second)
+	l.Extend(at)
 	begin := func(host string) bool {
 		s := shards[host]
 		v, _ := s.Begin("a", forty, at)
--- a/core/quota/removal_test.go
+++ b/core/quota/removal_test.go
@@ -19,22 +19,29 @@
 		t.Skip("takes minutes: go test ./core/quota -run Removals -removals")
 	}
 	for _, c := range []struct{ name, file, from, to string }{
-		{"hosts take nothing from earlier granters", "ledger.go", "in.Token != l.token ||", ""},
+		{"hosts take nothing from earlier granters", "ledger.go", "in.Token < l.first || in.Token > l.token ||", ""},
 		{"only the last answer is taken", "wallet.go", "!w.waiting || id != w.asked || token != w.token", "false"},
+		{"late answers are not taken", "wallet.go", "|| now.Sub(w.askedAt) > AnswerWithin {", "{"},
+		{"late questions are not answered", "ledger.go", "in.ID <= h.asked ||", ""},
 		{"what silent hosts hold counts", "ledger.go", "return !now.Before(l.knownAt())", "return true"},
 		{"who has told a later granter gives no more", "shard.go", "s.ledger = nil", "_ = 0"},
 		{"a granter that does not know what hosts hold moves nothing", "book.go", "if !v.known {\n\t\treturn p.held", "if false {\n\t\treturn p.held"},
 		{"portions end with the granter's time", "ledger.go", "lasts := min(Lifetime, l.until.Sub(now))", "lasts := Lifetime"},
 		{"portions end", "bucket.go", "if !now.Before(b.until) {", "if false {"},
 		{"a portion counts until the host is known to have a smaller one", "book.go", "return max(p.held.Rate, p.offered.Rate)", "return p.offered.Rate"},
-		{"what may gather with hosts is not in store", "book.go", "v.terms.capacity(b.quota)-b.gathered)", "v.terms.capacity(b.quota))"},
+		{"what may gather with hosts is not in store", "book.go", "v.terms.capacity(b.quota)-b.sums.gathered)", "v.terms.capacity(b.quota))"},
 		{"a granter begins with next to nothing", "ledger.go", "supply: l.terms.beginning()", "supply: l.terms.capacity(q)"},
-		{"a host's new portion begins empty", "bucket.go", "b.tokens += g.Tokens", "b.tokens += g.Tokens + g.Cap"},
+		{"a host's new portion begins empty", "bucket.go", "b.tokens = min(g.Cap, b.tokens+g.Ahead)", "b.tokens = g.Cap"},
 		{"a process that has not told gets nothing", "ledger.go", "h.silent || h.process != process ||", ""},
 		{"portions of hosts that are not heard of count on", "book.go", "if !now.Before(p.until) {", "if p != nil {"},
 		{"what was told ends as its granter meant it to", "ledger.go", "if v.known || p.until.IsZero() {", "if true {"},
 		{"one granter at a time hands out what comes meanwhile", "book.go", "case !v.known && v.certain:", "case !v.known:"},
-		{"tokens do not gather beyond the portion", "bucket.go", "b.tokens = min(b.portion.Cap, b.tokens+b.portion.Rate*elapsed.Seconds())", "b.tokens += b.portion.Rate * elapsed.Seconds()"},
+		{"tokens do not gather beyond the portion", "bucket.go", "b.tokens = min(b.portion.Cap, b.tokens)\n\tb.at", "b.at"},
+		{"a portion is counted as awake before it wakes", "bucket.go", "now.Sub(later(b.at, wakes))", "now.Sub(b.at)"},
+		{"a portion sleeps only once the host is known to know", "ledger.go", "if in.Heard == h.asked && h.answered {", "if h.answered {"},
+		{"a portion sleeps for as long as the host counts on, and no longer", "ledger.go", "h.answeredAt.Add(chargedAfter)", "now.Add(chargedAfter)"},
+		{"what may gather with a host that is awake is not in store", "book.go", "s.gathered += sign * p.cap()", "s.gathered += sign * p.stock"},
+		{"portions that wake count", "book.go", "return max(0, b.quota.Rate-b.sums.awake)", "return b.quota.Rate"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			out, err := testWith(t, c.file, c.from, c.to)
--- a/core/quota/terms.go
+++ b/core/quota/terms.go
@@ -13,6 +13,13 @@
 	Lifetime = 13 * time.Second
 	// drift is how far two clocks may part within that time.
 	drift = 50 * time.Millisecond
+	// wakesAfter is how long after a host last asked the granter with success its portions wake, and chargedAfter
+	// how long after that question came the granter counts them as awake. In between, the question may have been
+	// under way.
+	wakesAfter   = 2400 * time.Millisecond
+	chargedAfter = 2100 * time.Millisecond
+	// AnswerWithin is how long after a question its answer may be taken.
+	AnswerWithin = wakesAfter - chargedAfter - drift
 )
 
 // Terms are how far an account may exceed its quota in any Window, since hosts can't know each other's doings
@@ -24,14 +31,13 @@
 }
 
 // The tolerance is split up: what hosts may hold at once above the burst, what a granter begins with, and what
-// it hands out per second while it does not know what others hold. With four granters in
-// one window, of which two at a time may take themselves for the only one for Certainty, the parts add up to no more
-// than the whole.
+// it hands out per second while it does not know what others hold. With four granters in one window, of which two at a
+// time may take themselves for the only one for Certainty, the parts add up to no more than the whole.
 const (
-	holdingPart   = 0.2
-	beginningPart = 0.05
-	unknownPart   = 0.45
-	unknownShare  = 0.7
+	holdingPart   = 0.6
+	beginningPart = 0.03
+	unknownPart   = 0.15
+	unknownShare  = 0.6
 )
 
 // capacity is how many tokens of an account there may be at once, with hosts and in store.
--- a/core/quota/world_test.go
+++ b/core/quota/world_test.go
@@ -184,7 +184,7 @@
 	for range n {
 		switch v, _ := h.shard.Begin("a", w.quota, w.now); v {
 		case Admitted:
-			w.began = append(w.began, w.now)
+			w.begin(h)
 		case Ask:
 			h.shard.Wait("a")
 			asks++
@@ -195,13 +195,22 @@
 	w.inquire(h)
 	for range asks {
 		if v, _ := h.shard.Leave("a", w.now); v == Admitted {
-			w.began = append(w.began, w.now)
+			w.begin(h)
 		} else {
 			w.refused++
 		}
 	}
 }
 
+// begin counts an operation, or gives the token of one back that a member had no room for.
+func (w *world) begin(h *worldHost) {
+	if w.random.IntN(10) == 0 {
+		h.shard.Return("a")
+		return
+	}
+	w.began = append(w.began, w.now)
+}
+
 // deliver lets messages arrive that are due.
 func (w *world) deliver() {
 	var left []message
@@ -244,13 +253,13 @@
 		if !g.up || g.dark || l == nil {
 			return
 		}
-		grants, ok := l.Answer(h.id, asker, in, w.now)
+		answer, ok := l.Answer(h.id, asker, in, w.now)
 		if !ok {
 			return
 		}
 		w.send(g, h, func() {
 			if h.process == process && h.up && !h.dark {
-				shard.Receive(in.ID, in.Token, grants, w.now)
+				shard.Receive(in.ID, in.Token, answer, w.now)
 			}
 		})
 	})
--- a/internal/gateway/duty.go
+++ b/internal/gateway/duty.go
@@ -183,6 +183,7 @@
 	go func() {
 		w := &watcher{duty: d}
 		w.recall(ctx, true)
+		d.host.quotas.Lost(d.group.name)
 		w.handBack(ctx)
 		d.giveUp("stopping")
 	}()
@@ -253,6 +254,7 @@
 	defer d.mu.Unlock()
 	if d.unbroken = err == nil; d.unbroken {
 		d.renewed = asked
+		d.host.quotas.Renewed(d.group.name, asked)
 	}
 }
 
@@ -282,6 +284,7 @@
 	if !held {
 		return
 	}
+	d.host.quotas.Lost(d.group.name)
 	d.log("duty_lost", "why", why)
 	go d.host.endLease(lease)
 }
@@ -362,6 +365,7 @@
 	if err != nil {
 		return errors.Wrap(err, "higher token")
 	}
+	d.host.quotas.Raised(d.group.name, revision)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.token = revision
--- a/internal/gateway/enum_string.go
+++ b/internal/gateway/enum_string.go
@@ -41,11 +41,12 @@
 	_ = x[Malformed-10]
 	_ = x[NoDatabase-11]
 	_ = x[Unauthorized-12]
+	_ = x[OverQuota-13]
 }
 
-const _Code_name = "BusyAbortedLaggingReadOnlyMisroutedTooManyUnknownStatementFailedTimedOutInDoubtMalformedNoDatabaseUnauthorized"
+const _Code_name = "BusyAbortedLaggingReadOnlyMisroutedTooManyUnknownStatementFailedTimedOutInDoubtMalformedNoDatabaseUnauthorizedOverQuota"
 
-var _Code_index = [...]uint8{0, 4, 11, 18, 26, 35, 42, 58, 64, 72, 79, 88, 98, 110}
+var _Code_index = [...]uint8{0, 4, 11, 18, 26, 35, 42, 58, 64, 72, 79, 88, 98, 110, 119}
 
 func (i Code) String() string {
 	idx := int(i) - 0
--- a/internal/gateway/fakefleet_test.go
+++ b/internal/gateway/fakefleet_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"pearlatch/core/freshness"
+	"pearlatch/internal/quotas"
 )
 
 // fakeFleet connects hosts of one site.
@@ -272,6 +273,22 @@
 	return nil
 }
 
+func (p *fakePeers) Quota(ctx context.Context, to netip.AddrPort, r quotas.Request) (quotas.Reply, error) {
+	h, err := p.reach(ctx, to)
+	if err != nil {
+		return quotas.Reply{}, err
+	}
+	return h.Quotas().Answer(r), nil
+}
+
+func (p *fakePeers) TellQuota(ctx context.Context, to netip.AddrPort, r quotas.TellRequest) (quotas.TellReply, error) {
+	h, err := p.reach(ctx, to)
+	if err != nil {
+		return quotas.TellReply{}, err
+	}
+	return h.Quotas().Tell(r), nil
+}
+
 type fakeLane struct {
 	peers *fakePeers
 	to    netip.AddrPort
--- a/internal/gateway/fakesite_test.go
+++ b/internal/gateway/fakesite_test.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -289,16 +290,24 @@
 	}, nil
 }
 
-// fakeAccounts reads what follows the first two bytes of a configuration: an account a line, with its name
-// and its key.
+// fakeAccounts reads what follows the first two bytes of a configuration: an account a line, with its name,
+// its key, and its rate if it has one. Its burst is as large.
 func fakeAccounts(value []byte) (*account.Directory, error) {
 	if len(value) <= 2 {
 		return nil, nil
 	}
 	var out []account.Account
 	for line := range strings.Lines(string(value[2:])) {
-		name, key, _ := strings.Cut(strings.TrimSpace(line), " ")
-		out = append(out, account.Account{Name: name, Keys: []account.Fingerprint{account.FingerprintOf(key)}})
+		f := strings.Fields(line)
+		a := account.Account{Name: f[0], Keys: []account.Fingerprint{account.FingerprintOf(f[1])}}
+		if len(f) > 2 {
+			rate, err := strconv.ParseFloat(f[2], 64)
+			if err != nil {
+				return nil, err
+			}
+			a.Quota = account.Quota{Rate: rate, Burst: rate}
+		}
+		out = append(out, a)
 	}
 	return account.NewDirectory(out)
 }
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -203,6 +203,17 @@
 	return out
 }
 
+// listedIDs returns the hosts that are listed.
+func (f *fleet) listedIDs() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := []string{f.self.ID}
+	for _, h := range f.table.Others(f.self) {
+		out = append(out, h.ID)
+	}
+	return out
+}
+
 // address returns the address of a listed host for other hosts.
 func (f *fleet) address(id string) (netip.AddrPort, bool) {
 	f.mu.Lock()
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -228,6 +229,7 @@
 		close(h.configured)
 	}
 	h.config = c
+	h.quotas.Configure(c.Accounts, slices.Collect(maps.Keys(c.Groups)))
 	close(h.reconfigured)
 	h.reconfigured = make(chan struct{})
 	h.log("config", "version", c.Version, "routes", len(c.Routes), "accounts", c.Accounts.Len(), "news_age_ms", h.now().Sub(h.heardAt).Milliseconds())
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -14,6 +14,8 @@
 
 	"pearlatch/core/account"
 	"pearlatch/core/membership"
+	"pearlatch/core/quota"
+	"pearlatch/internal/quotas"
 )
 
 // Settings are what a host needs to know at its start.
@@ -31,6 +33,8 @@
 	PromotionTokens bool
 	// LeaseFloor is the shortest lease that the store grants.
 	LeaseFloor time.Duration
+	// Quotas say how far an account may exceed its quota while hosts disagree.
+	Quotas quota.Terms
 	// Peer is the host's address for other hosts. Without one the host serves its own
 	// callers alone.
 	Peer netip.AddrPort
@@ -103,6 +107,10 @@
 	changed chan struct{}
 	heardAt time.Time
 
+	quotas *quotas.Keeper
+	// granters holds the last entry seen of each duty.
+	granters map[string]Item
+
 	// process names this run of the host: what it knew is lost with it. It began at started.
 	process string
 	started time.Time
@@ -138,6 +146,8 @@
 		stopped: make(chan struct{}), ended: make(chan struct{}), duties: map[string]*duty{}, changed: make(chan struct{}), process: fmt.Sprintf("%s-%08x", s.Host, rand.Uint32()),
 	}
 	h.fleet.self = membership.Host{ID: s.Host, Zone: s.Zone, Peer: s.Peer}
+	h.granters = map[string]Item{}
+	h.quotas = quotas.New(quotas.Settings{Host: s.Host, Process: h.process, Terms: s.Quotas}, quotaFleet{h}, logger, now)
 	return h
 }
 
@@ -149,6 +159,7 @@
 	wait.Go(func() { h.register(ctx) })
 	wait.Go(func() { h.serveDuties(ctx) })
 	wait.Go(func() { h.keepLeases(ctx) })
+	wait.Go(func() { h.quotas.Run(ctx) })
 	wait.Go(func() { h.trim(ctx) })
 	wait.Wait()
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"pearlatch/core/group"
+	"pearlatch/internal/quotas"
 )
 
 // Peers speaks to other hosts of the fleet.
@@ -23,6 +24,9 @@
 	Lease(ctx context.Context, to netip.AddrPort, r LeaseRequest) (LeaseReply, error)
 	// EndLease asks the host to give such a lease back. Without an error it has.
 	EndLease(ctx context.Context, to netip.AddrPort, groupName, memberID string, planned bool) error
+	// Quota asks the host for tokens of accounts' quotas, and TellQuota what it holds of them.
+	Quota(ctx context.Context, to netip.AddrPort, r quotas.Request) (quotas.Reply, error)
+	TellQuota(ctx context.Context, to netip.AddrPort, r quotas.TellRequest) (quotas.TellReply, error)
 	// Feed lets the host pass on what changed in the store after the revision.
 	Feed(ctx context.Context, to netip.AddrPort, after int64) (Feed, error)
 }
--- /dev/null
+++ b/internal/gateway/quota.go
@@ -0,0 +1,101 @@
+package gateway
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"pearlatch/core/account"
+	"pearlatch/internal/quotas"
+)
+
+// Quotas keeps the host's accounts within their quotas.
+func (h *Host) Quotas() *quotas.Keeper { return h.quotas }
+
+// quotaFleet is what the keeper of quotas knows of other hosts. A shard is a group: whoever holds the duty of the
+// group's promotions is the granter of the accounts that fall to it.
+type quotaFleet struct{ h *Host }
+
+var _ quotas.Fleet = quotaFleet{}
+
+// Granter implements quotas.Fleet. A holder whose entry has lapsed goes on until there is another one.
+func (f quotaFleet) Granter(shard string) (host string, token int64, ok bool) {
+	f.h.mu.Lock()
+	defer f.h.mu.Unlock()
+	key := f.h.dutyKey(shard)
+	if i, known := f.h.items[key]; known {
+		f.h.granters[shard] = i
+	}
+	i, ok := f.h.granters[shard]
+	return string(i.Value), i.Revision, ok
+}
+
+// Ask implements quotas.Fleet.
+func (f quotaFleet) Ask(ctx context.Context, host string, r quotas.Request) (quotas.Reply, error) {
+	addr, ok := f.h.fleet.address(host)
+	if !ok || f.h.ports.Peers == nil {
+		return quotas.Reply{}, errNoHolder
+	}
+	return f.h.ports.Peers.Quota(ctx, addr, r)
+}
+
+// Tell implements quotas.Fleet.
+func (f quotaFleet) Tell(ctx context.Context, host string, r quotas.TellRequest) (quotas.TellReply, error) {
+	addr, ok := f.h.fleet.address(host)
+	if !ok || f.h.ports.Peers == nil {
+		return quotas.TellReply{}, errNoHolder
+	}
+	return f.h.ports.Peers.TellQuota(ctx, addr, r)
+}
+
+// Ended implements quotas.Fleet.
+func (f quotaFleet) Ended(err error) bool { return processEnded(err) }
+
+// Enter implements quotas.Fleet. It writes down all hosts that are listed, since others will ask as well.
+func (f quotaFleet) Enter(ctx context.Context, shard, host string) ([]string, error) {
+	f.h.mu.Lock()
+	d := f.h.duties[shard]
+	f.h.mu.Unlock()
+	if d == nil {
+		return nil, errNoHolder
+	}
+	return d.enterGrantees(ctx, host)
+}
+
+// enterGrantees writes into the record that the host, and all that are listed, may hold portions of quotas.
+func (d *duty) enterGrantees(ctx context.Context, host string) ([]string, error) {
+	r, ok := d.recorded()
+	if !ok {
+		return nil, errNotInherited
+	}
+	all := map[string]bool{host: true, d.host.settings.Host: true}
+	for _, id := range append(r.Grantees, d.host.fleet.listedIDs()...) {
+		all[id] = true
+	}
+	r.Grantees = slices.Sorted(maps.Keys(all))
+	if err := d.save(ctx, r); err != nil {
+		return nil, err
+	}
+	return r.Grantees, nil
+}
+
+// granteesInherited makes this host the granter of the group's accounts once it knows whom to ask, and if it is it
+// already, makes sure that a successor knows of all as well.
+func (d *duty) granteesInherited(grantees []string) {
+	d.mu.Lock()
+	first, token, held := !d.inherited, d.token, d.renewed
+	d.mu.Unlock()
+	if first {
+		d.host.quotas.Took(d.group.name, token, held, grantees)
+	}
+}
+
+// charge lets an operation of the account begin, or refuses it.
+func (h *Host) charge(ctx context.Context, a *account.Account, until time.Time) *Failure {
+	ok, after := h.quotas.Begin(ctx, a, until)
+	if ok {
+		return nil
+	}
+	return &Failure{OverQuota, "account " + a.Name + " is beyond its quota, " + comeBack(after)}
+}
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -20,7 +20,8 @@
 		FloorLSN uint64         `json:"floor_lsn,omitempty"`
 		Ordered  string         `json:"ordered,omitempty"`
 		// HandedBack is true once the holder has given the duty back.
-		HandedBack bool `json:"handed_back,omitempty"`
+		HandedBack bool     `json:"handed_back,omitempty"`
+		Grantees   []string `json:"grantees,omitempty"`
 	}
 	wireLifetime struct {
 		Member string `json:"member"`
@@ -30,7 +31,7 @@
 
 func encodeRecord(r leadership.Record) ([]byte, error) {
 	out := wireRecord{
-		Holder: r.Holder, Term: uint64(r.Term), Ordered: r.Ordered, HandedBack: r.HandedBack,
+		Holder: r.Holder, Term: uint64(r.Term), Ordered: r.Ordered, HandedBack: r.HandedBack, Grantees: r.Grantees,
 		FloorIn: uint64(r.Floor.Term), FloorLSN: uint64(r.Floor.LSN),
 	}
 	for _, m := range r.Members {
@@ -45,7 +46,7 @@
 		return leadership.Record{}, errors.Wrap(err, "record of a group's leadership")
 	}
 	out := leadership.Record{
-		Holder: in.Holder, Term: group.Term(in.Term), Ordered: in.Ordered, HandedBack: in.HandedBack,
+		Holder: in.Holder, Term: group.Term(in.Term), Ordered: in.Ordered, HandedBack: in.HandedBack, Grantees: in.Grantees,
 		Floor: group.Position{Term: group.Term(in.FloorIn), LSN: group.LSN(in.FloorLSN)},
 	}
 	for _, m := range in.Members {
@@ -78,6 +79,7 @@
 	}
 	d.group.adoptFloor(r, found.Revision)
 	d.group.ledIn(r.Term)
+	d.granteesInherited(r.Grantees)
 	d.mu.Lock()
 	if !d.inherited { // later, this holder knows best which order it gave
 		d.inherited, d.handedBack = true, handedBack || holder == ""
@@ -97,6 +99,9 @@
 	call, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
 	r.Holder = d.host.settings.Host
+	if r.Grantees == nil {
+		r.Grantees = d.host.quotas.MayHold(d.group.name)
+	}
 	err := d.write(call, r, revision)
 	if err != nil {
 		d.mu.Lock()
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -51,6 +51,8 @@
 	NoDatabase
 	// Unauthorized means that no client account has the caller's key.
 	Unauthorized
+	// OverQuota means that the caller's account has no operation left for now.
+	OverQuota
 )
 
 // NotRun reports whether a member that answers with the code has certainly not
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -97,6 +97,12 @@
 	if s.state == Broken {
 		return s.doBroken(r)
 	}
+	if f := s.admit(ctx, r, arrived); f != nil {
+		reply := s.failed(Reply{Failure: f})
+		reply.State = s.state
+		s.note(r, arrived, reply)
+		return reply
+	}
 	var reply Reply
 	switch st := r.Statement.(type) {
 	case Begin:
@@ -121,6 +127,24 @@
 	return reply
 }
 
+// admit takes a token of the account's quota for an operation that begins here: a transaction, or a statement
+// outside of one. Those of other hosts' callers were counted there.
+func (s *Session) admit(ctx context.Context, r Request, arrived time.Time) *Failure {
+	if s.visit != nil || s.state != Idle {
+		return nil
+	}
+	switch r.Statement.(type) {
+	case Begin, Read, Write, Execute:
+	default:
+		return nil
+	}
+	at, f := s.route()
+	if f != nil {
+		return f
+	}
+	return s.host.charge(ctx, at.account, arrived.Add(at.route.Timeout))
+}
+
 // note counts a statement that was answered, and writes a line if it failed.
 func (s *Session) note(r Request, arrived time.Time, reply Reply) {
 	outcome := "served"
--- /dev/null
+++ b/internal/quotas/grant.go
@@ -0,0 +1,197 @@
+package quotas
+
+import (
+	"context"
+	"time"
+
+	"pearlatch/core/quota"
+)
+
+// Took makes this host the granter of a shard under a fencing token. The hosts named may hold portions of earlier
+// granters, or have been one, and a successor will know of them.
+func (k *Keeper) Took(name string, token int64, held time.Time, mayHold []string) {
+	s := k.byName(name)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := quota.NewLedger(token, k.settings.Terms, k.now(), mayHold)
+	l.Extend(held)
+	s.Grant(l)
+	s.telling = map[string]*told{}
+	s.askAt = time.Time{}
+	k.log("granter_begins", "shard", name, "token", token, "may_hold", len(mayHold))
+}
+
+// Renewed records that this host still held a shard's duty at a time, and Raised that its token has risen.
+func (k *Keeper) Renewed(name string, held time.Time) {
+	s := k.byName(name)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l := s.Ledger(); l != nil {
+		l.Extend(held)
+	}
+}
+
+// Raised is described with Renewed.
+func (k *Keeper) Raised(name string, token int64) {
+	s := k.byName(name)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l := s.Ledger(); l != nil {
+		l.Raise(token)
+	}
+}
+
+// Lost records that this host is the granter of a shard no more. Nothing is handed out once it returns.
+func (k *Keeper) Lost(name string) {
+	s := k.byName(name)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.Ledger() != nil {
+		k.log("granter_ends", "shard", name)
+	}
+	s.Grant(nil)
+}
+
+// MayHold returns the hosts of which a successor must know as the granter of a shard.
+func (k *Keeper) MayHold(name string) []string {
+	s := k.byName(name)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if l := s.Ledger(); l != nil {
+		return l.MayHold()
+	}
+	return nil
+}
+
+// Answer answers a host that asks this one as the granter of a shard.
+func (k *Keeper) Answer(r Request) Reply {
+	s := k.byName(r.Shard)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	answer, ok := k.answer(s, r.Host, r.Process, r.Inquiry)
+	return Reply{Declined: !ok, Answer: answer}
+}
+
+// answer answers a host, this one as well. One that the ledger does not know well enough is asked what it holds
+// first. The shard's lock is held.
+func (k *Keeper) answer(s *shard, host, process string, in quota.Inquiry) (quota.Answer, bool) {
+	l := s.Ledger()
+	if l == nil {
+		return quota.Answer{}, false
+	}
+	now := k.now()
+	if host == k.settings.Host && l.Knows(host) && !l.Heard(host, process) {
+		holds, _ := s.Shard.Tell(l.Token(), now)
+		l.Told(host, process, holds, now)
+	}
+	questions := in.Questions[:0:0]
+	for _, q := range in.Questions {
+		known := false
+		if q.Quota, known = k.quotaOf(q.Account); known && !q.Quota.Unbounded() {
+			questions = append(questions, q)
+		}
+	}
+	in.Questions = questions
+	if out, ok := l.Answer(host, process, in, now); ok {
+		return out, true
+	}
+	switch {
+	case !l.Knows(host):
+		k.enter(s, l, host)
+	case !l.Heard(host, process):
+		k.tell(s, l, host)
+	}
+	return quota.Answer{}, false
+}
+
+// enter lets hosts get portions that are new to the fleet, once a successor will know of them. The shard's lock is
+// held.
+func (k *Keeper) enter(s *shard, l *quota.Ledger, host string) {
+	if s.entering || k.now().Before(s.enterAt) {
+		return
+	}
+	s.entering = true
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), enterTimeout)
+		defer cancel()
+		entered, err := k.fleet.Enter(ctx, s.name, host)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.entering = false
+		if err != nil {
+			s.enterAt = k.now().Add(enterPause)
+			k.log("grantee_not_entered", "shard", s.name, "peer", host, "err", err)
+			return
+		}
+		l.Admit(entered...)
+		for _, each := range entered {
+			k.tell(s, l, each)
+		}
+	}()
+}
+
+// lookAfter asks hosts that have not told what they hold, and those that were not heard of for long. The shard's
+// lock is held.
+func (k *Keeper) lookAfter(_ context.Context, s *shard) {
+	l := s.Ledger()
+	if l == nil {
+		return
+	}
+	for _, host := range l.Silent() {
+		k.tell(s, l, host)
+	}
+	for _, host := range l.Unheard(k.now().Add(-unheardTime)) {
+		k.tell(s, l, host)
+	}
+}
+
+// tell asks a host what it holds. The shard's lock is held.
+func (k *Keeper) tell(s *shard, l *quota.Ledger, host string) {
+	if host == k.settings.Host {
+		holds, _ := s.Shard.Tell(l.Token(), k.now())
+		l.Told(host, k.settings.Process, holds, k.now())
+		return
+	}
+	t := s.telling[host]
+	if t == nil {
+		t = &told{}
+		s.telling[host] = t
+	}
+	if t.under || k.now().Before(t.at) {
+		return
+	}
+	t.under = true
+	r := TellRequest{s.name, k.settings.Host, l.Token()}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+		defer cancel()
+		reply, err := k.fleet.Tell(ctx, host, r)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		k.heard(s, l, host, t, reply, err)
+	}()
+}
+
+// heard takes over what a host told. The shard's lock is held.
+func (k *Keeper) heard(s *shard, l *quota.Ledger, host string, t *told, reply TellReply, err error) {
+	now := k.now()
+	t.under = false
+	switch {
+	case s.Ledger() != l:
+		return
+	case err == nil && !reply.Declined:
+		known := l.Known(now)
+		l.Told(host, reply.Process, reply.Holds, now)
+		t.at, t.pause = now.Add(tellPause), 0
+		if !known && l.Known(now) {
+			k.log("grants_known", "shard", s.name)
+		}
+		return
+	case err == nil:
+		k.log("granter_outlived", "shard", s.name, "peer", host, "token", l.Token())
+	case k.fleet.Ended(err):
+		l.Ended(host, now)
+	}
+	t.pause = min(max(2*t.pause, tellPause), tellPauseMax)
+	t.at = now.Add(t.pause)
+}
--- a/internal/yamlmap/yamlmap.go
+++ b/internal/yamlmap/yamlmap.go
@@ -209,6 +209,20 @@
 	return n
 }
 
+// Share returns a field between 0 and the most allowed, or zero.
+func (m *Map) Share(field string, most float64) float64 {
+	v, ok := m.scalar(field)
+	if !ok {
+		return 0
+	}
+	x, err := strconv.ParseFloat(v, 64)
+	if err != nil || !(x >= 0 && x <= most) {
+		m.Wrong(field, "%q is not a number between 0 and %v", v, most)
+		return 0
+	}
+	return x
+}
+
 // Bool returns a field, or false.
 func (m *Map) Bool(field string) bool {
 	v, ok := m.scalar(field)
--- a/io/peer/gateway_client.go
+++ b/io/peer/gateway_client.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"pearlatch/internal/gateway"
+	"pearlatch/internal/quotas"
 )
 
 // GatewayClient speaks to other gateways. Use NewGatewayClient.
@@ -94,6 +95,30 @@
 	return err
 }
 
+// Quota implements gateway.Peers.
+func (c *GatewayClient) Quota(ctx context.Context, to netip.AddrPort, r quotas.Request) (quotas.Reply, error) {
+	reply, err := c.question(ctx, to, &linkRequest{quota: (*quotaRequest)(&r)})
+	if err != nil {
+		return quotas.Reply{}, err
+	}
+	if reply.quota == nil {
+		return quotas.Reply{}, errors.Errorf("host %s answered something else than a quota", to)
+	}
+	return quotas.Reply(*reply.quota), nil
+}
+
+// TellQuota implements gateway.Peers.
+func (c *GatewayClient) TellQuota(ctx context.Context, to netip.AddrPort, r quotas.TellRequest) (quotas.TellReply, error) {
+	reply, err := c.question(ctx, to, &linkRequest{tell: (*tellRequest)(&r)})
+	if err != nil {
+		return quotas.TellReply{}, err
+	}
+	if reply.told == nil {
+		return quotas.TellReply{}, errors.Errorf("host %s answered something else than what it holds", to)
+	}
+	return quotas.TellReply(*reply.told), nil
+}
+
 // question asks a host something on the link to it. A link on which nothing came while the
 // answer was due is replaced: it may have gone silent.
 func (c *GatewayClient) question(ctx context.Context, to netip.AddrPort, in *linkRequest) (*linkReply, error) {
--- a/io/peer/link_messages.go
+++ b/io/peer/link_messages.go
@@ -8,6 +8,8 @@
 	recall *recallRequest
 	lease  *leaseRequest
 	ends   *endLeaseRequest
+	quota  *quotaRequest
+	tell   *tellRequest
 	laneRequest
 }
 
@@ -22,6 +24,10 @@
 		w.message("lease", m.lease)
 	case m.ends != nil:
 		w.message("end_lease", m.ends)
+	case m.quota != nil:
+		w.message("quota", m.quota)
+	case m.tell != nil:
+		w.message("tell", m.tell)
 	default:
 		m.laneRequest.fields(w)
 	}
@@ -45,6 +51,14 @@
 		m.ends = &endLeaseRequest{}
 		r.message(m.ends)
 		return true
+	case "quota":
+		m.quota = &quotaRequest{}
+		r.message(m.quota)
+		return true
+	case "tell":
+		m.tell = &tellRequest{}
+		r.message(m.tell)
+		return true
 	}
 	return m.laneRequest.field(name, r)
 }
@@ -56,6 +70,8 @@
 	lease    *leaseReply
 	// ended is true once a lease was given back.
 	ended bool
+	quota *quotaReply
+	told  *tellReply
 	laneReply
 }
 
@@ -68,6 +84,10 @@
 		w.message("lease", m.lease)
 	case m.ended:
 		w.bool("ended", true)
+	case m.quota != nil:
+		w.message("quota", m.quota)
+	case m.told != nil:
+		w.message("told", m.told)
 	default:
 		m.laneReply.fields(w)
 	}
@@ -87,6 +107,14 @@
 		return true
 	case "ended":
 		return r.bool(&m.ended)
+	case "quota":
+		m.quota = &quotaReply{}
+		r.message(m.quota)
+		return true
+	case "told":
+		m.told = &tellReply{}
+		r.message(m.told)
+		return true
 	}
 	return m.laneReply.field(name, r)
 }
--- a/io/peer/link_server.go
+++ b/io/peer/link_server.go
@@ -9,6 +9,7 @@
 	"storj.io/drpc"
 
 	"pearlatch/internal/gateway"
+	"pearlatch/internal/quotas"
 )
 
 // servedLink answers the requests that come on one link.
@@ -52,6 +53,12 @@
 		case in.ends != nil:
 			h.EndLease(in.ends.group, in.ends.member, in.ends.planned)
 			l.send(&linkReply{lane: in.lane, ended: true})
+		case in.quota != nil:
+			reply := h.Quotas().Answer(quotas.Request(*in.quota))
+			l.send(&linkReply{lane: in.lane, quota: (*quotaReply)(&reply)})
+		case in.tell != nil:
+			reply := h.Quotas().Tell(quotas.TellRequest(*in.tell))
+			l.send(&linkReply{lane: in.lane, told: (*tellReply)(&reply)})
 		case in.version != laneVersion:
 			return errors.Errorf("a request of version %d", in.version)
 		default:
--- /dev/null
+++ b/io/peer/quota_messages.go
@@ -0,0 +1,243 @@
+package peer
+
+import (
+	"math"
+
+	"pearlatch/core/quota"
+	"pearlatch/internal/quotas"
+)
+
+// microUnits is how many parts an operation, or an operation per second, has on the wire.
+const microUnits = 1e6
+
+// fraction writes a number that is not negative, in millionths.
+func (w *fieldWriter) fraction(name string, v float64) {
+	w.uint(name, uint64(math.Round(max(0, v)*microUnits)))
+}
+
+// fraction reads what a fieldWriter's fraction wrote.
+func (r *fieldReader) fraction(v *float64) bool {
+	var n uint64
+	r.uint(&n)
+	*v = float64(n) / microUnits
+	return true
+}
+
+// questionMessage is a quota.Question on the wire. The granter knows the quota by itself.
+type questionMessage quota.Question
+
+func (m *questionMessage) fields(w *fieldWriter) {
+	w.str("account", m.Account)
+	w.uint("holding", m.Holding)
+	w.fraction("tokens_u", m.Tokens)
+	w.uint("back", uint64(m.Back))
+	w.fraction("demand_u", m.Demand)
+	w.uint("waiting", uint64(m.Waiting))
+	w.fraction("room_u", m.Room)
+}
+
+func (m *questionMessage) field(name string, r *fieldReader) bool {
+	switch name {
+	case "account":
+		return r.str(&m.Account)
+	case "holding":
+		return r.uint(&m.Holding)
+	case "tokens_u":
+		return r.fraction(&m.Tokens)
+	case "back":
+		return readNumber(r, &m.Back)
+	case "demand_u":
+		return r.fraction(&m.Demand)
+	case "waiting":
+		return readNumber(r, &m.Waiting)
+	case "room_u":
+		return r.fraction(&m.Room)
+	}
+	return false
+}
+
+// quotaRequest is a quotas.Request on the wire.
+type quotaRequest quotas.Request
+
+func (m *quotaRequest) fields(w *fieldWriter) {
+	w.str("shard", m.Shard)
+	w.str("host", m.Host)
+	w.str("process", m.Process)
+	w.uint("id", m.Inquiry.ID)
+	w.uint("heard", m.Inquiry.Heard)
+	w.uint("token", uint64(m.Inquiry.Token))
+	list := make([]questionMessage, len(m.Inquiry.Questions))
+	for i, q := range m.Inquiry.Questions {
+		list[i] = questionMessage(q)
+	}
+	writeList(w, "questions", list)
+}
+
+func (m *quotaRequest) field(name string, r *fieldReader) bool {
+	switch name {
+	case "shard":
+		return r.str(&m.Shard)
+	case "host":
+		return r.str(&m.Host)
+	case "process":
+		return r.str(&m.Process)
+	case "id":
+		return r.uint(&m.Inquiry.ID)
+	case "heard":
+		return r.uint(&m.Inquiry.Heard)
+	case "token":
+		return readNumber(r, &m.Inquiry.Token)
+	case "questions":
+		var list []questionMessage
+		readList(r, &list)
+		for _, q := range list {
+			m.Inquiry.Questions = append(m.Inquiry.Questions, quota.Question(q))
+		}
+		return true
+	}
+	return false
+}
+
+// grantMessage is a quota.Grant on the wire.
+type grantMessage quota.Grant
+
+func (m *grantMessage) fields(w *fieldWriter) {
+	w.str("account", m.Account)
+	w.uint("serial", m.Serial)
+	w.fraction("rate_u", m.Rate)
+	w.fraction("cap_u", m.Cap)
+	w.duration("lasts_us", m.Lasts)
+	w.uint("tokens", uint64(m.Tokens))
+	w.fraction("ahead_u", m.Ahead)
+	w.duration("after_us", m.After)
+}
+
+func (m *grantMessage) field(name string, r *fieldReader) bool {
+	switch name {
+	case "account":
+		return r.str(&m.Account)
+	case "serial":
+		return r.uint(&m.Serial)
+	case "rate_u":
+		return r.fraction(&m.Rate)
+	case "cap_u":
+		return r.fraction(&m.Cap)
+	case "lasts_us":
+		return r.duration(&m.Lasts)
+	case "tokens":
+		return readNumber(r, &m.Tokens)
+	case "ahead_u":
+		return r.fraction(&m.Ahead)
+	case "after_us":
+		return r.duration(&m.After)
+	}
+	return false
+}
+
+// quotaReply is a quotas.Reply on the wire.
+type quotaReply quotas.Reply
+
+func (m *quotaReply) fields(w *fieldWriter) {
+	w.bool("declined", m.Declined)
+	w.bool("asleep", m.Answer.Asleep)
+	list := make([]grantMessage, len(m.Answer.Grants))
+	for i, g := range m.Answer.Grants {
+		list[i] = grantMessage(g)
+	}
+	writeList(w, "grants", list)
+}
+
+func (m *quotaReply) field(name string, r *fieldReader) bool {
+	switch name {
+	case "declined":
+		return r.bool(&m.Declined)
+	case "asleep":
+		return r.bool(&m.Answer.Asleep)
+	case "grants":
+		var list []grantMessage
+		readList(r, &list)
+		for _, g := range list {
+			m.Answer.Grants = append(m.Answer.Grants, quota.Grant(g))
+		}
+		return true
+	}
+	return false
+}
+
+// tellRequest is a quotas.TellRequest on the wire.
+type tellRequest quotas.TellRequest
+
+func (m *tellRequest) fields(w *fieldWriter) {
+	w.str("shard", m.Shard)
+	w.str("host", m.Host)
+	w.uint("token", uint64(m.Token))
+}
+
+func (m *tellRequest) field(name string, r *fieldReader) bool {
+	switch name {
+	case "shard":
+		return r.str(&m.Shard)
+	case "host":
+		return r.str(&m.Host)
+	case "token":
+		return readNumber(r, &m.Token)
+	}
+	return false
+}
+
+// holdingMessage is a quota.Holding on the wire.
+type holdingMessage quota.Holding
+
+func (m *holdingMessage) fields(w *fieldWriter) {
+	w.str("account", m.Account)
+	w.uint("serial", m.Portion.Serial)
+	w.fraction("rate_u", m.Portion.Rate)
+	w.fraction("cap_u", m.Portion.Cap)
+	w.duration("lasts_us", m.Lasts)
+}
+
+func (m *holdingMessage) field(name string, r *fieldReader) bool {
+	switch name {
+	case "account":
+		return r.str(&m.Account)
+	case "serial":
+		return r.uint(&m.Portion.Serial)
+	case "rate_u":
+		return r.fraction(&m.Portion.Rate)
+	case "cap_u":
+		return r.fraction(&m.Portion.Cap)
+	case "lasts_us":
+		return r.duration(&m.Lasts)
+	}
+	return false
+}
+
+// tellReply is a quotas.TellReply on the wire.
+type tellReply quotas.TellReply
+
+func (m *tellReply) fields(w *fieldWriter) {
+	w.str("process", m.Process)
+	w.bool("declined", m.Declined)
+	list := make([]holdingMessage, len(m.Holds))
+	for i, h := range m.Holds {
+		list[i] = holdingMessage(h)
+	}
+	writeList(w, "holds", list)
+}
+
+func (m *tellReply) field(name string, r *fieldReader) bool {
+	switch name {
+	case "process":
+		return r.str(&m.Process)
+	case "declined":
+		return r.bool(&m.Declined)
+	case "holds":
+		var list []holdingMessage
+		readList(r, &list)
+		for _, h := range list {
+			m.Holds = append(m.Holds, quota.Holding(h))
+		}
+		return true
+	}
+	return false
+}
