Most of the tolerance of a quota goes to callers

Cause: granters handed out the plain quota and kept the tolerance for what hosts do not know of each other; an account limited to 34/s was refused what the bound would have allowed. Ruled out: sharing the tolerance out evenly (a granter that begins would then hold back more than it may owe). Change: Terms.quota adds nine tenths of the share and three quarters of the operations to the rate; what a granter begins with and hands out without knowing the others' portions shrinks.

--- a/core/quota/book.go
+++ b/core/quota/book.go
@@ -24,6 +24,7 @@
 
 // book is what a granter knows of one account.
 type book struct {
+	// quota is what hosts may have together: the account's, and of the tolerance.
 	quota account.Quota
 	// supply is how many tokens were left at the time at.
 	supply float64
@@ -150,7 +151,7 @@
 func (b *book) limit(v view) {
 	most := v.terms.beginning() + v.terms.meanwhile(b.quota)
 	if v.known {
-		most = max(v.terms.beginning(), v.terms.capacity(b.quota)-b.sums.gathered)
+		most = max(v.terms.beginning(), b.quota.Burst-b.sums.gathered)
 	}
 	b.supply = min(b.supply, most)
 }
@@ -194,7 +195,7 @@
 		scale = heldShare * b.quota.Rate / b.sums.demand
 	}
 	out := Portion{Rate: min(p.demand*scale, left)}
-	out.Cap = min(leastCap+out.Rate*capTime.Seconds(), heldCap*v.terms.capacity(b.quota)-(b.sums.caps-p.cap()))
+	out.Cap = min(leastCap+out.Rate*capTime.Seconds(), heldCap*b.quota.Burst-(b.sums.caps-p.cap()))
 	if p.demand < leastRate || out.Rate < leastRate/2 || out.Cap < leastCap {
 		return Portion{} // nobody would use it
 	}
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -261,7 +261,7 @@
 // ask answers a question of a host.
 func (l *Ledger) ask(id string, h *host, q Question, v view, now time.Time) Grant {
 	b := l.book(q.Account, q.Quota, now)
-	b.quota = q.Quota
+	b.quota = l.terms.quota(q.Quota)
 	b.advance(now, v)
 	if v.known {
 		b.prune(now)
@@ -322,7 +322,7 @@
 		if at.After(now) {
 			at = now
 		}
-		b = &book{quota: q, at: at, supply: l.terms.beginning(), parts: map[string]*part{}}
+		b = &book{quota: l.terms.quota(q), at: at, supply: l.terms.beginning(), parts: map[string]*part{}}
 		l.books[name] = b
 	}
 	return b
--- a/core/quota/terms.go
+++ b/core/quota/terms.go
@@ -30,21 +30,32 @@
 	Operations float64
 }
 
-// The tolerance is split up: what hosts may hold at once above the burst, what a granter begins with, and what
-// it hands out per second while it does not know what others hold. With four granters in one window, of which two at a
-// time may take themselves for the only one for Certainty, the parts add up to no more than the whole.
+// The tolerance is split up. Most of it goes to callers: whoever refuses what an account may have serves it worse for
+// nothing. The rest is for what hosts do not know of each other: what a granter begins with, and what it hands out per
+// second while it does not know what others hold. With four granters in one window, of which two at a time may take
+// themselves for the only one for Certainty, the parts add up to no more than the whole.
 const (
-	holdingPart   = 0.6
-	beginningPart = 0.03
-	unknownPart   = 0.15
-	unknownShare  = 0.6
+	rateShare   = 0.9
+	ratePart    = 0.75
+	burstShare  = 0.5
+	burstPart   = 0.05
+	beginPart   = 0.02
+	unknownPart = 0.05
 )
 
-// capacity is how many tokens of an account there may be at once, with hosts and in store.
-func (t Terms) capacity(q account.Quota) float64 { return q.Burst + holdingPart*t.Operations }
+// quota is what hosts are given of an account's quota and of the tolerance.
+func (t Terms) quota(q account.Quota) account.Quota {
+	if t.Window <= 0 {
+		return q
+	}
+	return account.Quota{
+		Rate:  q.Rate*(1+rateShare*t.Share) + ratePart*t.Operations/t.Window.Seconds(),
+		Burst: q.Burst*(1+burstShare*t.Share) + burstPart*t.Operations,
+	}
+}
 
 // beginning is how many tokens a granter begins with. Those before it may have spent all others.
-func (t Terms) beginning() float64 { return beginningPart * t.Operations }
+func (t Terms) beginning() float64 { return beginPart * t.Operations }
 
 // meanwhile is the rate at which a granter hands out tokens above what is certain to be left, while it does not
 // know what others hold.
@@ -52,7 +63,7 @@
 	if t.Window <= 0 {
 		return 0
 	}
-	return unknownShare*t.Share*q.Rate + unknownPart*t.Operations/t.Window.Seconds()
+	return unknownPart * (t.Share*q.Rate + t.Operations/t.Window.Seconds())
 }
 
 // Bound is how many operations of an account may begin within the window.
