Two granters hand out no more than one, and neither is idle

Ruled out: a shorter Lifetime (hosts that are cut off live on their portions for an outage of 12 s); the store as the clock of what a host may hold (clocks of hosts are 15 s apart). Change: portions make at most 0.6 of an account, and one host's 0.3 of it. A granter that may not be the only one hands out what the portions of its followers leave unused; one that is the only one, but has not heard of all hosts, also what these cannot hold. The record names who may take itself for the granter. Portions wake after 1.4 s instead of 2.4.

--- a/core/leadership/record.go
+++ b/core/leadership/record.go
@@ -35,6 +35,8 @@
 	HandedBack bool
 	// Grantees are the hosts that may hold portions of accounts' quotas from this holder or earlier ones.
 	Grantees []string
+	// Granters are the hosts among them that may take themselves for the granter of these quotas.
+	Granters []string
 }
 
 // Covers reports whether the record's floor holds for the members of now: none of those
--- a/core/quota/book.go
+++ b/core/quota/book.go
@@ -8,9 +8,14 @@
 
 const (
 	// heldShare bounds what of an account's rate may be with hosts as portions, and heldCap what of its capacity
-	// may gather there: the rest is there for hosts whose callers have just come.
-	heldShare = 0.9
-	heldCap   = 0.8
+	// may gather there. The rest is for hosts whose callers have just come, and what a new granter has at once for
+	// the callers of hosts that have lost their portions: quotas are about twice what their accounts ask for on most
+	// days, so either part holds about one day's callers.
+	heldShare = 0.6
+	heldCap   = 0.6
+	// mostShare bounds a single host's part of either: what a host may hold that is lost with all it knows is kept
+	// from callers until its portions must have ended.
+	mostShare = heldShare / 2
 	// portionHeadroom is how much more than its callers' demand a host gets, where there is enough: demand is an
 	// average.
 	portionHeadroom = 1.15
@@ -29,6 +34,10 @@
 	// supply is how many tokens were left at the time at.
 	supply float64
 	at     time.Time
+	// begins is how many tokens a granter begins with.
+	begins float64
+	// silent is how many hosts have not told the granter what they hold.
+	silent int
 	// parts holds what hosts may hold, by host.
 	parts map[string]*part
 	// sums adds the parts up.
@@ -85,12 +94,20 @@
 	p.offered, p.stock = p.held, q.Tokens
 }
 
-// view is what a granter knows when it answers.
-type view struct {
-	terms Terms
-	// known is true if it knows what hosts hold, and certain if no successor can have begun.
-	known, certain bool
-}
+// scope is what of an account's quota a granter may hand out. Two granters may take themselves for the only one, as
+// long as neither hears from the other: their scopes add up to the quota.
+type scope uint8
+
+const (
+	// apart is a granter that may not be the only one: it hands out what the portions of its followers leave unused
+	// as they sleep, and nothing else.
+	apart scope = iota
+	// sole is the only granter, but does not know what all hosts hold: it hands out the part that hosts never hold
+	// as portions, and the one of its followers.
+	sole
+	// whole is the only granter, which knows what all hosts hold.
+	whole
+)
 
 // set changes what a host may hold.
 func (b *book) set(host string, p part) {
@@ -113,47 +130,54 @@
 }
 
 // wake records whether tokens may come to the host by themselves, from the given time on.
-func (b *book) wake(host string, awake bool, at time.Time, v view) {
+func (b *book) wake(host string, awake bool, at time.Time, s scope) {
 	p := b.parts[host]
 	if p == nil || p.awake == awake {
 		return
 	}
-	b.advance(at, v)
+	b.advance(at, s)
 	changed := *p
 	changed.awake = awake
 	b.set(host, changed)
 }
 
-// advance lets tokens come until now: what does not come to hosts by itself, or while that is not known what Terms
-// allow.
-func (b *book) advance(now time.Time, v view) {
+// advance lets tokens come until now that do not come to hosts by themselves.
+func (b *book) advance(now time.Time, s scope) {
+	if s != whole {
+		b.drain(now) // what no host holds any more is not this granter's
+	}
 	if elapsed := now.Sub(b.at); elapsed > 0 {
-		b.supply += b.inflow(v) * elapsed.Seconds()
+		b.supply += b.inflow(s) * elapsed.Seconds()
 		b.at = now
 	}
-	b.limit(v)
+	b.limit(s)
 }
 
-// inflow is how many tokens come in a second that do not come to hosts. Of those that come meanwhile, only one
-// granter at a time may hand out any.
-func (b *book) inflow(v view) float64 {
-	switch {
-	case !v.known && v.certain:
-		return v.terms.meanwhile(b.quota)
-	case !v.known:
+// inflow is how many tokens come in a second that do not come to hosts.
+func (b *book) inflow(s scope) float64 {
+	if s == apart {
+		return max(0, b.sums.rate-b.sums.awake)
+	}
+	return max(0, b.quota.Rate-b.sums.awake-b.unheard(s, heldShare, b.quota.Rate, b.sums.rate))
+}
+
+// unheard returns how much of something silent hosts hold at most: all hosts hold no more than a share of the whole,
+// and each of them no more than mostShare.
+func (b *book) unheard(s scope, share, quota, heard float64) float64 {
+	if s == whole {
 		return 0
 	}
-	return max(0, b.quota.Rate-b.sums.awake)
+	return max(0, min(share*quota-heard, float64(b.silent)*mostShare*quota))
 }
 
-// limit drops tokens beyond the account's capacity, less what may be gathered with hosts. While that is not known a
-// second's tokens are kept.
-func (b *book) limit(v view) {
-	most := v.terms.beginning() + v.terms.meanwhile(b.quota)
-	if v.known {
-		most = max(v.terms.beginning(), b.quota.Burst-b.sums.gathered)
+// limit drops tokens beyond the account's capacity, less what may be gathered with hosts.
+func (b *book) limit(s scope) {
+	most := b.sums.caps
+	if s != apart {
+		most = b.quota.Burst - b.unheard(s, heldCap, b.quota.Burst, b.sums.caps)
 	}
-	b.supply = min(b.supply, most)
+	most -= b.sums.gathered
+	b.supply = min(b.supply, max(b.begins, most))
 }
 
 // prunePause is the pause between two looks for portions that have ended. They count on until then.
@@ -161,9 +185,13 @@
 
 // prune forgets portions that have ended.
 func (b *book) prune(now time.Time) {
-	if now.Sub(b.prunedAt) < prunePause {
-		return
+	if now.Sub(b.prunedAt) >= prunePause {
+		b.drain(now)
 	}
+}
+
+// drain forgets portions that have ended, at once.
+func (b *book) drain(now time.Time) {
 	b.prunedAt = now
 	for host, p := range b.parts {
 		if !now.Before(p.until) {
@@ -185,8 +213,8 @@
 // portion returns what the host is to get as its portion. While it is not known what others hold the host keeps
 // what it told that it had, for as long as that lasts: earlier granters who do not know of this one may give to
 // others what they had given to it.
-func (b *book) portion(p *part, v view) Portion {
-	if !v.known {
+func (b *book) portion(p *part, known bool) Portion {
+	if !known {
 		return p.held
 	}
 	left := heldShare*b.quota.Rate - (b.sums.rate - p.rate())
@@ -194,8 +222,8 @@
 	if b.sums.demand*scale > heldShare*b.quota.Rate {
 		scale = heldShare * b.quota.Rate / b.sums.demand
 	}
-	out := Portion{Rate: min(p.demand*scale, left)}
-	out.Cap = min(leastCap+out.Rate*capTime.Seconds(), heldCap*b.quota.Burst-(b.sums.caps-p.cap()))
+	out := Portion{Rate: min(p.demand*scale, left, mostShare*b.quota.Rate)}
+	out.Cap = min(leastCap+out.Rate*capTime.Seconds(), heldCap*b.quota.Burst-(b.sums.caps-p.cap()), mostShare*b.quota.Burst)
 	if p.demand < leastRate || out.Rate < leastRate/2 || out.Cap < leastCap {
 		return Portion{} // nobody would use it
 	}
@@ -203,8 +231,8 @@
 }
 
 // wait returns after how long a token will be left that is not there now.
-func (b *book) wait(v view) time.Duration {
-	inflow := b.inflow(v)
+func (b *book) wait(s scope) time.Duration {
+	inflow := b.inflow(s)
 	if inflow <= 0 {
 		return longestWait
 	}
--- a/core/quota/ledger.go
+++ b/core/quota/ledger.go
@@ -19,6 +19,11 @@
 	began        time.Time
 	// certain is until when no successor can have begun, and until when this granter's time is over.
 	certain, until time.Time
+	// before holds the hosts that have been granters and may still take themselves for the present one.
+	before map[string]bool
+	// scope is what this granter may hand out, since the time since.
+	scope scope
+	since time.Time
 	// hosts holds all hosts that may hold portions, or have been granters.
 	hosts map[string]*host
 	// silent counts those that have not told what they hold; told is when the last of them had, or zero.
@@ -35,8 +40,8 @@
 	process string
 	// silent is true until the host has told what it holds of earlier granters, or has certainly ended.
 	silent bool
-	// heard is when it last told, or asked.
-	heard time.Time
+	// told is when it told, and heard when it last told, or asked.
+	told, heard time.Time
 	// asked is the ID of its last question, which was answered at answeredAt if answered is true.
 	asked      uint64
 	answered   bool
@@ -49,19 +54,55 @@
 }
 
 // NewLedger returns the ledger of a granter with a fencing token, which begins now. The hosts named may hold
-// portions of earlier granters, or have been one.
-func NewLedger(token int64, t Terms, now time.Time, mayHold []string) *Ledger {
-	l := &Ledger{first: token, token: token, terms: t, began: now, hosts: map[string]*host{}, books: map[string]*book{}, dozing: map[string]*host{}}
-	for _, id := range mayHold {
+// portions of earlier granters, and those before may have been one.
+func NewLedger(token int64, t Terms, now time.Time, mayHold, before []string) *Ledger {
+	l := &Ledger{
+		first: token, token: token, terms: t, began: now, since: now, before: map[string]bool{},
+		hosts: map[string]*host{}, books: map[string]*book{}, dozing: map[string]*host{},
+	}
+	for _, id := range before {
+		l.before[id] = true
+	}
+	for _, id := range slices.Concat(mayHold, before) {
 		l.hosts[id] = &host{silent: true, awake: true, holds: map[string]bool{}}
 	}
 	if l.silent = len(l.hosts); l.silent == 0 {
 		l.told = now
 	}
 	l.Extend(now)
+	l.scope = l.scopeAt(now)
 	return l
 }
 
+// scopeAt returns what this granter may hand out. One that was taken away from its holder before is believed to go on
+// until it has told, or for as long as it counts on its duty.
+func (l *Ledger) scopeAt(now time.Time) scope {
+	switch {
+	case !now.Before(l.certain):
+		return apart
+	case l.Known(now):
+		return whole
+	case len(l.before) == 0 || !now.Before(l.began.Add(leadership.Certainty+drift)):
+		return sole
+	}
+	return apart
+}
+
+// look takes over what the granter may hand out from now on. Until now it was the smaller part.
+func (l *Ledger) look(now time.Time) {
+	s := l.scopeAt(now)
+	if s == l.scope {
+		return
+	}
+	if s == sole {
+		clear(l.before) // they have noticed, for good
+	}
+	for _, b := range l.books {
+		b.advance(now, min(s, l.scope))
+	}
+	l.scope, l.since = s, now
+}
+
 // Token returns the granter's fencing token.
 func (l *Ledger) Token() int64 { return l.token }
 
@@ -69,7 +110,7 @@
 func (l *Ledger) Raise(token int64) { l.token = max(l.token, token) }
 
 // Extend records that the granter held its duty at a time, so that whoever succeeds it begins no sooner. It goes
-// on for Lifetime: its successor takes that into account.
+// on for Lifetime, with what its followers hold.
 func (l *Ledger) Extend(held time.Time) {
 	l.certain, l.until = held.Add(leadership.Certainty), held.Add(Lifetime)
 }
@@ -86,8 +127,8 @@
 	}
 }
 
-// MayHold returns the hosts that may hold portions, in order.
-func (l *Ledger) MayHold() []string { return slices.Sorted(maps.Keys(l.hosts)) }
+// Before returns the hosts that may still take themselves for the granter, in order.
+func (l *Ledger) Before() []string { return slices.Sorted(maps.Keys(l.before)) }
 
 // Forget drops a host that holds nothing, and of which no successor need know.
 func (l *Ledger) Forget(id string) { delete(l.hosts, id) }
@@ -122,11 +163,14 @@
 	if h == nil {
 		return
 	}
+	l.look(now)
 	for name := range h.holds {
+		l.books[name].advance(now, l.scope)
 		l.books[name].drop(id)
 	}
 	clear(h.holds)
 	delete(l.dozing, id)
+	delete(l.before, id)
 	h.process, h.awake, h.asleepUntil = "", true, time.Time{}
 	if !h.silent {
 		return
@@ -135,6 +179,11 @@
 	if l.silent--; l.silent == 0 {
 		l.told = now
 	}
+	l.look(now)
+	for _, b := range l.books {
+		b.advance(now, l.scope)
+		b.silent = l.silent
+	}
 }
 
 // Holding is what a host holds of an account.
@@ -156,9 +205,10 @@
 		return
 	}
 	l.Ended(id, now)
-	h.process, h.heard, h.asked, h.answered, h.asleepUntil, h.awake = process, now, 0, false, time.Time{}, true
+	h.process, h.told, h.heard, h.asked, h.answered, h.asleepUntil, h.awake = process, now, now, 0, false, time.Time{}, true
 	for _, each := range holds {
 		b := l.book(each.Account, account.Quota{}, now)
+		b.advance(now, l.scope)
 		b.set(id, part{held: each.Portion, offered: each.Portion, awake: true, until: now.Add(each.Lasts + drift), demand: each.Portion.Rate / portionHeadroom})
 		b.serial = max(b.serial, each.Portion.Serial)
 		h.holds[each.Account] = true
@@ -216,36 +266,39 @@
 	if h == nil || h.silent || h.process != process || in.ID <= h.asked || in.Token < l.first || in.Token > l.token || !now.Before(l.until) {
 		return Answer{}, false
 	}
-	v := view{l.terms, l.Known(now), now.Before(l.certain)}
-	l.wakeAll(now, v)
+	l.look(now)
+	l.wakeAll(now)
 	if in.Heard == h.asked && h.answered {
 		// The host counts from when it asked, which is a little earlier.
 		h.asleepUntil = h.answeredAt.Add(chargedAfter)
-		l.lull(id, h, now, v)
+		l.lull(id, h, now)
 	}
-	h.heard, h.asked, h.answered, h.answeredAt = now, in.ID, v.known, now
-	out := Answer{Asleep: v.known, Grants: make([]Grant, len(in.Questions))}
+	known := l.Known(now)
+	// An earlier granter may count on it that the host's portions sleep, and hand out what they leave.
+	asleep := known || now.Sub(h.told) >= chargedAfter
+	h.heard, h.asked, h.answered, h.answeredAt = now, in.ID, asleep, now
+	out := Answer{Asleep: asleep, Grants: make([]Grant, len(in.Questions))}
 	for i, q := range in.Questions {
 		h.holds[q.Account] = true
-		out.Grants[i] = l.ask(id, h, q, v, now)
+		out.Grants[i] = l.ask(id, h, q, known, now)
 	}
 	return out, true
 }
 
 // lull counts the host's portions as asleep.
-func (l *Ledger) lull(id string, h *host, now time.Time, v view) {
+func (l *Ledger) lull(id string, h *host, now time.Time) {
 	if !h.awake || !now.Before(h.asleepUntil) {
 		return
 	}
 	h.awake = false
 	l.dozing[id] = h
 	for name := range h.holds {
-		l.books[name].wake(id, false, now, v)
+		l.books[name].wake(id, false, now, l.scope)
 	}
 }
 
 // wakeAll counts the portions of hosts as awake that have not been heard of for long.
-func (l *Ledger) wakeAll(now time.Time, v view) {
+func (l *Ledger) wakeAll(now time.Time) {
 	for id, h := range l.dozing {
 		if now.Before(h.asleepUntil) {
 			continue
@@ -253,17 +306,17 @@
 		h.awake = true
 		delete(l.dozing, id)
 		for name := range h.holds {
-			l.books[name].wake(id, true, h.asleepUntil, v)
+			l.books[name].wake(id, true, h.asleepUntil, l.scope)
 		}
 	}
 }
 
 // ask answers a question of a host.
-func (l *Ledger) ask(id string, h *host, q Question, v view, now time.Time) Grant {
+func (l *Ledger) ask(id string, h *host, q Question, known bool, now time.Time) Grant {
 	b := l.book(q.Account, q.Quota, now)
 	b.quota = l.terms.quota(q.Quota)
-	b.advance(now, v)
-	if v.known {
+	b.advance(now, l.scope)
+	if known {
 		b.prune(now)
 	}
 	p := part{}
@@ -274,25 +327,29 @@
 	p.learn(q)
 	b.supply += float64(q.Back)
 	b.set(id, p)
-	out := l.give(b, &p, q, v, now)
+	out := l.give(b, &p, q, known, now)
 	b.set(id, p)
-	b.limit(v)
+	b.limit(l.scope)
 	out.Tokens, out.Ahead = b.hand(q.Waiting, min(q.Room, p.offered.Cap-q.Tokens))
 	p.stock += out.Ahead
 	b.set(id, p)
 	if out.Tokens < q.Waiting {
-		out.After = b.wait(v)
+		out.After = b.wait(l.scope)
+		if l.scope == apart && now.Before(l.certain) {
+			// It will be the only one.
+			out.After = min(out.After, max(shortestWait, l.began.Add(leadership.Certainty+drift).Sub(now)))
+		}
 	}
 	return out
 }
 
 // give makes a new portion for the host.
-func (l *Ledger) give(b *book, p *part, q Question, v view, now time.Time) Grant {
-	p.offered = b.portion(p, v)
+func (l *Ledger) give(b *book, p *part, q Question, known bool, now time.Time) Grant {
+	p.offered = b.portion(p, known)
 	b.serial++
 	p.offered.Serial = b.serial
 	lasts := min(Lifetime, l.until.Sub(now))
-	if v.known || p.until.IsZero() {
+	if known || p.until.IsZero() {
 		p.until = now.Add(lasts + drift)
 	} else {
 		// Earlier granters who do not know of this one count on its end.
@@ -313,16 +370,17 @@
 	return l.told
 }
 
-// book returns the book of an account. One that nobody has asked for has gathered tokens since the granter has
-// known what hosts hold.
+// book returns the book of an account. One that nobody has asked for has gathered tokens for as long as the granter
+// could hand them out.
 func (l *Ledger) book(name string, q account.Quota, now time.Time) *book {
 	b := l.books[name]
 	if b == nil {
-		at := l.knownAt()
-		if at.After(now) {
+		at := l.since
+		if l.scope == apart {
 			at = now
 		}
-		b = &book{quota: l.terms.quota(q), at: at, supply: l.terms.beginning(), parts: map[string]*part{}}
+		begins := l.terms.beginning()
+		b = &book{quota: l.terms.quota(q), at: at, supply: begins, begins: begins, silent: l.silent, parts: map[string]*part{}}
 		l.books[name] = b
 	}
 	return b
--- a/core/quota/terms.go
+++ b/core/quota/terms.go
@@ -16,8 +16,8 @@
 	// wakesAfter is how long after a host last asked the granter with success its portions wake, and chargedAfter
 	// how long after that question came the granter counts them as awake. In between, the question may have been
 	// under way.
-	wakesAfter   = 2400 * time.Millisecond
-	chargedAfter = 2100 * time.Millisecond
+	wakesAfter   = 1400 * time.Millisecond
+	chargedAfter = 1100 * time.Millisecond
 	// AnswerWithin is how long after a question its answer may be taken.
 	AnswerWithin = wakesAfter - chargedAfter - drift
 )
@@ -31,16 +31,13 @@
 }
 
 // The tolerance is split up. Most of it goes to callers: whoever refuses what an account may have serves it worse for
-// nothing. The rest is for what hosts do not know of each other: what a granter begins with, and what it hands out per
-// second while it does not know what others hold. With four granters in one window, of which two at a time may take
-// themselves for the only one for Certainty, the parts add up to no more than the whole.
+// nothing. The rest is for what hosts do not know of each other: what a granter begins with, and drifting clocks.
 const (
-	rateShare   = 0.9
-	ratePart    = 0.75
-	burstShare  = 0.5
-	burstPart   = 0.05
-	beginPart   = 0.02
-	unknownPart = 0.05
+	rateShare  = 0.9
+	ratePart   = 0.75
+	burstShare = 0.5
+	burstPart  = 0.05
+	beginPart  = 0.02
 )
 
 // quota is what hosts are given of an account's quota and of the tolerance.
@@ -57,15 +54,6 @@
 // beginning is how many tokens a granter begins with. Those before it may have spent all others.
 func (t Terms) beginning() float64 { return beginPart * t.Operations }
 
-// meanwhile is the rate at which a granter hands out tokens above what is certain to be left, while it does not
-// know what others hold.
-func (t Terms) meanwhile(q account.Quota) float64 {
-	if t.Window <= 0 {
-		return 0
-	}
-	return unknownPart * (t.Share*q.Rate + t.Operations/t.Window.Seconds())
-}
-
 // Bound is how many operations of an account may begin within the window.
 func (t Terms) Bound(q account.Quota) float64 {
 	return (q.Rate*t.Window.Seconds()+q.Burst)*(1+t.Share) + t.Operations
--- a/core/quota/wallet.go
+++ b/core/quota/wallet.go
@@ -11,7 +11,7 @@
 const (
 	// keepalive is the pause between two questions of a host that holds portions: they sleep on though one answer
 	// is lost.
-	keepalive = 800 * time.Millisecond
+	keepalive = 500 * time.Millisecond
 	// refreshPause is how often a portion is asked for anew, and adaptPause how soon after that if demand has changed
 	// by half.
 	refreshPause = 5 * time.Second
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"maps"
+	"fmt"
 	"slices"
 	"time"
 
 	"pearlatch/core/account"
+	"pearlatch/core/leadership"
 	"pearlatch/internal/quotas"
 )
 
@@ -69,25 +70,41 @@
 	if !ok {
 		return nil, errNotInherited
 	}
-	all := map[string]bool{host: true, d.host.settings.Host: true}
-	for _, id := range append(r.Grantees, d.host.fleet.listedIDs()...) {
-		all[id] = true
-	}
-	r.Grantees = slices.Sorted(maps.Keys(all))
+	r.Grantees = withHost(append(d.host.fleet.listedIDs(), r.Grantees...), host, d.host.settings.Host)
 	if err := d.save(ctx, r); err != nil {
 		return nil, err
 	}
 	return r.Grantees, nil
 }
 
+// granters returns the hosts that may take themselves for the granter of the group's accounts, this one among them.
+func (d *duty) granters(last leadership.Record) []string {
+	before, granting := d.host.quotas.Before(d.group.name)
+	if !granting {
+		before = last.Granters
+	}
+	return withHost(before, d.host.settings.Host)
+}
+
+func without(ids []string, id string) []string {
+	return slices.DeleteFunc(slices.Clone(ids), func(each string) bool { return each == id })
+}
+
+// withHost returns the hosts, and some more, in order.
+func withHost(ids []string, more ...string) []string {
+	out := slices.Concat(ids, more)
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
 // granteesInherited makes this host the granter of the group's accounts once it knows whom to ask, and if it is it
 // already, makes sure that a successor knows of all as well.
-func (d *duty) granteesInherited(grantees []string) {
+func (d *duty) granteesInherited(grantees, granters []string) {
 	d.mu.Lock()
 	first, token, held := !d.inherited, d.token, d.renewed
 	d.mu.Unlock()
 	if first {
-		d.host.quotas.Took(d.group.name, token, held, grantees)
+		d.host.quotas.Took(d.group.name, token, held, grantees, granters)
 	}
 }
 
@@ -97,5 +114,6 @@
 	if ok {
 		return nil
 	}
-	return &Failure{OverQuota, "account " + a.Name + " is beyond its quota, " + comeBack(after)}
+	detail := fmt.Sprintf("account %s is beyond its quota of %g operations per second, %s", a.Name, a.Quota.Rate, comeBack(after))
+	return &Failure{OverQuota, detail}
 }
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -22,6 +22,7 @@
 		// HandedBack is true once the holder has given the duty back.
 		HandedBack bool     `json:"handed_back,omitempty"`
 		Grantees   []string `json:"grantees,omitempty"`
+		Granters   []string `json:"granters,omitempty"`
 	}
 	wireLifetime struct {
 		Member string `json:"member"`
@@ -31,7 +32,7 @@
 
 func encodeRecord(r leadership.Record) ([]byte, error) {
 	out := wireRecord{
-		Holder: r.Holder, Term: uint64(r.Term), Ordered: r.Ordered, HandedBack: r.HandedBack, Grantees: r.Grantees,
+		Holder: r.Holder, Term: uint64(r.Term), Ordered: r.Ordered, HandedBack: r.HandedBack, Grantees: r.Grantees, Granters: r.Granters,
 		FloorIn: uint64(r.Floor.Term), FloorLSN: uint64(r.Floor.LSN),
 	}
 	for _, m := range r.Members {
@@ -46,7 +47,7 @@
 		return leadership.Record{}, errors.Wrap(err, "record of a group's leadership")
 	}
 	out := leadership.Record{
-		Holder: in.Holder, Term: group.Term(in.Term), Ordered: in.Ordered, HandedBack: in.HandedBack, Grantees: in.Grantees,
+		Holder: in.Holder, Term: group.Term(in.Term), Ordered: in.Ordered, HandedBack: in.HandedBack, Grantees: in.Grantees, Granters: in.Granters,
 		Floor: group.Position{Term: group.Term(in.FloorIn), LSN: group.LSN(in.FloorLSN)},
 	}
 	for _, m := range in.Members {
@@ -73,13 +74,15 @@
 		}
 	}
 	ordered, holder, handedBack := r.Ordered, r.Holder, r.HandedBack
+	before := r.Granters
 	r.Holder, r.HandedBack = d.host.settings.Host, false
+	r.Granters = withHost(before, d.host.settings.Host)
 	if err := d.write(call, r, found.Revision); err != nil {
 		return err
 	}
 	d.group.adoptFloor(r, found.Revision)
 	d.group.ledIn(r.Term)
-	d.granteesInherited(r.Grantees)
+	d.granteesInherited(r.Grantees, before)
 	d.mu.Lock()
 	if !d.inherited { // later, this holder knows best which order it gave
 		d.inherited, d.handedBack = true, handedBack || holder == ""
@@ -94,13 +97,16 @@
 // be inherited again.
 func (d *duty) save(ctx context.Context, r leadership.Record) error {
 	d.mu.Lock()
-	revision := d.recordRevision
+	revision, last := d.recordRevision, d.record
 	d.mu.Unlock()
 	call, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
 	r.Holder = d.host.settings.Host
 	if r.Grantees == nil {
-		r.Grantees = d.host.quotas.MayHold(d.group.name)
+		r.Grantees = last.Grantees
+	}
+	if r.Granters = d.granters(last); r.HandedBack {
+		r.Granters = without(r.Granters, r.Holder)
 	}
 	err := d.write(call, r, revision)
 	if err != nil {
@@ -159,7 +165,8 @@
 		return
 	}
 	r, known := w.group.successorNeeds()
-	if !known || old.Ordered == "" && old.Term == r.Term && old.SameMembers(r.Members) {
+	r.Grantees, r.Granters = old.Grantees, w.granters(old)
+	if !known || old.Ordered == "" && old.Term == r.Term && old.SameMembers(r.Members) && len(r.Granters) == len(old.Granters) {
 		return
 	}
 	if err := w.save(ctx, r); err != nil {
--- a/internal/quotas/grant.go
+++ b/internal/quotas/grant.go
@@ -8,17 +8,17 @@
 )
 
 // Took makes this host the granter of a shard under a fencing token. The hosts named may hold portions of earlier
-// granters, or have been one, and a successor will know of them.
-func (k *Keeper) Took(name string, token int64, held time.Time, mayHold []string) {
+// granters, and those before may have been one. A successor will know of them, and of this host.
+func (k *Keeper) Took(name string, token int64, held time.Time, mayHold, before []string) {
 	s := k.byName(name)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l := quota.NewLedger(token, k.settings.Terms, k.now(), mayHold)
+	l := quota.NewLedger(token, k.settings.Terms, k.now(), mayHold, before)
 	l.Extend(held)
 	s.Grant(l)
 	s.telling = map[string]*told{}
 	s.askAt = time.Time{}
-	k.log("granter_begins", "shard", name, "token", token, "may_hold", len(mayHold))
+	k.log("granter_begins", "shard", name, "token", token, "may_hold", len(mayHold), "before", len(before))
 }
 
 // Renewed records that this host still held a shard's duty at a time, and Raised that its token has risen.
@@ -52,15 +52,17 @@
 	s.Grant(nil)
 }
 
-// MayHold returns the hosts of which a successor must know as the granter of a shard.
-func (k *Keeper) MayHold(name string) []string {
+// Before returns the hosts that may still take themselves for the granter of a shard. ok is false if this host is not
+// its granter.
+func (k *Keeper) Before(name string) (hosts []string, ok bool) {
 	s := k.byName(name)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if l := s.Ledger(); l != nil {
-		return l.MayHold()
+	l := s.Ledger()
+	if l == nil {
+		return nil, false
 	}
-	return nil
+	return l.Before(), true
 }
 
 // Answer answers a host that asks this one as the granter of a shard.
