Lines that tell why news are not taken over

What callers saw: a dropped route was served, and the lines could not tell whether the store, the other hosts or the document was at fault: only the first failure of a source was written, and a value that was passed over wrote nothing. Now a source that fails for another reason writes a line, and so do a value or configuration that is seen and not taken (with both revisions) and a store that says that it came back from an older copy. No decision changes.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"maps"
 	"slices"
@@ -54,9 +55,19 @@
 		h.mu.Unlock()
 		return err
 	}
+	h.noteEpoch(s)
 	return h.apply(News{Snapshot: s})
 }
 
+// noteEpoch writes a line when the store says that it came back from an older copy.
+func (h *Host) noteEpoch(s Snapshot) {
+	if h.epochSeen == s.Epoch {
+		return
+	}
+	h.log("store_epoch", "epoch", s.Epoch, "before", h.epochSeen, "revision", s.Revision, "known", h.seen.Load())
+	h.epochSeen = s.Epoch
+}
+
 // listAll reads everything anew.
 func (h *Host) listAll(ctx context.Context) error {
 	call, cancel := context.WithTimeout(ctx, listTimeout)
@@ -65,6 +76,7 @@
 	if err != nil {
 		return err
 	}
+	h.noteEpoch(s)
 	return h.apply(News{Snapshot: s, Whole: true})
 }
 
@@ -77,7 +89,7 @@
 	defer h.mu.Unlock()
 	if n.Whole {
 		if n.Revision < h.revision {
-			return errBehind
+			return errors.Wrapf(errBehind, "revision %d, and %d is known", n.Revision, h.revision)
 		}
 		n.Items = append(n.Items, h.vanished(n)...)
 		h.relist = false
@@ -135,6 +147,7 @@
 func (h *Host) applyItem(i Item) bool {
 	old, known := h.items[i.Key]
 	if known && old.Revision >= i.Revision || !known && i.Removed {
+		h.logPassedOver(old, i)
 		return false
 	}
 	h.changes.add(i)
@@ -148,6 +161,14 @@
 	return true
 }
 
+// logPassedOver writes a line when a key's value is ignored that is another than the one known.
+func (h *Host) logPassedOver(old, i Item) {
+	if i.Removed || bytes.Equal(old.Value, i.Value) {
+		return
+	}
+	h.log("item_passed_over", "key", i.Key, "revision", i.Revision, "known", old.Revision)
+}
+
 // applyHosts takes over the list of hosts and reports whether it changed. A host whose entry has
 // lapsed is kept in it for a while: when the store was away, or turned hosts away, many entries
 // lapse at once, and groups would change the hosts that serve them twice, each time with new
@@ -218,6 +239,9 @@
 		return false
 	}
 	if h.config != nil && c.Version <= h.config.Version {
+		if c.Version < h.config.Version {
+			h.log("config_passed_over", "version", c.Version, "in_force", h.config.Version, "revision", i.Revision)
+		}
 		return false
 	}
 	if h.config != nil && h.config.Accounts != nil && c.Accounts == nil {
--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -4,6 +4,8 @@
 	"context"
 	"math/rand/v2"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 const (
@@ -28,8 +30,9 @@
 	// at is the index of the source in use, and since when it is in use.
 	at    int
 	since time.Time
-	// failures counts sources that failed in a row.
+	// failures counts sources that failed in a row, and reason says why the last of them did.
 	failures int
+	reason   string
 	// pause is how long the preferred source is given once all have failed.
 	pause time.Duration
 }
@@ -69,9 +72,7 @@
 	h := f.host
 	err := s.follow(ctx, f, patience)
 	if err != nil {
-		if f.failures == 0 && ctx.Err() == nil {
-			h.log("source_lost", "source", s.String(), "err", err)
-		}
+		f.logFailure(ctx, s, err)
 		f.failures++
 		f.at++
 		f.since = h.now()
@@ -84,6 +85,31 @@
 	return true
 }
 
+// logFailure writes a line when the first source fails, and whenever the next ones fail for another reason.
+func (f *follower) logFailure(ctx context.Context, s source, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	reason := reasonOf(err)
+	switch {
+	case f.failures == 0:
+		f.host.log("source_lost", "source", s.String(), "err", err)
+	case reason != f.reason:
+		f.host.log("source_failing", "source", s.String(), "failures", f.failures, "err", err)
+	}
+	f.reason = reason
+}
+
+// reasonOf names what kind of error a source failed with.
+func reasonOf(err error) string {
+	for _, known := range []error{errBehind, errStaleNews, errNoNews, ErrCompacted} {
+		if errors.Is(err, known) {
+			return known.Error()
+		}
+	}
+	return "it does not answer"
+}
+
 // heard records that a source brought news that are not old.
 func (f *follower) heard(s source) {
 	if f.failures > 0 {
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -125,8 +125,10 @@
 	informed, configured chan struct{}
 	// reconfigured is closed and replaced with each configuration.
 	reconfigured chan struct{}
-	// watchedAt is when the store was last asked for changes. One goroutine uses it.
+	// watchedAt is when the store was last asked for changes, and epochSeen the epoch of its last answer.
+	// One goroutine uses them.
 	watchedAt time.Time
+	epochSeen int64
 
 	sessions atomic.Int64
 	stopping atomic.Bool
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -138,6 +138,8 @@
 type Snapshot struct {
 	Items    []Item
 	Revision int64
+	// Epoch is how often the store came back from an older copy, or zero where it does not say.
+	Epoch int64
 }
 
 // Store is the platform's store. An error may come after a write has taken
