Tests that fail: duties and fencing tokens after the store was restored

Found by asking of each value that comes from the store what becomes of it when the store comes back from an older copy. Not seen by callers yet: a primary that goes dark is not replaced, since the tokens of new holders are smaller than those that the platform has seen; and a holder whose lease is in the copy and whose entry is not goes on to grant leases while the duty is vacant.

--- a/internal/gateway/restore_test.go
+++ b/internal/gateway/restore_test.go
@@ -60,3 +60,41 @@
 		})
 	}
 }
+
+// The duty changed hands shortly before the store went away, and the store came back from a copy that has the holder
+// before. Revisions began again at a smaller one, and with them the fencing tokens: the platform had seen a higher
+// one and refused all orders. When the primary goes dark then, another member must lead within a few seconds.
+func TestPrimaryIsReplacedAfterTheStoreWasRestored(t *testing.T) {
+	playFleet(t, 4, 20, freshness.Latest{}, func(s *fakeSite, f *fakeFleet) {
+		do(f.all()[0], Write{})
+		restoreAfter(s, 2*time.Second, func() {
+			s.scribble(100)
+			s.takeAway(f.holderOf())
+			time.Sleep(2 * time.Second) // another host, or the same one again, has raised its token
+		})
+		time.Sleep(4 * time.Second)
+		s.with("a", func(m *fakeMember) { m.silent = true })
+		time.Sleep(6 * time.Second)
+		if s.leader() == "a" {
+			t.Error("the primary was not replaced")
+		}
+		wantNothingLost(t, s)
+	})
+}
+
+// A host took the duty right before the store went away, and the store came back from a copy that has its lease and
+// not its entry. Its renewals succeed, while any other host may take the duty and replace the primary. It must not
+// take the renewed lease for the duty, or callers would read old data under the leases that it grants.
+func TestLeaseOfARestoredStoreIsNoDuty(t *testing.T) {
+	playFleet(t, 3, 20, freshness.Latest{}, func(s *fakeSite, f *fakeFleet) {
+		holder := f.holderOf()
+		d, _ := holder.dutyOf(holder.group(testGroup))
+		b := s.backup()
+		delete(b.items, holder.dutyKey(testGroup))
+		s.restore(b)
+		time.Sleep(dutyRenewal + dutyPoll + 50*time.Millisecond) // it has renewed its lease
+		if asked := time.Now(); d.certain(asked) {
+			t.Error("the host counts on a duty that is gone")
+		}
+	})
+}
