--- /dev/null
+++ b/core/kv/view_test.go
@@ -0,0 +1,107 @@
+package kv
+
+import (
+	"bytes"
+	"errors"
+	"slices"
+	"testing"
+)
+
+// whole and part return news with items that were all written at their revisions.
+func whole(at Revision, items ...Item) News {
+	return News{Snapshot{items, at}, true}
+}
+
+func part(at Revision, items ...Item) News {
+	return News{Snapshot{items, at}, false}
+}
+
+func item(key, value string, at Revision) Item {
+	return Item{Key: key, Value: []byte(value), Revision: at}
+}
+
+// laterByValue compares values that count their writes with their first letter. Those of "plain" don't count.
+func laterByValue(key string, first, second []byte) bool {
+	return key != "plain" && bytes.Compare(first[:1], second[:1]) > 0
+}
+
+func TestViewAfterRestore(t *testing.T) {
+	known := []Item{item("config", "3", 37), item("plain", "x", 35), item("gone", "1", 36), item("same", "1", 12)}
+	for _, c := range []struct {
+		name string
+		news News
+		err  error
+		// want holds the values of config, plain and gone.
+		want     [3]string
+		restored bool
+	}{
+		{"a smaller number in the same epoch", whole(30, item("config", "2", 30)), ErrBehind, [3]string{"3", "x", "1"}, false},
+		{"a later epoch with an older copy", whole(At(1, 30), item("config", "2", At(1, 20)), item("plain", "w", At(1, 21)), item("same", "1", At(1, 12))), nil, [3]string{"3", "w", ""}, true},
+		{"a later epoch in which the operator has written", whole(At(1, 33), item("config", "4", At(1, 33)), item("plain", "x", At(1, 21))), nil, [3]string{"4", "x", ""}, true},
+		{"late changes of an earlier epoch", part(At(-1, 50), item("config", "4", At(-1, 50))), ErrBehind, [3]string{"3", "x", "1"}, false},
+		{"changes of a later epoch alone", part(At(1, 33), item("config", "4", At(1, 33))), ErrPartial, [3]string{"3", "x", "1"}, false},
+		{"the number that is known, in a later epoch", whole(At(2, 37), item("config", "5", At(2, 37))), nil, [3]string{"5", "", ""}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			v := NewView(laterByValue)
+			if _, err := v.Apply(whole(37, known...)); err != nil {
+				t.Fatal(err)
+			}
+			got, err := v.Apply(c.news)
+			if !errors.Is(err, c.err) || got.Restored != c.restored {
+				t.Errorf("%v, restored %v", err, got.Restored)
+			}
+			for i, key := range []string{"config", "plain", "gone"} {
+				if have, _ := v.Item(key); string(have.Value) != c.want[i] {
+					t.Errorf("%s is %q, want %q", key, have.Value, c.want[i])
+				}
+			}
+		})
+	}
+}
+
+// A host that missed the store's return asks another one for what changed after the revision that it knows. It must be
+// sent everything: changes of a later epoch don't follow on what it knows.
+func TestChangesOfALaterEpochAreNoContinuation(t *testing.T) {
+	v := NewView(nil)
+	apply(t, v, whole(37, item("a", "1", 37)))
+	apply(t, v, part(38, item("b", "1", 38)))
+	if n := v.Since(37); n.Whole || len(n.Items) != 1 {
+		t.Errorf("%+v", n)
+	}
+	apply(t, v, whole(At(1, 20), item("a", "1", At(1, 20))))
+	if n := v.Since(38); !n.Whole || len(n.Items) != 1 {
+		t.Errorf("%+v", n)
+	}
+	apply(t, v, part(At(1, 21), item("c", "1", At(1, 21))))
+	if n := v.Since(At(1, 20)); n.Whole || len(n.Items) != 1 {
+		t.Errorf("%+v", n)
+	}
+}
+
+// What the store has lost is told once, so that those who know it can write it again.
+func TestFormerItems(t *testing.T) {
+	v := NewView(laterByValue)
+	apply(t, v, whole(37, item("plain", "y", 36), item("same", "1", 12), item("gone", "2", 37), item("config", "3", 30)))
+	got := apply(t, v, whole(At(1, 30), item("plain", "x", At(1, 20)), item("same", "1", At(1, 12)), item("config", "2", At(1, 9))))
+	var keys []string
+	for _, i := range got.Former {
+		keys = append(keys, i.Key)
+	}
+	slices.Sort(keys)
+	if !slices.Equal(keys, []string{"gone", "plain"}) {
+		t.Errorf("former items %v", keys)
+	}
+	if len(got.PassedOver) != 1 || got.PassedOver[0].Found.Key != "config" {
+		t.Errorf("passed over %v", got.PassedOver)
+	}
+}
+
+func apply(t *testing.T, v *View, n News) Applied {
+	t.Helper()
+	out, err := v.Apply(n)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pearlatch/core/group"
+	"pearlatch/core/kv"
 )
 
 // Beliefs are what a host believes, with the ages of its beliefs.
@@ -17,7 +18,7 @@
 	// ConfigVersion is zero before the first configuration.
 	ConfigVersion int64
 	// StoreRevision is that of the newest change seen.
-	StoreRevision int64
+	StoreRevision kv.Revision
 	Groups        []GroupState
 }
 
@@ -55,7 +56,7 @@
 	h.mu.Lock()
 	out := Beliefs{
 		Host: h.settings.Host, Zone: h.settings.Zone, Ready: h.Ready(), Stopping: h.Stopping(),
-		Sessions: h.Sessions(), StoreRevision: h.revision,
+		Sessions: h.Sessions(), StoreRevision: h.view.Revision(),
 	}
 	if h.config != nil {
 		out.ConfigVersion = h.config.Version
--- a/internal/gateway/duty.go
+++ b/internal/gateway/duty.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"pearlatch/core/kv"
 	"pearlatch/core/leadership"
 )
 
@@ -47,8 +48,9 @@
 	held  bool
 	lease int64
 	// token is the revision at which the duty's entry was last written: it rises
-	// with each holder, and with each decision of one.
-	token int64
+	// with each holder, and with each decision of one, also if the store came back from an older copy in
+	// between. It is the fencing token.
+	token kv.Revision
 	// since is when the duty was taken; renewed is when the entry was last known to be this host's.
 	since, renewed time.Time
 	// unbroken is true while each renewal since then has succeeded.
@@ -59,7 +61,7 @@
 	// record is what lies in the store for the next holder, as written at recordRevision.
 	// That is zero while it is not known.
 	record         leadership.Record
-	recordRevision int64
+	recordRevision kv.Revision
 	// inherited is true once the record of the holder before was read.
 	inherited bool
 	// standing is what leases on the primary are granted on, and grants are those that may
@@ -82,11 +84,11 @@
 	// ordered is the member named by the last order, orderedToken its token and orderedAt
 	// when it was given last, until it is seen to lead. Empty means that no order is open.
 	ordered      string
-	orderedToken int64
+	orderedToken kv.Revision
 	orderedAt    time.Time
 	// raised is the highest token that the platform has acknowledged: orders with
 	// lower ones are refused from then on.
-	raised int64
+	raised kv.Revision
 }
 
 func (h *Host) dutyKey(group string) string { return h.ports.Keys.Own + "duty/" + group }
@@ -128,8 +130,8 @@
 func (d *duty) tend(ctx context.Context) {
 	h := d.host
 	h.mu.Lock()
-	entry, taken := h.items[h.dutyKey(d.group.name)]
-	known := h.revision
+	entry, taken := h.view.Item(h.dutyKey(d.group.name))
+	known := h.view.Revision()
 	h.mu.Unlock()
 	d.mu.Lock()
 	held, token, renewed, inherited := d.held, d.token, d.renewed, d.recordRevision != 0
@@ -191,7 +193,7 @@
 
 // take takes the duty, whose entry was last written at the revision, or zero if there is
 // none.
-func (d *duty) take(ctx context.Context, entry int64) {
+func (d *duty) take(ctx context.Context, entry kv.Revision) {
 	call, cancel := context.WithTimeout(ctx, leaseTimeout)
 	defer cancel()
 	asked := d.host.now()
@@ -235,7 +237,7 @@
 	d.mu.Lock()
 	lease, renewed, unbroken := d.lease, d.renewed, d.unbroken
 	d.mu.Unlock()
-	err := d.host.renew(ctx, lease)
+	_, err := d.host.renew(ctx, lease)
 	if err == nil && !unbroken {
 		asked = d.host.now()
 		err = d.stillOwn(ctx)
@@ -365,7 +367,7 @@
 	if err != nil {
 		return errors.Wrap(err, "higher token")
 	}
-	d.host.quotas.Raised(d.group.name, revision)
+	d.host.quotas.Raised(d.group.name, int64(revision))
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.token = revision
@@ -398,7 +400,7 @@
 }
 
 // acknowledged records that the platform has seen the token.
-func (d *duty) acknowledged(token int64) {
+func (d *duty) acknowledged(token kv.Revision) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.raised = max(d.raised, token)
--- a/internal/gateway/duty_test.go
+++ b/internal/gateway/duty_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"pearlatch/core/freshness"
+	"pearlatch/core/kv"
 )
 
 // takeAway removes the duty's entry, and leaves its lease alone.
@@ -16,7 +17,7 @@
 	s.removeLocked(h.dutyKey(testGroup))
 }
 
-func (s *fakeSite) revisionOf(key string) int64 {
+func (s *fakeSite) revisionOf(key string) kv.Revision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.items[key].Revision
@@ -90,7 +91,7 @@
 		stop1()
 		_, stop2 := hostOn(s, "h2", freshness.Latest{})
 		time.Sleep(dutyLease + 3*time.Second)
-		if err := s.carryOut("h1", old, "b"); err == nil {
+		if err := s.carryOut("h1", int64(old), "b"); err == nil {
 			t.Errorf("an order with the token %d was taken", old)
 		}
 		stop2()
--- a/internal/gateway/fakefleet_test.go
+++ b/internal/gateway/fakefleet_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"pearlatch/core/freshness"
+	"pearlatch/core/kv"
 	"pearlatch/internal/quotas"
 )
 
@@ -171,18 +172,18 @@
 	s.fleet.looks[s.host]++
 }
 
-func (s hostStore) List(ctx context.Context, prefix string) (Snapshot, error) {
+func (s hostStore) List(ctx context.Context, prefix string) (kv.Snapshot, error) {
 	s.looked()
 	if err := s.reach(ctx); err != nil {
-		return Snapshot{}, err
+		return kv.Snapshot{}, err
 	}
 	return s.fakeSite.List(ctx, prefix)
 }
 
-func (s hostStore) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (Snapshot, error) {
+func (s hostStore) Watch(ctx context.Context, prefix string, after kv.Revision, wait time.Duration) (kv.Snapshot, error) {
 	s.looked()
 	if err := s.reach(ctx); err != nil {
-		return Snapshot{}, err
+		return kv.Snapshot{}, err
 	}
 	news, err := s.fakeSite.Watch(ctx, prefix, after, wait)
 	if err == nil {
@@ -191,7 +192,7 @@
 	return news, err
 }
 
-func (s hostStore) Put(ctx context.Context, key string, revision int64, value []byte, lease int64) (int64, error) {
+func (s hostStore) Put(ctx context.Context, key string, revision kv.Revision, value []byte, lease int64) (kv.Revision, error) {
 	if err := s.reach(ctx); err != nil {
 		return 0, err
 	}
@@ -205,9 +206,9 @@
 	return s.fakeSite.Grant(ctx, ttl)
 }
 
-func (s hostStore) Renew(ctx context.Context, lease int64) error {
+func (s hostStore) Renew(ctx context.Context, lease int64) (kv.Epoch, error) {
 	if err := s.reach(ctx); err != nil {
-		return err
+		return 0, err
 	}
 	return s.fakeSite.Renew(ctx, lease)
 }
@@ -334,7 +335,7 @@
 
 func (l *fakeLane) Mistrust(time.Duration) {}
 
-func (p *fakePeers) Feed(ctx context.Context, to netip.AddrPort, after int64) (Feed, error) {
+func (p *fakePeers) Feed(ctx context.Context, to netip.AddrPort, after kv.Revision) (Feed, error) {
 	h, err := p.reach(ctx, to)
 	if err != nil {
 		return nil, err
--- a/internal/gateway/fakesite_test.go
+++ b/internal/gateway/fakesite_test.go
@@ -19,6 +19,7 @@
 	"pearlatch/core/account"
 	"pearlatch/core/freshness"
 	"pearlatch/core/group"
+	"pearlatch/core/kv"
 )
 
 const (
@@ -65,8 +66,8 @@
 	peak    int // connections to one member at once
 	probes  int // questions for a member's status
 	// items and revision are the store's.
-	items    map[string]Item
-	revision int64
+	items    map[string]kv.Item
+	revision kv.Revision
 	changed  chan struct{}
 	leases   map[int64]time.Time
 	keyLease map[string]int64
@@ -86,7 +87,7 @@
 
 func newFakeSite(ids ...string) *fakeSite {
 	s := &fakeSite{
-		cap: 20, items: map[string]Item{}, changed: make(chan struct{}),
+		cap: 20, items: map[string]kv.Item{}, changed: make(chan struct{}),
 		leases: map[int64]time.Time{}, keyLease: map[string]int64{}, ranFor: map[string]string{},
 	}
 	for i, id := range ids {
--- a/internal/gateway/fakestore_test.go
+++ b/internal/gateway/fakestore_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"pearlatch/core/kv"
 )
 
 // list writes a member's entry. An empty state removes it.
@@ -24,19 +26,19 @@
 	s.putLocked("members/"+id, s.member(id).entry(state, role), 0)
 }
 
-func (s *fakeSite) put(key string, value []byte, lease int64) int64 {
+func (s *fakeSite) put(key string, value []byte, lease int64) kv.Revision {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.putLocked(key, value, lease)
 }
 
-func (s *fakeSite) putLocked(key string, value []byte, lease int64) int64 {
+func (s *fakeSite) putLocked(key string, value []byte, lease int64) kv.Revision {
 	s.revision++
-	created := s.revision
+	created := s.revision.Number()
 	if old, ok := s.items[key]; ok && !old.Removed {
 		created = old.Created
 	}
-	s.items[key] = Item{Key: key, Value: value, Revision: s.revision, Created: created}
+	s.items[key] = kv.Item{Key: key, Value: value, Revision: s.revision, Created: created}
 	s.keyLease[key] = lease
 	s.wake()
 	return s.revision
@@ -44,7 +46,7 @@
 
 func (s *fakeSite) removeLocked(key string) {
 	s.revision++
-	s.items[key] = Item{Key: key, Revision: s.revision, Removed: true}
+	s.items[key] = kv.Item{Key: key, Revision: s.revision, Removed: true}
 	s.wake()
 }
 
@@ -71,8 +73,8 @@
 
 // backup is a copy of what the store holds.
 type backup struct {
-	items    map[string]Item
-	revision int64
+	items    map[string]kv.Item
+	revision kv.Revision
 	// leases holds how long each lease still runs.
 	leases   map[int64]time.Duration
 	keyLease map[string]int64
@@ -94,7 +96,12 @@
 func (s *fakeSite) restore(b backup) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.items, s.revision, s.keyLease = maps.Clone(b.items), b.revision, maps.Clone(b.keyLease)
+	epoch := s.revision.Epoch() + 1
+	s.items, s.revision, s.keyLease = map[string]kv.Item{}, kv.At(epoch, b.revision.Number()), maps.Clone(b.keyLease)
+	for key, i := range b.items {
+		i.Revision = kv.At(epoch, i.Revision.Number())
+		s.items[key] = i
+	}
 	s.leases = map[int64]time.Time{}
 	for lease, left := range b.leases {
 		s.leases[lease] = time.Now().Add(left)
@@ -119,13 +126,13 @@
 	return nil
 }
 
-func (s *fakeSite) List(ctx context.Context, prefix string) (Snapshot, error) {
+func (s *fakeSite) List(ctx context.Context, prefix string) (kv.Snapshot, error) {
 	if err := s.reach(ctx); err != nil {
-		return Snapshot{}, err
+		return kv.Snapshot{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := Snapshot{Revision: s.revision}
+	out := kv.Snapshot{Revision: s.revision}
 	for key, i := range s.items {
 		if strings.HasPrefix(key, prefix) && !i.Removed {
 			out.Items = append(out.Items, i)
@@ -134,21 +141,21 @@
 	return out, nil
 }
 
-func (s *fakeSite) Watch(ctx context.Context, _ string, after int64, wait time.Duration) (Snapshot, error) {
+func (s *fakeSite) Watch(ctx context.Context, _ string, after kv.Revision, wait time.Duration) (kv.Snapshot, error) {
 	until := time.NewTimer(wait)
 	defer until.Stop()
 	for {
 		if err := s.reach(ctx); err != nil {
-			return Snapshot{}, err
+			return kv.Snapshot{}, err
 		}
 		s.mu.Lock()
-		out, changed := Snapshot{Revision: s.revision}, s.changed
-		if after > s.revision {
+		out, changed := kv.Snapshot{Revision: s.revision}, s.changed
+		if after.Number() > s.revision.Number() {
 			s.mu.Unlock()
-			return Snapshot{}, ErrCompacted
+			return kv.Snapshot{}, ErrCompacted
 		}
 		for _, i := range s.items {
-			if i.Revision > after {
+			if i.Revision.Number() > after.Number() {
 				out.Items = append(out.Items, i)
 			}
 		}
@@ -167,7 +174,7 @@
 	}
 }
 
-func (s *fakeSite) Put(ctx context.Context, key string, revision int64, value []byte, lease int64) (int64, error) {
+func (s *fakeSite) Put(ctx context.Context, key string, revision kv.Revision, value []byte, lease int64) (kv.Revision, error) {
 	if err := s.reach(ctx); err != nil {
 		return 0, err
 	}
@@ -177,7 +184,7 @@
 	if old.Removed {
 		old.Revision = 0
 	}
-	if old.Revision != revision {
+	if old.Revision.Number() != revision.Number() {
 		return 0, ErrConflict
 	}
 	if _, ok := s.leases[lease]; lease != 0 && !ok {
@@ -193,21 +200,22 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	s.leases[s.revision] = time.Now().Add(ttl)
-	return s.revision, nil
+	lease := s.revision.Number()
+	s.leases[lease] = time.Now().Add(ttl)
+	return lease, nil
 }
 
-func (s *fakeSite) Renew(ctx context.Context, lease int64) error {
+func (s *fakeSite) Renew(ctx context.Context, lease int64) (kv.Epoch, error) {
 	if err := s.reach(ctx); err != nil {
-		return err
+		return 0, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, ok := s.leases[lease]; !ok {
-		return ErrNoLease
+		return 0, ErrNoLease
 	}
 	s.leases[lease] = time.Now().Add(dutyLease)
-	return nil
+	return s.revision.Epoch(), nil
 }
 
 func (s *fakeSite) End(ctx context.Context, lease int64) error {
--- a/internal/gateway/floor.go
+++ b/internal/gateway/floor.go
@@ -4,12 +4,13 @@
 	"time"
 
 	"pearlatch/core/group"
+	"pearlatch/core/kv"
 	"pearlatch/core/leadership"
 )
 
 // left records that a replica may have gone with its log.
 func (g *Group) left(at time.Time) {
-	g.departed, g.departedRevision = latest(g.departed, at), g.revision.Load()
+	g.departed, g.departedRevision = latest(g.departed, at), kv.Revision(g.revision.Load())
 }
 
 func latest(a, b time.Time) time.Time {
@@ -54,7 +55,7 @@
 
 // adoptFloor takes over what the record of an earlier holder says of the log that a
 // successor must have.
-func (g *Group) adoptFloor(r leadership.Record, revision int64) {
+func (g *Group) adoptFloor(r leadership.Record, revision kv.Revision) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.inherited, g.inheritedRevision = r, revision
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"maps"
 	"slices"
@@ -10,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"pearlatch/core/kv"
 	"pearlatch/core/membership"
 )
 
@@ -31,7 +31,7 @@
 // followStore asks the store once for what has changed.
 func (h *Host) followStore(ctx context.Context) error {
 	h.mu.Lock()
-	revision, relist := h.revision, h.relist
+	revision, relist := h.view.Revision(), h.relist
 	h.mu.Unlock()
 	if revision == 0 || relist {
 		return h.listAll(ctx)
@@ -55,17 +55,11 @@
 		h.mu.Unlock()
 		return err
 	}
-	h.noteEpoch(s)
-	return h.apply(News{Snapshot: s})
-}
-
-// noteEpoch writes a line when the store says that it came back from an older copy.
-func (h *Host) noteEpoch(s Snapshot) {
-	if h.epochSeen == s.Epoch {
-		return
+	err = h.apply(News{News: kv.News{Snapshot: s}})
+	if errors.Is(err, kv.ErrPartial) {
+		return h.listAll(ctx)
 	}
-	h.log("store_epoch", "epoch", s.Epoch, "before", h.epochSeen, "revision", s.Revision, "known", h.seen.Load())
-	h.epochSeen = s.Epoch
+	return err
 }
 
 // listAll reads everything anew.
@@ -76,43 +70,37 @@
 	if err != nil {
 		return err
 	}
-	h.noteEpoch(s)
-	return h.apply(News{Snapshot: s, Whole: true})
+	return h.apply(News{News: kv.News{Snapshot: s, Whole: true}})
 }
 
-// errBehind means that a source knows less than this host.
-var errBehind = errors.New("the source is behind")
-
 // apply takes over news of the store.
 func (h *Host) apply(n News) error {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	applied, err := h.view.Apply(n.News)
+	if err != nil {
+		return err
+	}
+	h.logApplied(applied)
 	if n.Whole {
-		if n.Revision < h.revision {
-			return errors.Wrapf(errBehind, "revision %d, and %d is known", n.Revision, h.revision)
-		}
-		n.Items = append(n.Items, h.vanished(n)...)
 		h.relist = false
 	}
-	if h.revision == 0 {
-		h.changes.from = n.Revision
+	if applied.Before == 0 {
 		close(h.informed)
 	}
-	known := h.revision
-	changed := false
-	slices.SortStableFunc(n.Items, compareRevisions)
-	for _, i := range n.Items {
-		changed = h.applyItem(i) || changed
+	for _, i := range applied.Changed {
+		h.noteHost(i)
+		h.noteMember(i)
 	}
-	h.revision = max(h.revision, n.Revision)
 	if heard := h.now().Add(-n.Age); heard.After(h.heardAt) {
 		h.heardAt = heard
 	}
-	if changed || known != h.revision {
+	known := h.view.Revision()
+	if len(applied.Changed) > 0 || known != applied.Before {
 		close(h.changed)
 		h.changed = make(chan struct{})
 	}
-	h.seen.Store(h.revision)
+	h.seen.Store(int64(known))
 	configured := h.applyConfig()
 	listed := h.applyHosts()
 	if h.config == nil {
@@ -123,51 +111,19 @@
 	return nil
 }
 
-// applyAgain is how often the list of hosts is worked out anew from news that change nothing of it:
-// lapsed hosts lose their place by time alone.
-const applyAgain = time.Second
-
-// vanished returns the removal of each key that complete news no longer holds.
-func (h *Host) vanished(n News) []Item {
-	fresh := make(map[string]bool, len(n.Items))
-	for _, i := range n.Items {
-		fresh[i.Key] = true
-	}
-	var out []Item
-	for key, i := range h.items {
-		if !fresh[key] && i.Revision <= n.Revision {
-			out = append(out, Item{Key: key, Revision: n.Revision, Removed: true})
-		}
+// logApplied writes lines on what news did to the view, but for plain changes.
+func (h *Host) logApplied(a kv.Applied) {
+	if a.Restored {
+		h.log("store_restored", "revision", h.view.Revision(), "known", a.Before, "changed", len(a.Former))
 	}
-	return out
-}
-
-// applyItem takes over a change, unless a newer one of the key is known. It returns true
-// if it did.
-func (h *Host) applyItem(i Item) bool {
-	old, known := h.items[i.Key]
-	if known && old.Revision >= i.Revision || !known && i.Removed {
-		h.logPassedOver(old, i)
-		return false
+	for _, c := range a.PassedOver {
+		h.log("item_passed_over", "key", c.Found.Key, "revision", c.Found.Revision, "known", c.Known.Revision)
 	}
-	h.changes.add(i)
-	h.noteHost(i)
-	h.noteMember(i)
-	if i.Removed {
-		delete(h.items, i.Key)
-		return true
-	}
-	h.items[i.Key] = i
-	return true
 }
 
-// logPassedOver writes a line when a key's value is ignored that is another than the one known.
-func (h *Host) logPassedOver(old, i Item) {
-	if i.Removed || bytes.Equal(old.Value, i.Value) {
-		return
-	}
-	h.log("item_passed_over", "key", i.Key, "revision", i.Revision, "known", old.Revision)
-}
+// applyAgain is how often the list of hosts is worked out anew from news that change nothing of it:
+// lapsed hosts lose their place by time alone.
+const applyAgain = time.Second
 
 // applyHosts takes over the list of hosts and reports whether it changed. A host whose entry has
 // lapsed is kept in it for a while: when the store was away, or turned hosts away, many entries
@@ -203,7 +159,7 @@
 
 // noteHost takes over a change of a host's entry. News may hold several changes of one
 // host, of which the one that says that it leaves must not be missed.
-func (h *Host) noteHost(i Item) {
+func (h *Host) noteHost(i kv.Item) {
 	id, ok := strings.CutPrefix(i.Key, h.hostsPrefix())
 	if !ok {
 		return
@@ -228,7 +184,7 @@
 
 // applyConfig takes over the configuration and reports whether it is a newer one.
 func (h *Host) applyConfig() (newer bool) {
-	i, ok := h.items[h.ports.Keys.Config]
+	i, ok := h.view.Item(h.ports.Keys.Config)
 	if !ok || i.Revision == h.configRevision {
 		return false
 	}
@@ -280,7 +236,7 @@
 }
 
 // noteMember takes over a change of a member's entry.
-func (h *Host) noteMember(i Item) {
+func (h *Host) noteMember(i kv.Item) {
 	if !strings.HasPrefix(i.Key, h.ports.Keys.Members) {
 		return
 	}
@@ -321,7 +277,7 @@
 	for ctx.Err() == nil {
 		if lease == 0 {
 			lease = h.announce(ctx, h.self())
-		} else if err := h.renew(ctx, lease); errors.Is(err, ErrNoLease) {
+		} else if _, err := h.renew(ctx, lease); errors.Is(err, ErrNoLease) {
 			lease = 0
 			continue
 		}
@@ -353,22 +309,22 @@
 }
 
 // read reads a key of the store. One that does not exist has the revision zero.
-func (h *Host) read(ctx context.Context, key string) (Item, error) {
+func (h *Host) read(ctx context.Context, key string) (kv.Item, error) {
 	call, cancel := context.WithTimeout(ctx, leaseTimeout)
 	defer cancel()
 	s, err := h.ports.Store.List(call, key)
 	if err != nil {
-		return Item{}, err
+		return kv.Item{}, err
 	}
 	for _, i := range s.Items {
 		if i.Key == key {
 			return i, nil
 		}
 	}
-	return Item{Key: key}, nil
+	return kv.Item{Key: key}, nil
 }
 
-func (h *Host) renew(ctx context.Context, lease int64) error {
+func (h *Host) renew(ctx context.Context, lease int64) (kv.Epoch, error) {
 	call, cancel := context.WithTimeout(ctx, leaseTimeout)
 	defer cancel()
 	return h.ports.Store.Renew(call, lease)
@@ -407,8 +363,8 @@
 func (h *Host) enter(ctx context.Context, self membership.Host, lease int64) error {
 	key := h.hostsPrefix() + self.ID
 	h.mu.Lock()
-	revision := h.items[key].Revision
+	known, _ := h.view.Item(key)
 	h.mu.Unlock()
-	_, err := h.ports.Store.Put(ctx, key, revision, entryOf(self), lease)
+	_, err := h.ports.Store.Put(ctx, key, known.Revision, entryOf(self), lease)
 	return err
 }
--- a/internal/gateway/follow_bench_test.go
+++ b/internal/gateway/follow_bench_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"pearlatch/core/freshness"
+	"pearlatch/core/kv"
 )
 
 // wideDecoder reads entries of many groups: the configuration is the number of groups, and a member's
@@ -54,23 +55,23 @@
 	h := NewHost(Settings{Host: "host-0", Zone: "zone-0", Peer: netip.MustParseAddrPort("10.0.0.1:1")}, Ports{
 		Peers: &fakePeers{}, Decode: wideDecoder{}, Keys: Keys{Config: "config", Members: "members/", Own: "own/"},
 	}, testLogger(), time.Now)
-	news := News{Whole: true, Snapshot: Snapshot{Revision: 1, Items: []Item{{Key: "config", Value: []byte{byte(groups)}, Revision: 1}}}}
+	news := News{News: kv.News{Whole: true, Snapshot: kv.Snapshot{Revision: 1, Items: []kv.Item{{Key: "config", Value: []byte{byte(groups)}, Revision: 1}}}}}
 	entry := func(i int) []byte { return fmt.Appendf(nil, "zone-%d 10.0.0.1:1", i%5) }
 	for i := range n {
-		news.Items = append(news.Items, Item{Key: fmt.Sprint("own/hosts/host-", i), Value: entry(i), Revision: 1})
+		news.Items = append(news.Items, kv.Item{Key: fmt.Sprint("own/hosts/host-", i), Value: entry(i), Revision: 1})
 	}
 	for i := range groups {
 		for m := range 3 {
-			news.Items = append(news.Items, Item{Key: fmt.Sprintf("members/%d-%d", i, m), Value: fmt.Append(nil, "group-", i), Revision: 1})
+			news.Items = append(news.Items, kv.Item{Key: fmt.Sprintf("members/%d-%d", i, m), Value: fmt.Append(nil, "group-", i), Revision: 1})
 		}
 	}
 	if err := h.apply(news); err != nil {
 		panic(err)
 	}
-	revision := int64(1)
+	revision := kv.Revision(1)
 	return h, func(name string, turn int) News {
 		revision++
-		i := Item{Key: "own/hosts/" + name, Value: entry(turn), Revision: revision}
-		return News{Snapshot: Snapshot{Revision: revision, Items: []Item{i}}}
+		i := kv.Item{Key: "own/hosts/" + name, Value: entry(turn), Revision: revision}
+		return News{News: kv.News{Snapshot: kv.Snapshot{Revision: revision, Items: []kv.Item{i}}}}
 	}
 }
--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"pearlatch/core/kv"
 )
 
 const (
@@ -102,7 +104,7 @@
 
 // reasonOf names what kind of error a source failed with.
 func reasonOf(err error) string {
-	for _, known := range []error{errBehind, errStaleNews, errNoNews, ErrCompacted} {
+	for _, known := range []error{kv.ErrBehind, kv.ErrPartial, errStaleNews, errNoNews, ErrCompacted} {
 		if errors.Is(err, known) {
 			return known.Error()
 		}
--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -11,6 +11,7 @@
 
 	"pearlatch/core/freshness"
 	"pearlatch/core/group"
+	"pearlatch/core/kv"
 	"pearlatch/core/leadership"
 	"pearlatch/core/outage"
 	"pearlatch/core/pool"
@@ -108,14 +109,14 @@
 	// revision is the store's up to which this host knows its changes, and departedRevision the
 	// one at which a member was last seen to leave, or zero.
 	revision         *atomic.Int64
-	departedRevision int64
+	departedRevision kv.Revision
 	// floor is a position of the primary, seen at floorAt: what holds it holds all that members
 	// had acknowledged which left before, see floorValid.
 	floor   group.Position
 	floorAt time.Time
 	// inherited is what an earlier holder recorded, at inheritedRevision, until it is adopted.
 	inherited         leadership.Record
-	inheritedRevision int64
+	inheritedRevision kv.Revision
 	// alarm wakes the holder of the group's duty when the primary is suspect.
 	alarm chan struct{}
 }
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -13,6 +13,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"pearlatch/core/account"
+	"pearlatch/core/kv"
 	"pearlatch/core/membership"
 	"pearlatch/core/quota"
 	"pearlatch/internal/quotas"
@@ -84,15 +85,14 @@
 	mu     sync.Mutex
 	config *Config
 	groups map[string]*Group
-	// items holds the values of the store's keys that matter, by key.
-	items    map[string]Item
-	revision int64
+	// view is what the host knows of the store.
+	view *kv.View
 	// relist is true after a watch failed: what it missed must be read anew.
 	relist bool
-	// seen is revision, for groups.
+	// seen is the revision of view, for groups.
 	seen atomic.Int64
 	// configRevision is that of the configuration's item that was read last.
-	configRevision int64
+	configRevision kv.Revision
 	members        memberList
 	// hostsSeen holds each host's entry as it was last seen. The list of hosts was last worked out
 	// from it at hostsApplied, and hostsChanged is true if an entry changed since.
@@ -101,15 +101,14 @@
 	hostsApplied time.Time
 	// duties holds this host's part in the promotions of each group, by group.
 	duties map[string]*duty
-	// changes keeps the store's newest changes for other hosts; changed is closed and
-	// replaced with each, and heardAt is when the store itself was last heard of.
-	changes changes
+	// changed is closed and replaced with each change of view, and heardAt is when the store itself was last
+	// heard of.
 	changed chan struct{}
 	heardAt time.Time
 
 	quotas *quotas.Keeper
 	// granters holds the last entry seen of each duty.
-	granters map[string]Item
+	granters map[string]kv.Item
 
 	// process names this run of the host: what it knew is lost with it. It began at started.
 	process string
@@ -125,10 +124,8 @@
 	informed, configured chan struct{}
 	// reconfigured is closed and replaced with each configuration.
 	reconfigured chan struct{}
-	// watchedAt is when the store was last asked for changes, and epochSeen the epoch of its last answer.
-	// One goroutine uses them.
+	// watchedAt is when the store was last asked for changes. One goroutine uses it.
 	watchedAt time.Time
-	epochSeen int64
 
 	sessions atomic.Int64
 	stopping atomic.Bool
@@ -144,11 +141,12 @@
 	p.Store = meteredStore{store: p.Store, meters: m, now: now}
 	h := &Host{
 		started: now(), meters: m, settings: s, ports: p, logger: log.With(logger, "host", s.Host), now: now,
-		groups: map[string]*Group{}, items: map[string]Item{}, hostsSeen: map[string]seenHost{}, members: newMemberList(), informed: make(chan struct{}), configured: make(chan struct{}), reconfigured: make(chan struct{}),
+		groups: map[string]*Group{}, hostsSeen: map[string]seenHost{}, members: newMemberList(), informed: make(chan struct{}), configured: make(chan struct{}), reconfigured: make(chan struct{}),
 		stopped: make(chan struct{}), ended: make(chan struct{}), duties: map[string]*duty{}, changed: make(chan struct{}), process: fmt.Sprintf("%s-%08x", s.Host, rand.Uint32()),
 	}
+	h.view = kv.NewView(nil)
 	h.fleet.self = membership.Host{ID: s.Host, Zone: s.Zone, Peer: s.Peer}
-	h.granters = map[string]Item{}
+	h.granters = map[string]kv.Item{}
 	h.quotas = quotas.New(quotas.Settings{Host: s.Host, Process: h.process, Terms: s.Quotas}, quotaFleet{h}, logger, now)
 	return h
 }
--- a/internal/gateway/lessee.go
+++ b/internal/gateway/lessee.go
@@ -121,7 +121,8 @@
 
 func (h *Host) requestLease(ctx context.Context, groupName string) (LeaseReply, error) {
 	h.mu.Lock()
-	holder, d := string(h.items[h.dutyKey(groupName)].Value), h.duties[groupName]
+	entry, _ := h.view.Item(h.dutyKey(groupName))
+	holder, d := string(entry.Value), h.duties[groupName]
 	h.mu.Unlock()
 	if d != nil && d.isHeld() {
 		return d.grant(h.settings.Host), nil
--- a/internal/gateway/memberlist.go
+++ b/internal/gateway/memberlist.go
@@ -1,5 +1,7 @@
 package gateway
 
+import "pearlatch/core/kv"
+
 // memberList holds the platform's entries of members as they were last read. It says which groups
 // have changed since they were last taken, so that a change of one entry costs a look at one
 // group. Use newMemberList.
@@ -14,7 +16,7 @@
 
 // memberEntry is a member's entry as it was read.
 type memberEntry struct {
-	// created is when the entry came to be, as a revision, or zero if that is not known.
+	// created is the number of the revision at which the entry came to be, or zero if that is not known.
 	created int64
 	member  Member
 	// err is why the entry names no member, or nil.
@@ -46,7 +48,7 @@
 
 // put takes over an entry that names the member, or none because of err. It reports whether the entry
 // can't be read for another reason than before.
-func (l *memberList) put(i Item, m Member, err error) (refused bool) {
+func (l *memberList) put(i kv.Item, m Member, err error) (refused bool) {
 	before := l.entries[i.Key]
 	if before.created != i.Created && before.created*i.Created != 0 {
 		l.remove(i.Key)
--- a/internal/gateway/memberlist_test.go
+++ b/internal/gateway/memberlist_test.go
@@ -4,6 +4,8 @@
 	"errors"
 	"slices"
 	"testing"
+
+	"pearlatch/core/kv"
 )
 
 // A member's entry is removed and written again between two looks at the store: the member may have
@@ -17,22 +19,22 @@
 	}{
 		{"removed and written again", func(l *memberList) {
 			l.remove("members/a")
-			l.put(Item{Key: "members/a", Revision: 9, Created: 9}, Member{ID: "a", Group: "g"}, nil)
+			l.put(kv.Item{Key: "members/a", Revision: 9, Created: 9}, Member{ID: "a", Group: "g"}, nil)
 		}, []string{"a"}},
 		{"only the later entry was seen", func(l *memberList) {
-			l.put(Item{Key: "members/a", Revision: 9, Created: 8}, Member{ID: "a", Group: "g"}, nil)
+			l.put(kv.Item{Key: "members/a", Revision: 9, Created: 8}, Member{ID: "a", Group: "g"}, nil)
 		}, []string{"a"}},
 		{"changed", func(l *memberList) {
-			l.put(Item{Key: "members/a", Revision: 9, Created: 1}, Member{ID: "a", Group: "g", Leads: true}, nil)
+			l.put(kv.Item{Key: "members/a", Revision: 9, Created: 1}, Member{ID: "a", Group: "g", Leads: true}, nil)
 		}, nil},
 		{"from a host that does not tell", func(l *memberList) {
-			l.put(Item{Key: "members/a", Revision: 9}, Member{ID: "a", Group: "g", Leads: true}, nil)
+			l.put(kv.Item{Key: "members/a", Revision: 9}, Member{ID: "a", Group: "g", Leads: true}, nil)
 		}, nil},
 		{"removed", func(l *memberList) { l.remove("members/a") }, []string{"a"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			l := newMemberList()
-			l.put(Item{Key: "members/a", Revision: 1, Created: 1}, Member{ID: "a", Group: "g"}, nil)
+			l.put(kv.Item{Key: "members/a", Revision: 1, Created: 1}, Member{ID: "a", Group: "g"}, nil)
 			if _, changed := l.take("g"); !changed {
 				t.Fatal("the first entry is no change")
 			}
@@ -51,21 +53,21 @@
 // An entry that can't be read names no member until it can, and is told once.
 func TestUnreadableEntryNamesNoMember(t *testing.T) {
 	l := newMemberList()
-	l.put(Item{Key: "members/a", Revision: 1}, Member{ID: "a", Group: "g"}, nil)
-	l.put(Item{Key: "members/b", Revision: 2}, Member{ID: "b", Group: "g"}, nil)
+	l.put(kv.Item{Key: "members/a", Revision: 1}, Member{ID: "a", Group: "g"}, nil)
+	l.put(kv.Item{Key: "members/b", Revision: 2}, Member{ID: "b", Group: "g"}, nil)
 	l.take("g")
 	bad := errors.New("zone: missing")
-	if !l.put(Item{Key: "members/a", Revision: 3}, Member{}, bad) {
+	if !l.put(kv.Item{Key: "members/a", Revision: 3}, Member{}, bad) {
 		t.Error("an entry that can't be read is not told")
 	}
-	if l.put(Item{Key: "members/a", Revision: 4}, Member{}, bad) {
+	if l.put(kv.Item{Key: "members/a", Revision: 4}, Member{}, bad) {
 		t.Error("it is told again")
 	}
 	list, _ := l.take("g")
 	if len(list.members) != 1 || list.members[0].ID != "b" {
 		t.Errorf("members %v, want b alone", list.members)
 	}
-	l.put(Item{Key: "members/a", Revision: 5}, Member{ID: "a", Group: "g"}, nil)
+	l.put(kv.Item{Key: "members/a", Revision: 5}, Member{ID: "a", Group: "g"}, nil)
 	if list, _ := l.take("g"); len(list.members) != 2 {
 		t.Errorf("members %v, want two", list.members)
 	}
--- a/internal/gateway/meteredstore.go
+++ b/internal/gateway/meteredstore.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"pearlatch/core/kv"
 )
 
 // meteredStore counts and times the calls to a store.
@@ -34,7 +36,7 @@
 }
 
 // List implements Store.
-func (s meteredStore) List(ctx context.Context, prefix string) (Snapshot, error) {
+func (s meteredStore) List(ctx context.Context, prefix string) (kv.Snapshot, error) {
 	started := s.now()
 	out, err := s.store.List(ctx, prefix)
 	s.meter("list", started, err)
@@ -42,7 +44,7 @@
 }
 
 // Watch implements Store.
-func (s meteredStore) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (Snapshot, error) {
+func (s meteredStore) Watch(ctx context.Context, prefix string, after kv.Revision, wait time.Duration) (kv.Snapshot, error) {
 	started := s.now()
 	out, err := s.store.Watch(ctx, prefix, after, wait)
 	s.meter("watch", started, err)
@@ -50,7 +52,7 @@
 }
 
 // Put implements Store.
-func (s meteredStore) Put(ctx context.Context, key string, revision int64, value []byte, lease int64) (int64, error) {
+func (s meteredStore) Put(ctx context.Context, key string, revision kv.Revision, value []byte, lease int64) (kv.Revision, error) {
 	started := s.now()
 	out, err := s.store.Put(ctx, key, revision, value, lease)
 	s.meter("put", started, err)
@@ -66,11 +68,11 @@
 }
 
 // Renew implements Store.
-func (s meteredStore) Renew(ctx context.Context, lease int64) error {
+func (s meteredStore) Renew(ctx context.Context, lease int64) (kv.Epoch, error) {
 	started := s.now()
-	err := s.store.Renew(ctx, lease)
+	epoch, err := s.store.Renew(ctx, lease)
 	s.meter("renew", started, err)
-	return err
+	return epoch, err
 }
 
 // End implements Store.
--- a/internal/gateway/order.go
+++ b/internal/gateway/order.go
@@ -125,7 +125,7 @@
 	w.mu.Unlock()
 	call, cancel := context.WithTimeout(ctx, promoteTimeout)
 	defer cancel()
-	err := w.host.ports.Promoter.Promote(call, w.host.settings.Host, token, w.group.name, id)
+	err := w.host.ports.Promoter.Promote(call, w.host.settings.Host, int64(token), w.group.name, id)
 	if errors.Is(err, ErrFenced) {
 		w.log("promotion_refused", "member", id, "token", token, "err", err)
 		w.refused(ctx)
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"pearlatch/core/group"
+	"pearlatch/core/kv"
 	"pearlatch/internal/quotas"
 )
 
@@ -28,7 +29,7 @@
 	Quota(ctx context.Context, to netip.AddrPort, r quotas.Request) (quotas.Reply, error)
 	TellQuota(ctx context.Context, to netip.AddrPort, r quotas.TellRequest) (quotas.TellReply, error)
 	// Feed lets the host pass on what changed in the store after the revision.
-	Feed(ctx context.Context, to netip.AddrPort, after int64) (Feed, error)
+	Feed(ctx context.Context, to netip.AddrPort, after kv.Revision) (Feed, error)
 }
 
 // Lane carries requests to another host, one after the other.
@@ -161,9 +162,7 @@
 
 // News is what changed in the store, as another host passes it on.
 type News struct {
-	Snapshot
-	// Whole is true when the items are all there are.
-	Whole bool
+	kv.News
 	// Age is how long ago the store itself was heard of.
 	Age time.Duration
 }
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pearlatch/core/group"
+	"pearlatch/core/kv"
 )
 
 // Member identifies a member of a group and what the platform says of it.
@@ -123,42 +124,26 @@
 	Connections int
 }
 
-// Item is a key of the store.
-type Item struct {
-	Key   string
-	Value []byte
-	// Revision is that of the last change, and Created the one at which the key came to be: another
-	// one means that it was removed in between. Created is zero where that is not known.
-	Revision, Created int64
-	// Removed is true for an event that deletes the key.
-	Removed bool
-}
-
-// Snapshot is a set of items that was read at a revision.
-type Snapshot struct {
-	Items    []Item
-	Revision int64
-	// Epoch is how often the store came back from an older copy, or zero where it does not say.
-	Epoch int64
-}
-
-// Store is the platform's store. An error may come after a write has taken
-// effect.
+// Store is the platform's store. It may come back from an older copy, see package kv. An error may come
+// after a write has taken effect.
 type Store interface {
 	// List returns the items whose keys start with prefix.
-	List(ctx context.Context, prefix string) (Snapshot, error)
+	List(ctx context.Context, prefix string) (kv.Snapshot, error)
 	// Watch waits for changes after the revision, at most for wait, and returns
 	// them with the revision to go on from. ErrCompacted means that the changes
-	// are no longer kept.
-	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (Snapshot, error)
-	// Put writes a key that goes with its lease (0: stays), if the key's revision
-	// is still the given one (0: absent), and returns the new revision.
-	// ErrConflict means that it is not.
-	Put(ctx context.Context, key string, revision int64, value []byte, lease int64) (int64, error)
+	// are no longer kept. If the revision to go on from is of another epoch, the changes do not
+	// follow on those before.
+	Watch(ctx context.Context, prefix string, after kv.Revision, wait time.Duration) (kv.Snapshot, error)
+	// Put writes a key that goes with its lease (0: stays), if the number of the key's revision
+	// is still that of the given one (0: absent), and returns the new revision.
+	// ErrConflict means that it is not. If the new revision is of another epoch, the number may have stood
+	// for another content.
+	Put(ctx context.Context, key string, revision kv.Revision, value []byte, lease int64) (kv.Revision, error)
 	// Grant opens a lease; Renew and End take its number. ErrNoLease means that
-	// it has ended.
+	// it has ended. Renew returns the epoch in which the lease stands: in another one than the keys were
+	// written in, they may be gone.
 	Grant(ctx context.Context, ttl time.Duration) (int64, error)
-	Renew(ctx context.Context, lease int64) error
+	Renew(ctx context.Context, lease int64) (kv.Epoch, error)
 	End(ctx context.Context, lease int64) error
 }
 
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -25,11 +25,11 @@
 	f.h.mu.Lock()
 	defer f.h.mu.Unlock()
 	key := f.h.dutyKey(shard)
-	if i, known := f.h.items[key]; known {
+	if i, known := f.h.view.Item(key); known {
 		f.h.granters[shard] = i
 	}
 	i, ok := f.h.granters[shard]
-	return string(i.Value), i.Revision, ok
+	return string(i.Value), int64(i.Revision), ok
 }
 
 // Ask implements quotas.Fleet.
@@ -104,7 +104,7 @@
 	first, token, held := !d.inherited, d.token, d.renewed
 	d.mu.Unlock()
 	if first {
-		d.host.quotas.Took(d.group.name, token, held, grantees, granters)
+		d.host.quotas.Took(d.group.name, int64(token), held, grantees, granters)
 	}
 }
 
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"pearlatch/core/group"
+	"pearlatch/core/kv"
 	"pearlatch/core/leadership"
 )
 
@@ -117,7 +118,7 @@
 	return errors.Wrap(err, "record of the leadership")
 }
 
-func (d *duty) write(ctx context.Context, r leadership.Record, revision int64) error {
+func (d *duty) write(ctx context.Context, r leadership.Record, revision kv.Revision) error {
 	value, err := encodeRecord(r)
 	if err != nil {
 		return err
--- a/internal/gateway/restore_test.go
+++ b/internal/gateway/restore_test.go
@@ -35,9 +35,11 @@
 
 // Callers were served by a route that a version had dropped whose acknowledgement was 3.5 s old. The store had
 // been away for three seconds and had come back from an older copy, so that its revisions began again at a
-// smaller one than the hosts knew. They took its lists for old ones for six seconds, until its revision had
-// passed the one that they knew, and after that passed over the configuration, which had been written at a smaller
-// revision than the one before. All that is acknowledged after the store's return must be in force within 3 s,
+// smaller one than the hosts knew. They took its lists for old ones for six seconds ("source_failing", "revision 39,
+// and 65 is known: the source is behind"), until its revision had passed the one that they knew, and after that passed
+// over the configuration, which had been written at a smaller revision than the one before ("item_passed_over", "config",
+// "revision":39, "known":65). The cause: a revision was compared with one of before the return, though the store gives
+// the same numbers out again. All that is acknowledged after the store's return must be in force within 3 s,
 // whether its revision has passed the old one by then or not.
 func TestConfigurationIsInForceAfterTheStoreWasRestored(t *testing.T) {
 	for name, later := range map[string]int{"smaller revisions": 0, "revisions that have passed the old one": 40} {
--- a/internal/gateway/source.go
+++ b/internal/gateway/source.go
@@ -1,14 +1,13 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"pearlatch/core/kv"
 	"pearlatch/core/membership"
 )
 
@@ -56,7 +55,7 @@
 func (s peerSource) follow(ctx context.Context, f *follower, patience time.Duration) error {
 	h, spare := f.host, f.at > 0
 	h.mu.Lock()
-	after := h.revision
+	after := h.view.Revision()
 	h.mu.Unlock()
 	call, cancel := context.WithTimeout(ctx, feedOpenTimeout)
 	defer cancel()
@@ -132,7 +131,7 @@
 
 // Feed passes on what changed in the store after the revision until ctx ends or send
 // fails.
-func (h *Host) Feed(ctx context.Context, after int64, send func(News) error) error {
+func (h *Host) Feed(ctx context.Context, after kv.Revision, send func(News) error) error {
 	for {
 		news, changed, err := h.newsAfter(after)
 		if err != nil {
@@ -159,57 +158,12 @@
 
 // newsAfter returns what changed after the revision, and what is closed with the next
 // change.
-func (h *Host) newsAfter(after int64) (News, chan struct{}, error) {
+func (h *Host) newsAfter(after kv.Revision) (News, chan struct{}, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.revision == 0 || h.stopping.Load() {
+	if h.view.Revision() == 0 || h.stopping.Load() {
 		return News{}, nil, errNoNews
 	}
-	n := News{Snapshot: Snapshot{Revision: h.revision}, Age: h.now().Sub(h.heardAt)}
-	items, ok := h.changes.since(after)
-	if !ok {
-		n.Whole = true
-		for _, i := range h.items {
-			items = append(items, i)
-		}
-	}
-	n.Items = items
+	n := News{News: h.view.Since(after), Age: h.now().Sub(h.heardAt)}
 	return n, h.changed, nil
 }
-
-// changes keeps the store's newest changes. The zero value is ready for use.
-type changes struct {
-	// items are in order of their revisions.
-	items []Item
-	// from is the revision after which items holds all changes.
-	from int64
-}
-
-// maxChanges changes are kept at least: more than a restart of all hosts makes at the
-// users' sites. A host that lacks more is sent everything.
-const maxChanges = 512
-
-func (c *changes) add(i Item) {
-	c.items = append(c.items, i)
-	if n := len(c.items); n > 1 && i.Revision < c.items[n-2].Revision {
-		slices.SortStableFunc(c.items, compareRevisions)
-	}
-	if len(c.items) < 2*maxChanges {
-		return
-	}
-	c.from = max(c.from, c.items[maxChanges-1].Revision)
-	c.items = slices.Clone(c.items[maxChanges:])
-}
-
-func compareRevisions(a, b Item) int { return cmp.Compare(a.Revision, b.Revision) }
-
-// since returns the changes after the revision, or false if they are no longer kept.
-func (c *changes) since(after int64) ([]Item, bool) {
-	if after < c.from {
-		return nil, false
-	}
-	first, _ := slices.BinarySearchFunc(c.items, after+1, func(i Item, revision int64) int {
-		return cmp.Compare(i.Revision, revision)
-	})
-	return slices.Clone(c.items[first:]), true
-}
--- a/internal/gateway/source_test.go
+++ b/internal/gateway/source_test.go
@@ -117,7 +117,7 @@
 				t.Errorf("%s is behind", h.settings.Host)
 			}
 			h.mu.Lock()
-			_, listed := h.items["members/c"]
+			_, listed := h.view.Item("members/c")
 			h.mu.Unlock()
 			if listed {
 				t.Errorf("%s still lists the member that left", h.settings.Host)
@@ -155,25 +155,3 @@
 		}
 	})
 }
-
-func TestChangesSince(t *testing.T) {
-	c := changes{from: 10}
-	for r := int64(11); r <= 14; r++ {
-		c.add(Item{Key: "k", Revision: r})
-	}
-	if got, ok := c.since(12); !ok || len(got) != 2 {
-		t.Errorf("after 12: %v, %v", got, ok)
-	}
-	if _, ok := c.since(9); ok {
-		t.Error("changes from before the first one kept were told to be complete")
-	}
-	for r := int64(15); r <= 14+2*maxChanges; r++ {
-		c.add(Item{Key: "k", Revision: r})
-	}
-	if _, ok := c.since(12); ok {
-		t.Error("dropped changes were told to be complete")
-	}
-	if got, ok := c.since(14 + 2*maxChanges - 5); !ok || len(got) != 5 {
-		t.Errorf("the newest five: %d, %v", len(got), ok)
-	}
-}
--- a/internal/gateway/watcher.go
+++ b/internal/gateway/watcher.go
@@ -245,7 +245,7 @@
 	w.mu.Unlock()
 	call, cancel := context.WithTimeout(ctx, promoteTimeout)
 	defer cancel()
-	if err := w.host.ports.Promoter.Raise(call, w.host.settings.Host, token, w.group.name); err != nil {
+	if err := w.host.ports.Promoter.Raise(call, w.host.settings.Host, int64(token), w.group.name); err != nil {
 		w.log("token_not_raised", "token", token, "err", err)
 		return
 	}
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -178,7 +178,7 @@
 	if err != nil || len(news.Items) != 1 || !news.Items[0].Removed {
 		t.Errorf("%+v, %v; want the removal", news, err)
 	}
-	if err := v.Renew(ctx, lease); !errors.Is(err, gateway.ErrNoLease) {
+	if _, err := v.Renew(ctx, lease); !errors.Is(err, gateway.ErrNoLease) {
 		t.Errorf("%v, want ErrNoLease", err)
 	}
 	s.Write("op/x", []byte("1"))
--- a/internal/site/store.go
+++ b/internal/site/store.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"pearlatch/core/kv"
 	"pearlatch/internal/gateway"
 	"pearlatch/platform"
 )
@@ -15,14 +16,14 @@
 // Store is the platform's store in memory. Use NewStore.
 type Store struct {
 	mu       sync.Mutex
-	revision int64
-	items    map[string]gateway.Item
+	revision kv.Revision
+	items    map[string]kv.Item
 	// leaseOf holds the lease under which a key lies.
 	leaseOf map[string]int64
 	leases  map[int64]*lease
 	// history holds the changes after forgotten, in order.
-	history   []gateway.Item
-	forgotten int64
+	history   []kv.Item
+	forgotten kv.Revision
 	// changed is closed and replaced with each change.
 	changed chan struct{}
 	faults  StoreFaults
@@ -49,7 +50,7 @@
 // NewStore returns an empty store.
 func NewStore() *Store {
 	return &Store{
-		revision: 1, items: map[string]gateway.Item{}, leaseOf: map[string]int64{}, leases: map[int64]*lease{},
+		revision: 1, items: map[string]kv.Item{}, leaseOf: map[string]int64{}, leases: map[int64]*lease{},
 		changed: make(chan struct{}),
 	}
 }
@@ -89,7 +90,7 @@
 
 func (s *Store) put(key string, value []byte, id int64) {
 	s.revision++
-	i := gateway.Item{Key: key, Value: value, Revision: s.revision, Created: s.revision}
+	i := kv.Item{Key: key, Value: value, Revision: s.revision, Created: s.revision.Number()}
 	if old, ok := s.items[key]; ok {
 		i.Created = old.Created
 	}
@@ -101,10 +102,10 @@
 	s.revision++
 	delete(s.items, key)
 	delete(s.leaseOf, key)
-	s.record(gateway.Item{Key: key, Revision: s.revision, Removed: true})
+	s.record(kv.Item{Key: key, Revision: s.revision, Removed: true})
 }
 
-func (s *Store) record(i gateway.Item) {
+func (s *Store) record(i kv.Item) {
 	s.history = append(s.history, i)
 	s.wake()
 }
@@ -175,12 +176,12 @@
 }
 
 // List implements gateway.Store.
-func (v storeView) List(ctx context.Context, prefix string) (gateway.Snapshot, error) {
+func (v storeView) List(ctx context.Context, prefix string) (kv.Snapshot, error) {
 	if err := v.enter(ctx); err != nil {
-		return gateway.Snapshot{}, err
+		return kv.Snapshot{}, err
 	}
 	defer v.store.mu.Unlock()
-	out := gateway.Snapshot{Revision: v.store.revision}
+	out := kv.Snapshot{Revision: v.store.revision}
 	for key, i := range v.store.items {
 		if strings.HasPrefix(key, prefix) {
 			out.Items = append(out.Items, i)
@@ -190,15 +191,15 @@
 }
 
 // Watch implements gateway.Store.
-func (v storeView) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (gateway.Snapshot, error) {
+func (v storeView) Watch(ctx context.Context, prefix string, after kv.Revision, wait time.Duration) (kv.Snapshot, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	for {
 		if err := v.enter(ctx); err != nil {
-			return gateway.Snapshot{}, err
+			return kv.Snapshot{}, err
 		}
 		s := v.store
-		out, changed := gateway.Snapshot{Revision: s.revision}, s.changed
+		out, changed := kv.Snapshot{Revision: s.revision}, s.changed
 		forgotten := after < s.forgotten
 		for _, i := range s.history {
 			if i.Revision > after && strings.HasPrefix(i.Key, prefix) {
@@ -207,7 +208,7 @@
 		}
 		s.mu.Unlock()
 		if forgotten {
-			return gateway.Snapshot{}, gateway.ErrCompacted
+			return kv.Snapshot{}, gateway.ErrCompacted
 		}
 		if len(out.Items) > 0 {
 			return out, nil
@@ -225,7 +226,7 @@
 const leasePoll = 100 * time.Millisecond
 
 // Put implements gateway.Store.
-func (v storeView) Put(ctx context.Context, key string, revision int64, value []byte, id int64) (int64, error) {
+func (v storeView) Put(ctx context.Context, key string, revision kv.Revision, value []byte, id int64) (kv.Revision, error) {
 	if err := v.enter(ctx); err != nil {
 		return 0, err
 	}
@@ -248,22 +249,22 @@
 	}
 	s := v.store
 	s.revision++
-	id := s.revision
+	id := s.revision.Number()
 	s.leases[id] = &lease{ttl, time.Now().Add(ttl)}
 	return id, v.leave(nil)
 }
 
 // Renew implements gateway.Store.
-func (v storeView) Renew(ctx context.Context, id int64) error {
+func (v storeView) Renew(ctx context.Context, id int64) (kv.Epoch, error) {
 	if err := v.enter(ctx); err != nil {
-		return err
+		return 0, err
 	}
-	l := v.store.leases[id]
+	epoch, l := v.store.revision.Epoch(), v.store.leases[id]
 	if l == nil {
-		return v.leave(gateway.ErrNoLease)
+		return 0, v.leave(gateway.ErrNoLease)
 	}
 	l.ends = time.Now().Add(l.ttl)
-	return v.leave(nil)
+	return epoch, v.leave(nil)
 }
 
 // End implements gateway.Store.
--- a/io/operator/gateway.go
+++ b/io/operator/gateway.go
@@ -19,6 +19,7 @@
 		Sessions      int64       `json:"sessions"`
 		ConfigVersion int64       `json:"config_version"`
 		StoreRevision int64       `json:"store_revision"`
+		StoreEpoch    int64       `json:"store_epoch"`
 		Groups        []groupDump `json:"groups"`
 	}
 	groupDump struct {
@@ -65,7 +66,7 @@
 func dumpGateway(s gateway.Beliefs) gatewayDump {
 	out := gatewayDump{
 		Host: s.Host, Zone: s.Zone, Ready: s.Ready, Stopping: s.Stopping, Sessions: s.Sessions,
-		ConfigVersion: s.ConfigVersion, StoreRevision: s.StoreRevision,
+		ConfigVersion: s.ConfigVersion, StoreRevision: s.StoreRevision.Number(), StoreEpoch: int64(s.StoreRevision.Epoch()),
 	}
 	for _, g := range s.Groups {
 		d := groupDump{
--- a/io/peer/gateway_client.go
+++ b/io/peer/gateway_client.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"pearlatch/core/kv"
 	"pearlatch/internal/gateway"
 	"pearlatch/internal/quotas"
 )
@@ -137,7 +138,7 @@
 }
 
 // Feed implements gateway.Peers.
-func (c *GatewayClient) Feed(ctx context.Context, to netip.AddrPort, after int64) (gateway.Feed, error) {
+func (c *GatewayClient) Feed(ctx context.Context, to netip.AddrPort, after kv.Revision) (gateway.Feed, error) {
 	s, err := c.client.openStream(ctx, to, feedCall)
 	if err != nil {
 		return nil, err
--- a/io/peer/gateway_codec_test.go
+++ b/io/peer/gateway_codec_test.go
@@ -12,6 +12,7 @@
 
 	"pearlatch/core/freshness"
 	"pearlatch/core/group"
+	"pearlatch/core/kv"
 	"pearlatch/internal/gateway"
 )
 
@@ -27,7 +28,7 @@
 			Failure: &gateway.Failure{Code: gateway.Busy, Detail: "no room"},
 		},
 	}
-	item := gateway.Item{Key: "config", Value: []byte("v"), Revision: 9}
+	item := kv.Item{Key: "config", Value: []byte("v"), Revision: 9}
 	return map[string]message{
 		"link_request": &linkRequest{lane: 4, laneRequest: laneRequest{version: Version, PeerRequest: gateway.PeerRequest{
 			From: "h1-2a", Serial: 7, To: "h2-1f", Group: "lessons", Database: "booking",
@@ -50,10 +51,10 @@
 			Leads: true, Received: position, Term: 3, Fenced: 4, Lag: 12 * time.Millisecond, Running: 2, Connections: 17,
 		},
 		"feed_request": &feedRequest{after: 412},
-		"news": &newsMessage{News: gateway.News{
-			Snapshot: gateway.Snapshot{Items: []gateway.Item{item, {Key: "gone", Revision: 10, Removed: true}}, Revision: 10},
-			Whole:    true, Age: time.Second,
-		}, packer: &packer{}},
+		"news": &newsMessage{News: gateway.News{News: kv.News{
+			Snapshot: kv.Snapshot{Items: []kv.Item{item, {Key: "gone", Revision: 10, Removed: true}}, Revision: 10},
+			Whole:    true,
+		}, Age: time.Second}, packer: &packer{}},
 	}
 }
 
@@ -117,9 +118,9 @@
 // A configuration of many routes is passed to every host at once; as it stands it would
 // fill a small host's link for a quarter of a second each.
 func TestLargeValuesAreCompressedOnce(t *testing.T) {
-	item := gateway.Item{Key: "config", Value: []byte(strings.Repeat(`{"name":"r-68k7b2e","host":"fiti832ti23"}`, 1400)), Revision: 3}
+	item := kv.Item{Key: "config", Value: []byte(strings.Repeat(`{"name":"r-68k7b2e","host":"fiti832ti23"}`, 1400)), Revision: 3}
 	p := &packer{}
-	text, err := encoding{}.Marshal(&newsMessage{News: gateway.News{Snapshot: gateway.Snapshot{Items: []gateway.Item{item}}}, packer: p})
+	text, err := encoding{}.Marshal(&newsMessage{News: gateway.News{News: kv.News{Snapshot: kv.Snapshot{Items: []kv.Item{item}}}}, packer: p})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -130,7 +131,7 @@
 	if err := (encoding{}).Unmarshal(text, &out); err != nil {
 		t.Fatal(err)
 	}
-	if !reflect.DeepEqual(out.Items, []gateway.Item{item}) {
+	if !reflect.DeepEqual(out.Items, []kv.Item{item}) {
 		t.Error("the value came back changed")
 	}
 	first, _ := p.pack(item)
--- a/io/peer/news_messages.go
+++ b/io/peer/news_messages.go
@@ -1,9 +1,12 @@
 package peer
 
-import "pearlatch/internal/gateway"
+import (
+	"pearlatch/core/kv"
+	"pearlatch/internal/gateway"
+)
 
 // feedRequest asks for a feed.
-type feedRequest struct{ after int64 }
+type feedRequest struct{ after kv.Revision }
 
 func (m *feedRequest) fields(w *fieldWriter) { w.uint("after", uint64(m.after)) }
 
@@ -53,7 +56,7 @@
 // itemMessage is a key of the store on the wire. If packed is not empty it stands for
 // the value.
 type itemMessage struct {
-	gateway.Item
+	kv.Item
 	packed []byte
 }
 
--- a/io/peer/pack.go
+++ b/io/peer/pack.go
@@ -8,7 +8,7 @@
 
 	"github.com/pkg/errors"
 
-	"pearlatch/internal/gateway"
+	"pearlatch/core/kv"
 )
 
 const (
@@ -28,12 +28,12 @@
 }
 
 type packedValue struct {
-	revision int64
+	revision kv.Revision
 	bytes    []byte
 }
 
 // pack returns the item's value compressed, or nil if it is small.
-func (p *packer) pack(i gateway.Item) ([]byte, error) {
+func (p *packer) pack(i kv.Item) ([]byte, error) {
 	if len(i.Value) < packFrom {
 		return nil, nil
 	}
--- a/io/peer/stubsite_test.go
+++ b/io/peer/stubsite_test.go
@@ -14,6 +14,7 @@
 
 	"pearlatch/core/freshness"
 	"pearlatch/core/group"
+	"pearlatch/core/kv"
 	"pearlatch/internal/gateway"
 )
 
@@ -28,22 +29,22 @@
 // stubSite is a store, a promotion service and two members, the first of which leads.
 type stubSite struct {
 	mu       sync.Mutex
-	revision int64
+	revision kv.Revision
 	changed  chan struct{}
 	conns    int
 	// hold, if not nil, keeps each statement until it is closed.
 	hold chan struct{}
 }
 
-func (s *stubSite) List(context.Context, string) (gateway.Snapshot, error) {
+func (s *stubSite) List(context.Context, string) (kv.Snapshot, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return gateway.Snapshot{Revision: s.revision, Items: []gateway.Item{
+	return kv.Snapshot{Revision: s.revision, Items: []kv.Item{
 		{Key: "config", Value: []byte("c"), Revision: s.revision}, {Key: "members/a", Value: []byte("m"), Revision: 1}, {Key: "members/b", Value: []byte("m"), Revision: 1},
 	}}, nil
 }
 
-func (s *stubSite) Watch(ctx context.Context, _ string, after int64, wait time.Duration) (gateway.Snapshot, error) {
+func (s *stubSite) Watch(ctx context.Context, _ string, after kv.Revision, wait time.Duration) (kv.Snapshot, error) {
 	s.mu.Lock()
 	changed := s.changed
 	s.mu.Unlock()
@@ -51,7 +52,7 @@
 	case <-changed:
 	case <-time.After(wait):
 	case <-ctx.Done():
-		return gateway.Snapshot{}, ctx.Err()
+		return kv.Snapshot{}, ctx.Err()
 	}
 	out, err := s.List(ctx, "")
 	if out.Revision == after {
@@ -69,10 +70,12 @@
 	s.changed = make(chan struct{})
 }
 
-func (s *stubSite) Put(context.Context, string, int64, []byte, int64) (int64, error) { return 1, nil }
-func (s *stubSite) Grant(context.Context, time.Duration) (int64, error)              { return 1, nil }
-func (s *stubSite) Renew(context.Context, int64) error                               { return nil }
-func (s *stubSite) End(context.Context, int64) error                                 { return nil }
+func (s *stubSite) Put(context.Context, string, kv.Revision, []byte, int64) (kv.Revision, error) {
+	return 1, nil
+}
+func (s *stubSite) Grant(context.Context, time.Duration) (int64, error) { return 1, nil }
+func (s *stubSite) Renew(context.Context, int64) (kv.Epoch, error)      { return 0, nil }
+func (s *stubSite) End(context.Context, int64) error                    { return nil }
 
 func (s *stubSite) Raise(context.Context, string, int64, string) error { return nil }
 
