A lease that outlives the store's return is no duty

What callers would see: reads of old data. A holder whose lease is in the copy and whose entry is not renews its lease as before, counts on its duty and grants leases on the primary, while any other host takes the duty and promotes another member. Cause: the answer to a renewal was taken for the entry's, whichever copy of the store gave it. Change: a renewal tells the epoch in which the lease stands. In another one than the duty was taken in, and as soon as news of a later one arrive, the duty is lost; it is taken anew in the new epoch, under a new token, by whoever comes first. The entry's lease is left to lapse, so that a host whose entry is in the copy takes it over at once. Lines tell the token as the number that the platform sees. The test is replaced by a stricter one: it said that a host may not count on the duty a second later, which the same host may if it took it anew; now it may not right after the renewal, and later only for the entry that stands in the store.

--- a/internal/gateway/duty.go
+++ b/internal/gateway/duty.go
@@ -138,6 +138,8 @@
 	d.mu.Unlock()
 	now := h.now()
 	switch {
+	case held && known.Epoch() > token.Epoch():
+		d.lose(restoredStore)
 	case held && taken && entry.Revision > token:
 		d.giveUp("taken by " + string(entry.Value))
 	case held && !taken && known > token:
@@ -216,7 +218,7 @@
 	d.inherited, d.ordered, d.recordRevision, d.standing, d.grants, d.resigned = false, "", 0, standing{}, leadership.Grants{}, false
 	d.mu.Unlock()
 	d.vacant, d.takePause = time.Time{}, 0
-	d.log("duty_taken", "token", revision)
+	d.log("duty_taken", "token", int64(revision))
 	d.group.resumeAll()
 	d.tryInherit(ctx)
 	d.group.wakeHolder()
@@ -237,7 +239,12 @@
 	d.mu.Lock()
 	lease, renewed, unbroken := d.lease, d.renewed, d.unbroken
 	d.mu.Unlock()
-	_, err := d.host.renew(ctx, lease)
+	epoch, err := d.host.renew(ctx, lease)
+	if err == nil && epoch != d.heldSince() {
+		// The copy may have the lease and not the entry, so that others can take the duty meanwhile.
+		d.lose(restoredStore)
+		return
+	}
 	if err == nil && !unbroken {
 		asked = d.host.now()
 		err = d.stillOwn(ctx)
@@ -278,17 +285,35 @@
 	return nil
 }
 
+// giveUp ends the duty, and its lease, so that another host need not wait for it.
 func (d *duty) giveUp(why string) {
+	if lease, held := d.lose(why); held {
+		go d.host.endLease(lease)
+	}
+}
+
+// restoredStore is why a duty is lost when the store came back from an older copy. Another host may have held it when
+// the copy was made, or may take it now: whoever holds it in the new epoch has taken it there.
+const restoredStore = "the store came back from an older copy"
+
+// lose records that the duty is no longer this host's, and returns its lease if it was until now.
+func (d *duty) lose(why string) (lease int64, held bool) {
 	d.mu.Lock()
-	held, lease := d.held, d.lease
+	held, lease = d.held, d.lease
 	d.held, d.standing = false, standing{}
 	d.mu.Unlock()
-	if !held {
-		return
+	if held {
+		d.host.quotas.Lost(d.group.name)
+		d.log("duty_lost", "why", why)
 	}
-	d.host.quotas.Lost(d.group.name)
-	d.log("duty_lost", "why", why)
-	go d.host.endLease(lease)
+	return lease, held
+}
+
+// heldSince returns the epoch in which the duty was taken.
+func (d *duty) heldSince() kv.Epoch {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.token.Epoch()
 }
 
 // certain reports whether nobody else can have held the duty at the given time, and replaced a primary.
--- a/internal/gateway/order.go
+++ b/internal/gateway/order.go
@@ -127,12 +127,12 @@
 	defer cancel()
 	err := w.host.ports.Promoter.Promote(call, w.host.settings.Host, int64(token), w.group.name, id)
 	if errors.Is(err, ErrFenced) {
-		w.log("promotion_refused", "member", id, "token", token, "err", err)
+		w.log("promotion_refused", "member", id, "token", int64(token), "err", err)
 		w.refused(ctx)
 		return false
 	}
 	if err != nil {
-		w.log("promotion_unanswered", "member", id, "token", token, "err", err)
+		w.log("promotion_unanswered", "member", id, "token", int64(token), "err", err)
 		return true
 	}
 	// Older tokens are refused from now on. This one's order is open until the member
--- a/internal/gateway/restore_test.go
+++ b/internal/gateway/restore_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -86,7 +87,9 @@
 
 // A host took the duty right before the store went away, and the store came back from a copy that has its lease and
 // not its entry. Its renewals succeed, while any other host may take the duty and replace the primary. It must not
-// take the renewed lease for the duty, or callers would read old data under the leases that it grants.
+// take the renewed lease for the duty, or callers would read old data under the leases that it grants. The cause: an
+// answer to a renewal was taken for the entry's, whichever copy of the store gave it (no "duty_lost" followed on the
+// renewal, while the store had no entry).
 func TestLeaseOfARestoredStoreIsNoDuty(t *testing.T) {
 	playFleet(t, 3, 20, freshness.Latest{}, func(s *fakeSite, f *fakeFleet) {
 		holder := f.holderOf()
@@ -94,9 +97,16 @@
 		b := s.backup()
 		delete(b.items, holder.dutyKey(testGroup))
 		s.restore(b)
-		time.Sleep(dutyRenewal + dutyPoll + 50*time.Millisecond) // it has renewed its lease
-		if asked := time.Now(); d.certain(asked) {
+		d.renew(context.Background())
+		if d.certain(time.Now()) {
 			t.Error("the host counts on a duty that is gone")
 		}
+		time.Sleep(dutyRenewal + dutyPoll + 50*time.Millisecond)
+		d.mu.Lock()
+		token := d.token
+		d.mu.Unlock()
+		if entry := s.revisionOf(holder.dutyKey(testGroup)); d.certain(time.Now()) && entry != token {
+			t.Errorf("the host counts on a duty that it took at %v, the entry is of %v", token, entry)
+		}
 	})
 }
--- a/internal/gateway/watcher.go
+++ b/internal/gateway/watcher.go
@@ -246,7 +246,7 @@
 	call, cancel := context.WithTimeout(ctx, promoteTimeout)
 	defer cancel()
 	if err := w.host.ports.Promoter.Raise(call, w.host.settings.Host, int64(token), w.group.name); err != nil {
-		w.log("token_not_raised", "token", token, "err", err)
+		w.log("token_not_raised", "token", int64(token), "err", err)
 		return
 	}
 	w.acknowledged(token)
