A copy does not tell who held the duty last

What callers would see: reads of old data under leases that outlast a change of primary, and acknowledged writes that are lost by an order carried out late. Cause: a new holder believed the record and the entry that the store showed. In a copy these may be of any time before: handed back, this host's own, without the last order. Change: a record names the epoch in which its holder took the duty. What it says of the holder before counts only in the same epoch; otherwise the new holder waits as after one that may not know of its end, and asks all listed hosts what they hold of quotas. A host remembers the newest record that it saw, or wrote, before the store came back, and goes on with that if it is the later one (leadership.Inherit). A floor is compared with the revision at which it was written, not with that of the copy. A token that was raised in another epoch ends the duty. Ways weighed: an epoch in the duty's entry (older hosts read the entry as a host's name), and a wait after each return for all duties (a holder of the same epoch would wait without need). The test of an open order wrote nothing when the second host held the duty; now whoever is left writes.

--- a/core/leadership/record.go
+++ b/core/leadership/record.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"pearlatch/core/group"
+	"pearlatch/core/kv"
 )
 
 // Lifetime is one run of a member with what it holds. A member may start again under
@@ -20,6 +21,8 @@
 	// Holder names the host that wrote the record. A holder writes it first of all,
 	// so that the writes of its predecessor fail.
 	Holder string
+	// Epoch is the store's in which Holder took the duty.
+	Epoch kv.Epoch
 	// Term is the highest one in which a member led, as far as the holder knew.
 	Term group.Term
 	// Members are those of the group when Floor was taken.
--- a/internal/gateway/duty.go
+++ b/internal/gateway/duty.go
@@ -62,6 +62,8 @@
 	// That is zero while it is not known.
 	record         leadership.Record
 	recordRevision kv.Revision
+	// lastRecord is the last one that this host has written of the group, in any time that it held the duty.
+	lastRecord leadership.Found
 	// inherited is true once the record of the holder before was read.
 	inherited bool
 	// standing is what leases on the primary are granted on, and grants are those that may
@@ -392,6 +394,10 @@
 	if err != nil {
 		return errors.Wrap(err, "higher token")
 	}
+	if revision.Epoch() != token.Epoch() {
+		d.lose(restoredStore)
+		return errors.Wrap(ErrConflict, "higher token: "+restoredStore)
+	}
 	d.host.quotas.Raised(d.group.name, int64(revision))
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -82,6 +82,7 @@
 		return err
 	}
 	h.logApplied(applied)
+	h.remember(applied.Former)
 	if n.Whole {
 		h.relist = false
 	}
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -14,6 +14,7 @@
 
 	"pearlatch/core/account"
 	"pearlatch/core/kv"
+	"pearlatch/core/leadership"
 	"pearlatch/core/membership"
 	"pearlatch/core/quota"
 	"pearlatch/internal/quotas"
@@ -106,6 +107,9 @@
 	changed chan struct{}
 	heardAt time.Time
 
+	// remembered holds, by group, the newest record known from before the store last came back from an older copy.
+	remembered map[string]leadership.Found
+
 	quotas *quotas.Keeper
 	// granters holds the last entry seen of each duty.
 	granters map[string]kv.Item
@@ -146,7 +150,7 @@
 	}
 	h.view = kv.NewView(nil)
 	h.fleet.self = membership.Host{ID: s.Host, Zone: s.Zone, Peer: s.Peer}
-	h.granters = map[string]kv.Item{}
+	h.granters, h.remembered = map[string]kv.Item{}, map[string]leadership.Found{}
 	h.quotas = quotas.New(quotas.Settings{Host: s.Host, Process: h.process, Terms: s.Quotas}, quotaFleet{h}, logger, now)
 	return h
 }
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 
 	"github.com/pkg/errors"
 
@@ -15,6 +16,7 @@
 type (
 	wireRecord struct {
 		Holder   string         `json:"holder"`
+		Epoch    int64          `json:"epoch,omitempty"`
 		Term     uint64         `json:"term"`
 		Members  []wireLifetime `json:"members,omitempty"`
 		FloorIn  uint64         `json:"floor_term,omitempty"`
@@ -33,7 +35,7 @@
 
 func encodeRecord(r leadership.Record) ([]byte, error) {
 	out := wireRecord{
-		Holder: r.Holder, Term: uint64(r.Term), Ordered: r.Ordered, HandedBack: r.HandedBack, Grantees: r.Grantees, Granters: r.Granters,
+		Holder: r.Holder, Epoch: int64(r.Epoch), Term: uint64(r.Term), Ordered: r.Ordered, HandedBack: r.HandedBack, Grantees: r.Grantees, Granters: r.Granters,
 		FloorIn: uint64(r.Floor.Term), FloorLSN: uint64(r.Floor.LSN),
 	}
 	for _, m := range r.Members {
@@ -48,7 +50,7 @@
 		return leadership.Record{}, errors.Wrap(err, "record of a group's leadership")
 	}
 	out := leadership.Record{
-		Holder: in.Holder, Term: group.Term(in.Term), Ordered: in.Ordered, HandedBack: in.HandedBack, Grantees: in.Grantees, Granters: in.Granters,
+		Holder: in.Holder, Epoch: kv.Epoch(in.Epoch), Term: group.Term(in.Term), Ordered: in.Ordered, HandedBack: in.HandedBack, Grantees: in.Grantees, Granters: in.Granters,
 		Floor: group.Position{Term: group.Term(in.FloorIn), LSN: group.LSN(in.FloorLSN)},
 	}
 	for _, m := range in.Members {
@@ -57,40 +59,90 @@
 	return out, nil
 }
 
-func (h *Host) recordKey(group string) string { return h.ports.Keys.Own + "leadership/" + group }
+func (h *Host) recordsPrefix() string { return h.ports.Keys.Own + "leadership/" }
+
+func (h *Host) recordKey(group string) string { return h.recordsPrefix() + group }
+
+// remember keeps the records that the store has lost, or holds in an older form, for those who take a duty now. h.mu
+// is held.
+func (h *Host) remember(former []kv.Item) {
+	for _, i := range former {
+		name, ok := strings.CutPrefix(i.Key, h.recordsPrefix())
+		if !ok {
+			continue
+		}
+		r, err := decodeRecord(i.Value)
+		if err != nil {
+			h.log("record_unreadable", "group", name, "revision", i.Revision, "err", err)
+			continue
+		}
+		if f := leadership.NewFound(r, i.Revision); f.At > h.remembered[name].At {
+			h.remembered[name] = f
+		}
+	}
+}
+
+// remembers returns the newest record that this host knows from before the store last came back.
+func (d *duty) remembers() leadership.Found {
+	d.host.mu.Lock()
+	out := d.host.remembered[d.group.name]
+	d.host.mu.Unlock()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.lastRecord.At > out.At {
+		return d.lastRecord
+	}
+	return out
+}
+
+// stored returns the record that was read, or false if there is one that can't be read.
+func (d *duty) stored(read kv.Item) (leadership.Found, bool) {
+	if len(read.Value) == 0 {
+		return leadership.Found{}, true
+	}
+	r, err := decodeRecord(read.Value)
+	if err != nil {
+		d.log("record_unreadable", "revision", read.Revision, "err", err)
+		return leadership.Found{}, false
+	}
+	return leadership.NewFound(r, read.Revision), true
+}
 
 // inherit reads the record of the holder before, and writes it anew under this one's name,
 // so that what the holder before still writes fails.
 func (d *duty) inherit(ctx context.Context) error {
-	found, err := d.host.read(ctx, d.host.recordKey(d.group.name))
+	read, err := d.host.read(ctx, d.host.recordKey(d.group.name))
 	if err != nil {
 		return err
 	}
 	call, cancel := context.WithTimeout(ctx, leaseTimeout)
 	defer cancel()
-	var r leadership.Record
-	if len(found.Value) > 0 {
-		if r, err = decodeRecord(found.Value); err != nil {
-			d.log("record_unreadable", "revision", found.Revision, "err", err)
-		}
-	}
-	ordered, holder, handedBack := r.Ordered, r.Holder, r.HandedBack
+	stored, readable := d.stored(read)
+	found, certain := leadership.Inherit(stored, d.remembers(), d.heldSince())
+	certain = certain && readable
+	r := found.Record
 	before := r.Granters
+	if !certain {
+		// A holder that the store has forgotten may be any host.
+		before = withHost(before, d.host.fleet.listedIDs()...)
+		r.Grantees = withHost(r.Grantees, before...)
+	}
 	r.Holder, r.HandedBack = d.host.settings.Host, false
 	r.Granters = withHost(before, d.host.settings.Host)
-	if err := d.write(call, r, found.Revision); err != nil {
+	if err := d.write(call, r, read.Revision); err != nil {
 		return err
 	}
-	d.group.adoptFloor(r, found.Revision)
+	d.group.adoptFloor(r, found.At)
 	d.group.ledIn(r.Term)
 	d.granteesInherited(r.Grantees, before)
 	d.mu.Lock()
 	if !d.inherited { // later, this holder knows best which order it gave
-		d.inherited, d.handedBack = true, handedBack || holder == ""
-		d.ordered, d.orderedToken, d.orderedAt = ordered, 0, d.host.now()
+		d.inherited, d.handedBack = true, certain && (found.HandedBack || found.Holder == "")
+		d.reclaimed = d.reclaimed && certain && found.Holder == d.host.settings.Host
+		d.ordered, d.orderedToken, d.orderedAt = found.Ordered, 0, d.host.now()
 	}
 	d.mu.Unlock()
-	d.log("record_inherited", "before", holder, "term", r.Term, "floor", r.Floor, "ordered", ordered)
+	d.log("record_inherited", "before", found.Holder, "term", r.Term, "floor", r.Floor, "ordered", found.Ordered, "written", found.At, "certain", certain)
 	return nil
 }
 
@@ -119,17 +171,21 @@
 }
 
 func (d *duty) write(ctx context.Context, r leadership.Record, revision kv.Revision) error {
+	r.Epoch = d.heldSince()
 	value, err := encodeRecord(r)
 	if err != nil {
 		return err
 	}
 	written, err := d.host.ports.Store.Put(ctx, d.host.recordKey(d.group.name), revision, value, 0)
+	if err == nil && written.Epoch() != r.Epoch {
+		err = errors.Wrapf(ErrConflict, "written at %v, the duty was taken in epoch %d", written, r.Epoch)
+	}
 	if err != nil {
 		return err
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.record, d.recordRevision = r, written
+	d.record, d.recordRevision, d.lastRecord = r, written, leadership.Found{Record: r, At: written}
 	return nil
 }
 
--- a/internal/gateway/record_test.go
+++ b/internal/gateway/record_test.go
@@ -44,9 +44,9 @@
 	synctest.Test(t, func(*testing.T) {
 		s := newFakeSite("a", "b", "c")
 		s.unfenced = true
-		_, stop1 := hostOn(s, "h1", freshness.Latest{})
+		h1, stop1 := hostOn(s, "h1", freshness.Latest{})
 		h2, stop2 := hostOn(s, "h2", freshness.Latest{})
-		stop := map[string]func(){"h1": stop1, "h2": stop2}
+		stop, left := map[string]func(){"h1": stop1, "h2": stop2}, map[string]*Host{"h1": h2, "h2": h1}
 		time.Sleep(3 * time.Second)
 		do(h2, Write{})
 		s.mu.Lock()
@@ -63,9 +63,7 @@
 		s.with("a", func(m *fakeMember) { m.silent = false })
 		s.with("b", func(m *fakeMember) { m.deaf = true })
 		for range 160 {
-			if holder != "h2" {
-				do(h2, Write{})
-			}
+			do(left[holder], Write{})
 			time.Sleep(50 * time.Millisecond)
 		}
 		wantNothingLost(t, s)
--- a/internal/gateway/restore_test.go
+++ b/internal/gateway/restore_test.go
@@ -145,7 +145,8 @@
 // A holder hands the duty back, and the store is copied. The next holder takes the duty, is cut off with the primary,
 // and the store comes back from the copy: there the duty was handed back, and nobody has it. Whoever takes it then and
 // promotes another member must wait as after any other holder that may not know of its end: a host that the one before
-// reaches alone would read old data under its leases.
+// reaches alone would read old data under its leases. The cause: what the copy said of the last holder was believed,
+// whoever had held the duty since ("a lease on the old primary holds for 580ms more").
 func TestHandedBackInACopyIsNotHandedBack(t *testing.T) {
 	playFleet(t, 4, 20, freshness.Latest{}, func(s *fakeSite, f *fakeFleet) {
 		for _, h := range f.all() {
@@ -171,7 +172,8 @@
 
 // A host holds the duty when the store is copied. Its process ends, another host takes the duty and is cut off with the
 // primary, and the store comes back from the copy: there the duty is the first host's, whose new process takes it up
-// again. It may not take that for a duty which nobody had since: it must outwait the leases of the one in between.
+// again. It may not take that for a duty which nobody had since: it must outwait the leases of the one in between, which
+// held for 774 ms more when another member led.
 func TestDutyOfACopyIsNotOnesOwnAgain(t *testing.T) {
 	playFleet(t, 4, 20, freshness.Latest{}, func(s *fakeSite, f *fakeFleet) {
 		for _, h := range f.all() {
@@ -194,7 +196,8 @@
 // The platform checks no tokens, leaves an order unanswered and carries it out six seconds later. The holder dies right
 // after it, the store comes back from a copy that lacks the record of the order, and the old primary answers again. The
 // next holder has seen the record before the store went away, and must still know of the order: if it let the old
-// primary acknowledge writes with the other replica, they would be lost.
+// primary acknowledge writes with the other replica, they would be lost. The cause: only the store's record was read
+// ("record_inherited", "ordered":"" right after a "promotion_open").
 func TestOpenOrderOutlastsTheStoresReturn(t *testing.T) {
 	synctest.Test(t, func(*testing.T) {
 		s := newFakeSite("a", "b", "c")
