Tests that fail: configurations and members' entries of a copy

What callers would see: a key that was taken away lets them in at a host that has just started and learned from another one; a read is sent to a member that is about to end.

--- a/internal/gateway/fakesite_test.go
+++ b/internal/gateway/fakesite_test.go
@@ -47,6 +47,7 @@
 	resets  bool // resets connections for questions, as a full member does
 	cut     bool // parted from the other members: if replaced, it leads on in its term
 	born    int  // which run of the member this is
+	written int  // how often it wrote its entry
 	lagging bool // applies nothing
 	full    bool // its queue has no room
 	demoted int  // how often it was demoted
@@ -112,7 +113,8 @@
 
 // entry returns what the member writes into the store.
 func (m *fakeMember) entry(state, role string) []byte {
-	return fmt.Appendf(nil, "%s %s %d", state, role, m.born)
+	m.written++
+	return fmt.Appendf(nil, "%s %s %d %d", state, role, m.born, m.written)
 }
 
 // restart ends a member and starts it again under its identifier, with nothing of before.
--- a/internal/gateway/restore_test.go
+++ b/internal/gateway/restore_test.go
@@ -237,3 +237,57 @@
 		time.Sleep(20 * time.Second)
 	})
 }
+
+// The operator takes a key away, and the store comes back from a copy in which the key still stands. The operator has not
+// written again when a host starts that the store turns away: it learns from another one. That one must pass on the
+// configuration that is in force, or callers get in with the key that was taken away.
+func TestConfigurationOfACopyIsNotPassedOn(t *testing.T) {
+	playFleet(t, 3, 20, freshness.Latest{}, func(s *fakeSite, f *fakeFleet) {
+		b := s.backup()
+		f.newConfig(2, 20)
+		time.Sleep(time.Second)
+		s.restore(b)
+		time.Sleep(1500 * time.Millisecond)
+		for _, h := range f.all() {
+			news, _, err := h.newsAfter(0)
+			if err != nil || !news.Whole {
+				t.Fatalf("%+v, %v", news, err)
+			}
+			for _, i := range news.Items {
+				if i.Key == "config" && i.Value[0] != 2 {
+					t.Errorf("%s passes on version %d", h.settings.Host, i.Value[0])
+				}
+			}
+		}
+	})
+}
+
+// A replica says that it is about to leave, and the store comes back from a copy that does not know of it. Until the
+// member writes again, hosts would send it new work, of which some would meet its end. And a member that was promoted
+// after the copy was made still leads.
+func TestMembersOfACopyStayAsTheyWereKnown(t *testing.T) {
+	playFleet(t, 3, 20, freshness.Latest{}, func(s *fakeSite, f *fakeFleet) {
+		b := s.backup()
+		s.with("a", func(m *fakeMember) { m.crashed = true })
+		time.Sleep(3 * time.Second)
+		leader := s.leader()
+		s.with("a", func(m *fakeMember) { m.crashed, m.leads = false, false })
+		s.list("a", "draining")
+		time.Sleep(time.Second)
+		s.restore(b)
+		time.Sleep(1500 * time.Millisecond)
+		for _, h := range f.all() {
+			g := h.group(testGroup)
+			for _, m := range g.beliefs().Members {
+				if m.ID == "a" && !m.Leaving {
+					t.Errorf("%s sends work to a member that is about to leave", h.settings.Host)
+				}
+			}
+			g.mu.Lock()
+			if m := g.members[leader]; leader == "a" || m == nil || !m.Leads {
+				t.Errorf("%s believes that %s does not lead", h.settings.Host, leader)
+			}
+			g.mu.Unlock()
+		}
+	})
+}
