What a value says of its own age outlasts a copy

What callers would see: a key that was taken away lets them in at a host that learned from another one; reads that meet the end of a member that had said that it leaves. Cause: all items of the copy were taken as news. Change: a configuration by its version, and a member's entry by its own count within one run, stay as they are known until the store shows one that is not older. Where runs differ, the store's entry counts: a member that started again must be taken for new. Ways weighed: to hold draining alone in the group (who leads, and the configuration that is passed on, would need the same again), or to take nothing from the store for two seconds (a member that is gone would be used on).

--- a/internal/gateway/fakesite_test.go
+++ b/internal/gateway/fakesite_test.go
@@ -322,13 +322,13 @@
 
 func (fakeDecoder) Member(key string, value []byte) (Member, error) {
 	var state, role string
-	var born int64
-	if _, err := fmt.Sscan(string(value), &state, &role, &born); err != nil {
+	var born, written int64
+	if _, err := fmt.Sscan(string(value), &state, &role, &born, &written); err != nil {
 		return Member{}, err
 	}
 	return Member{
 		ID: strings.TrimPrefix(key, "members/"), Group: testGroup, Addr: netip.MustParseAddrPort("127.0.0.1:1"),
-		Zone: zoneOfMember[strings.TrimPrefix(key, "members/")], Slots: 2, Leaving: state == "draining", Leads: role == "primary", Born: born,
+		Zone: zoneOfMember[strings.TrimPrefix(key, "members/")], Slots: 2, Leaving: state == "draining", Leads: role == "primary", Born: born, Sequence: written,
 	}, nil
 }
 
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -112,6 +112,22 @@
 	return nil
 }
 
+// later reports whether the first of two values of a key is the later one: a configuration by its version, a member's
+// entry by its own count, within one run of the member.
+func (h *Host) later(key string, first, second []byte) bool {
+	switch decode := h.ports.Decode; {
+	case key == h.ports.Keys.Config:
+		a, errA := decode.Config(first)
+		b, errB := decode.Config(second)
+		return errA == nil && errB == nil && a.Version > b.Version
+	case strings.HasPrefix(key, h.ports.Keys.Members):
+		a, errA := decode.Member(key, first)
+		b, errB := decode.Member(key, second)
+		return errA == nil && errB == nil && a.Born == b.Born && a.Sequence > b.Sequence
+	}
+	return false
+}
+
 // logApplied writes lines on what news did to the view, but for plain changes.
 func (h *Host) logApplied(a kv.Applied) {
 	if a.Restored {
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -148,7 +148,7 @@
 		groups: map[string]*Group{}, hostsSeen: map[string]seenHost{}, members: newMemberList(), informed: make(chan struct{}), configured: make(chan struct{}), reconfigured: make(chan struct{}),
 		stopped: make(chan struct{}), ended: make(chan struct{}), duties: map[string]*duty{}, changed: make(chan struct{}), process: fmt.Sprintf("%s-%08x", s.Host, rand.Uint32()),
 	}
-	h.view = kv.NewView(nil)
+	h.view = kv.NewView(h.later)
 	h.fleet.self = membership.Host{ID: s.Host, Zone: s.Zone, Peer: s.Peer}
 	h.granters, h.remembered = map[string]kv.Item{}, map[string]leadership.Found{}
 	h.quotas = quotas.New(quotas.Settings{Host: s.Host, Process: h.process, Terms: s.Quotas}, quotaFleet{h}, logger, now)
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -19,6 +19,8 @@
 	// Born is when this run of the member began, as it says itself, or zero. It tells
 	// runs apart and is no time of ours.
 	Born int64
+	// Sequence counts what this run of the member has written of itself, or is zero where it does not say.
+	Sequence int64
 	// Slots is how many statements the member runs at once.
 	Slots int
 	// Leaving members get no new work.
--- a/internal/gateway/restore_test.go
+++ b/internal/gateway/restore_test.go
@@ -240,7 +240,8 @@
 
 // The operator takes a key away, and the store comes back from a copy in which the key still stands. The operator has not
 // written again when a host starts that the store turns away: it learns from another one. That one must pass on the
-// configuration that is in force, or callers get in with the key that was taken away.
+// configuration that is in force, or callers get in with the key that was taken away. The cause: what the store showed
+// was passed on, whatever was in force ("passes on version 1", with version 2 in force).
 func TestConfigurationOfACopyIsNotPassedOn(t *testing.T) {
 	playFleet(t, 3, 20, freshness.Latest{}, func(s *fakeSite, f *fakeFleet) {
 		b := s.backup()
@@ -264,7 +265,8 @@
 
 // A replica says that it is about to leave, and the store comes back from a copy that does not know of it. Until the
 // member writes again, hosts would send it new work, of which some would meet its end. And a member that was promoted
-// after the copy was made still leads.
+// after the copy was made still leads. The cause: an entry of the copy was taken for news of the member, though it
+// counts fewer writes of its own than the one known.
 func TestMembersOfACopyStayAsTheyWereKnown(t *testing.T) {
 	playFleet(t, 3, 20, freshness.Latest{}, func(s *fakeSite, f *fakeFleet) {
 		b := s.backup()
