--- a/internal/gateway/restore_test.go
+++ b/internal/gateway/restore_test.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"pearlatch/core/freshness"
+	"pearlatch/core/kv"
 )
 
 // restoreAfter makes the store come back after an outage from a copy that lacks the changes made meanwhile by
@@ -293,3 +296,20 @@
 		}
 	})
 }
+
+// Hosts have written their entries after the store was copied, under leases of before. The store comes back, the leases
+// stand, and the entries are gone: hosts that start then would share the members' connections as if they were alone, and
+// pass nothing on to the others. Each host must write its entry again with its next renewal.
+func TestHostsWriteTheirEntriesAgain(t *testing.T) {
+	playFleet(t, 5, 20, freshness.Latest{}, func(s *fakeSite, f *fakeFleet) {
+		b := s.backup()
+		maps.DeleteFunc(b.items, func(key string, _ kv.Item) bool { return strings.HasPrefix(key, "own/hosts/") })
+		s.restore(b)
+		time.Sleep(hostRenewal + time.Second)
+		for _, h := range f.all() {
+			if i, listed := h.view.Item(h.hostsPrefix() + h.settings.Host); !listed || i.Revision.Epoch() != 1 {
+				t.Errorf("%s is not listed", h.settings.Host)
+			}
+		}
+	})
+}
