Hosts write their entries again after the store was restored

What callers would see: refusals, since hosts that start share the members' connections as if others were not there. Cause: a renewal that succeeded was taken for the entry's, whichever copy of the store answered. Change: a renewal that is answered in another epoch than the entry was written in makes the host announce itself anew, under a new lease. Others remember a lapsed host for longer than that takes (10 s, renewals come every 5 s). Ways weighed: to write again as soon as the news tell of the return (all hosts of a fleet at the same moment, two writes each; renewals are spread already).

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -291,10 +291,12 @@
 	case <-ctx.Done():
 	}
 	var lease int64
+	var written kv.Epoch
 	for ctx.Err() == nil {
 		if lease == 0 {
-			lease = h.announce(ctx, h.self())
-		} else if _, err := h.renew(ctx, lease); errors.Is(err, ErrNoLease) {
+			lease, written = h.announce(ctx, h.self())
+		} else if epoch, err := h.renew(ctx, lease); errors.Is(err, ErrNoLease) || err == nil && epoch != written {
+			// A store that came back from an older copy may hold the lease and not the entry.
 			lease = 0
 			continue
 		}
@@ -320,7 +322,7 @@
 	defer cancel()
 	leaving := h.self()
 	leaving.Leaving = true
-	if err := h.enter(ctx, leaving, lease); err != nil {
+	if _, err := h.enter(ctx, leaving, lease); err != nil {
 		h.log("announce", "err", err)
 	}
 }
@@ -359,29 +361,29 @@
 	}
 }
 
-// announce writes the host's entry under a new lease and returns that, or zero.
-func (h *Host) announce(ctx context.Context, self membership.Host) int64 {
+// announce writes the host's entry under a new lease and returns that, or zero, and the epoch in which the entry stands.
+func (h *Host) announce(ctx context.Context, self membership.Host) (lease int64, written kv.Epoch) {
 	call, cancel := context.WithTimeout(ctx, leaseTimeout)
 	defer cancel()
 	lease, err := h.ports.Store.Grant(call, max(hostLease, h.settings.LeaseFloor))
 	if err != nil {
 		h.log("announce", "err", err)
-		return 0
+		return 0, 0
 	}
-	if err := h.enter(call, self, lease); err != nil {
+	at, err := h.enter(call, self, lease)
+	if err != nil {
 		h.log("announce", "err", err)
 		h.endLease(lease)
-		return 0
+		return 0, 0
 	}
-	return lease
+	return lease, at.Epoch()
 }
 
-// enter writes the host's entry.
-func (h *Host) enter(ctx context.Context, self membership.Host, lease int64) error {
+// enter writes the host's entry and returns its revision.
+func (h *Host) enter(ctx context.Context, self membership.Host, lease int64) (kv.Revision, error) {
 	key := h.hostsPrefix() + self.ID
 	h.mu.Lock()
 	known, _ := h.view.Item(key)
 	h.mu.Unlock()
-	_, err := h.ports.Store.Put(ctx, key, known.Revision, entryOf(self), lease)
-	return err
+	return h.ports.Store.Put(ctx, key, known.Revision, entryOf(self), lease)
 }
--- a/internal/gateway/restore_test.go
+++ b/internal/gateway/restore_test.go
@@ -299,7 +299,8 @@
 
 // Hosts have written their entries after the store was copied, under leases of before. The store comes back, the leases
 // stand, and the entries are gone: hosts that start then would share the members' connections as if they were alone, and
-// pass nothing on to the others. Each host must write its entry again with its next renewal.
+// pass nothing on to the others. Each host must write its entry again with its next renewal. The cause: a renewal that
+// succeeded was taken for the entry's, whichever copy of the store answered.
 func TestHostsWriteTheirEntriesAgain(t *testing.T) {
 	playFleet(t, 5, 20, freshness.Latest{}, func(s *fakeSite, f *fakeFleet) {
 		b := s.backup()
