The soak's store comes back from older copies

Change: the site's store can be copied and brought back: what was written since and its leases are gone, revisions are given out again in the next epoch, members write again at once, the operator within a second. Seeds get such returns beside their faults, from a random stream of their own, so that what a seed stood for before stays. Leases of the site have drawn numbers: none is given out twice. A host that does not tell epochs apart is found out (CONFIG).

--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -74,8 +74,10 @@
 	servers                  []*http.Server
 	instances                atomic.Int64
 	version                  atomic.Int64
-	stop                     context.CancelFunc
-	stopped                  chan struct{}
+	// config is the newest configuration as the operator wrote it.
+	config  atomic.Pointer[[]byte]
+	stop    context.CancelFunc
+	stopped chan struct{}
 }
 
 // Start starts a site without hosts.
@@ -253,7 +255,23 @@
 // not answer.
 func (s *Site) Configure(c gateway.Config) (version int64, ok bool) {
 	c.Version = s.version.Add(1)
-	return c.Version, s.store.Write(platform.Keys.Config, platform.EncodeConfig(c, nil))
+	value := platform.EncodeConfig(c, nil)
+	if !s.store.Write(platform.Keys.Config, value) {
+		return c.Version, false
+	}
+	s.config.Store(&value)
+	return c.Version, true
+}
+
+// Restore brings the store back from a copy. Members write their entries again at once, and the operator the
+// configuration after a while.
+func (s *Site) Restore(b *Backup, operator time.Duration) {
+	s.store.Restore(b)
+	time.AfterFunc(operator, func() {
+		for value := s.config.Load(); value != nil && !s.store.Write(platform.Keys.Config, *value); value = s.config.Load() {
+			time.Sleep(stepTime)
+		}
+	})
 }
 
 // Host returns a host's address.
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -190,3 +190,44 @@
 
 // newAddr returns a host's address.
 func newAddr() netip.Addr { return netip.MustParseAddr("127.0.0.1") }
+
+// The store comes back from a copy. What was written since is gone, its leases too, a watch from what it does not have
+// is told so, and the numbers are given out again, in the next epoch.
+func TestStoreComesBackFromACopy(t *testing.T) {
+	s := NewStore()
+	v := s.For(netip.MustParseAddr("127.0.0.9"))
+	ctx := context.Background()
+	kept, err := v.Grant(ctx, time.Minute)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := v.Put(ctx, "kept", 0, []byte("1"), kept); err != nil {
+		t.Fatal(err)
+	}
+	b := s.Backup()
+	gone, err := v.Grant(ctx, time.Minute)
+	if err != nil {
+		t.Fatal(err)
+	}
+	before, err := v.Put(ctx, "gone", 0, []byte("1"), gone)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Restore(b)
+	list, err := v.List(ctx, "")
+	if err != nil || len(list.Items) != 1 || list.Items[0].Key != "kept" || list.Revision.Epoch() != 1 {
+		t.Errorf("%+v, %v", list, err)
+	}
+	if _, err := v.Watch(ctx, "", before, time.Second); !errors.Is(err, gateway.ErrCompacted) {
+		t.Errorf("%v, want ErrCompacted", err)
+	}
+	if epoch, err := v.Renew(ctx, kept); err != nil || epoch != 1 {
+		t.Errorf("the lease of the copy: epoch %d, %v", epoch, err)
+	}
+	if _, err := v.Renew(ctx, gone); !errors.Is(err, gateway.ErrNoLease) {
+		t.Errorf("the lease after the copy: %v, want ErrNoLease", err)
+	}
+	if again, err := v.Put(ctx, "other", 0, []byte("1"), 0); err != nil || again.Number() > before.Number() || again <= before {
+		t.Errorf("written at %v, %v, after %v", again, err, before)
+	}
+}
--- a/internal/site/store.go
+++ b/internal/site/store.go
@@ -200,7 +200,9 @@
 		}
 		s := v.store
 		out, changed := kv.Snapshot{Revision: s.revision}, s.changed
-		forgotten := after < s.forgotten
+		// A watcher names the number that it knows, whatever the epoch was.
+		after := kv.At(s.revision.Epoch(), after.Number())
+		forgotten := after < s.forgotten || after > s.revision
 		for _, i := range s.history {
 			if i.Revision > after && strings.HasPrefix(i.Key, prefix) {
 				out.Items = append(out.Items, i)
@@ -231,7 +233,7 @@
 		return 0, err
 	}
 	s := v.store
-	if s.items[key].Revision != revision {
+	if s.items[key].Revision.Number() != revision.Number() {
 		return 0, v.leave(gateway.ErrConflict)
 	}
 	if id != 0 && s.leases[id] == nil {
@@ -249,11 +251,14 @@
 	}
 	s := v.store
 	s.revision++
-	id := s.revision.Number()
+	id := 1 + rand.Int64N(lastLease)
 	s.leases[id] = &lease{ttl, time.Now().Add(ttl)}
 	return id, v.leave(nil)
 }
 
+// lastLease is the highest number of a lease. They are drawn, so that none is given out twice though revisions are.
+const lastLease = 1 << 48
+
 // Renew implements gateway.Store.
 func (v storeView) Renew(ctx context.Context, id int64) (kv.Epoch, error) {
 	if err := v.enter(ctx); err != nil {
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -60,6 +60,8 @@
 	StoreForgets
 	// LateOrders makes promotions late, without an answer.
 	LateOrders
+	// StoreRestored brings the store back from an older copy, after it was away for a moment.
+	StoreRestored
 	kinds
 )
 
@@ -86,16 +88,38 @@
 	shortestFault, longestFault = 200 * time.Millisecond, 4 * time.Second
 )
 
-// Schedule returns the faults of a seed, within the given time.
+// Schedule returns the faults of a seed, within the given time. In some of them the store comes back from an older
+// copy.
 func Schedule(seed uint64, within time.Duration) []Fault {
+	out := lasting(seed, within)
+	random := rand.New(rand.NewPCG(seed, 2))
+	for range random.IntN(mostRestores + 1) {
+		out = append(out, draw(random, StoreRestored, within))
+	}
+	return out
+}
+
+// mostRestores bounds how often the store comes back from a copy within a schedule.
+const mostRestores = 2
+
+// lasting returns the faults of a seed with which the store keeps what it has acknowledged.
+func lasting(seed uint64, within time.Duration) []Fault {
 	random := rand.New(rand.NewPCG(seed, 1))
 	out := make([]Fault, leastFaults+random.IntN(mostFaults-leastFaults+1))
 	for i := range out {
-		length := shortestFault + time.Duration(random.Int64N(int64(longestFault-shortestFault)))
-		out[i] = Fault{
-			Kind: Kind(random.IntN(int(kinds))), At: time.Duration(random.Int64N(int64(within))).Round(time.Millisecond),
-			For: min(length, within).Round(time.Millisecond), Seed: random.Uint64(),
-		}
+		out[i] = draw(random, kinds, within)
 	}
 	return out
 }
+
+// draw returns a fault of the kind, or of any of those that lasting has.
+func draw(random *rand.Rand, k Kind, within time.Duration) Fault {
+	length := shortestFault + time.Duration(random.Int64N(int64(longestFault-shortestFault)))
+	if k == kinds {
+		k = Kind(random.IntN(int(StoreRestored)))
+	}
+	return Fault{
+		Kind: k, At: time.Duration(random.Int64N(int64(within))).Round(time.Millisecond),
+		For: min(length, within).Round(time.Millisecond), Seed: random.Uint64(),
+	}
+}
--- a/internal/soak/flaw_test.go
+++ b/internal/soak/flaw_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"pearlatch/core/group"
+	"pearlatch/core/kv"
 	"pearlatch/internal/gateway"
 )
 
@@ -33,6 +34,7 @@
 	"the process ends":             func(*gateway.Ports) { time.AfterFunc(4*time.Second, func() { os.Exit(3) }) },
 	"descriptors are kept":         flawedConns(func(c gateway.Conn) gateway.Conn { return leakingConn{c} }),
 	"members are given up":         func(p *gateway.Ports) { p.Dialer = &fickleDialer{Dialer: p.Dialer} },
+	"epochs are not told":          func(p *gateway.Ports) { p.Store = epochlessStore{p.Store} },
 }
 
 // Each check is shown to work: a host with a fault is found out, under the name of the promise that the
@@ -57,6 +59,10 @@
 		{"the process ends", "EXIT", []Fault{{Kind: Configure, For: 3 * time.Second}}, 0},
 		{"descriptors are kept", "LEAK", []Fault{{Kind: ResetHost, For: time.Second}}, 0},
 		{"members are given up", "RECOVER", []Fault{{Kind: CrashMember, For: time.Second}}, 0},
+		{"epochs are not told", "CONFIG", []Fault{
+			{Kind: StoreRestored, For: 2 * time.Second}, {Kind: Configure, At: 500 * time.Millisecond, Seed: manyChanges},
+			{Kind: Configure, At: time.Second, Seed: manyChanges}, {Kind: Configure, At: 5500 * time.Millisecond, Seed: oddChanges},
+		}, 0},
 	} {
 		t.Run(c.flaw, func(t *testing.T) {
 			t.Parallel()
@@ -79,6 +85,7 @@
 	deafReplica    = 7
 	crashedPrimary = 2
 	oddChanges     = 1
+	manyChanges    = 3
 )
 
 // alwaysUnderWay is a statement's time with which callers have requests under way whenever a host stops: their
@@ -305,6 +312,37 @@
 
 var kept sync.Map
 
+// epochlessStore takes a store that came back from an older copy for one that never did.
+type epochlessStore struct{ gateway.Store }
+
+func inFirstEpoch(s kv.Snapshot) kv.Snapshot {
+	s.Revision = kv.At(0, s.Revision.Number())
+	for i := range s.Items {
+		s.Items[i].Revision = kv.At(0, s.Items[i].Revision.Number())
+	}
+	return s
+}
+
+func (s epochlessStore) List(ctx context.Context, prefix string) (kv.Snapshot, error) {
+	out, err := s.Store.List(ctx, prefix)
+	return inFirstEpoch(out), err
+}
+
+func (s epochlessStore) Watch(ctx context.Context, prefix string, after kv.Revision, wait time.Duration) (kv.Snapshot, error) {
+	out, err := s.Store.Watch(ctx, prefix, after, wait)
+	return inFirstEpoch(out), err
+}
+
+func (s epochlessStore) Put(ctx context.Context, key string, revision kv.Revision, value []byte, lease int64) (kv.Revision, error) {
+	out, err := s.Store.Put(ctx, key, revision, value, lease)
+	return kv.At(0, out.Number()), err
+}
+
+func (s epochlessStore) Renew(ctx context.Context, lease int64) (kv.Epoch, error) {
+	_, err := s.Store.Renew(ctx, lease)
+	return 0, err
+}
+
 // fickleDialer reaches nobody any more once a member could not be reached.
 type fickleDialer struct {
 	gateway.Dialer
--- a/internal/soak/inflict.go
+++ b/internal/soak/inflict.go
@@ -201,7 +201,28 @@
 	case StoreForgets:
 		r.site.Store().Forget()
 		return func() {}
+	case StoreRestored:
+		return r.beginRestore(random)
 	}
 	r.site.Store().SetFaults(faults)
 	return func() { r.site.Store().SetFaults(site.StoreFaults{}) }
 }
+
+// longestAway bounds how long the store is away before it comes back from a copy, and longestRewrite how long the
+// operator takes then to write the configuration again.
+const longestAway, longestRewrite = 2 * time.Second, time.Second
+
+// beginRestore copies the store. At the end the store goes away and comes back from the copy.
+func (r *run) beginRestore(random *rand.Rand) (end func()) {
+	away := time.Duration(random.Int64N(int64(longestAway)))
+	operator := time.Duration(random.Int64N(int64(longestRewrite)))
+	silent := random.IntN(2) == 0
+	b := r.site.Store().Backup()
+	return func() {
+		r.site.Store().SetFaults(site.StoreFaults{Silent: silent, Refusing: !silent})
+		time.Sleep(away)
+		r.site.Restore(b, operator)
+		r.site.Store().SetFaults(site.StoreFaults{})
+		time.Sleep(operator)
+	}
+}
--- a/internal/soak/kind_string.go
+++ b/internal/soak/kind_string.go
@@ -32,12 +32,13 @@
 	_ = x[StoreSlow-21]
 	_ = x[StoreForgets-22]
 	_ = x[LateOrders-23]
-	_ = x[kinds-24]
+	_ = x[StoreRestored-24]
+	_ = x[kinds-25]
 }
 
-const _Kind_name = "StopHostStopHostsInTurnReloadLeaveMemberConfigureKillHostKillHostsFreezeHostCutHostDelayHostResetHostCrashMemberWipeMemberDarkenMemberCutMemberDeafenMemberLagMemberSlowMemberLoseAnswersStoreAwayStoreTurnsAwayStoreSlowStoreForgetsLateOrderskinds"
+const _Kind_name = "StopHostStopHostsInTurnReloadLeaveMemberConfigureKillHostKillHostsFreezeHostCutHostDelayHostResetHostCrashMemberWipeMemberDarkenMemberCutMemberDeafenMemberLagMemberSlowMemberLoseAnswersStoreAwayStoreTurnsAwayStoreSlowStoreForgetsLateOrdersStoreRestoredkinds"
 
-var _Kind_index = [...]uint8{0, 8, 23, 29, 40, 49, 57, 66, 76, 83, 92, 101, 112, 122, 134, 143, 155, 164, 174, 185, 194, 208, 217, 229, 239, 244}
+var _Kind_index = [...]uint16{0, 8, 23, 29, 40, 49, 57, 66, 76, 83, 92, 101, 112, 122, 134, 143, 155, 164, 174, 185, 194, 208, 217, 229, 239, 252, 257}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -65,6 +65,15 @@
 		// A leaving primary had handed over, and its heir was out of the holder's reach for a moment:
 		// the holder took the old one for lost, and nobody served the group any more.
 		109,
+	} {
+		soakWith(t, seed, lasting(seed, DefaultOptions().Faults))
+	}
+}
+
+// The store comes back from copies while hosts die and the configuration changes.
+func TestSeedsInWhichTheStoreComesBack(t *testing.T) {
+	for _, seed := range []uint64{
+		2, // it comes back twice
 	} {
 		soakWith(t, seed, Schedule(seed, DefaultOptions().Faults))
 	}
@@ -89,7 +98,7 @@
 func TestScheduleRepeats(t *testing.T) {
 	for seed := range uint64(50) {
 		a, b := Schedule(seed, 6e9), Schedule(seed, 6e9)
-		if len(a) < leastFaults || len(a) > mostFaults {
+		if len(a) < leastFaults || len(a) > mostFaults+mostRestores {
 			t.Fatalf("seed %d: %d faults", seed, len(a))
 		}
 		for i := range a {
