The model checker brings the store back from older copies

The checker drives the protocol through a return of the store: the duty falls to the other host, the holder before goes on to grant leases without knowing, and the record may be an older one.

--- a/core/leadership/checker_test.go
+++ b/core/leadership/checker_test.go
@@ -57,9 +57,9 @@
 // and a host, the duty changes hands, orders are carried out late, in any order. No read may
 // miss an acknowledged write, and no promoted member may lack one.
 func TestProtocolKeepsItsPromises(t *testing.T) {
-	worlds := []bounds{{1, 0, 0, 0}, {0, 1, 0, 0}, {0, 0, 1, 0}, {0, 0, 0, 1}}
+	worlds := []bounds{{1, 0, 0, 0, 0}, {0, 1, 0, 0, 0}, {0, 0, 1, 0, 0}, {0, 0, 0, 1, 0}, {0, 0, 0, 0, 1}}
 	if *all {
-		worlds = []bounds{{1, 1, 1, 0}, {2, 1, 0, 0}, {1, 0, 0, 1}}
+		worlds = []bounds{{1, 1, 1, 0, 0}, {2, 1, 0, 0, 0}, {1, 0, 0, 1, 0}, {1, 0, 0, 0, 1}, {0, 1, 0, 0, 1}}
 	}
 	for _, b := range worlds {
 		f, n := explore(allSafeguards(), b)
@@ -77,16 +77,18 @@
 		bounds bounds
 		leave  func(*safeguards)
 	}{
-		{"leases are awaited", bounds{1, 0, 0, 0}, func(s *safeguards) { s.waitForLeases = false }},
-		{"leases end with the duty", bounds{1, 0, 1, 0}, func(s *safeguards) { s.boundByDuty = false }},
-		{"replicas are fenced", bounds{0, 0, 0, 0}, func(s *safeguards) { s.fence = false }},
-		{"fenced replicas are asked again", bounds{0, 1, 0, 0}, func(s *safeguards) { s.lookAgain = false }},
-		{"a successor holds the floor", bounds{0, 1, 0, 0}, func(s *safeguards) { s.floor = false }},
-		{"births are told apart", bounds{0, 1, 0, 0}, func(s *safeguards) { s.births = false }},
-		{"orders are recorded", bounds{1, 0, 1, 0}, func(s *safeguards) { s.recordOrder = false }},
-		{"writes without a lease are confirmed", bounds{1, 0, 0, 0}, func(s *safeguards) { s.confirm = false }},
-		{"an ousted holder is outwaited", bounds{1, 0, 0, 1}, func(s *safeguards) { s.outwait = false }},
-		{"all others prove the primary", bounds{2, 1, 0, 0}, func(s *safeguards) { s.proveByAll = false }},
+		{"leases are awaited", bounds{1, 0, 0, 0, 0}, func(s *safeguards) { s.waitForLeases = false }},
+		{"leases end with the duty", bounds{1, 0, 1, 0, 0}, func(s *safeguards) { s.boundByDuty = false }},
+		{"replicas are fenced", bounds{0, 0, 0, 0, 0}, func(s *safeguards) { s.fence = false }},
+		{"fenced replicas are asked again", bounds{0, 1, 0, 0, 0}, func(s *safeguards) { s.lookAgain = false }},
+		{"a successor holds the floor", bounds{0, 1, 0, 0, 0}, func(s *safeguards) { s.floor = false }},
+		{"births are told apart", bounds{0, 1, 0, 0, 0}, func(s *safeguards) { s.births = false }},
+		{"orders are recorded", bounds{1, 0, 1, 0, 0}, func(s *safeguards) { s.recordOrder = false }},
+		{"writes without a lease are confirmed", bounds{1, 0, 0, 0, 0}, func(s *safeguards) { s.confirm = false }},
+		{"an ousted holder is outwaited", bounds{1, 0, 0, 1, 0}, func(s *safeguards) { s.outwait = false }},
+		{"records are remembered when the store comes back", bounds{1, 0, 0, 0, 1}, func(s *safeguards) { s.remember = false }},
+		{"a holder that the store forgot is outwaited", bounds{1, 0, 0, 0, 1}, func(s *safeguards) { s.outwait = false }},
+		{"all others prove the primary", bounds{2, 1, 0, 0, 0}, func(s *safeguards) { s.proveByAll = false }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			safe := allSafeguards()
--- a/core/leadership/steps_test.go
+++ b/core/leadership/steps_test.go
@@ -163,6 +163,7 @@
 	}
 	e.lapse(w)
 	e.oust(w)
+	e.restore(w)
 	e.formerLeases(w)
 }
 
@@ -180,6 +181,34 @@
 	e.add("duty is taken away", w, "")
 }
 
+// restore brings the store back from a copy in which the other host has the duty, and no order stands. The holder does
+// not know yet, and goes on to grant leases. The other one remembers the record that it saw before.
+func (e *explorer) restore(w world) {
+	if w.left.restores == 0 || w.former.active {
+		return
+	}
+	w.left.restores--
+	if w.duty.stage == granting && w.duty.primary != none {
+		w.former = former{active: true, host: w.duty.host, primary: w.duty.primary}
+		for h := range w.servers {
+			w.servers[h].ousted = w.servers[h].lease != none
+		}
+	} else if w.duty.granted != [hosts]bool{} {
+		return // leases that a change waits for have ended by the time that the next holder has waited
+	}
+	floor := w.duty.floor
+	for m := range w.nodes {
+		if !w.nodes[m].listed {
+			floor = none // the record covers only the members that it names
+		}
+	}
+	w.duty = holder{host: 1 - w.duty.host, primary: none, floor: floor, target: none}
+	if !e.safe.remember {
+		w.recorded, w.reached = none, 0
+	}
+	e.add("store comes back", w, "")
+}
+
 // formerLeases are those that an ousted holder grants. They end with its time.
 func (e *explorer) formerLeases(w world) {
 	f := &w.former
--- a/core/leadership/world_test.go
+++ b/core/leadership/world_test.go
@@ -16,11 +16,11 @@
 
 // safeguards are what the protocol relies on. The checker leaves them out one by one.
 type safeguards struct {
-	waitForLeases, boundByDuty, confirm, fence, floor, births, recordOrder, proveByAll, lookAgain, outwait bool
+	waitForLeases, boundByDuty, confirm, fence, floor, births, recordOrder, proveByAll, lookAgain, outwait, remember bool
 }
 
 func allSafeguards() safeguards {
-	return safeguards{true, true, true, true, true, true, true, true, true, true}
+	return safeguards{true, true, true, true, true, true, true, true, true, true, true}
 }
 
 // none stands for no member or host.
@@ -108,8 +108,9 @@
 	left bounds
 }
 
-// bounds say how often a network parts, a member ends, the duty lapses, and is taken away early.
-type bounds struct{ partitions, ends, lapses, ousters int8 }
+// bounds say how often a network parts, a member ends, the duty lapses, is taken away early, and the store comes back
+// from an older copy.
+type bounds struct{ partitions, ends, lapses, ousters, restores int8 }
 
 func newWorld(b bounds) world {
 	w := world{late: none, recorded: none, left: b}
