Hosts write back a configuration that the platform's service has lost

What operators of pearlatch serve would see: after the service came back from an older copy the console shows a revision in force that the service does not hold, and whatever is submitted on top of it is refused for good; a host that starts runs the older one. Cause: hosts ignored a stored revision below the one in force. Change: the hosts that watch the service write the newest revision that they received back, if the service still holds the older entry that they read. Ways weighed: to submit on top of what the service holds (hosts that have the lost revision would ignore another one with its number).

--- a/internal/host/configure.go
+++ b/internal/host/configure.go
@@ -261,18 +261,37 @@
 		return
 	}
 	h.takeEntry(entry)
+	h.writeBack(ctx, entry)
 }
 
 func (h *Host) takeEntry(entry etcd.Entry) {
+	if r, ok := h.decodeEntry(entry); ok {
+		h.take(r, "platform")
+	}
+}
+
+// decodeEntry returns the revision that an entry holds, or false if there is none that can be read.
+func (h *Host) decodeEntry(entry etcd.Entry) (config.Revision, bool) {
 	if entry.Revision == 0 {
-		return
+		return config.Revision{}, false
 	}
 	r, err := etcd.DecodeRevision(entry.Value)
 	if err != nil {
 		_ = level.Error(h.logger).Log("step", "fetch_configuration", "peer", "platform", "err", err)
+	}
+	return r, err == nil
+}
+
+// writeBack writes the newest revision that was received into the store, if that holds an older one: it has come back
+// from a copy, and would refuse whatever operators submit on top of what is in force.
+func (h *Host) writeBack(ctx context.Context, entry etcd.Entry) {
+	newest := h.conf.latest()
+	stored, ok := h.decodeEntry(entry)
+	if !ok || stored.Number >= newest.Number {
 		return
 	}
-	h.take(r, "platform")
+	err := etcd.WriteBack(ctx, h.store, entry, newest)
+	_ = level.Warn(h.logger).Log("step", "write_configuration_back", "peer", "platform", "stored", stored.Number, "revision", newest.Number, "err", err)
 }
 
 // watchConfig watches the configuration for a while.
@@ -282,6 +301,7 @@
 	entry, err := h.store.Get(ctx, etcd.ConfigKey)
 	if err == nil {
 		h.takeEntry(entry)
+		h.writeBack(ctx, entry)
 		err = h.store.Watch(ctx, etcd.ConfigKey, entry.Revision, h.takeEntry)
 	}
 	if err != nil && ctx.Err() == nil {
--- a/internal/lab/restored_test.go
+++ b/internal/lab/restored_test.go
@@ -10,7 +10,8 @@
 // An operator's revision is accepted and in force, and the platform's service comes back from a copy that has the one
 // before. The console shows what is in force, and the service refuses whatever is submitted on top of it: no operator
 // could change anything any more, and a host that starts would run the older one. The hosts must write the revision back
-// that the service has lost.
+// that the service has lost. The cause: hosts ignored a stored revision below the one in force ("revision 2 is in force,
+// the service holds 1" for 30 s).
 func TestLostRevisionIsWrittenBack(t *testing.T) {
 	c := start(t, small())
 	ctx := testContext(t)
--- a/io/etcd/submit.go
+++ b/io/etcd/submit.go
@@ -82,6 +82,18 @@
 	return err == nil, err
 }
 
+// WriteBack writes a revision that the service has lost, if it still holds the older entry that was read.
+// ErrConflict means that it does not.
+func WriteBack(ctx context.Context, s Store, older Entry, r config.Revision) error {
+	value, err := EncodeRevision(r)
+	if err != nil {
+		return err
+	}
+	puts := []Put{{Key: ConfigKey, Value: value}, {Key: historyKey(r.Number), Value: value}}
+	_, err = s.CompareAndSwap(ctx, ConfigKey, older.Revision, puts, nil)
+	return err
+}
+
 // settle finds out whether the revision was accepted after all.
 func settle(ctx context.Context, s Store, current, r config.Revision) (done bool, err error) {
 	if current.Submission == r.Submission {
