--- a/internal/gateway/guest.go
+++ b/internal/gateway/guest.go
@@ -6,6 +6,7 @@
 
 	"pearlatch/core/account"
 	"pearlatch/core/freshness"
+	"pearlatch/core/recall"
 )
 
 // Guest does what another host passes on, for one of its callers at a time. It is used
@@ -35,7 +36,7 @@
 func (g *Guest) Take(r *PeerRequest) (declined *PeerReply) {
 	h := g.host
 	why := g.declines(r)
-	if why == Accepted && !h.recent.admit(requestKey{r.From, r.Serial}, h.now()) {
+	if why == Accepted && !h.recent.Admit(recall.Key{From: r.From, Serial: r.Serial}, h.now()) {
 		why = RecalledBefore
 	}
 	if why == Accepted {
@@ -54,7 +55,7 @@
 	}
 	reply := g.run(ctx, r)
 	g.count()
-	h.recent.done(requestKey{r.From, r.Serial}, reply)
+	h.recent.Done(recall.Key{From: r.From, Serial: r.Serial}, reply)
 	return reply
 }
 
@@ -177,7 +178,13 @@
 
 // Recall says what became of a request of another host.
 func (h *Host) Recall(from string, serial uint64) Recalled {
-	return h.recent.recall(requestKey{from, serial}, h.now(), h.process)
+	switch outcome, reply := h.recent.Recall(recall.Key{From: from, Serial: serial}, h.now()); outcome {
+	case recall.Answered:
+		return RecalledDone{reply}
+	case recall.Running:
+		return RecalledRunning{}
+	}
+	return RecalledUnknown{h.process}
 }
 
 // Guests returns how many requests and transactions of other hosts are open here.
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -17,6 +17,7 @@
 	"pearlatch/core/leadership"
 	"pearlatch/core/membership"
 	"pearlatch/core/quota"
+	"pearlatch/core/recall"
 	"pearlatch/internal/quotas"
 )
 
@@ -118,7 +119,8 @@
 	process string
 	started time.Time
 	fleet   fleet
-	recent  recent
+	// recent holds the requests of other hosts that came lately.
+	recent recall.Log[*PeerReply]
 	// serial numbers the requests to other hosts.
 	serial atomic.Uint64
 	// guests counts the requests and transactions of other hosts that are open here.
