What a host does next about a duty is a value

Tests of holders that are outwaited, and of orders left open, share what stood twice; the wait is now checked right after a renewal, when leases last longest. No change of behaviour.

--- /dev/null
+++ b/core/leadership/duty.go
@@ -0,0 +1,75 @@
+package leadership
+
+import "pearlatch/core/kv"
+
+//go:generate go tool stringer -type=DutyStep -output=dutystep_string.go
+
+// DutyStep is what a host does next about the duty of a group.
+type DutyStep uint8
+
+// The steps.
+const (
+	// KeepDuty changes nothing.
+	KeepDuty DutyStep = iota
+	// LoseToRestore ends the duty here alone: the store came back from an older copy, in which another host may have
+	// it, and whoever holds it now has taken it there.
+	LoseToRestore
+	// LoseToHolder and LoseToRemoval end the duty and its lease: another host has taken it, or its entry is gone. The
+	// platform may take an entry away and leave its lease alone.
+	LoseToHolder
+	LoseToRemoval
+	// ResignDuty gives the duty up while the host goes on for a while.
+	ResignDuty
+	// RenewDuty renews its lease.
+	RenewDuty
+	// InheritRecord reads what the holder before has left.
+	InheritRecord
+	// ReclaimDuty takes the duty of an entry that names this host: an earlier process of it has ended.
+	ReclaimDuty
+	// ClaimDuty takes the duty that nobody holds, when it is this host's turn.
+	ClaimDuty
+	// ForgetVacancy notes that the duty is not to be taken.
+	ForgetVacancy
+)
+
+// DutyState is what a host knows of the duty of a group.
+type DutyState struct {
+	// Held is true if this host took the duty at Token and knows of no other holder.
+	Held  bool
+	Token kv.Revision
+	// Entry is the revision at which the duty's entry was written, or zero if there is none. Own is true if it names
+	// this host.
+	Entry kv.Revision
+	Own   bool
+	// Known is the revision up to which the host knows the store.
+	Known kv.Revision
+	// Stopping is true once the host is to end, and MayServe while it may take duties.
+	Stopping, MayServe bool
+	// RenewalDue is true when the lease is to be renewed, and Inherited once the record of the holder before was read.
+	RenewalDue, Inherited bool
+}
+
+// Next returns the next step.
+func (d DutyState) Next() DutyStep {
+	switch {
+	case d.Held && d.Known.Epoch() > d.Token.Epoch():
+		return LoseToRestore
+	case d.Held && d.Entry > d.Token:
+		return LoseToHolder
+	case d.Held && d.Entry == 0 && d.Known > d.Token:
+		return LoseToRemoval
+	case d.Held && d.Stopping:
+		return ResignDuty
+	case d.Held && d.RenewalDue:
+		return RenewDuty
+	case d.Held && !d.Inherited:
+		return InheritRecord
+	case d.Held:
+		return KeepDuty
+	case d.Entry > d.Token && d.Own && d.MayServe:
+		return ReclaimDuty
+	case d.Entry != 0 || !d.MayServe:
+		return ForgetVacancy
+	}
+	return ClaimDuty
+}
--- a/internal/gateway/duty.go
+++ b/internal/gateway/duty.go
@@ -130,39 +130,54 @@
 
 // tend takes the duty if it falls to this host, renews it, or gives it up.
 func (d *duty) tend(ctx context.Context) {
-	h := d.host
-	h.mu.Lock()
-	entry, taken := h.view.Item(h.dutyKey(d.group.name))
-	known := h.view.Revision()
-	h.mu.Unlock()
-	d.mu.Lock()
-	held, token, renewed, inherited := d.held, d.token, d.renewed, d.recordRevision != 0
-	d.mu.Unlock()
-	now := h.now()
-	switch {
-	case held && known.Epoch() > token.Epoch():
+	now := d.host.now()
+	state, holder := d.state(now)
+	switch state.Next() {
+	case leadership.LoseToRestore:
 		d.lose(restoredStore)
-	case held && taken && entry.Revision > token:
-		d.giveUp("taken by " + string(entry.Value))
-	case held && !taken && known > token:
-		// The platform may take an entry away and leave its lease alone.
+	case leadership.LoseToHolder:
+		d.giveUp("taken by " + holder)
+	case leadership.LoseToRemoval:
 		d.giveUp("entry taken away")
-	case held && h.stopping.Load():
+	case leadership.ResignDuty:
 		d.resign(ctx)
-	case held && now.Sub(renewed) > dutyRenewal && now.Sub(d.tried) > dutyRetry:
+	case leadership.RenewDuty:
 		d.tried = now
 		d.renew(ctx)
-	case held && !inherited:
+	case leadership.InheritRecord:
 		d.tryInherit(ctx)
-	case held:
-	case taken && string(entry.Value) == h.settings.Host && entry.Revision > token && h.mayServe():
-		// An earlier process of this host held the duty: it has ended.
-		d.take(ctx, entry.Revision)
-	case taken || !h.mayServe():
+	case leadership.ReclaimDuty:
+		d.take(ctx, state.Entry)
+	case leadership.ForgetVacancy:
 		d.vacant, d.takePause = time.Time{}, 0
+	case leadership.ClaimDuty:
+		d.claim(ctx, now)
+	}
+}
+
+// state returns what is known of the duty, and the host that its entry names.
+func (d *duty) state(now time.Time) (s leadership.DutyState, holder string) {
+	h := d.host
+	h.mu.Lock()
+	entry, _ := h.view.Item(h.dutyKey(d.group.name))
+	known := h.view.Revision()
+	h.mu.Unlock()
+	holder = string(entry.Value)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return leadership.DutyState{
+		Held: d.held, Token: d.token, Entry: entry.Revision, Own: holder == h.settings.Host, Known: known,
+		Stopping: h.stopping.Load(), MayServe: h.mayServe(), Inherited: d.recordRevision != 0,
+		RenewalDue: now.Sub(d.renewed) > dutyRenewal && now.Sub(d.tried) > dutyRetry,
+	}, holder
+}
+
+// claim takes the duty that nobody holds once that has lasted for as long as hosts of a higher rank are given.
+func (d *duty) claim(ctx context.Context, now time.Time) {
+	switch {
 	case d.vacant.IsZero():
 		d.vacant = now
-	case now.Sub(d.vacant) >= time.Duration(h.fleet.place(d.group.name))*dutyStagger && !now.Before(d.retryAt):
+	case now.Sub(d.vacant) >= time.Duration(d.host.fleet.place(d.group.name))*dutyStagger && !now.Before(d.retryAt):
 		d.take(ctx, 0)
 	}
 }
@@ -294,8 +309,7 @@
 	}
 }
 
-// restoredStore is why a duty is lost when the store came back from an older copy. Another host may have held it when
-// the copy was made, or may take it now: whoever holds it in the new epoch has taken it there.
+// restoredStore is why a duty is lost when the store came back from an older copy.
 const restoredStore = "the store came back from an older copy"
 
 // lose records that the duty is no longer this host's, and returns its lease if it was until now.
--- a/internal/gateway/duty_test.go
+++ b/internal/gateway/duty_test.go
@@ -23,6 +23,36 @@
 	return s.items[key].Revision
 }
 
+// wantOutwaited cuts the holder of the duty off with the primary, right after a renewal, lets the store forget of it, and
+// checks that no lease which it still grants outlasts the change of the primary.
+func wantOutwaited(t *testing.T, s *fakeSite, f *fakeFleet, holder *Host, forget func()) {
+	t.Helper()
+	for _, h := range f.all() {
+		if h != holder {
+			f.set(f.severed, h.settings.Host+" a", true)
+		}
+	}
+	s.with("a", func(m *fakeMember) { m.cut = true })
+	d, _ := holder.dutyOf(holder.group(testGroup))
+	d.renew(context.Background())
+	f.set(f.dark, holder.settings.Host, true)
+	f.set(f.turnedAway, holder.settings.Host, true)
+	forget()
+	var ends time.Time
+	for until := time.Now().Add(15 * time.Second); s.leader() == "a" && time.Now().Before(until); {
+		if r := holder.GrantLease(LeaseRequest{Group: testGroup, Host: "x"}); r.Granted > 0 {
+			ends = time.Now().Add(r.Granted)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if s.leader() == "a" {
+		t.Fatal("the primary was not replaced")
+	}
+	if left := time.Until(ends); left > 0 {
+		t.Errorf("a lease on the old primary holds for %s more", left)
+	}
+}
+
 // The platform turns the holder of the duty away and takes its entry. The next holder, which does not
 // reach the primary, promotes another member, while the one before still grants leases on the old
 // one: a host that reaches only that one would read old data. No lease may outlast the change.
@@ -32,28 +62,7 @@
 			do(h, Write{})
 		}
 		holder := f.holderOf()
-		for _, h := range f.all() {
-			if h != holder {
-				f.set(f.severed, h.settings.Host+" a", true)
-			}
-		}
-		s.with("a", func(m *fakeMember) { m.cut = true })
-		f.set(f.dark, holder.settings.Host, true)
-		f.set(f.turnedAway, holder.settings.Host, true)
-		s.takeAway(holder)
-		var ends time.Time
-		for until := time.Now().Add(15 * time.Second); s.leader() == "a" && time.Now().Before(until); {
-			if r := holder.GrantLease(LeaseRequest{Group: testGroup, Host: "x"}); r.Granted > 0 {
-				ends = time.Now().Add(r.Granted)
-			}
-			time.Sleep(10 * time.Millisecond)
-		}
-		if s.leader() == "a" {
-			t.Fatal("the primary was not replaced")
-		}
-		if left := time.Until(ends); left > 0 {
-			t.Errorf("a lease on the old primary holds for %s more", left)
-		}
+		wantOutwaited(t, s, f, holder, func() { s.takeAway(holder) })
 	})
 }
 
--- a/internal/gateway/record_test.go
+++ b/internal/gateway/record_test.go
@@ -41,6 +41,13 @@
 // know of the order: if it let the old primary acknowledge writes with the other replica,
 // they would be lost.
 func TestNextHolderKnowsOfAnOpenOrder(t *testing.T) {
+	playOpenOrder(t, func(*fakeSite, backup) {})
+}
+
+// playOpenOrder lets a holder order the promotion of b late, end, and another one take over, after a mishap of the store,
+// of which there is a copy from before the order. Nothing that is acknowledged then may be lost.
+func playOpenOrder(t *testing.T, mishap func(*fakeSite, backup)) {
+	t.Helper()
 	synctest.Test(t, func(*testing.T) {
 		s := newFakeSite("a", "b", "c")
 		s.unfenced = true
@@ -48,7 +55,10 @@
 		h2, stop2 := hostOn(s, "h2", freshness.Latest{})
 		stop, left := map[string]func(){"h1": stop1, "h2": stop2}, map[string]*Host{"h1": h2, "h2": h1}
 		time.Sleep(3 * time.Second)
+		s.with("c", func(m *fakeMember) { m.deaf = true }) // so that the order is for b
 		do(h2, Write{})
+		s.with("c", func(m *fakeMember) { m.deaf = false })
+		b := s.backup()
 		s.mu.Lock()
 		holder := string(s.items["own/duty/"+testGroup].Value)
 		s.late = 6 * time.Second
@@ -60,8 +70,10 @@
 		s.mu.Lock()
 		s.late = 0
 		s.mu.Unlock()
+		mishap(s, b)
 		s.with("a", func(m *fakeMember) { m.silent = false })
 		s.with("b", func(m *fakeMember) { m.deaf = true })
+		time.Sleep(time.Second) // fences that were left behind are released
 		for range 160 {
 			do(left[holder], Write{})
 			time.Sleep(50 * time.Millisecond)
--- a/internal/gateway/restore_test.go
+++ b/internal/gateway/restore_test.go
@@ -6,7 +6,6 @@
 	"maps"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"pearlatch/core/freshness"
@@ -115,36 +114,6 @@
 	})
 }
 
-// leasesOutlast isolates the holder of the duty, with the primary, lets the store come back from the copy, and checks
-// that no lease which the isolated holder still grants outlasts the change of the primary.
-func leasesOutlast(t *testing.T, s *fakeSite, f *fakeFleet, holder *Host, b backup) {
-	t.Helper()
-	for _, h := range f.all() {
-		if h != holder {
-			f.set(f.severed, h.settings.Host+" a", true)
-		}
-	}
-	s.with("a", func(m *fakeMember) { m.cut = true })
-	d, _ := holder.dutyOf(holder.group(testGroup))
-	d.renew(context.Background())
-	f.set(f.dark, holder.settings.Host, true)
-	f.set(f.turnedAway, holder.settings.Host, true)
-	s.restore(b)
-	var ends time.Time
-	for until := time.Now().Add(15 * time.Second); s.leader() == "a" && time.Now().Before(until); {
-		if r := holder.GrantLease(LeaseRequest{Group: testGroup, Host: "x"}); r.Granted > 0 {
-			ends = time.Now().Add(r.Granted)
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
-	if s.leader() == "a" {
-		t.Fatal("the primary was not replaced")
-	}
-	if left := time.Until(ends); left > 0 {
-		t.Errorf("a lease on the old primary holds for %s more", left)
-	}
-}
-
 // A holder hands the duty back, and the store is copied. The next holder takes the duty, is cut off with the primary,
 // and the store comes back from the copy: there the duty was handed back, and nobody has it. Whoever takes it then and
 // promotes another member must wait as after any other holder that may not know of its end: a host that the one before
@@ -169,7 +138,7 @@
 		if second == nil || second == first {
 			t.Fatal("nobody else took the duty")
 		}
-		leasesOutlast(t, s, f, second, b)
+		wantOutwaited(t, s, f, second, func() { s.restore(b) })
 	})
 }
 
@@ -192,7 +161,7 @@
 		if second == nil || second.settings.Host == first.settings.Host {
 			t.Fatal("nobody else took the duty")
 		}
-		leasesOutlast(t, s, f, second, b)
+		wantOutwaited(t, s, f, second, func() { s.restore(b) })
 	})
 }
 
@@ -202,42 +171,9 @@
 // primary acknowledge writes with the other replica, they would be lost. The cause: only the store's record was read
 // ("record_inherited", "ordered":"" right after a "promotion_open").
 func TestOpenOrderOutlastsTheStoresReturn(t *testing.T) {
-	synctest.Test(t, func(*testing.T) {
-		s := newFakeSite("a", "b", "c")
-		s.unfenced = true
-		h1, stop1 := hostOn(s, "h1", freshness.Latest{})
-		h2, stop2 := hostOn(s, "h2", freshness.Latest{})
-		stop, left := map[string]func(){"h1": stop1, "h2": stop2}, map[string]*Host{"h1": h2, "h2": h1}
-		time.Sleep(3 * time.Second)
-		s.with("c", func(m *fakeMember) { m.deaf = true }) // so that the order is for b
-		do(h2, Write{})
-		s.with("c", func(m *fakeMember) { m.deaf = false })
-		b := s.backup()
-		s.mu.Lock()
-		holder := string(s.items["own/duty/"+testGroup].Value)
-		s.late = 6 * time.Second
-		s.mu.Unlock()
-		s.with("a", func(m *fakeMember) { m.silent = true })
-		time.Sleep(1300 * time.Millisecond)
-		stop[holder]()
-		delete(stop, holder)
-		s.mu.Lock()
-		s.late = 0
-		s.mu.Unlock()
+	playOpenOrder(t, func(s *fakeSite, b backup) {
 		delete(b.items, "own/duty/"+testGroup)
 		s.restore(b)
-		s.with("a", func(m *fakeMember) { m.silent = false })
-		s.with("b", func(m *fakeMember) { m.deaf = true })
-		time.Sleep(time.Second) // fences that were left behind are released
-		for range 160 {
-			do(left[holder], Write{})
-			time.Sleep(50 * time.Millisecond)
-		}
-		wantNothingLost(t, s)
-		for _, f := range stop {
-			f()
-		}
-		time.Sleep(20 * time.Second)
 	})
 }
 
@@ -314,3 +250,27 @@
 		}
 	})
 }
+
+// The record of who may hold portions of quotas is lost with the store's return. Whoever takes the duty then must name all
+// hosts, before it hands anything out, since any of them may have held the duty and got portions of which the record that
+// is left says nothing: they would be spent beside those that it hands out.
+func TestAllHostsMayHoldPortionsAfterTheStoreWasRestored(t *testing.T) {
+	playFleet(t, 4, 20, freshness.Latest{}, func(s *fakeSite, f *fakeFleet) {
+		holder := f.holderOf()
+		b := s.backup()
+		delete(b.items, holder.recordKey(testGroup))
+		delete(b.items, holder.dutyKey(testGroup))
+		s.restore(b)
+		var i kv.Item
+		for until := time.Now().Add(5 * time.Second); i.Value == nil && time.Now().Before(until); {
+			time.Sleep(time.Millisecond)
+			s.mu.Lock()
+			i = s.items[holder.recordKey(testGroup)]
+			s.mu.Unlock()
+		}
+		r, err := decodeRecord(i.Value)
+		if err != nil || len(r.Grantees) != 4 || len(r.Granters) != 4 {
+			t.Errorf("%v may hold portions, and %v may grant them; %v", r.Grantees, r.Granters, err)
+		}
+	})
+}
