--- a/core/kv/revision.go
+++ b/core/kv/revision.go
@@ -13,6 +13,9 @@
 // exceeds all earlier ones.
 type Revision int64
 
+// EpochBits is how many bits an epoch has at most.
+const EpochBits = 63 - numberBits
+
 // numberBits is how many of a revision's bits hold the store's number: at 1,200 changes a second they last for 29 years.
 const numberBits = 40
 
