--- a/internal/gateway/restore_test.go
+++ b/internal/gateway/restore_test.go
@@ -67,6 +67,28 @@
 	}
 }
 
+// The store turns two of the three hosts away that watch it, before it comes back from a copy and after. They, and those
+// that learn from them, hear of the return from other hosts alone, which knew the same numbers in another epoch. What is
+// acknowledged next must be in force everywhere within 3 s.
+func TestHostsThatAreTurnedAwayHearOfTheReturn(t *testing.T) {
+	playFleet(t, 12, 20, freshness.Latest{}, func(s *fakeSite, f *fakeFleet) {
+		for _, h := range f.facing() {
+			f.set(f.turnedAway, h.settings.Host, true)
+		}
+		restoreAfter(s, 2*time.Second, func() {
+			s.scribble(30)
+			f.newConfig(2, 20)
+			time.Sleep(time.Second)
+		})
+		time.Sleep(time.Second)
+		f.newConfig(3, 20)
+		time.Sleep(2900 * time.Millisecond)
+		if late := f.behind(3); len(late) > 0 {
+			t.Errorf("%v are behind", late)
+		}
+	})
+}
+
 // The duty changed hands shortly before the store went away, and the store came back from a copy that has the holder
 // before. Revisions began again at a smaller one, and with them the fencing tokens: the platform had seen a higher
 // one and refused all orders. When the primary goes dark then, another member must lead within a few seconds.
