--- /dev/null
+++ b/internal/gateway/dutyorder.go
@@ -0,0 +1,76 @@
+package gateway
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	"pearlatch/core/kv"
+)
+
+// renewToken takes a higher token for another decision.
+func (d *duty) renewToken(ctx context.Context) error {
+	d.mu.Lock()
+	token, lease := d.token, d.lease
+	d.mu.Unlock()
+	call, cancel := context.WithTimeout(ctx, leaseTimeout)
+	defer cancel()
+	revision, err := d.host.ports.Store.Put(call, d.host.dutyKey(d.group.name), token, []byte(d.host.settings.Host), lease)
+	if errors.Is(err, ErrConflict) || errors.Is(err, ErrNoLease) {
+		d.giveUp("entry changed")
+	}
+	if err != nil {
+		return errors.Wrap(err, "higher token")
+	}
+	if revision.Epoch() != token.Epoch() {
+		d.lose(restoredStore)
+		return errors.Wrap(ErrConflict, "higher token: "+restoredStore)
+	}
+	d.host.quotas.Raised(d.group.name, int64(revision))
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.token = revision
+	return nil
+}
+
+// openOrder returns the member that an order may still promote, or the empty string. A
+// higher token makes the platform refuse the order, where it checks tokens.
+func (d *duty) openOrder() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.host.settings.PromotionTokens && d.raised > d.orderedToken {
+		return ""
+	}
+	return d.ordered
+}
+
+// settledOrder records that no order is open any more.
+func (d *duty) settledOrder() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ordered = ""
+}
+
+// orderExpired reports whether the last order is too old to be carried out still.
+func (d *duty) orderExpired() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.host.settings.PromotionTokens && d.host.now().Sub(d.orderedAt) > lateOrder
+}
+
+// acknowledged records that the platform has seen the token.
+func (d *duty) acknowledged(token kv.Revision) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.raised = max(d.raised, token)
+	if d.raisedAt.IsZero() {
+		d.raisedAt = d.host.now()
+	}
+}
+
+// current reports whether the platform has seen the newest token, where it checks tokens.
+func (d *duty) current() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.host.settings.PromotionTokens || d.raised == d.token
+}
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -2,63 +2,14 @@
 
 import (
 	"context"
-	"encoding/json"
 	"strings"
 
 	"github.com/pkg/errors"
 
-	"pearlatch/core/group"
 	"pearlatch/core/kv"
 	"pearlatch/core/leadership"
 )
 
-// The form of a leadership.Record in the store.
-type (
-	wireRecord struct {
-		Holder   string         `json:"holder"`
-		Epoch    int64          `json:"epoch,omitempty"`
-		Term     uint64         `json:"term"`
-		Members  []wireLifetime `json:"members,omitempty"`
-		FloorIn  uint64         `json:"floor_term,omitempty"`
-		FloorLSN uint64         `json:"floor_lsn,omitempty"`
-		Ordered  string         `json:"ordered,omitempty"`
-		// HandedBack is true once the holder has given the duty back.
-		HandedBack bool     `json:"handed_back,omitempty"`
-		Grantees   []string `json:"grantees,omitempty"`
-		Granters   []string `json:"granters,omitempty"`
-	}
-	wireLifetime struct {
-		Member string `json:"member"`
-		Born   int64  `json:"born,omitempty"`
-	}
-)
-
-func encodeRecord(r leadership.Record) ([]byte, error) {
-	out := wireRecord{
-		Holder: r.Holder, Epoch: int64(r.Epoch), Term: uint64(r.Term), Ordered: r.Ordered, HandedBack: r.HandedBack, Grantees: r.Grantees, Granters: r.Granters,
-		FloorIn: uint64(r.Floor.Term), FloorLSN: uint64(r.Floor.LSN),
-	}
-	for _, m := range r.Members {
-		out.Members = append(out.Members, wireLifetime{m.Member, m.Born})
-	}
-	return json.Marshal(out)
-}
-
-func decodeRecord(value []byte) (leadership.Record, error) {
-	var in wireRecord
-	if err := json.Unmarshal(value, &in); err != nil {
-		return leadership.Record{}, errors.Wrap(err, "record of a group's leadership")
-	}
-	out := leadership.Record{
-		Holder: in.Holder, Epoch: kv.Epoch(in.Epoch), Term: group.Term(in.Term), Ordered: in.Ordered, HandedBack: in.HandedBack, Grantees: in.Grantees, Granters: in.Granters,
-		Floor: group.Position{Term: group.Term(in.FloorIn), LSN: group.LSN(in.FloorLSN)},
-	}
-	for _, m := range in.Members {
-		out.Members = append(out.Members, leadership.Lifetime{Member: m.Member, Born: m.Born})
-	}
-	return out, nil
-}
-
 func (h *Host) recordsPrefix() string { return h.ports.Keys.Own + "leadership/" }
 
 func (h *Host) recordKey(group string) string { return h.recordsPrefix() + group }
--- /dev/null
+++ b/internal/gateway/register.go
@@ -0,0 +1,132 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"pearlatch/core/kv"
+	"pearlatch/core/membership"
+)
+
+func (h *Host) hostsPrefix() string { return h.ports.Keys.Own + "hosts/" }
+
+const (
+	// hostLease is the life of a host's entry: the lease outlives a pause of the
+	// store, and a dead host's share is given to others after it. Until then others find out by
+	// themselves that it does not answer.
+	hostLease = 16 * time.Second
+	// hostRenewal is the pause between renewals: two may get lost. Renewals are most of what a
+	// fleet asks of the store while nothing happens.
+	hostRenewal = 5 * time.Second
+	// leaseTimeout bounds calls about leases.
+	leaseTimeout = time.Second
+)
+
+// register keeps the host's entry in the store until the host is told to stop: others
+// then turn elsewhere, and what is open here can end.
+func (h *Host) register(ctx context.Context) {
+	ctx, cancel := until(ctx, h.stopped)
+	defer cancel()
+	select {
+	case <-h.informed: // an entry of an earlier process is known, and the store answers
+	case <-ctx.Done():
+	}
+	var lease int64
+	var written kv.Epoch
+	for ctx.Err() == nil {
+		if lease == 0 {
+			lease, written = h.announce(ctx, h.self())
+		} else if epoch, err := h.renew(ctx, lease); errors.Is(err, ErrNoLease) || err == nil && epoch != written {
+			// A store that came back from an older copy may hold the lease and not the entry.
+			lease = 0
+			continue
+		}
+		pause := hostRenewal
+		if lease == 0 {
+			pause = sourcePauseMax
+		}
+		if !sleep(ctx, pause) {
+			break
+		}
+	}
+	h.depart(lease)
+}
+
+// depart tells other hosts that this one stops. The entry is left to lapse: if it were
+// removed at once, hosts that read the list only then would take this one for a host
+// whose entry has lapsed, and that may serve still.
+func (h *Host) depart(lease int64) {
+	if lease == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), leaseTimeout)
+	defer cancel()
+	leaving := h.self()
+	leaving.Leaving = true
+	if _, err := h.enter(ctx, leaving, lease); err != nil {
+		h.log("announce", "err", err)
+	}
+}
+
+// read reads a key of the store. One that does not exist has the revision zero.
+func (h *Host) read(ctx context.Context, key string) (kv.Item, error) {
+	call, cancel := context.WithTimeout(ctx, leaseTimeout)
+	defer cancel()
+	s, err := h.ports.Store.List(call, key)
+	if err != nil {
+		return kv.Item{}, err
+	}
+	for _, i := range s.Items {
+		if i.Key == key {
+			return i, nil
+		}
+	}
+	return kv.Item{Key: key}, nil
+}
+
+func (h *Host) renew(ctx context.Context, lease int64) (kv.Epoch, error) {
+	call, cancel := context.WithTimeout(ctx, leaseTimeout)
+	defer cancel()
+	return h.ports.Store.Renew(call, lease)
+}
+
+// endLease gives a lease back at the end, so that others need not wait for it.
+func (h *Host) endLease(lease int64) {
+	if lease == 0 {
+		return
+	}
+	call, cancel := context.WithTimeout(context.Background(), leaseTimeout)
+	defer cancel()
+	if err := h.ports.Store.End(call, lease); err != nil {
+		h.log("lease_end", "err", err)
+	}
+}
+
+// announce writes the host's entry under a new lease and returns that, or zero, and the epoch in which the entry stands.
+func (h *Host) announce(ctx context.Context, self membership.Host) (lease int64, written kv.Epoch) {
+	call, cancel := context.WithTimeout(ctx, leaseTimeout)
+	defer cancel()
+	lease, err := h.ports.Store.Grant(call, max(hostLease, h.settings.LeaseFloor))
+	if err != nil {
+		h.log("announce", "err", err)
+		return 0, 0
+	}
+	at, err := h.enter(call, self, lease)
+	if err != nil {
+		h.log("announce", "err", err)
+		h.endLease(lease)
+		return 0, 0
+	}
+	return lease, at.Epoch()
+}
+
+// enter writes the host's entry and returns its revision.
+func (h *Host) enter(ctx context.Context, self membership.Host, lease int64) (kv.Revision, error) {
+	key := h.hostsPrefix() + self.ID
+	h.mu.Lock()
+	known, _ := h.view.Item(key)
+	h.mu.Unlock()
+	return h.ports.Store.Put(ctx, key, known.Revision, entryOf(self), lease)
+}
