--- a/internal/gateway/failover_test.go
+++ b/internal/gateway/failover_test.go
@@ -23,6 +23,14 @@
 	return within
 }
 
+// writeOn sends a number of writes, twenty a second.
+func writeOn(h *Host, times int) {
+	for range times {
+		do(h, Write{})
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
 func wantNothingLost(t *testing.T, s *fakeSite) {
 	t.Helper()
 	if lost := s.lost(); len(lost) > 0 {
@@ -133,10 +141,7 @@
 		time.Sleep(1500 * time.Millisecond)
 		s.with("a", func(m *fakeMember) { m.silent = false })
 		s.with("b", func(m *fakeMember) { m.deaf = true })
-		for range 100 {
-			do(h, Write{})
-			time.Sleep(50 * time.Millisecond)
-		}
+		writeOn(h, 100)
 		wantNothingLost(t, s)
 	})
 }
@@ -166,10 +171,7 @@
 	play(t, freshness.Latest{}, func(s *fakeSite, h *Host) {
 		do(h, Write{})
 		s.with("a", func(m *fakeMember) { m.full = true })
-		for range 40 {
-			do(h, Write{})
-			time.Sleep(50 * time.Millisecond)
-		}
+		writeOn(h, 40)
 		for _, o := range s.given() {
 			t.Errorf("order %q", o)
 		}
--- a/internal/gateway/reach_test.go
+++ b/internal/gateway/reach_test.go
@@ -166,10 +166,7 @@
 			s.with(id, func(m *fakeMember) { m.deaf = true })
 		}
 		_, elsewhere := f.serving()
-		for range 60 {
-			do(elsewhere[0], Write{})
-			time.Sleep(50 * time.Millisecond)
-		}
+		writeOn(elsewhere[0], 60)
 		if s.leader() == "a" {
 			t.Error("the primary whose writes hang still leads")
 		}
--- a/internal/gateway/record_test.go
+++ b/internal/gateway/record_test.go
@@ -74,10 +74,7 @@
 		s.with("a", func(m *fakeMember) { m.silent = false })
 		s.with("b", func(m *fakeMember) { m.deaf = true })
 		time.Sleep(time.Second) // fences that were left behind are released
-		for range 160 {
-			do(left[holder], Write{})
-			time.Sleep(50 * time.Millisecond)
-		}
+		writeOn(left[holder], 160)
 		wantNothingLost(t, s)
 		for _, f := range stop {
 			f()
--- a/internal/gateway/session_test.go
+++ b/internal/gateway/session_test.go
@@ -343,10 +343,7 @@
 				}
 			})
 		}
-		for range 90 {
-			do(h, Write{})
-			time.Sleep(50 * time.Millisecond)
-		}
+		writeOn(h, 90)
 		wait.Wait()
 		if s.leader() == "a" {
 			t.Error("the overloaded primary still leads")
