An order is given under the duty under which it was decided

Found while reading. What callers could see: reads of old data. A holder that has taken back all leases and fenced the replicas loses the duty to the store's return and takes it up again within 0.2 s; its order would go out under the new duty, which has not waited for a holder that the store forgot. Cause: whether the duty is held was asked, not whether it is the same. Change: a round remembers when the duty was taken, and gives no order under another one (promotion_off).

--- a/internal/gateway/duty.go
+++ b/internal/gateway/duty.go
@@ -325,6 +325,13 @@
 	return lease, held
 }
 
+// takenAt returns when the duty was last taken.
+func (d *duty) takenAt() time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.since
+}
+
 // heldSince returns the epoch in which the duty was taken.
 func (d *duty) heldSince() kv.Epoch {
 	d.mu.Lock()
--- a/internal/gateway/order.go
+++ b/internal/gateway/order.go
@@ -120,6 +120,12 @@
 // refused.
 func (w *watcher) order(ctx context.Context, id string) bool {
 	w.mu.Lock()
+	if !w.held || !w.since.Equal(w.taken) {
+		// Lost and taken again since the round began: leases may hold that this round has not waited for.
+		w.mu.Unlock()
+		w.log("promotion_off", "member", id, "why", "the duty was lost meanwhile")
+		return false
+	}
 	token := w.token
 	w.ordered, w.orderedToken, w.orderedAt = id, token, w.host.now()
 	w.mu.Unlock()
--- a/internal/gateway/restore_test.go
+++ b/internal/gateway/restore_test.go
@@ -296,3 +296,23 @@
 		}
 	})
 }
+
+// A holder has taken all leases back and fenced the replicas when the store comes back from a copy: it loses the duty, and
+// takes it up again at once. What it goes on to order would be under the new duty, without having waited for the leases of
+// a holder that the store forgot: a host that reaches that one alone would read old data.
+func TestOrderOfADutyThatWasLostIsNotGiven(t *testing.T) {
+	play(t, freshness.Latest{}, func(s *fakeSite, h *Host) {
+		do(h, Write{})
+		d, _ := h.dutyOf(h.group(testGroup))
+		w := &watcher{duty: d, taken: d.takenAt()}
+		s.restore(s.backup())
+		time.Sleep(time.Second)
+		if !d.isHeld() || d.takenAt().Equal(w.taken) {
+			t.Fatal("the duty was not taken up again")
+		}
+		w.promote(context.Background(), "b", choice{})
+		if orders := s.given(); len(orders) > 0 {
+			t.Errorf("%v was ordered", orders)
+		}
+	})
+}
--- a/internal/gateway/watcher.go
+++ b/internal/gateway/watcher.go
@@ -43,6 +43,8 @@
 // watcher is what the holder of a duty remembers between its rounds.
 type watcher struct {
 	*duty
+	// taken is when the duty was taken under which this round acts.
+	taken time.Time
 	// primary is the member that led last.
 	primary Member
 	// silent counts rounds without an answer of the primary.
@@ -64,6 +66,7 @@
 	w := &watcher{duty: d}
 	for w.wait(ctx) {
 		d.group.hold(d.holds())
+		w.taken = d.takenAt()
 		if !d.holds() {
 			w.silent, w.written, w.primary = 0, group.Position{}, Member{}
 			continue
