--- a/internal/gateway/restore_test.go
+++ b/internal/gateway/restore_test.go
@@ -316,3 +316,60 @@
 		}
 	})
 }
+
+// After the store's return every host must know of it within the 3 s in which a configuration must be in force, also in a
+// fleet in which most learn from others, and somebody must hold the duty again. The times are logged.
+func TestReturnIsKnownSoon(t *testing.T) {
+	for _, hosts := range []int{3, 12, 75} {
+		t.Run(fmt.Sprint(hosts, " hosts"), func(t *testing.T) {
+			playFleet(t, hosts, 2*hosts, freshness.Latest{}, func(s *fakeSite, f *fakeFleet) {
+				b := s.backup()
+				s.scribble(20)
+				time.Sleep(time.Second)
+				s.setDown(true)
+				time.Sleep(2 * time.Second)
+				s.restore(b)
+				s.setDown(false)
+				known := waitFor(t, func() bool { return f.inEpoch(1) })
+				held := known + waitFor(t, func() bool {
+					h := f.holderOf()
+					if h == nil {
+						return false
+					}
+					d, _ := h.dutyOf(h.group(testGroup))
+					return d.heldSince() == 1
+				})
+				if known > 3*time.Second {
+					t.Errorf("known everywhere after %s", known)
+				}
+				t.Logf("%d hosts: known everywhere after %s, the duty held after %s", hosts, known, held)
+			})
+		})
+	}
+}
+
+// inEpoch reports whether all hosts know of the store's epoch.
+func (f *fakeFleet) inEpoch(e kv.Epoch) bool {
+	for _, h := range f.all() {
+		h.mu.Lock()
+		known := h.view.Revision().Epoch()
+		h.mu.Unlock()
+		if known != e {
+			return false
+		}
+	}
+	return true
+}
+
+// waitFor waits until the condition holds, and returns for how long.
+func waitFor(t *testing.T, holds func() bool) time.Duration {
+	t.Helper()
+	started := time.Now()
+	for !holds() {
+		if time.Since(started) > 10*time.Second {
+			t.Fatal("it does not come to hold")
+		}
+		time.Sleep(time.Millisecond)
+	}
+	return time.Since(started)
+}
