--- a/io/peer/gateway_codec_test.go
+++ b/io/peer/gateway_codec_test.go
@@ -50,7 +50,12 @@
 		"member_reply": &memberReply{
 			Leads: true, Received: position, Term: 3, Fenced: 4, Lag: 12 * time.Millisecond, Running: 2, Connections: 17,
 		},
-		"feed_request": &feedRequest{after: 412},
+		"feed_request":                  &feedRequest{after: 412},
+		"feed_request_of_a_later_epoch": &feedRequest{after: kv.At(3, 412)},
+		"news_of_a_later_epoch": &newsMessage{News: gateway.News{News: kv.News{
+			Snapshot: kv.Snapshot{Items: []kv.Item{{Key: "k", Value: []byte("v"), Revision: kv.At(3, 9), Created: 4}}, Revision: kv.At(3, 10)},
+			Whole:    true,
+		}}, packer: &packer{}},
 		"news": &newsMessage{News: gateway.News{News: kv.News{
 			Snapshot: kv.Snapshot{Items: []kv.Item{item, {Key: "gone", Revision: 10, Removed: true}}, Revision: 10},
 			Whole:    true,
