Connections are taken over from the driver once it reads no more

What callers of pearlatch serve saw: no answers from a group's owner for as long as its host ran. Cause: after a slow write the driver reads in the background, and goes on to when the connection is taken from it. It swallows the first answer; and the look whether the connection is alive waits for its read, with the pool's lock held, for which all else waits. Change: the driver's reads are ended first (SyncConn), a connection for which that fails is closed, and the look waits for nobody. The test no longer slows the writes of the taking over itself: the driver gives up after ten such.

--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"net"
 	"syscall"
 	"time"
@@ -49,7 +50,14 @@
 	dirty bool
 }
 
-func newConn(pg *pgconn.PgConn, member int) (*conn, error) {
+// newConn takes a connection over from the driver.
+func newConn(ctx context.Context, pg *pgconn.PgConn, member int) (*conn, error) {
+	// After a slow write the driver may still read in the background: it would swallow the first answer, and a
+	// look at the connection would wait for it for ever.
+	if err := pg.SyncConn(ctx); err != nil {
+		_ = pg.Close(ctx) // it is of no use either way
+		return nil, errors.Wrap(err, "end the driver's reads")
+	}
 	h, err := pg.Hijack()
 	if err != nil {
 		return nil, errors.Wrap(err, "hijack connection")
@@ -80,11 +88,11 @@
 		return false
 	}
 	alive := false
-	err = raw.Read(func(fd uintptr) bool {
+	// Control, unlike Read, waits for nobody: the pool's lock is held.
+	err = raw.Control(func(fd uintptr) {
 		var buf [1]byte
 		_, _, err := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		alive = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
-		return true
 	})
 	return err == nil && alive
 }
--- a/io/upstream/hijack_test.go
+++ b/io/upstream/hijack_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -12,16 +13,20 @@
 
 // slowConn takes a while after each write, as on a machine that is busy: the driver then reads in the background, for
 // fear that both sides write and neither reads.
-type slowConn struct{ net.Conn }
+type slowConn struct {
+	net.Conn
+	slow *atomic.Bool
+}
 
 func (c slowConn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
-	time.Sleep(100 * time.Millisecond)
+	if c.slow.Load() {
+		time.Sleep(100 * time.Millisecond)
+	}
 	return n, err
 }
 
-// answerQueries is a server that lets anybody in and answers each query with nothing. A message sent to notices is passed
-// on between queries.
+// answerQueries is a server that lets anybody in and answers each query with nothing.
 func answerQueries(t *testing.T, nc net.Conn) {
 	b := pgproto3.NewBackend(nc, nc)
 	if _, err := b.ReceiveStartupMessage(); err != nil {
@@ -63,10 +68,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	var slow atomic.Bool
+	slow.Store(true)
 	config.DialFunc = func(ctx context.Context, network, addr string) (net.Conn, error) {
 		var d net.Dialer
 		nc, err := d.DialContext(ctx, network, addr)
-		return slowConn{nc}, err
+		return slowConn{nc, &slow}, err
 	}
 	pg, err := pgconn.ConnectConfig(t.Context(), config)
 	if err != nil {
@@ -75,7 +82,8 @@
 	if _, err := pg.Exec(t.Context(), "").ReadAll(); err != nil {
 		t.Fatal(err)
 	}
-	c, err := newConn(pg, 0)
+	slow.Store(false)
+	c, err := newConn(t.Context(), pg, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/io/upstream/open.go
+++ b/io/upstream/open.go
@@ -100,7 +100,7 @@
 	pg, err := p.dialer.connect(ctx, member)
 	var c *conn
 	if err == nil {
-		c, err = newConn(pg, i)
+		c, err = newConn(ctx, pg, i)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
