One union of hosts, one record, one write under a duty

The union of host lists stood in core/leadership and in the gateway; a duty kept its last record twice, beside each other and always equal; and that a write was answered in another epoch than the duty was taken in was checked in two places. leadership.Union, duty.record and duty.put serve now. Tests of what is in force share one check, with the same bound and message. No change of behaviour is meant; the error of such a write names the store's return where one of the two named a conflict.

--- a/core/leadership/inherit.go
+++ b/core/leadership/inherit.go
@@ -27,8 +27,8 @@
 	out = stored
 	if stored.At.Epoch() < taken && remembered.At > stored.At {
 		out = remembered
-		out.Grantees = union(stored.Grantees, remembered.Grantees)
-		out.Granters = union(stored.Granters, remembered.Granters)
+		out.Grantees = Union(stored.Grantees, remembered.Grantees...)
+		out.Granters = Union(stored.Granters, remembered.Granters...)
 	}
 	if certain = out.At.Epoch() == taken; !certain {
 		out.HandedBack = false
@@ -36,9 +36,9 @@
 	return out, certain
 }
 
-// union returns the hosts of both lists, in order.
-func union(a, b []string) []string {
-	out := slices.Concat(a, b)
+// Union returns hosts and some more, in order and each once.
+func Union(hosts []string, more ...string) []string {
+	out := slices.Concat(hosts, more)
 	slices.Sort(out)
 	return slices.Compact(out)
 }
--- a/internal/gateway/duty.go
+++ b/internal/gateway/duty.go
@@ -58,12 +58,11 @@
 	// raisedAt is when the platform first acknowledged a token of this host since it took the duty, or
 	// zero.
 	raisedAt time.Time
-	// record is what lies in the store for the next holder, as written at recordRevision.
+	// record is the last one that this host has written of the group, in any time that it held the duty. It lies
+	// in the store for the next holder, as written at recordRevision.
 	// That is zero while it is not known.
-	record         leadership.Record
+	record         leadership.Found
 	recordRevision kv.Revision
-	// lastRecord is the last one that this host has written of the group, in any time that it held the duty.
-	lastRecord leadership.Found
 	// inherited is true once the record of the holder before was read.
 	inherited bool
 	// standing is what leases on the primary are granted on, and grants are those that may
@@ -312,6 +311,19 @@
 // restoredStore is why a duty is lost when the store came back from an older copy.
 const restoredStore = "the store came back from an older copy"
 
+// errRestored means that a write was carried out in another epoch than the duty was taken in.
+var errRestored = errors.New(restoredStore)
+
+// put writes a key under the duty that was taken in an epoch, as Store.Put does. In another epoch the number that was
+// compared may have stood for another content: such a write says nothing.
+func (d *duty) put(ctx context.Context, taken kv.Epoch, key string, revision kv.Revision, value []byte, lease int64) (kv.Revision, error) {
+	written, err := d.host.ports.Store.Put(ctx, key, revision, value, lease)
+	if err == nil && written.Epoch() != taken {
+		return 0, errors.Wrapf(errRestored, "written at %v, taken in epoch %d", written, taken)
+	}
+	return written, err
+}
+
 // lose records that the duty is no longer this host's, and returns its lease if it was until now.
 func (d *duty) lose(why string) (lease int64, held bool) {
 	d.mu.Lock()
--- a/internal/gateway/dutyorder.go
+++ b/internal/gateway/dutyorder.go
@@ -15,17 +15,16 @@
 	d.mu.Unlock()
 	call, cancel := context.WithTimeout(ctx, leaseTimeout)
 	defer cancel()
-	revision, err := d.host.ports.Store.Put(call, d.host.dutyKey(d.group.name), token, []byte(d.host.settings.Host), lease)
+	revision, err := d.put(call, token.Epoch(), d.host.dutyKey(d.group.name), token, []byte(d.host.settings.Host), lease)
+	if errors.Is(err, errRestored) {
+		d.lose(restoredStore)
+	}
 	if errors.Is(err, ErrConflict) || errors.Is(err, ErrNoLease) {
 		d.giveUp("entry changed")
 	}
 	if err != nil {
 		return errors.Wrap(err, "higher token")
 	}
-	if revision.Epoch() != token.Epoch() {
-		d.lose(restoredStore)
-		return errors.Wrap(ErrConflict, "higher token: "+restoredStore)
-	}
 	d.host.quotas.Raised(d.group.name, int64(revision))
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -70,7 +70,7 @@
 	if !ok {
 		return nil, errNotInherited
 	}
-	r.Grantees = withHost(append(d.host.fleet.listedIDs(), r.Grantees...), host, d.host.settings.Host)
+	r.Grantees = leadership.Union(append(d.host.fleet.listedIDs(), r.Grantees...), host, d.host.settings.Host)
 	if err := d.save(ctx, r); err != nil {
 		return nil, err
 	}
@@ -83,20 +83,13 @@
 	if !granting {
 		before = last.Granters
 	}
-	return withHost(before, d.host.settings.Host)
+	return leadership.Union(before, d.host.settings.Host)
 }
 
 func without(ids []string, id string) []string {
 	return slices.DeleteFunc(slices.Clone(ids), func(each string) bool { return each == id })
 }
 
-// withHost returns the hosts, and some more, in order.
-func withHost(ids []string, more ...string) []string {
-	out := slices.Concat(ids, more)
-	slices.Sort(out)
-	return slices.Compact(out)
-}
-
 // granteesInherited makes this host the granter of the group's accounts once it knows whom to ask, and if it is it
 // already, makes sure that a successor knows of all as well.
 func (d *duty) granteesInherited(grantees, granters []string) {
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -40,8 +40,8 @@
 	d.host.mu.Unlock()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.lastRecord.At > out.At {
-		return d.lastRecord
+	if d.record.At > out.At {
+		return d.record
 	}
 	return out
 }
@@ -75,11 +75,11 @@
 	before := r.Granters
 	if !certain {
 		// A holder that the store has forgotten may be any host.
-		before = withHost(before, d.host.fleet.listedIDs()...)
-		r.Grantees = withHost(r.Grantees, before...)
+		before = leadership.Union(before, d.host.fleet.listedIDs()...)
+		r.Grantees = leadership.Union(r.Grantees, before...)
 	}
 	r.Holder, r.HandedBack = d.host.settings.Host, false
-	r.Granters = withHost(before, d.host.settings.Host)
+	r.Granters = leadership.Union(before, d.host.settings.Host)
 	if err := d.write(call, r, read.Revision); err != nil {
 		return err
 	}
@@ -101,7 +101,7 @@
 // be inherited again.
 func (d *duty) save(ctx context.Context, r leadership.Record) error {
 	d.mu.Lock()
-	revision, last := d.recordRevision, d.record
+	revision, last := d.recordRevision, d.record.Record
 	d.mu.Unlock()
 	call, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
@@ -127,16 +127,13 @@
 	if err != nil {
 		return err
 	}
-	written, err := d.host.ports.Store.Put(ctx, d.host.recordKey(d.group.name), revision, value, 0)
-	if err == nil && written.Epoch() != r.Epoch {
-		err = errors.Wrapf(ErrConflict, "written at %v, the duty was taken in epoch %d", written, r.Epoch)
-	}
+	written, err := d.put(ctx, r.Epoch, d.host.recordKey(d.group.name), revision, value, 0)
 	if err != nil {
 		return err
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.record, d.recordRevision, d.lastRecord = r, written, leadership.Found{Record: r, At: written}
+	d.record, d.recordRevision = leadership.Found{Record: r, At: written}, written
 	return nil
 }
 
@@ -151,7 +148,7 @@
 func (d *duty) recorded() (leadership.Record, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.record, d.recordRevision != 0
+	return d.record.Record, d.recordRevision != 0
 }
 
 // handBack writes down that this holder gives no more orders.
--- a/internal/gateway/restore_test.go
+++ b/internal/gateway/restore_test.go
@@ -59,9 +59,7 @@
 				f.newConfig(4, 20)
 				s.scribble(later)
 				time.Sleep(2900 * time.Millisecond)
-				if late := f.behind(4); len(late) > 0 {
-					t.Errorf("%v are behind", late)
-				}
+				f.wantInForce(t, 4)
 			})
 		})
 	}
@@ -83,9 +81,7 @@
 		time.Sleep(time.Second)
 		f.newConfig(3, 20)
 		time.Sleep(2900 * time.Millisecond)
-		if late := f.behind(3); len(late) > 0 {
-			t.Errorf("%v are behind", late)
-		}
+		f.wantInForce(t, 3)
 	})
 }
 
--- a/internal/gateway/source_test.go
+++ b/internal/gateway/source_test.go
@@ -47,6 +47,14 @@
 	return out
 }
 
+// wantInForce checks that all hosts have the version in force.
+func (f *fakeFleet) wantInForce(t *testing.T, version int64) {
+	t.Helper()
+	if late := f.behind(version); len(late) > 0 {
+		t.Errorf("%v are behind", late)
+	}
+}
+
 // One host of each availability zone watches the store, and all others learn from it. A
 // change of the configuration must be in force everywhere at once.
 func TestNewsReachAllHosts(t *testing.T) {
@@ -56,9 +64,7 @@
 		}
 		f.newConfig(2, 20)
 		time.Sleep(20 * time.Millisecond)
-		if late := f.behind(2); len(late) > 0 {
-			t.Errorf("%v are behind", late)
-		}
+		f.wantInForce(t, 2)
 	})
 }
 
@@ -73,15 +79,11 @@
 		time.Sleep(watchWait)
 		f.newConfig(2, 20)
 		time.Sleep(2900 * time.Millisecond)
-		if late := f.behind(2); len(late) > 0 {
-			t.Errorf("%v are behind", late)
-		}
+		f.wantInForce(t, 2)
 		// And later ones come without a delay.
 		f.newConfig(3, 20)
 		time.Sleep(500 * time.Millisecond)
-		if late := f.behind(3); len(late) > 0 {
-			t.Errorf("%v are behind", late)
-		}
+		f.wantInForce(t, 3)
 	})
 }
 
@@ -150,8 +152,6 @@
 		s.setRefusing(false)
 		f.newConfig(2, 20)
 		time.Sleep(sourcePauseMax + 300*time.Millisecond)
-		if late := f.behind(2); len(late) > 0 {
-			t.Errorf("%v are behind", late)
-		}
+		f.wantInForce(t, 2)
 	})
 }
