A stored configuration is decoded once a look

Found in reading the change again: the hosts that watch the platform's service decoded its document, of up to a megabyte, twice each second, once to take it over and once to see whether something is to be written back. One decoding serves both. A context that nothing used is gone from the keeper of quotas. No change of behaviour; TestLostRevisionIsWrittenBack passes.

--- a/internal/host/configure.go
+++ b/internal/host/configure.go
@@ -260,34 +260,35 @@
 		_ = level.Warn(h.logger).Log("step", "fetch_configuration", "peer", "platform", "err", err)
 		return
 	}
-	h.takeEntry(entry)
-	h.writeBack(ctx, entry)
+	h.settleEntry(ctx, entry)
 }
 
-func (h *Host) takeEntry(entry etcd.Entry) {
-	if r, ok := h.decodeEntry(entry); ok {
-		h.take(r, "platform")
+// settleEntry takes an entry over, or writes back what the store has lost of it.
+func (h *Host) settleEntry(ctx context.Context, entry etcd.Entry) {
+	if stored, ok := h.takeEntry(entry); ok {
+		h.writeBack(ctx, entry, stored)
 	}
 }
 
-// decodeEntry returns the revision that an entry holds, or false if there is none that can be read.
-func (h *Host) decodeEntry(entry etcd.Entry) (config.Revision, bool) {
+// takeEntry takes over the revision that an entry holds. It returns false if there is none that can be read.
+func (h *Host) takeEntry(entry etcd.Entry) (config.Revision, bool) {
 	if entry.Revision == 0 {
 		return config.Revision{}, false
 	}
 	r, err := etcd.DecodeRevision(entry.Value)
 	if err != nil {
 		_ = level.Error(h.logger).Log("step", "fetch_configuration", "peer", "platform", "err", err)
+		return config.Revision{}, false
 	}
-	return r, err == nil
+	h.take(r, "platform")
+	return r, true
 }
 
 // writeBack writes the newest revision that was received into the store, if that holds an older one: it has come back
 // from a copy, and would refuse whatever operators submit on top of what is in force.
-func (h *Host) writeBack(ctx context.Context, entry etcd.Entry) {
+func (h *Host) writeBack(ctx context.Context, entry etcd.Entry, stored config.Revision) {
 	newest := h.conf.latest()
-	stored, ok := h.decodeEntry(entry)
-	if !ok || stored.Number >= newest.Number {
+	if stored.Number >= newest.Number {
 		return
 	}
 	err := etcd.WriteBack(ctx, h.store, entry, newest)
@@ -300,9 +301,8 @@
 	defer cancel()
 	entry, err := h.store.Get(ctx, etcd.ConfigKey)
 	if err == nil {
-		h.takeEntry(entry)
-		h.writeBack(ctx, entry)
-		err = h.store.Watch(ctx, etcd.ConfigKey, entry.Revision, h.takeEntry)
+		h.settleEntry(ctx, entry)
+		err = h.store.Watch(ctx, etcd.ConfigKey, entry.Revision, func(changed etcd.Entry) { h.takeEntry(changed) })
 	}
 	if err != nil && ctx.Err() == nil {
 		pauseFor(ctx, lonelyInterval)
--- a/internal/quotas/grant.go
+++ b/internal/quotas/grant.go
@@ -134,7 +134,7 @@
 
 // lookAfter asks hosts that have not told what they hold, and those that were not heard of for long. The shard's
 // lock is held.
-func (k *Keeper) lookAfter(_ context.Context, s *shard) {
+func (k *Keeper) lookAfter(s *shard) {
 	l := s.Ledger()
 	if l == nil {
 		return
--- a/internal/quotas/keeper.go
+++ b/internal/quotas/keeper.go
@@ -229,7 +229,7 @@
 			s.mu.Lock()
 			s.Forget(k.now())
 			k.ask(s)
-			k.lookAfter(ctx, s)
+			k.lookAfter(s)
 			s.mu.Unlock()
 		}
 	}
