A follower far behind is sent the keys that changed, not the whole list again

Ruled out: a longer history, which ends at the next doubling. Change: beyond the kept changes, the keys whose revision is newer, and the removals since, which are kept up to the number of keys. Found by the model test once its histories were cut short: a host that lists the store anew misses a key that came and went, and told a follower, which had seen it come, that nothing had changed; the follower believed in it from then on. Whoever knows less than a new list is sent it whole. Changes of before what is known bring no removed key back. The model's late answers now come only to hosts that know what the asker knew: a partial answer for another host is not to be had on a feed or a watch. TestFollowerFarBehindIsSentWhatChanged and TestKeyThatCameAndWentBetweenListsIsGone fail without it.

--- a/core/kv/view.go
+++ b/core/kv/view.go
@@ -27,6 +27,7 @@
 	items    map[string]Item
 	revision Revision
 	history  history
+	removals removals
 }
 
 // NewView returns a view that knows nothing.
@@ -62,9 +63,10 @@
 	default:
 		out.Restored = told > known && v.revision != 0
 	}
-	if out.Restored || v.revision == 0 {
-		// Whoever knows less than this list needs all of it.
-		v.history = history{from: n.Revision}
+	if n.Whole {
+		// Whoever knows less than this list needs all of it: a key that came and went before it is in no list, and
+		// whoever saw it come would believe in it for ever.
+		v.history, v.removals = history{from: n.Revision}, removals{from: n.Revision}
 	}
 	items := slices.Clone(n.Items)
 	if n.Whole {
@@ -72,6 +74,9 @@
 	}
 	slices.SortStableFunc(items, compareRevisions)
 	for _, i := range items {
+		if _, known := v.items[i.Key]; !known && !n.Whole && i.Revision <= out.Before {
+			continue // it was removed since, as is known
+		}
 		v.applyItem(i, &out)
 	}
 	v.revision = max(v.revision, n.Revision)
@@ -109,8 +114,10 @@
 	v.history.add(i)
 	if i.Removed {
 		delete(v.items, i.Key)
+		v.removals.add(i, max(maxChanges, len(v.items)))
 		return
 	}
+	delete(v.removals.at, i.Key)
 	v.items[i.Key] = i
 }
 
@@ -138,10 +145,14 @@
 	return i, ok
 }
 
-// Since returns news that tell of all changes after the revision: of the changes alone, or of everything that there is.
+// Since returns news that tell of all changes after the revision: of each change while they are kept, else of how the
+// changed keys stand now, or of everything that there is.
 func (v *View) Since(after Revision) News {
 	out := News{Snapshot: Snapshot{Revision: v.revision}}
 	items, kept := v.history.since(after)
+	if !kept {
+		items, kept = v.changedSince(after)
+	}
 	if !kept {
 		out.Whole = true
 		items = slices.Collect(maps.Values(v.items))
@@ -149,3 +160,25 @@
 	out.Items = items
 	return out
 }
+
+// changedSince returns the keys that changed after the revision, or false if it is not known which were removed. A start
+// of a whole fleet changes more keys than the history keeps changes: hosts that were behind were sent everything again
+// and again, and the host that sent it needed 0.6 GB.
+func (v *View) changedSince(after Revision) ([]Item, bool) {
+	if after < v.removals.from {
+		return nil, false
+	}
+	var out []Item
+	for _, i := range v.items {
+		if i.Revision > after {
+			out = append(out, i)
+		}
+	}
+	for key, at := range v.removals.at {
+		if at > after {
+			out = append(out, Item{Key: key, Revision: at, Removed: true})
+		}
+	}
+	slices.SortFunc(out, compareRevisions)
+	return out, true
+}
--- a/core/kv/view_test.go
+++ b/core/kv/view_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"slices"
 	"testing"
 )
@@ -79,6 +80,69 @@
 	}
 }
 
+// When a fleet of a thousand starts, six thousand keys are written within seconds. Hosts that were more than the kept
+// changes behind were sent the whole list at each look, by a host whose memory that filled. They are sent the keys that
+// changed since, each once.
+func TestFollowerFarBehindIsSentWhatChanged(t *testing.T) {
+	const old, fresh = 20 * maxChanges, 4 * maxChanges
+	v := NewView(nil)
+	var items []Item
+	for i := range old {
+		items = append(items, item(fmt.Sprint("old-", i), "1", Revision(i+1)))
+	}
+	apply(t, v, whole(old, items...))
+	at := Revision(old)
+	for i := range fresh {
+		for range 2 { // each key is written twice
+			at++
+			apply(t, v, part(at, item(fmt.Sprint("new-", i), "1", at)))
+		}
+	}
+	at++
+	apply(t, v, part(at, Item{Key: "old-7", Revision: at, Removed: true}))
+	n := v.Since(old)
+	if n.Whole || len(n.Items) != fresh+1 || !slices.IsSortedFunc(n.Items, compareRevisions) {
+		t.Errorf("whole %t, %d items, want %d", n.Whole, len(n.Items), fresh+1)
+	}
+	if last := n.Items[len(n.Items)-1]; last.Key != "old-7" || !last.Removed {
+		t.Errorf("the last change is %+v", last)
+	}
+}
+
+// A host lists the store, misses that a key comes and goes, and lists it again. Another one that saw the key come asks it
+// for what changed since: it must not go on to believe in the key.
+func TestKeyThatCameAndWentBetweenListsIsGone(t *testing.T) {
+	feeder, follower := NewView(nil), NewView(nil)
+	for _, v := range []*View{feeder, follower} {
+		apply(t, v, whole(5, item("a", "1", 5)))
+	}
+	apply(t, follower, part(6, item("short", "1", 6)))
+	apply(t, feeder, whole(7, item("a", "1", 5)))
+	apply(t, follower, feeder.Since(follower.Revision()))
+	if i, ok := follower.Item("short"); ok {
+		t.Errorf("%+v is believed in still", i)
+	}
+}
+
+// The keys that were removed are not kept for ever: whoever may have missed one that is forgotten is sent everything.
+func TestForgottenRemovalsNeedTheWholeList(t *testing.T) {
+	v := NewView(nil)
+	apply(t, v, whole(1, item("kept", "1", 1)))
+	at := Revision(1)
+	for i := range 6 * maxChanges {
+		key := fmt.Sprint("k-", i)
+		apply(t, v, part(at+1, item(key, "1", at+1)))
+		apply(t, v, part(at+2, Item{Key: key, Revision: at + 2, Removed: true}))
+		at += 2
+	}
+	if n := v.Since(2); !n.Whole || len(n.Items) != 1 {
+		t.Errorf("whole %t, %d items", n.Whole, len(n.Items))
+	}
+	if len(v.removals.at) > maxChanges {
+		t.Errorf("%d removals are kept", len(v.removals.at))
+	}
+}
+
 // What the store has lost is told once, so that those who know it can write it again.
 func TestFormerItems(t *testing.T) {
 	v := NewView(laterByValue)
--- a/core/kv/world_test.go
+++ b/core/kv/world_test.go
@@ -20,7 +20,14 @@
 	counted byte
 	views   []*View
 	// late holds answers that are still under way.
-	late []News
+	late []lateNews
+}
+
+// lateNews is an answer to a host that asked for what changed after a revision. Changes come to no host that knows less
+// than the one which asked; lists may come to any.
+type lateNews struct {
+	News
+	after Revision
 }
 
 const plainKeys = 4
@@ -94,15 +101,21 @@
 		}
 	case 1:
 		if other := m.views[m.random.IntN(len(m.views))]; other.Revision() != 0 {
+			if m.random.IntN(2) == 0 { // the changes themselves are not kept any more
+				other.history = history{from: other.Revision()}
+			}
 			news = other.Since(v.Revision())
+			m.check(t, other, v, news)
 		}
 	case 2:
 		if len(m.late) > 0 {
-			news = m.late[m.random.IntN(len(m.late))]
+			if late := m.late[m.random.IntN(len(m.late))]; late.Whole || v.Revision() >= late.after {
+				news = late.News
+			}
 		}
 	}
 	if m.random.IntN(3) == 0 {
-		m.late = append(m.late, news)
+		m.late = append(m.late, lateNews{news, v.Revision()})
 	}
 	m.apply(t, v, news)
 }
@@ -125,6 +138,29 @@
 	}
 }
 
+// check checks that a host which takes over another one's changes knows all that the other one does.
+func (m *model) check(t *testing.T, from, to *View, news News) {
+	if from.Revision() < to.Revision() {
+		return // it has nothing to tell
+	}
+	copied := *to
+	copied.items, copied.history = maps.Clone(to.items), history{from: to.history.from, items: slices.Clone(to.history.items)}
+	copied.removals.at = maps.Clone(to.removals.at)
+	if _, err := copied.Apply(news); err != nil {
+		return
+	}
+	for key, want := range from.items {
+		if have, ok := copied.items[key]; !ok || have.Revision < want.Revision {
+			t.Fatalf("%s is %v after the changes since %v, want %v", key, have, to.Revision(), want)
+		}
+	}
+	for key, have := range copied.items {
+		if _, ok := from.items[key]; !ok && have.Revision <= from.Revision() {
+			t.Fatalf("%s is believed in still, and gone since %v", key, from.Revision())
+		}
+	}
+}
+
 func count(v *View) byte {
 	i, ok := v.Item("counted")
 	if !ok {
