A host that starts learns from hosts that know, and reads the store by turns

Cause: each host that started read the whole store, as it knew of no other host. Before 1,000 groups that is some 20 pages and 2 MB a host: 986 hosts ask for 16,000 pages and 2 GB of a store that carries 125 MB a second, within the 1.5 s that a list had; lists failed and began anew, and all hosts turned to three seeds, which sent each of them everything, uncompressed. Ruled out: only hosts chosen by rank (nobody knows the list that ranks them); seeds alone (at most three, some gone); a longer time for a list. Change: core/joining plans rounds: seeds read the store, others count the listed hosts with a stale read and ask three that have the list; a host reads the store itself with a chance of 32 in the number of hosts, or one that doubles each round while that is unknown. Fewer than 32 hosts that were listed before read the store at once, as before. A host feeds 48 others and sends 8 lists at a time, and names four others to whom it turns away. Whole lists are compressed and shared for a second. A page that failed is read again alone; after a watch that failed, what it missed is asked for by a watch that does not wait, in place of a whole list.

--- /dev/null
+++ b/core/joining/joiner_test.go
@@ -0,0 +1,218 @@
+package joining
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+)
+
+// world is a fleet whose hosts start together, before a store that tells who is listed.
+type world struct {
+	random *rand.Rand
+	hosts  []*starter
+	// listed are those that the store lists, which need not run.
+	listed []netip.AddrPort
+	// away is the share of hosts that the store turns away.
+	away float64
+	// reads are the moments at which a host read the whole store.
+	reads []time.Duration
+	now   time.Duration
+}
+
+type starter struct {
+	addr   netip.AddrPort
+	joiner *Joiner
+	due    time.Duration
+	// informed hosts pass on from knows on, to so many at once; dead ones answer nothing.
+	informed, dead, away bool
+	knows                time.Duration
+	passing              []time.Duration
+	pauses               int
+}
+
+const (
+	roundTrip  = 2 * time.Millisecond
+	passOnTime = 300 * time.Millisecond
+	readTime   = 400 * time.Millisecond
+	passOnMost = 8
+)
+
+func addrOf(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 1)
+}
+
+func newWorld(seed uint64, n, informed int, listed bool) *world {
+	w := &world{random: rand.New(rand.NewPCG(seed, 7))}
+	seeds := []netip.AddrPort{addrOf(0), addrOf(1), addrOf(2)}
+	for i := range n {
+		s := &starter{addr: addrOf(i), informed: i >= n-informed, due: time.Duration(w.random.IntN(300)) * time.Millisecond}
+		s.joiner = New(s.addr, seeds, w.random.Float64)
+		w.hosts = append(w.hosts, s)
+		if listed {
+			w.listed = append(w.listed, s.addr)
+		}
+	}
+	return w
+}
+
+// play runs until all are informed, and returns how long that took, or false if it took over half a minute.
+func (w *world) play() (time.Duration, bool) {
+	for _, s := range w.hosts {
+		s.away = w.random.Float64() < w.away
+	}
+	for w.now < 30*time.Second {
+		next := slices.MinFunc(w.hosts, func(a, b *starter) int { return cmp.Compare(w.dueOf(a), w.dueOf(b)) })
+		if w.dueOf(next) == never {
+			return w.now, true
+		}
+		w.now = next.due
+		w.step(next)
+	}
+	return w.now, false
+}
+
+const never = time.Hour
+
+func (w *world) dueOf(s *starter) time.Duration {
+	if s.informed || s.dead {
+		return never
+	}
+	return s.due
+}
+
+func (w *world) step(s *starter) {
+	switch step := s.joiner.Next().(type) {
+	case Pause:
+		s.pauses++
+		s.due += step.For
+	case CountHosts:
+		s.due += 2 * roundTrip
+		if !s.away {
+			s.joiner.Counted(w.listed)
+		}
+	case ReadStore:
+		w.reads = append(w.reads, w.now)
+		s.due += readTime
+		if !s.away {
+			w.inform(s)
+		}
+	case AskHost:
+		s.due += roundTrip
+		from := w.hosts[int(step.Addr.Addr().As4()[2])<<8|int(step.Addr.Addr().As4()[3])]
+		from.passing = slices.DeleteFunc(from.passing, func(until time.Duration) bool { return until < w.now })
+		switch {
+		case from.dead:
+			s.due += 300 * time.Millisecond
+		case !from.informed || from.knows > w.now:
+		case len(from.passing) < passOnMost:
+			from.passing = append(from.passing, w.now+passOnTime)
+			s.due += passOnTime
+			w.inform(s)
+		default:
+			s.joiner.Busy(w.some())
+		}
+	}
+}
+
+// some returns informed hosts, as a busy one names them.
+func (w *world) some() []netip.AddrPort {
+	var out []netip.AddrPort
+	for range 20 {
+		if s := w.hosts[w.random.IntN(len(w.hosts))]; s.informed && len(out) < 4 {
+			out = append(out, s.addr)
+		}
+	}
+	return out
+}
+
+func (w *world) inform(s *starter) {
+	s.informed, s.knows = true, s.due
+	if !slices.Contains(w.listed, s.addr) {
+		w.listed = append(w.listed, s.addr)
+	}
+}
+
+// readsIn returns the most reads of the store in a second.
+func (w *world) readsIn(span time.Duration) int {
+	most := 0
+	for i, from := range w.reads {
+		n := 0
+		for _, at := range w.reads[i:] {
+			if at < from+span {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+// All hosts of a fleet start, or half of them start again, or all do while their entries stand, or the seeds are gone, or
+// the store turns a third away. Each must learn what is in the store within seconds, and no more hosts must read all of it
+// at a time than the store carries, however large the fleet is.
+func TestFleetLearnsFromAFewReaders(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		informed float64
+		listed   bool
+		change   func(*world)
+		within   time.Duration
+	}{
+		{"first start", 0, false, nil, 5 * time.Second},
+		{"half start again", 0.45, true, nil, 4 * time.Second},
+		{"all start again", 0, true, nil, 5 * time.Second},
+		{"first start with dead seeds", 0, false, func(w *world) {
+			for _, s := range w.hosts[:3] {
+				s.dead = true
+			}
+		}, 10 * time.Second},
+		{"the store turns a third away", 0, true, func(w *world) { w.away = 0.33 }, 8 * time.Second},
+	} {
+		for _, n := range []int{100, 1000, 2000} {
+			t.Run(fmt.Sprintf("%s/%d", c.name, n), func(t *testing.T) {
+				w := newWorld(uint64(n), n, int(c.informed*float64(n)), c.listed)
+				if c.change != nil {
+					c.change(w)
+				}
+				took, ok := w.play()
+				if !ok || took > c.within {
+					t.Errorf("all know the list after %s, want %s", took, c.within)
+				}
+				if most := w.readsIn(time.Second); most > 5*readersAtOnce {
+					t.Errorf("%d hosts read the store within a second, want at most %d", most, 5*readersAtOnce)
+				}
+				t.Logf("%s, %d reads, %d in a second", took, len(w.reads), w.readsIn(time.Second))
+			})
+		}
+	}
+}
+
+// A few hosts that start again read the store at once: it is nearer than another host that may be starting as well.
+func TestSmallFleetReadsTheStore(t *testing.T) {
+	w := newWorld(1, 8, 0, true)
+	for _, s := range w.hosts[3:] {
+		s.joiner.Next()
+		s.joiner.Counted(w.listed)
+		if _, ok := s.joiner.Next().(ReadStore); !ok {
+			t.Errorf("%s does not read the store at once", s.addr)
+		}
+	}
+}
+
+// A host without seeds and one that is a seed ask the store before all else, and others when it fails.
+func TestSeedsReadTheStore(t *testing.T) {
+	for _, j := range []*Joiner{New(addrOf(1), []netip.AddrPort{addrOf(0), addrOf(1)}, rand.Float64), New(addrOf(1), nil, rand.Float64)} {
+		if _, ok := j.Next().(ReadStore); !ok {
+			t.Error("the store is not asked first")
+		}
+		for {
+			if _, ok := j.Next().(Pause); ok {
+				break
+			}
+		}
+	}
+}
--- /dev/null
+++ b/core/joining/step.go
@@ -0,0 +1,25 @@
+package joining
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Step is what a host does next. Its implementations are ReadStore, CountHosts, AskHost and Pause.
+type Step interface{ isStep() }
+
+type (
+	// ReadStore reads everything from the store.
+	ReadStore struct{}
+	// CountHosts reads from the store which hosts are listed. The list may be some seconds old.
+	CountHosts struct{}
+	// AskHost asks another host to pass on what it knows.
+	AskHost struct{ Addr netip.AddrPort }
+	// Pause waits.
+	Pause struct{ For time.Duration }
+)
+
+func (ReadStore) isStep()  {}
+func (CountHosts) isStep() {}
+func (AskHost) isStep()    {}
+func (Pause) isStep()      {}
--- /dev/null
+++ b/core/kv/page.go
@@ -0,0 +1,53 @@
+package kv
+
+import "github.com/pkg/errors"
+
+// Range names keys of a store, in the order of the keys.
+type Range struct {
+	// Prefix is what the keys start with.
+	Prefix string
+	// After is the key before the first one, or empty.
+	After string
+	// Stale is true if the answer may be some seconds old.
+	Stale bool
+}
+
+// Page is the beginning of a range.
+type Page struct {
+	Snapshot
+	// More is true if there are further keys.
+	More bool
+}
+
+// List puts a list together from its pages. These are no snapshot, so that the list holds as of the first one: a watch
+// from there tells what has changed since. Use it for one list.
+type List struct {
+	Snapshot
+	first    bool
+	complete bool
+	after    string
+}
+
+// ErrTorn means that the store came back from an older copy between two pages of a list.
+var ErrTorn = errors.New("the pages of the list are of different copies of the store")
+
+// Next returns the key after which the next page begins, or false once the list is complete.
+func (l *List) Next() (after string, more bool) { return l.after, !l.complete }
+
+// Begun reports whether any page was added.
+func (l *List) Begun() bool { return l.first }
+
+// Add takes over the next page, or returns ErrTorn.
+func (l *List) Add(p Page) error {
+	if !l.first {
+		l.first, l.Revision = true, p.Revision
+	}
+	if p.Revision.Epoch() != l.Revision.Epoch() {
+		return ErrTorn
+	}
+	l.Items = append(l.Items, p.Items...)
+	if l.complete = !p.More || len(p.Items) == 0; !l.complete {
+		l.after = p.Items[len(p.Items)-1].Key
+	}
+	return nil
+}
--- a/internal/gateway/fakefleet_test.go
+++ b/internal/gateway/fakefleet_test.go
@@ -31,6 +31,7 @@
 	carried map[string]int // requests by the host that took them
 	// questions counts those for leases and positions.
 	questions atomic.Int64
+	seeds     []netip.AddrPort
 	// looks counts the calls with which hosts look for news in the store, by host.
 	looks map[string]int
 }
@@ -51,9 +52,9 @@
 }
 
 func (f *fakeFleet) start(i int, class freshness.Class) {
-	name, addr := fmt.Sprintf("h%d", i), netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 1)
+	name, addr := fmt.Sprintf("h%d", i), addrOf(i)
 	settings := Settings{
-		Host: name, Zone: fmt.Sprintf("z%d", i%3), MemberDrain: 7 * time.Second, Grace: 6 * time.Second, PromotionTokens: true, Peer: addr,
+		Host: name, Zone: fmt.Sprintf("z%d", i%3), MemberDrain: 7 * time.Second, Grace: 6 * time.Second, PromotionTokens: true, Peer: addr, Seeds: f.seeds,
 	}
 	h := NewHost(settings, Ports{
 		Dialer: hostDialer{f, name}, Store: hostStore{f.site, f, name}, Promoter: f.site, Peers: &fakePeers{f, name}, Decode: fakeDecoder{class},
@@ -74,6 +75,11 @@
 	}
 }
 
+// addrOf returns the address of the i-th host for others.
+func addrOf(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 1)
+}
+
 // set changes one of the fleet's faults.
 func (f *fakeFleet) set(fault map[string]bool, host string, on bool) {
 	f.mu.Lock()
@@ -172,12 +178,12 @@
 	s.fleet.looks[s.host]++
 }
 
-func (s hostStore) List(ctx context.Context, prefix string) (kv.Snapshot, error) {
+func (s hostStore) List(ctx context.Context, r kv.Range) (kv.Page, error) {
 	s.looked()
 	if err := s.reach(ctx); err != nil {
-		return kv.Snapshot{}, err
+		return kv.Page{}, err
 	}
-	return s.fakeSite.List(ctx, prefix)
+	return s.fakeSite.List(ctx, r)
 }
 
 func (s hostStore) Watch(ctx context.Context, prefix string, after kv.Revision, wait time.Duration) (kv.Snapshot, error) {
--- a/internal/gateway/fakesite_test.go
+++ b/internal/gateway/fakesite_test.go
@@ -74,6 +74,9 @@
 	keyLease map[string]int64
 	down     bool // the store answers nothing
 	refusing bool // the store refuses all calls at once
+	// pages counts the pages that were read. Each holds pageItems items at most, if that is set, and each failPage-th
+	// fails, if that is.
+	pages, pageItems, failPage int
 	// tokens holds the highest token of a promotion; late holds back orders.
 	token  int64
 	orders []string
--- a/internal/gateway/fakestore_test.go
+++ b/internal/gateway/fakestore_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -126,17 +127,25 @@
 	return nil
 }
 
-func (s *fakeSite) List(ctx context.Context, prefix string) (kv.Snapshot, error) {
+func (s *fakeSite) List(ctx context.Context, r kv.Range) (kv.Page, error) {
 	if err := s.reach(ctx); err != nil {
-		return kv.Snapshot{}, err
+		return kv.Page{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := kv.Snapshot{Revision: s.revision}
-	for key, i := range s.items {
-		if strings.HasPrefix(key, prefix) && !i.Removed {
-			out.Items = append(out.Items, i)
+	s.pages++
+	if s.failPage > 0 && s.pages%s.failPage == 0 {
+		return kv.Page{}, errDown
+	}
+	out := kv.Page{Snapshot: kv.Snapshot{Revision: s.revision}}
+	for _, key := range slices.Sorted(maps.Keys(s.items)) {
+		if i := s.items[key]; !strings.HasPrefix(key, r.Prefix) || key <= r.After || i.Removed {
+			continue
+		}
+		if out.More = s.pageItems > 0 && len(out.Items) == s.pageItems; out.More {
+			break
 		}
+		out.Items = append(out.Items, s.items[key])
 	}
 	return out, nil
 }
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -20,8 +21,15 @@
 	watchWait = time.Second
 	// watchSlack is how much longer the answer may take.
 	watchSlack = 500 * time.Millisecond
-	// listTimeout bounds the reading of a prefix.
-	listTimeout = 1500 * time.Millisecond
+	// pageTimeout bounds the reading of a page of a list, which carries up to a megabyte. After the first one, a page
+	// that failed is read again, pageTries times in all: a list of 20 pages from a store that refuses every third call
+	// would else hardly ever end.
+	pageTimeout = 1500 * time.Millisecond
+	pageTries   = 4
+	pagePause   = 60 * time.Millisecond
+	// catchUpWait is how long the store may hold a watch back after one that failed: what that missed is asked for, not
+	// waited for.
+	catchUpWait = time.Millisecond
 	// watchSpacing is the least time between two watches. When all hosts start, their entries come
 	// one by one: a watch for each cost five hosts 319 calls in two seconds, and callers notice
 	// nothing of a tenth of a second by which a host later learns of the next change.
@@ -31,9 +39,12 @@
 // followStore asks the store once for what has changed.
 func (h *Host) followStore(ctx context.Context) error {
 	h.mu.Lock()
-	revision, relist := h.view.Revision(), h.relist
+	revision, wait := h.view.Revision(), watchWait
+	if h.missed {
+		wait = catchUpWait
+	}
 	h.mu.Unlock()
-	if revision == 0 || relist {
+	if revision == 0 {
 		return h.listAll(ctx)
 	}
 	if !sleep(ctx, watchSpacing-h.now().Sub(h.watchedAt)) {
@@ -42,17 +53,15 @@
 	h.watchedAt = h.now()
 	call, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
 	defer cancel()
-	s, err := h.ports.Store.Watch(call, "", revision, watchWait)
+	s, err := h.ports.Store.Watch(call, "", revision, wait)
 	if errors.Is(err, ErrCompacted) {
 		h.log("store_history_gone", "revision", revision)
 		return h.listAll(ctx)
 	}
+	h.mu.Lock()
+	h.missed = err != nil
+	h.mu.Unlock()
 	if err != nil {
-		// What the watch missed is read anew: the list tells in one call what
-		// holds now.
-		h.mu.Lock()
-		h.relist = true
-		h.mu.Unlock()
 		return err
 	}
 	err = h.apply(News{News: kv.News{Snapshot: s}})
@@ -64,15 +73,41 @@
 
 // listAll reads everything anew.
 func (h *Host) listAll(ctx context.Context) error {
-	call, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
-	s, err := h.ports.Store.List(call, "")
+	s, err := h.list(ctx, kv.Range{})
 	if err != nil {
 		return err
 	}
 	return h.apply(News{News: kv.News{Snapshot: s, Whole: true}})
 }
 
+// list reads all pages of a range. They are no snapshot, and the revision is that of the first one.
+func (h *Host) list(ctx context.Context, r kv.Range) (kv.Snapshot, error) {
+	var list kv.List
+	for more := true; more; {
+		p, err := h.page(ctx, r, list.Begun())
+		if err == nil {
+			err = list.Add(p)
+		}
+		if err != nil {
+			return kv.Snapshot{}, err
+		}
+		r.After, more = list.Next()
+	}
+	return list.Snapshot, nil
+}
+
+// page reads a page. again is true if one that fails is to be tried again.
+func (h *Host) page(ctx context.Context, r kv.Range, again bool) (kv.Page, error) {
+	for tries := 1; ; tries++ {
+		call, cancel := context.WithTimeout(ctx, pageTimeout)
+		p, err := h.ports.Store.List(call, r)
+		cancel()
+		if err == nil || !again || tries == pageTries || !sleep(ctx, pagePause+rand.N(pagePause)) {
+			return p, err
+		}
+	}
+}
+
 // apply takes over news of the store.
 func (h *Host) apply(n News) error {
 	h.mu.Lock()
@@ -83,9 +118,6 @@
 	}
 	h.logApplied(applied)
 	h.remember(applied.Former)
-	if n.Whole {
-		h.relist = false
-	}
 	if applied.Before == 0 {
 		close(h.informed)
 	}
--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -42,6 +42,9 @@
 // follow keeps the host's view of the store up to date.
 func (h *Host) follow(ctx context.Context) {
 	f := &follower{host: h, since: h.now(), pause: sourcePause}
+	if h.ports.Peers != nil {
+		f.join(ctx)
+	}
 	for ctx.Err() == nil {
 		sources := h.sources()
 		f.at %= len(sources)
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -93,8 +93,8 @@
 	grouped chan struct{}
 	// view is what the host knows of the store.
 	view *kv.View
-	// relist is true after a watch failed: what it missed must be read anew.
-	relist bool
+	// missed is true after a watch failed: what it missed is to be asked for.
+	missed bool
 	// seen is the revision of view, for groups.
 	seen atomic.Int64
 	// configRevision is that of the configuration's item that was read last.
@@ -112,6 +112,12 @@
 	changed chan struct{}
 	heardAt time.Time
 
+	// feeds counts the hosts that news are passed on to, and lists the whole lists that are being sent.
+	feeds, lists atomic.Int64
+	// listed is the last whole list that was sent, of listedAt, for further hosts that need one.
+	listed   kv.News
+	listedAt time.Time
+
 	// remembered holds, by group, the newest record known from before the store last came back from an older copy.
 	remembered map[string]leadership.Found
 
@@ -286,6 +292,7 @@
 			g.trim()
 			g.trimControls()
 		}
+		h.forgetList()
 	}
 }
 
--- a/internal/gateway/meteredstore.go
+++ b/internal/gateway/meteredstore.go
@@ -36,10 +36,14 @@
 }
 
 // List implements Store.
-func (s meteredStore) List(ctx context.Context, prefix string) (kv.Snapshot, error) {
+func (s meteredStore) List(ctx context.Context, r kv.Range) (kv.Page, error) {
 	started := s.now()
-	out, err := s.store.List(ctx, prefix)
-	s.meter("list", started, err)
+	out, err := s.store.List(ctx, r)
+	kind := "list"
+	if r.Stale {
+		kind = "list_stale"
+	}
+	s.meter(kind, started, err)
 	return out, err
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -165,4 +165,7 @@
 	kv.News
 	// Age is how long ago the store itself was heard of.
 	Age time.Duration
+	// Elsewhere is not empty if the host passes on to too many others already. Then there are no news, and these hosts
+	// have them.
+	Elsewhere []netip.AddrPort
 }
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -129,8 +129,8 @@
 // Store is the platform's store. It may come back from an older copy, see package kv. An error may come
 // after a write has taken effect.
 type Store interface {
-	// List returns the items whose keys start with prefix.
-	List(ctx context.Context, prefix string) (kv.Snapshot, error)
+	// List returns the first items of a range.
+	List(ctx context.Context, r kv.Range) (kv.Page, error)
 	// Watch waits for changes after the revision, at most for wait, and returns
 	// them with the revision to go on from. ErrCompacted means that the changes
 	// are no longer kept. If the revision to go on from is of another epoch, the changes do not
--- a/internal/gateway/register.go
+++ b/internal/gateway/register.go
@@ -74,7 +74,7 @@
 func (h *Host) read(ctx context.Context, key string) (kv.Item, error) {
 	call, cancel := context.WithTimeout(ctx, leaseTimeout)
 	defer cancel()
-	s, err := h.ports.Store.List(call, key)
+	s, err := h.ports.Store.List(call, kv.Range{Prefix: key})
 	if err != nil {
 		return kv.Item{}, err
 	}
--- a/internal/gateway/source.go
+++ b/internal/gateway/source.go
@@ -7,14 +7,10 @@
 
 	"github.com/pkg/errors"
 
-	"pearlatch/core/kv"
 	"pearlatch/core/membership"
 )
 
 const (
-	// newsPause is the longest pause between two messages of a feed. It tells the
-	// other side that the feed lives.
-	newsPause = 400 * time.Millisecond
 	// feedTimeout is how long a feed may be silent: two messages may be late.
 	feedTimeout = 1100 * time.Millisecond
 	// feedOpenTimeout bounds the opening of a feed.
@@ -70,6 +66,9 @@
 		if err != nil {
 			return err
 		}
+		if len(news.Elsewhere) > 0 {
+			return &busyError{news.Elsewhere}
+		}
 		news.Age += newsTransit
 		if err := h.apply(news); err != nil {
 			return err
@@ -92,6 +91,11 @@
 	return nil
 }
 
+// busyError means that a host passes news on to too many others, and names some that have them.
+type busyError struct{ elsewhere []netip.AddrPort }
+
+func (*busyError) Error() string { return "the host passes news on to too many others" }
+
 // errStaleNews means that a host has not heard of the store lately either.
 var errStaleNews = errors.New("the news is old")
 
@@ -101,7 +105,7 @@
 		return []source{storeSource{}}
 	}
 	if !h.fleet.known() {
-		return append([]source{storeSource{}}, toSources(h.settings.Seeds)...)
+		return []source{storeSource{}}
 	}
 	feeds := h.fleet.feedsOf()
 	var addrs []netip.AddrPort
@@ -128,42 +132,3 @@
 func (h *Host) self() membership.Host {
 	return h.fleet.self
 }
-
-// Feed passes on what changed in the store after the revision until ctx ends or send
-// fails.
-func (h *Host) Feed(ctx context.Context, after kv.Revision, send func(News) error) error {
-	for {
-		news, changed, err := h.newsAfter(after)
-		if err != nil {
-			return err
-		}
-		if err := send(news); err != nil {
-			return err
-		}
-		after = max(after, news.Revision)
-		pause := time.NewTimer(newsPause)
-		select {
-		case <-changed:
-		case <-pause.C:
-		case <-ctx.Done():
-			pause.Stop()
-			return ctx.Err()
-		}
-		pause.Stop()
-	}
-}
-
-// errNoNews means that a host has nothing to pass on, or is about to end.
-var errNoNews = errors.New("no news to pass on")
-
-// newsAfter returns what changed after the revision, and what is closed with the next
-// change.
-func (h *Host) newsAfter(after kv.Revision) (News, chan struct{}, error) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.view.Revision() == 0 || h.stopping.Load() {
-		return News{}, nil, errNoNews
-	}
-	n := News{News: h.view.Since(after), Age: h.now().Sub(h.heardAt)}
-	return n, h.changed, nil
-}
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"pearlatch/core/group"
+	"pearlatch/core/kv"
 	"pearlatch/internal/gateway"
 	"pearlatch/platform"
 )
@@ -214,7 +215,7 @@
 		t.Fatal(err)
 	}
 	s.Restore(b)
-	list, err := v.List(ctx, "")
+	list, err := v.List(ctx, kv.Range{})
 	if err != nil || len(list.Items) != 1 || list.Items[0].Key != "kept" || list.Revision.Epoch() != 1 {
 		t.Errorf("%+v, %v", list, err)
 	}
--- a/internal/site/store.go
+++ b/internal/site/store.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -176,20 +178,27 @@
 }
 
 // List implements gateway.Store.
-func (v storeView) List(ctx context.Context, prefix string) (kv.Snapshot, error) {
+func (v storeView) List(ctx context.Context, r kv.Range) (kv.Page, error) {
 	if err := v.enter(ctx); err != nil {
-		return kv.Snapshot{}, err
+		return kv.Page{}, err
 	}
 	defer v.store.mu.Unlock()
-	out := kv.Snapshot{Revision: v.store.revision}
-	for key, i := range v.store.items {
-		if strings.HasPrefix(key, prefix) {
-			out.Items = append(out.Items, i)
+	out := kv.Page{Snapshot: kv.Snapshot{Revision: v.store.revision}}
+	for _, key := range slices.Sorted(maps.Keys(v.store.items)) {
+		if !strings.HasPrefix(key, r.Prefix) || key <= r.After {
+			continue
 		}
+		if out.More = len(out.Items) == pageItems; out.More {
+			break
+		}
+		out.Items = append(out.Items, v.store.items[key])
 	}
 	return out, nil
 }
 
+// pageItems is the most that a page of a list holds.
+const pageItems = 500
+
 // Watch implements gateway.Store.
 func (v storeView) Watch(ctx context.Context, prefix string, after kv.Revision, wait time.Duration) (kv.Snapshot, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait)
--- a/internal/soak/flaw_test.go
+++ b/internal/soak/flaw_test.go
@@ -256,7 +256,7 @@
 }
 
 func (p confusedPromoter) Promote(ctx context.Context, holder string, token int64, groupName, member string) error {
-	list, err := p.store.List(ctx, "servers/")
+	list, err := p.store.List(ctx, kv.Range{Prefix: "servers/"})
 	if err != nil {
 		return err
 	}
@@ -323,9 +323,10 @@
 	return s
 }
 
-func (s epochlessStore) List(ctx context.Context, prefix string) (kv.Snapshot, error) {
-	out, err := s.Store.List(ctx, prefix)
-	return inFirstEpoch(out), err
+func (s epochlessStore) List(ctx context.Context, r kv.Range) (kv.Page, error) {
+	out, err := s.Store.List(ctx, r)
+	out.Snapshot = inFirstEpoch(out.Snapshot)
+	return out, err
 }
 
 func (s epochlessStore) Watch(ctx context.Context, prefix string, after kv.Revision, wait time.Duration) (kv.Snapshot, error) {
--- a/io/peer/gateway_client.go
+++ b/io/peer/gateway_client.go
@@ -144,7 +144,7 @@
 		return nil, err
 	}
 	f := &feed{addr: to, stream: s}
-	if err := s.drpc.MsgSend(&feedRequest{after}, encoding{}); err != nil {
+	if err := s.drpc.MsgSend(&feedRequest{after: after, packs: true}, encoding{}); err != nil {
 		f.Close()
 		return nil, errors.Wrapf(err, "ask host %s for news", to)
 	}
--- a/io/peer/gateway_codec_test.go
+++ b/io/peer/gateway_codec_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/hex"
 	"flag"
+	"fmt"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"reflect"
@@ -50,7 +52,11 @@
 		"member_reply": &memberReply{
 			Leads: true, Received: position, Term: 3, Fenced: 4, Lag: 12 * time.Millisecond, Running: 2, Connections: 17,
 		},
-		"feed_request":                  &feedRequest{after: 412},
+		"feed_request":        &feedRequest{after: 412},
+		"feed_request_packed": &feedRequest{after: 412, packs: true},
+		"news_elsewhere": &newsMessage{News: gateway.News{
+			Elsewhere: []netip.AddrPort{netip.MustParseAddrPort("10.1.0.8:8782"), netip.MustParseAddrPort("10.2.0.6:8782")}, Age: time.Hour,
+		}, packer: &packer{}},
 		"feed_request_of_a_later_epoch": &feedRequest{after: kv.At(3, 412)},
 		"news_of_a_later_epoch": &newsMessage{News: gateway.News{News: kv.News{
 			Snapshot: kv.Snapshot{Items: []kv.Item{{Key: "k", Value: []byte("v"), Revision: kv.At(3, 9), Created: 4}}, Revision: kv.At(3, 10)},
@@ -150,6 +156,45 @@
 	}
 }
 
+// A fleet that starts sends the list of 1,000 groups' members to each host: plain, it fills the link of a host with sixteen
+// below it for seconds. A host of a version that does not read packed lists is sent a plain one.
+func TestWholeListIsCompressedOnce(t *testing.T) {
+	s := kv.Snapshot{Revision: 9}
+	for i := range 3000 {
+		s.Items = append(s.Items, kv.Item{
+			Key: fmt.Sprintf("servers/i-%08x", i*2654435761), Revision: kv.Revision(i + 1), Created: int64(i),
+			Value: fmt.Appendf(nil, `{"service":"allergen-core-%d","address":"10.1.%d.%d:5432","zone":"z","slots":3,"state":"ready"}`, i/3, i/256, i%256),
+		})
+	}
+	p := &packer{}
+	news := func(packs bool) *newsMessage {
+		return &newsMessage{News: gateway.News{News: kv.News{Snapshot: s, Whole: true}}, packer: p, packs: packs}
+	}
+	sizes := map[bool]int{}
+	for _, packs := range []bool{false, true} {
+		text, err := encoding{}.Marshal(news(packs))
+		if err != nil {
+			t.Fatal(err)
+		}
+		var out newsMessage
+		if err := (encoding{}).Unmarshal(text, &out); err != nil {
+			t.Fatal(err)
+		}
+		if !out.Whole || !reflect.DeepEqual(out.Items, s.Items) {
+			t.Errorf("packed %t: the list came back changed", packs)
+		}
+		sizes[packs] = len(text)
+	}
+	if sizes[true] > sizes[false]/4 {
+		t.Errorf("%d bytes are sent as %d", sizes[false], sizes[true])
+	}
+	first, _ := p.packList(s)
+	again, _ := p.packList(s)
+	if &first[0] != &again[0] {
+		t.Error("the same list was compressed twice")
+	}
+}
+
 // A value that claims to expand without end must not take the host's memory.
 func TestCompressedValueIsBounded(t *testing.T) {
 	bomb, err := deflate(make([]byte, maxUnpacked+1))
--- a/io/peer/gateway_server.go
+++ b/io/peer/gateway_server.go
@@ -51,7 +51,7 @@
 		return err
 	}
 	return r.h.Feed(stream.Context(), in.after, func(n gateway.News) error {
-		return stream.MsgSend(&newsMessage{n, &r.packer}, encoding{})
+		return stream.MsgSend(&newsMessage{n, &r.packer, in.packs}, encoding{})
 	})
 }
 
--- a/io/peer/news_messages.go
+++ b/io/peer/news_messages.go
@@ -1,30 +1,57 @@
 package peer
 
 import (
+	"net/netip"
+
 	"pearlatch/core/kv"
 	"pearlatch/internal/gateway"
 )
 
 // feedRequest asks for a feed.
-type feedRequest struct{ after kv.Revision }
+type feedRequest struct {
+	after kv.Revision
+	// packs is true if the asker reads lists that are compressed as a whole.
+	packs bool
+}
 
-func (m *feedRequest) fields(w *fieldWriter) { w.uint("after", uint64(m.after)) }
+func (m *feedRequest) fields(w *fieldWriter) {
+	w.uint("after", uint64(m.after))
+	w.bool("packs", m.packs)
+}
 
 func (m *feedRequest) field(name string, r *fieldReader) bool {
-	return name == "after" && readNumber(r, &m.after)
+	switch name {
+	case "after":
+		return readNumber(r, &m.after)
+	case "packs":
+		return r.bool(&m.packs)
+	}
+	return false
 }
 
 // newsMessage is gateway.News on the wire.
 type newsMessage struct {
 	gateway.News
-	// packer compresses large values.
+	// packer compresses large values, and if packs is true whole lists.
 	packer *packer
+	packs  bool
 }
 
 func (m *newsMessage) fields(w *fieldWriter) {
 	w.uint("revision", uint64(m.Revision))
 	w.bool("whole", m.Whole)
 	w.duration("age_us", m.Age)
+	elsewhere := make([]addrMessage, len(m.Elsewhere))
+	for i, a := range m.Elsewhere {
+		elsewhere[i] = addrMessage{a}
+	}
+	writeList(w, "elsewhere", elsewhere)
+	if m.packs && m.Whole {
+		packed, err := m.packer.packList(m.Snapshot)
+		w.keep(err)
+		w.bytes("packed_items", packed)
+		return
+	}
 	items := make([]itemMessage, len(m.Items))
 	for i, each := range m.Items {
 		packed, err := m.packer.pack(each)
@@ -43,16 +70,64 @@
 	case "age_us":
 		return r.duration(&m.Age)
 	case "items":
-		var list []itemMessage
+		m.Items = readItems(r)
+		return true
+	case "packed_items":
+		var packed []byte
+		r.bytes(&packed)
+		items, err := unpackList(packed)
+		r.keep(err)
+		m.Items = items
+		return true
+	case "elsewhere":
+		var list []addrMessage
 		readList(r, &list)
-		for _, i := range list {
-			m.Items = append(m.Items, i.Item)
+		for _, a := range list {
+			m.Elsewhere = append(m.Elsewhere, a.AddrPort)
 		}
 		return true
 	}
 	return false
 }
 
+func readItems(r *fieldReader) []kv.Item {
+	var list []itemMessage
+	readList(r, &list)
+	out := make([]kv.Item, len(list))
+	for i, each := range list {
+		out[i] = each.Item
+	}
+	return out
+}
+
+// listMessage is a list of keys of the store, to be compressed as a whole.
+type listMessage struct{ items []kv.Item }
+
+func (m *listMessage) fields(w *fieldWriter) {
+	items := make([]itemMessage, len(m.items))
+	for i, each := range m.items {
+		items[i] = itemMessage{Item: each}
+	}
+	writeList(w, "items", items)
+}
+
+func (m *listMessage) field(name string, r *fieldReader) bool {
+	if name != "items" {
+		return false
+	}
+	m.items = readItems(r)
+	return true
+}
+
+// addrMessage is a host's address for other hosts.
+type addrMessage struct{ netip.AddrPort }
+
+func (m *addrMessage) fields(w *fieldWriter) { w.str("addr", m.String()) }
+
+func (m *addrMessage) field(name string, r *fieldReader) bool {
+	return name == "addr" && readAddr(r, &m.AddrPort)
+}
+
 // itemMessage is a key of the store on the wire. If packed is not empty it stands for
 // the value.
 type itemMessage struct {
--- a/io/peer/pack.go
+++ b/io/peer/pack.go
@@ -20,11 +20,13 @@
 	maxUnpacked = 16 << 20
 )
 
-// packer compresses large values of the store, each revision of a key once. The zero
+// packer compresses large values of the store, each revision of a key once, and whole lists, the same one once. The zero
 // value is ready for use.
 type packer struct {
 	mu     sync.Mutex
 	packed map[string]packedValue
+	// list is the last list that was compressed.
+	list packedValue
 }
 
 type packedValue struct {
@@ -53,6 +55,36 @@
 	return out, nil
 }
 
+// packList returns the list compressed. Hosts that need one at the same time are sent the same.
+func (p *packer) packList(s kv.Snapshot) ([]byte, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.list.revision == s.Revision {
+		return p.list.bytes, nil
+	}
+	plain, err := encoding{}.Marshal(&listMessage{s.Items})
+	if err != nil {
+		return nil, err
+	}
+	out, err := deflate(plain)
+	if err != nil {
+		return nil, errors.Wrapf(err, "compress the list of revision %v", s.Revision)
+	}
+	p.list = packedValue{s.Revision, out}
+	return out, nil
+}
+
+// unpackList is the inverse of packList.
+func unpackList(packed []byte) ([]kv.Item, error) {
+	plain, err := inflate(packed)
+	if err != nil {
+		return nil, err
+	}
+	var m listMessage
+	err = encoding{}.Unmarshal(plain, &m)
+	return m.items, err
+}
+
 func deflate(value []byte) ([]byte, error) {
 	var b bytes.Buffer
 	w, err := flate.NewWriter(&b, flate.BestSpeed)
--- a/io/peer/stubsite_test.go
+++ b/io/peer/stubsite_test.go
@@ -36,12 +36,12 @@
 	hold chan struct{}
 }
 
-func (s *stubSite) List(context.Context, string) (kv.Snapshot, error) {
+func (s *stubSite) List(context.Context, kv.Range) (kv.Page, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return kv.Snapshot{Revision: s.revision, Items: []kv.Item{
+	return kv.Page{Snapshot: kv.Snapshot{Revision: s.revision, Items: []kv.Item{
 		{Key: "config", Value: []byte("c"), Revision: s.revision}, {Key: "members/a", Value: []byte("m"), Revision: 1}, {Key: "members/b", Value: []byte("m"), Revision: 1},
-	}}, nil
+	}}}, nil
 }
 
 func (s *stubSite) Watch(ctx context.Context, _ string, after kv.Revision, wait time.Duration) (kv.Snapshot, error) {
@@ -54,11 +54,11 @@
 	case <-ctx.Done():
 		return kv.Snapshot{}, ctx.Err()
 	}
-	out, err := s.List(ctx, "")
+	out, err := s.List(ctx, kv.Range{})
 	if out.Revision == after {
 		out.Items = nil
 	}
-	return out, err
+	return out.Snapshot, err
 }
 
 // change writes the next revision of the configuration.
