One lease a host holds all of its duties, and one call takes several

Cause: each duty had a lease of its own, renewed each 0.9 s, and five calls to take: a lease, the entry, the record of the holder before read, and written twice. For 1,000 groups that is 1,100 renewals a second and 5,000 calls at a start. One host's duties were tended one after the other, calls included: five of them before a store that takes 240 ms a call need 1.2 s a round, and are lost after 3 s. Ruled out: longer leases (a dead holder would be followed later); renewing side by side (as many calls). Change: the host's lease carries the entries of its duties and is renewed by a goroutine that waits for nothing else. Up to eight duties are taken in one transaction, each with its record, as far as that is known; if one is not to be had each is taken by itself. A duty given back writes its record and removes its entry in one transaction. An entry of this host that a lost answer left behind is not taken for that of an earlier process. Tests of 40 duties: 10 calls at most to take them, 15 renewals at most in 10 s, none lost before a store of 240 ms a call.

--- a/core/leadership/duty.go
+++ b/core/leadership/duty.go
@@ -20,8 +20,6 @@
 	LoseToRemoval
 	// ResignDuty gives the duty up while the host goes on for a while.
 	ResignDuty
-	// RenewDuty renews its lease.
-	RenewDuty
 	// InheritRecord reads what the holder before has left.
 	InheritRecord
 	// ReclaimDuty takes the duty of an entry that names this host: an earlier process of it has ended.
@@ -46,8 +44,8 @@
 	// Stopping is true once the host is to end, and MayServe while it may take duties. Candidate is true if it is among
 	// the hosts that take this one when nobody holds it.
 	Stopping, MayServe, Candidate bool
-	// RenewalDue is true when the lease is to be renewed, and Inherited once the record of the holder before was read.
-	RenewalDue, Inherited bool
+	// Inherited is true once the record of the holder before was read.
+	Inherited bool
 }
 
 // Next returns the next step.
@@ -61,8 +59,6 @@
 		return LoseToRemoval
 	case d.Held && d.Stopping:
 		return ResignDuty
-	case d.Held && d.RenewalDue:
-		return RenewDuty
 	case d.Held && !d.Inherited:
 		return InheritRecord
 	case d.Held:
--- a/core/leadership/dutystep_string.go
+++ b/core/leadership/dutystep_string.go
@@ -13,16 +13,15 @@
 	_ = x[LoseToHolder-2]
 	_ = x[LoseToRemoval-3]
 	_ = x[ResignDuty-4]
-	_ = x[RenewDuty-5]
-	_ = x[InheritRecord-6]
-	_ = x[ReclaimDuty-7]
-	_ = x[ClaimDuty-8]
-	_ = x[ForgetVacancy-9]
+	_ = x[InheritRecord-5]
+	_ = x[ReclaimDuty-6]
+	_ = x[ClaimDuty-7]
+	_ = x[ForgetVacancy-8]
 }
 
-const _DutyStep_name = "KeepDutyLoseToRestoreLoseToHolderLoseToRemovalResignDutyRenewDutyInheritRecordReclaimDutyClaimDutyForgetVacancy"
+const _DutyStep_name = "KeepDutyLoseToRestoreLoseToHolderLoseToRemovalResignDutyInheritRecordReclaimDutyClaimDutyForgetVacancy"
 
-var _DutyStep_index = [...]uint8{0, 8, 21, 33, 46, 56, 65, 78, 89, 98, 111}
+var _DutyStep_index = [...]uint8{0, 8, 21, 33, 46, 56, 69, 80, 89, 102}
 
 func (i DutyStep) String() string {
 	idx := int(i) - 0
--- /dev/null
+++ b/core/leadership/holding_test.go
@@ -0,0 +1,23 @@
+package leadership
+
+import (
+	"testing"
+	"time"
+)
+
+func TestRenewalDue(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		renewed, tried time.Duration
+		want           bool
+	}{
+		{"renewed just now", 100 * time.Millisecond, 100 * time.Millisecond, false},
+		{"the lease is due", time.Second, time.Second, true},
+		{"tried just now", 2 * time.Second, 300 * time.Millisecond, false},
+		{"it failed", 2 * time.Second, 700 * time.Millisecond, true},
+	} {
+		if got := RenewalDue(c.renewed, c.tried); got != c.want {
+			t.Errorf("%s: %t", c.name, got)
+		}
+	}
+}
--- a/internal/gateway/duty.go
+++ b/internal/gateway/duty.go
@@ -14,18 +14,14 @@
 )
 
 const (
-	// dutyLease is the life of the duty's entry: after a holder's death, another
-	// host takes the duty this much later.
+	// dutyLease is the life of the lease under which a host's duties stand: after the host's death, others
+	// take them this much later.
 	dutyLease = 3 * time.Second
 	// recordTimeout bounds the writing of what the next holder must know.
 	recordTimeout = 500 * time.Millisecond
 	// lateOrder is how long an order without an answer may still be carried out where the
 	// platform checks no fencing tokens: the users' late calls come up to 6 s after.
 	lateOrder = 8 * time.Second
-	// dutyRenewal is the pause between renewals: two may get lost.
-	dutyRenewal = 900 * time.Millisecond
-	// dutyRetry is the pause between renewals while they fail.
-	dutyRetry = 600 * time.Millisecond
 	// dutyStagger is how much longer each host of a lower rank waits before it
 	// takes a duty that nobody holds, so that the first one usually succeeds.
 	dutyStagger = 150 * time.Millisecond
@@ -36,6 +32,9 @@
 	// that hears no news tried ten times a second to take what another one had taken, three calls each.
 	takeRetry    = 200 * time.Millisecond
 	takeRetryMax = 3200 * time.Millisecond
+	// takeBatch is how many duties are taken in one transaction, of at most 32 entries: each needs two expectations
+	// and two writes.
+	takeBatch = 8
 	// takeoverPause is how long an order may take to be carried out that was accepted: the users'
 	// members take up to 1 s to lead.
 	takeoverPause = 1200 * time.Millisecond
@@ -55,8 +54,11 @@
 	token kv.Revision
 	// since is when the duty was taken; renewed is when the entry was last known to be this host's.
 	since, renewed time.Time
-	// unbroken is true while each renewal since then has succeeded.
+	// unbroken is true while each renewal of the lease since then has succeeded.
 	unbroken bool
+	// unsure is true after a write of the entry whose outcome is not known: an entry of this host may then be a later
+	// one than the holder's before.
+	unsure bool
 	// raisedAt is when the platform first acknowledged a token of this host since it took the duty, or
 	// zero.
 	raisedAt time.Time
@@ -78,12 +80,12 @@
 	woken time.Time
 	// resigned is true once the duty is being given up while its leases end.
 	resigned bool
-	// tried is when a renewal was last tried.
-	tried time.Time
 	// vacant is since when nobody has held the duty, or zero. After a try to take it that failed the next
 	// one comes no sooner than retryAt, after takePause.
 	vacant, retryAt time.Time
 	takePause       time.Duration
+	// apart is true if the record is to be read and written after the duty was taken, not along with it.
+	apart bool
 	// ordered is the member named by the last order, orderedToken its token and orderedAt
 	// when it was given last, until it is seen to lead. Empty means that no order is open.
 	ordered      string
@@ -105,19 +107,27 @@
 	var wait sync.WaitGroup
 	defer wait.Wait()
 	for h.awaitLook(ctx) {
+		var due []*duty
 		for _, g := range h.allGroups() {
-			if d := h.look(ctx, g, wait.Go); d != nil {
-				d.tend(ctx)
+			if d := h.look(ctx, g, wait.Go); d != nil && d.tend(ctx) {
+				due = append(due, d)
 			}
 		}
+		h.take(ctx, due)
 		h.dropUnneeded()
 	}
+	for _, d := range h.heldDuties() {
+		d.lose("stopping")
+	}
+	h.holding.end()
+}
+
+// heldDuties returns the duties that the host holds.
+func (h *Host) heldDuties() []*duty {
 	h.mu.Lock()
 	duties := slices.Collect(maps.Values(h.duties))
 	h.mu.Unlock()
-	for _, d := range duties {
-		d.giveUp("stopping")
-	}
+	return slices.DeleteFunc(duties, func(d *duty) bool { return !d.isHeld() })
 }
 
 // awaitLook waits until the duties are to be looked at again, or a Group has come into being. It returns false when ctx
@@ -134,35 +144,33 @@
 	return true
 }
 
-// tend takes the duty if it falls to this host, renews it, or gives it up.
-func (d *duty) tend(ctx context.Context) {
+// tend does what is due about the duty, and reports whether it is to be taken.
+func (d *duty) tend(ctx context.Context) (takes bool) {
 	now := d.host.now()
-	state, holder := d.state(now)
+	state, holder := d.state()
 	switch state.Next() {
 	case leadership.LoseToRestore:
 		d.lose(restoredStore)
 	case leadership.LoseToHolder:
-		d.giveUp("taken by " + holder)
+		d.lose("taken by " + holder)
 	case leadership.LoseToRemoval:
-		d.giveUp("entry taken away")
+		d.lose("entry taken away")
 	case leadership.ResignDuty:
 		d.resign(ctx)
-	case leadership.RenewDuty:
-		d.tried = now
-		d.renew(ctx)
 	case leadership.InheritRecord:
 		d.tryInherit(ctx)
 	case leadership.ReclaimDuty:
-		d.take(ctx, state.Entry)
+		return true
 	case leadership.ForgetVacancy:
 		d.vacant, d.takePause = time.Time{}, 0
 	case leadership.ClaimDuty:
-		d.claim(ctx, now)
+		return d.claims(now)
 	}
+	return false
 }
 
 // state returns what is known of the duty, and the host that its entry names.
-func (d *duty) state(now time.Time) (s leadership.DutyState, holder string) {
+func (d *duty) state() (s leadership.DutyState, holder string) {
 	h := d.host
 	h.mu.Lock()
 	entry, _ := h.view.Item(h.dutyKey(d.group.name))
@@ -174,18 +182,16 @@
 	return leadership.DutyState{
 		Held: d.held, Token: d.token, Entry: entry.Revision, Own: holder == h.settings.Host, Known: known,
 		Stopping: h.stopping.Load(), MayServe: h.mayServe(), Candidate: h.candidate(d.group.name), Inherited: d.recordRevision != 0,
-		RenewalDue: now.Sub(d.renewed) > dutyRenewal && now.Sub(d.tried) > dutyRetry,
 	}, holder
 }
 
-// claim takes the duty that nobody holds once that has lasted for as long as hosts of a higher rank are given.
-func (d *duty) claim(ctx context.Context, now time.Time) {
-	switch {
-	case d.vacant.IsZero():
+// claims reports whether nobody has held the duty for as long as hosts of a higher rank are given to take it.
+func (d *duty) claims(now time.Time) bool {
+	if d.vacant.IsZero() {
 		d.vacant = now
-	case now.Sub(d.vacant) >= time.Duration(d.host.fleet.place(d.group.name))*dutyStagger && !now.Before(d.retryAt):
-		d.take(ctx, 0)
+		return false
 	}
+	return now.Sub(d.vacant) >= time.Duration(d.host.fleet.place(d.group.name))*dutyStagger && !now.Before(d.retryAt)
 }
 
 // candidate reports whether the host is among the first that take a group's duty when nobody holds it.
@@ -214,86 +220,22 @@
 		w := &watcher{duty: d}
 		w.recall(ctx, true)
 		d.host.quotas.Lost(d.group.name)
-		w.handBack(ctx)
-		d.giveUp("stopping")
+		w.handBack()
+		d.lose("stopping")
 	}()
 }
 
-// take takes the duty, whose entry was last written at the revision, or zero if there is
-// none.
-func (d *duty) take(ctx context.Context, entry kv.Revision) {
-	call, cancel := context.WithTimeout(ctx, leaseTimeout)
-	defer cancel()
-	asked := d.host.now()
-	lease, err := d.host.ports.Store.Grant(call, max(dutyLease, d.host.settings.LeaseFloor))
-	if err != nil {
-		d.notTaken(err)
-		return
-	}
-	revision, err := d.host.ports.Store.Put(call, d.host.dutyKey(d.group.name), entry, []byte(d.host.settings.Host), lease)
-	if err != nil {
-		// Whether the entry was written or not, its lease ends now, and with it
-		// the entry: nobody acts under it.
-		d.notTaken(err)
-		d.host.endLease(lease)
-		return
-	}
+// notTaken puts the next try off. wrote is true if the outcome may be another one.
+func (d *duty) notTaken(err error, wrote bool) {
+	d.log("duty_not_taken", "err", err)
 	d.mu.Lock()
-	d.held, d.lease, d.token, d.since, d.renewed, d.unbroken = true, lease, revision, d.host.now(), asked, true
-	d.reclaimed, d.handedBack, d.raisedAt = entry != 0, false, time.Time{}
-	d.first = 0
-	d.inherited, d.ordered, d.recordRevision, d.standing, d.grants, d.resigned = false, "", 0, standing{}, leadership.Grants{}, false
+	d.unsure = d.unsure || wrote && !errors.Is(err, ErrConflict)
 	d.mu.Unlock()
-	d.vacant, d.takePause = time.Time{}, 0
-	d.log("duty_taken", "token", int64(revision))
-	d.group.resumeAll()
-	d.tryInherit(ctx)
-	d.group.wakeHolder()
-}
-
-// notTaken puts the next try off.
-func (d *duty) notTaken(err error) {
-	d.log("duty_not_taken", "err", err)
-	d.vacant = d.host.now()
+	d.vacant, d.apart = d.host.now(), true
 	d.takePause = min(max(2*d.takePause, takeRetry), takeRetryMax)
 	d.retryAt = d.vacant.Add(d.takePause)
 }
 
-// renew renews the duty's lease. After a renewal that failed, the platform may have taken the entry away
-// and kept the lease, so that the next renewal succeeds: the entry itself is looked at then.
-func (d *duty) renew(ctx context.Context) {
-	asked := d.host.now()
-	d.mu.Lock()
-	lease, renewed, unbroken := d.lease, d.renewed, d.unbroken
-	d.mu.Unlock()
-	epoch, err := d.host.renew(ctx, lease)
-	if err == nil && epoch != d.heldSince() {
-		// The copy may have the lease and not the entry, so that others can take the duty meanwhile.
-		d.lose(restoredStore)
-		return
-	}
-	if err == nil && !unbroken {
-		asked = d.host.now()
-		err = d.stillOwn(ctx)
-	}
-	switch {
-	case errors.Is(err, ErrNoLease):
-		d.giveUp("lease ended")
-		return
-	case errors.Is(err, errTaken):
-		d.giveUp("entry taken away")
-		return
-	case err != nil:
-		d.log("duty_not_renewed", "age_ms", asked.Sub(renewed).Milliseconds(), "err", err)
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.unbroken = err == nil; d.unbroken {
-		d.renewed = asked
-		d.host.quotas.Renewed(d.group.name, asked)
-	}
-}
-
 // errTaken means that the duty's entry is not this host's any more.
 var errTaken = errors.New("the duty's entry is gone or another host's")
 
@@ -312,40 +254,32 @@
 	return nil
 }
 
-// giveUp ends the duty, and its lease, so that another host need not wait for it.
-func (d *duty) giveUp(why string) {
-	if lease, held := d.lose(why); held {
-		go d.host.endLease(lease)
-	}
-}
-
 // restoredStore is why a duty is lost when the store came back from an older copy.
 const restoredStore = "the store came back from an older copy"
 
 // errRestored means that a write was carried out in another epoch than the duty was taken in.
 var errRestored = errors.New(restoredStore)
 
-// put writes a key under the duty that was taken in an epoch, as Store.Put does. In another epoch the number that was
-// compared may have stood for another content: such a write says nothing.
-func (d *duty) put(ctx context.Context, taken kv.Epoch, key string, revision kv.Revision, value []byte, lease int64) (kv.Revision, error) {
-	written, err := d.host.ports.Store.Put(ctx, key, revision, value, lease)
+// commit carries a transaction out under the duty that was taken in an epoch, as Store.Commit does. In another epoch the
+// number that was compared may have stood for another content: such a write says nothing.
+func (d *duty) commit(ctx context.Context, taken kv.Epoch, t kv.Transaction) (kv.Revision, error) {
+	written, err := d.host.ports.Store.Commit(ctx, t)
 	if err == nil && written.Epoch() != taken {
 		return 0, errors.Wrapf(errRestored, "written at %v, taken in epoch %d", written, taken)
 	}
 	return written, err
 }
 
-// lose records that the duty is no longer this host's, and returns its lease if it was until now.
-func (d *duty) lose(why string) (lease int64, held bool) {
+// lose records that the duty is no longer this host's.
+func (d *duty) lose(why string) {
 	d.mu.Lock()
-	held, lease = d.held, d.lease
+	held := d.held
 	d.held, d.standing = false, standing{}
 	d.mu.Unlock()
 	if held {
 		d.host.quotas.Lost(d.group.name)
 		d.log("duty_lost", "why", why)
 	}
-	return lease, held
 }
 
 // takenAt returns when the duty was last taken.
--- a/internal/gateway/dutyorder.go
+++ b/internal/gateway/dutyorder.go
@@ -15,12 +15,16 @@
 	d.mu.Unlock()
 	call, cancel := context.WithTimeout(ctx, leaseTimeout)
 	defer cancel()
-	revision, err := d.put(call, token.Epoch(), d.host.dutyKey(d.group.name), token, []byte(d.host.settings.Host), lease)
-	if errors.Is(err, errRestored) {
+	revision, err := d.commit(call, token.Epoch(), kv.Replace(d.host.dutyKey(d.group.name), token, []byte(d.host.settings.Host), lease))
+	switch {
+	case errors.Is(err, errRestored):
 		d.lose(restoredStore)
-	}
-	if errors.Is(err, ErrConflict) || errors.Is(err, ErrNoLease) {
-		d.giveUp("entry changed")
+	case errors.Is(err, ErrConflict), errors.Is(err, ErrNoLease):
+		d.lose("entry changed")
+	case err != nil:
+		d.mu.Lock()
+		d.unsure = true
+		d.mu.Unlock()
 	}
 	if err != nil {
 		return errors.Wrap(err, "higher token")
--- a/internal/gateway/fakesite_test.go
+++ b/internal/gateway/fakesite_test.go
@@ -77,6 +77,9 @@
 	// pages counts the pages that were read. Each holds pageItems items at most, if that is set, and each failPage-th
 	// fails, if that is.
 	pages, pageItems, failPage int
+	// commits counts the transactions, and renewals those of leases.
+	commits, renewals int
+	slow              time.Duration // each call takes so long
 	// tokens holds the highest token of a promotion; late holds back orders.
 	token  int64
 	orders []string
--- /dev/null
+++ b/internal/gateway/holding.go
@@ -0,0 +1,161 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"pearlatch/core/kv"
+	"pearlatch/core/leadership"
+)
+
+// holding is the lease under which the entries of all duties of a host stand.
+type holding struct {
+	host *Host
+
+	mu    sync.Mutex
+	lease int64
+	// renewed is when the last renewal that succeeded, or the grant, was asked for; tried is when one was last tried.
+	renewed, tried time.Time
+}
+
+// get returns the lease and when it was last renewed, after opening one if there is none. While it can't be renewed no
+// duty is to be taken under it.
+func (l *holding) get(ctx context.Context) (lease int64, renewed time.Time, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.host.now()
+	switch {
+	case l.lease != 0 && now.Sub(l.renewed) < 2*leadership.RenewalPause:
+		return l.lease, l.renewed, nil
+	case l.lease != 0 && now.Sub(l.renewed) < dutyLease:
+		return 0, time.Time{}, errNotRenewed
+	}
+	call, cancel := context.WithTimeout(ctx, leaseTimeout)
+	defer cancel()
+	lease, err = l.host.ports.Store.Grant(call, max(dutyLease, l.host.settings.LeaseFloor))
+	if err != nil {
+		return 0, time.Time{}, err
+	}
+	l.lease, l.renewed, l.tried = lease, now, now
+	return lease, now, nil
+}
+
+// errNotRenewed means that the lease of a host's duties is about to end.
+var errNotRenewed = errors.New("the lease of the host's duties can't be renewed")
+
+// forget drops a lease that has ended.
+func (l *holding) forget(lease int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.lease == lease {
+		l.lease = 0
+	}
+}
+
+// end gives the lease back, and with it what stands under it.
+func (l *holding) end() {
+	l.mu.Lock()
+	lease := l.lease
+	l.lease = 0
+	l.mu.Unlock()
+	l.host.endLease(lease)
+}
+
+// due returns the lease if it is to be renewed.
+func (l *holding) due() (lease int64, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.host.now()
+	return l.lease, l.lease != 0 && leadership.RenewalDue(now.Sub(l.renewed), now.Sub(l.tried))
+}
+
+// renew renews the lease and returns the epoch in which it stands, and when the renewal was asked for.
+func (l *holding) renew(ctx context.Context, lease int64) (epoch kv.Epoch, asked time.Time, err error) {
+	asked = l.host.now()
+	l.mu.Lock()
+	l.tried = asked
+	l.mu.Unlock()
+	epoch, err = l.host.renew(ctx, lease)
+	if errors.Is(err, ErrNoLease) {
+		l.forget(lease)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err == nil && l.lease == lease {
+		l.renewed = asked
+	}
+	return epoch, asked, err
+}
+
+// keepHolding renews the lease for as long as duties stand under it. It waits for nothing else, so that calls which take
+// long lose no duty.
+func (h *Host) keepHolding(ctx context.Context) {
+	for sleep(ctx, dutyPoll) {
+		if held := h.heldDuties(); len(held) > 0 {
+			h.renewDuties(ctx, held)
+		}
+	}
+}
+
+// renewDuties renews the lease of the duties if that is due.
+func (h *Host) renewDuties(ctx context.Context, held []*duty) {
+	lease, due := h.holding.due()
+	if !due {
+		return
+	}
+	epoch, asked, err := h.holding.renew(ctx, lease)
+	if err != nil {
+		h.log("duties_not_renewed", "duties", len(held), "err", err)
+	}
+	var wait sync.WaitGroup
+	for _, d := range held {
+		if d.under(lease) {
+			wait.Go(func() { d.afterRenewal(ctx, asked, epoch, err) })
+		}
+	}
+	wait.Wait()
+}
+
+// under reports whether the duty's entry stands under the lease.
+func (d *duty) under(lease int64) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.held && d.lease == lease
+}
+
+// afterRenewal takes over the outcome of a renewal of the lease. After one that failed, the platform may have taken the
+// entry away and kept the lease, so that the next one succeeds: the entry itself is looked at then.
+func (d *duty) afterRenewal(ctx context.Context, asked time.Time, epoch kv.Epoch, err error) {
+	d.mu.Lock()
+	unbroken := d.unbroken
+	d.unbroken = unbroken && err == nil
+	d.mu.Unlock()
+	switch {
+	case errors.Is(err, ErrNoLease):
+		d.lose("lease ended")
+		return
+	case err != nil:
+		return
+	case epoch != d.heldSince():
+		// The copy may have the lease and not the entry, so that others can take the duty meanwhile.
+		d.lose(restoredStore)
+		return
+	case !unbroken:
+		asked = d.host.now()
+		switch err := d.stillOwn(ctx); {
+		case errors.Is(err, errTaken):
+			d.lose("entry taken away")
+			return
+		case err != nil:
+			d.log("duty_not_renewed", "err", err)
+			return
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.unbroken, d.renewed = true, asked
+	d.host.quotas.Renewed(d.group.name, asked)
+}
--- /dev/null
+++ b/internal/gateway/holding_test.go
@@ -0,0 +1,123 @@
+package gateway
+
+import (
+	"context"
+	"encoding/binary"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// manyDuties runs a host that takes the duties of so many groups, without members, and gives the test the site.
+func manyDuties(t *testing.T, groups int, test func(s *fakeSite, h *Host)) {
+	t.Helper()
+	synctest.Test(t, func(*testing.T) {
+		s := newFakeSite("a")
+		delete(s.items, "members/a")
+		s.put("config", binary.BigEndian.AppendUint32(nil, uint32(groups)), 0)
+		h := NewHost(Settings{Host: "h", PromotionTokens: true}, Ports{
+			Store: s, Promoter: s, Decode: wideDecoder{}, Keys: Keys{Config: "config", Members: "members/", Own: "own/"},
+		}, testLogger(), time.Now)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			h.Run(ctx)
+		}()
+		time.Sleep(2 * time.Second)
+		if n := len(h.heldDuties()); n != groups {
+			t.Errorf("the host holds %d of %d duties", n, groups)
+		}
+		test(s, h)
+		cancel()
+		<-done
+		time.Sleep(20 * time.Second)
+	})
+}
+
+// A host took and renewed each of its duties by itself: five calls to take one, and a renewal a second for each, so that
+// what a fleet asks of the store grew with its groups.
+func TestManyDutiesAreTakenAndRenewedTogether(t *testing.T) {
+	manyDuties(t, 40, func(s *fakeSite, _ *Host) {
+		s.mu.Lock()
+		taken := s.commits
+		s.renewals = 0
+		s.mu.Unlock()
+		if taken > 10 {
+			t.Errorf("%d calls took 40 duties", taken)
+		}
+		time.Sleep(10 * time.Second)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.renewals > 15 {
+			t.Errorf("%d renewals in 10 s", s.renewals)
+		}
+	})
+}
+
+// The store takes 240 ms for each call, sixty times as long as usual. A host with five duties renewed them one after the
+// other, needed 1.2 s for a round, and lost them after 3 s.
+func TestSlowStoreLosesNoDuty(t *testing.T) {
+	manyDuties(t, 40, func(s *fakeSite, h *Host) {
+		held := map[string]int64{}
+		for _, d := range h.heldDuties() {
+			held[d.group.name] = int64(d.token)
+		}
+		s.mu.Lock()
+		s.slow = 240 * time.Millisecond
+		s.mu.Unlock()
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			if n := len(h.heldDuties()); n != 40 {
+				t.Fatalf("the host holds %d of 40 duties", n)
+			}
+		}
+		for _, d := range h.heldDuties() {
+			if !d.certain(time.Now()) || held[d.group.name] != int64(d.token) {
+				t.Errorf("the duty of %s is not certain, or was taken anew", d.group.name)
+			}
+		}
+	})
+}
+
+// One of the entries is taken by another host meanwhile: the others of the same call must be taken all the same.
+func TestDutyThatIsTakenDoesNotHoldUpTheOthers(t *testing.T) {
+	manyDuties(t, 8, func(s *fakeSite, h *Host) {
+		s.mu.Lock()
+		for _, d := range h.heldDuties() {
+			d.lose("for the test")
+			s.removeLocked(h.dutyKey(d.group.name))
+		}
+		s.putLocked(h.dutyKey("group-3"), []byte("another"), 0)
+		s.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		for _, name := range []string{"group-0", "group-3", "group-7"} {
+			if held := h.dutyOf(name).isHeld(); held != (name != "group-3") {
+				t.Errorf("the duty of %s is held: %t", name, held)
+			}
+		}
+	})
+}
+
+// The answer to the call that takes a duty is lost, and it was carried out. The host finds its own name in the entry. It
+// must not take the holder before for an earlier process of its own, whose leases have ended: another host may have held
+// the duty until a moment ago.
+func TestDutyTakenWithoutAnAnswerIsNotReclaimed(t *testing.T) {
+	manyDuties(t, 1, func(s *fakeSite, h *Host) {
+		d := h.dutyOf("group-0")
+		d.lose("for the test")
+		d.notTaken(errDown, true)
+		s.mu.Lock()
+		s.putLocked(h.dutyKey("group-0"), []byte("h"), d.lease)
+		s.mu.Unlock()
+		time.Sleep(time.Second)
+		if !d.isHeld() {
+			t.Fatal("the duty was not taken up")
+		}
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if d.reclaimed || d.handedBack || d.first != 0 {
+			t.Errorf("reclaimed %t, handed back %t, first %v", d.reclaimed, d.handedBack, d.first)
+		}
+	})
+}
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -107,6 +107,8 @@
 	hostsApplied time.Time
 	// duties holds this host's part in the promotions of each group, by group.
 	duties map[string]*duty
+	// holding is the lease of those that this host holds.
+	holding holding
 	// changed is closed and replaced with each change of view, and heardAt is when the store itself was last
 	// heard of.
 	changed chan struct{}
@@ -161,6 +163,7 @@
 		stopped: make(chan struct{}), ended: make(chan struct{}), duties: map[string]*duty{}, changed: make(chan struct{}), process: fmt.Sprintf("%s-%08x", s.Host, rand.Uint32()),
 	}
 	h.view = kv.NewView(h.later)
+	h.holding.host = h
 	h.fleet.self = membership.Host{ID: s.Host, Zone: s.Zone, Peer: s.Peer}
 	h.granters, h.remembered = map[string]kv.Item{}, map[string]leadership.Found{}
 	h.quotas = quotas.New(quotas.Settings{Host: s.Host, Process: h.process, Terms: s.Quotas}, quotaFleet{h}, logger, now)
@@ -174,6 +177,7 @@
 	wait.Go(func() { h.follow(ctx) })
 	wait.Go(func() { h.register(ctx) })
 	wait.Go(func() { h.serveDuties(ctx) })
+	wait.Go(func() { h.keepHolding(ctx) })
 	wait.Go(func() { h.quotas.Run(ctx) })
 	wait.Go(func() { h.trim(ctx) })
 	wait.Wait()
--- a/internal/gateway/meteredstore.go
+++ b/internal/gateway/meteredstore.go
@@ -55,11 +55,11 @@
 	return out, err
 }
 
-// Put implements Store.
-func (s meteredStore) Put(ctx context.Context, key string, revision kv.Revision, value []byte, lease int64) (kv.Revision, error) {
+// Commit implements Store.
+func (s meteredStore) Commit(ctx context.Context, t kv.Transaction) (kv.Revision, error) {
 	started := s.now()
-	out, err := s.store.Put(ctx, key, revision, value, lease)
-	s.meter("put", started, err)
+	out, err := s.store.Commit(ctx, t)
+	s.meter("commit", started, err)
 	return out, err
 }
 
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -136,11 +136,9 @@
 	// are no longer kept. If the revision to go on from is of another epoch, the changes do not
 	// follow on those before.
 	Watch(ctx context.Context, prefix string, after kv.Revision, wait time.Duration) (kv.Snapshot, error)
-	// Put writes a key that goes with its lease (0: stays), if the number of the key's revision
-	// is still that of the given one (0: absent), and returns the new revision.
-	// ErrConflict means that it is not. If the new revision is of another epoch, the number may have stood
-	// for another content.
-	Put(ctx context.Context, key string, revision kv.Revision, value []byte, lease int64) (kv.Revision, error)
+	// Commit carries a transaction out and returns its revision. ErrConflict means that a key has not the revision that
+	// is expected. If the new revision is of another epoch, the number may have stood for another content.
+	Commit(ctx context.Context, t kv.Transaction) (kv.Revision, error)
 	// Grant opens a lease; Renew and End take its number. ErrNoLease means that
 	// it has ended. Renew returns the epoch in which the lease stands: in another one than the keys were
 	// written in, they may be gone.
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -59,52 +59,77 @@
 	return leadership.NewFound(r, read.Revision), true
 }
 
-// inherit reads the record of the holder before, and writes it anew under this one's name,
-// so that what the holder before still writes fails.
+// inheritance is what a holder takes over of the one before.
+type inheritance struct {
+	found leadership.Found
+	// certain is true if no other host can have held the duty since the record was written.
+	certain bool
+	// before are the hosts that may take themselves for the granter of the group's accounts.
+	before []string
+	// record is what this holder writes in its place, so that what the one before still writes fails.
+	record leadership.Record
+}
+
+// inheritance returns what the record says that was read in the epoch.
+func (d *duty) inheritance(read kv.Item, epoch kv.Epoch) inheritance {
+	stored, readable := d.stored(read)
+	found, certain := leadership.Inherit(stored, d.remembers(), epoch)
+	i := inheritance{found: found, certain: certain && readable, before: found.Granters, record: found.Record}
+	if !i.certain {
+		// A holder that the store has forgotten may be any host.
+		i.before = leadership.Union(i.before, d.host.fleet.listedIDs()...)
+		i.record.Grantees = leadership.Union(i.record.Grantees, i.before...)
+	}
+	i.record.Holder, i.record.HandedBack, i.record.Epoch = d.host.settings.Host, false, epoch
+	i.record.Granters = leadership.Union(i.before, d.host.settings.Host)
+	return i
+}
+
+// inherit reads the record of the holder before, and writes it anew under this one's name.
 func (d *duty) inherit(ctx context.Context) error {
 	read, err := d.host.read(ctx, d.host.recordKey(d.group.name))
 	if err != nil {
 		return err
 	}
+	i := d.inheritance(read, d.heldSince())
 	call, cancel := context.WithTimeout(ctx, leaseTimeout)
 	defer cancel()
-	stored, readable := d.stored(read)
-	found, certain := leadership.Inherit(stored, d.remembers(), d.heldSince())
-	certain = certain && readable
-	r := found.Record
-	before := r.Granters
-	if !certain {
-		// A holder that the store has forgotten may be any host.
-		before = leadership.Union(before, d.host.fleet.listedIDs()...)
-		r.Grantees = leadership.Union(r.Grantees, before...)
-	}
-	r.Holder, r.HandedBack = d.host.settings.Host, false
-	r.Granters = leadership.Union(before, d.host.settings.Host)
-	if err := d.write(call, r, read.Revision); err != nil {
+	if err := d.write(call, i.record, read.Revision, kv.Transaction{}); err != nil {
 		return err
 	}
+	d.adopt(i)
+	return nil
+}
+
+// adopt takes over what the holder before has left, once it is written under this one's name.
+func (d *duty) adopt(i inheritance) {
+	r, found := i.record, i.found
 	d.group.adoptFloor(r, found.At)
 	d.group.ledIn(r.Term)
-	d.granteesInherited(r.Grantees, before)
+	d.granteesInherited(r.Grantees, i.before)
 	d.mu.Lock()
 	if !d.inherited { // later, this holder knows best which order it gave
-		d.inherited, d.handedBack = true, certain && (found.HandedBack || found.Holder == "")
-		if certain && found.Holder == "" && !d.reclaimed {
+		d.inherited, d.handedBack = true, i.certain && (found.HandedBack || found.Holder == "")
+		if i.certain && found.Holder == "" && !d.reclaimed {
 			// A holder orders nothing before it has left a record. When a fleet starts for the first time, a thousand
 			// tokens took the platform 20 s.
 			d.first = d.token
 		}
-		d.reclaimed = d.reclaimed && certain && found.Holder == d.host.settings.Host
+		d.reclaimed = d.reclaimed && i.certain && found.Holder == d.host.settings.Host
 		d.ordered, d.orderedToken, d.orderedAt = found.Ordered, 0, d.host.now()
 	}
 	d.mu.Unlock()
-	d.log("record_inherited", "before", found.Holder, "term", r.Term, "floor", r.Floor, "ordered", found.Ordered, "written", found.At, "certain", certain)
-	return nil
+	d.log("record_inherited", "before", found.Holder, "term", r.Term, "floor", r.Floor, "ordered", found.Ordered, "written", found.At, "certain", i.certain)
 }
 
 // save writes the record. After an error nobody knows whether it was written, and it must
 // be inherited again.
 func (d *duty) save(ctx context.Context, r leadership.Record) error {
+	return d.saveWith(ctx, r, kv.Transaction{})
+}
+
+// saveWith is save with further changes that are carried out along with it.
+func (d *duty) saveWith(ctx context.Context, r leadership.Record, along kv.Transaction) error {
 	d.mu.Lock()
 	revision, last := d.recordRevision, d.record.Record
 	d.mu.Unlock()
@@ -117,7 +142,7 @@
 	if r.Granters = d.granters(last); r.HandedBack {
 		r.Granters = without(r.Granters, r.Holder)
 	}
-	err := d.write(call, r, revision)
+	err := d.write(call, r, revision, along)
 	if err != nil {
 		d.mu.Lock()
 		d.recordRevision = 0
@@ -126,20 +151,25 @@
 	return errors.Wrap(err, "record of the leadership")
 }
 
-func (d *duty) write(ctx context.Context, r leadership.Record, revision kv.Revision) error {
+func (d *duty) write(ctx context.Context, r leadership.Record, revision kv.Revision, along kv.Transaction) error {
 	r.Epoch = d.heldSince()
 	value, err := encodeRecord(r)
 	if err != nil {
 		return err
 	}
-	written, err := d.put(ctx, r.Epoch, d.host.recordKey(d.group.name), revision, value, 0)
+	written, err := d.commit(ctx, r.Epoch, kv.Replace(d.host.recordKey(d.group.name), revision, value, 0).And(along))
 	if err != nil {
 		return err
 	}
+	d.wrote(r, written)
+	return nil
+}
+
+// wrote records what stands in the store for the next holder.
+func (d *duty) wrote(r leadership.Record, written kv.Revision) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.record, d.recordRevision = leadership.Found{Record: r, At: written}, written
-	return nil
 }
 
 // knowsOrders reports whether this host knows of all recorded orders of earlier holders.
@@ -156,16 +186,29 @@
 	return d.record.Record, d.recordRevision != 0
 }
 
-// handBack writes down that this holder gives no more orders.
-func (w *watcher) handBack(ctx context.Context) {
-	r, ok := w.recorded()
-	if !ok || w.openOrder() != "" {
+// handBack removes the duty's entry, so that another host need not wait for it, and writes down that this holder gives
+// no more orders.
+func (w *watcher) handBack() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaseTimeout)
+	defer cancel()
+	w.mu.Lock()
+	token, held := w.token, w.held
+	w.mu.Unlock()
+	if !held {
 		return
 	}
-	r.HandedBack = true
-	if err := w.save(ctx, r); err != nil {
+	gone := kv.Remove(w.host.dutyKey(w.group.name), token)
+	if r, ok := w.recorded(); ok && w.openOrder() == "" {
+		r.HandedBack = true
+		err := w.saveWith(ctx, r, gone)
+		if err == nil {
+			return
+		}
 		w.log("record_not_written", "err", err)
 	}
+	if _, err := w.commit(ctx, token.Epoch(), gone); err != nil {
+		w.log("duty_not_handed_back", "err", err)
+	}
 }
 
 // keepRecord writes the record anew when what a successor needs has changed.
--- a/internal/gateway/register.go
+++ b/internal/gateway/register.go
@@ -128,5 +128,5 @@
 	h.mu.Lock()
 	known, _ := h.view.Item(key)
 	h.mu.Unlock()
-	return h.ports.Store.Put(ctx, key, known.Revision, entryOf(self), lease)
+	return h.ports.Store.Commit(ctx, kv.Replace(key, known.Revision, entryOf(self), lease))
 }
--- a/internal/site/store.go
+++ b/internal/site/store.go
@@ -107,6 +107,19 @@
 	s.record(kv.Item{Key: key, Revision: s.revision, Removed: true})
 }
 
+// commit carries a transaction out, under one revision.
+func (s *Store) commit(t kv.Transaction) {
+	before := s.revision
+	for _, w := range t.Writes {
+		s.revision = before
+		s.put(w.Key, w.Value, w.Lease)
+	}
+	for _, key := range t.Deletes {
+		s.revision = before
+		s.remove(key)
+	}
+}
+
 func (s *Store) record(i kv.Item) {
 	s.history = append(s.history, i)
 	s.wake()
@@ -236,19 +249,23 @@
 // leasePoll is how often a watch looks for leases that have ended.
 const leasePoll = 100 * time.Millisecond
 
-// Put implements gateway.Store.
-func (v storeView) Put(ctx context.Context, key string, revision kv.Revision, value []byte, id int64) (kv.Revision, error) {
+// Commit implements gateway.Store.
+func (v storeView) Commit(ctx context.Context, t kv.Transaction) (kv.Revision, error) {
 	if err := v.enter(ctx); err != nil {
 		return 0, err
 	}
 	s := v.store
-	if s.items[key].Revision.Number() != revision.Number() {
-		return 0, v.leave(gateway.ErrConflict)
+	for _, e := range t.Expect {
+		if s.items[e.Key].Revision.Number() != e.Revision.Number() {
+			return 0, v.leave(gateway.ErrConflict)
+		}
 	}
-	if id != 0 && s.leases[id] == nil {
-		return 0, v.leave(gateway.ErrNoLease)
+	for _, w := range t.Writes {
+		if w.Lease != 0 && s.leases[w.Lease] == nil {
+			return 0, v.leave(gateway.ErrNoLease)
+		}
 	}
-	s.put(key, value, id)
+	s.commit(t)
 	written := s.revision
 	return written, v.leave(nil)
 }
