Hosts serve, pass news on and hold duties by their strength

Cause: hosts counted alike. A root of the feeds on a host with 0.19 of a core and 20 Mbit/s sends to sixteen others, and 1,000 duties lay on some 630 hosts, each with a lease to renew. Ruled out: a list of hosts for duties (a second thing to agree on); serving by the strong hosts alone (a twentieth of the fleet would take all statements). Change: settings tell the processor's share and cores, the host's entry the strength; rendezvous hashing is weighted by it, so that hosts of one strength keep their order. News go by the strongest hosts of a zone first, and of the hosts with a claim to a group the strongest takes its duty. An entry that leaves is written as before, since hosts of the version before read one word.

--- a/core/serving/candidates.go
+++ b/core/serving/candidates.go
@@ -1,6 +1,8 @@
 package serving
 
 import (
+	"math"
+
 	"github.com/cespare/xxhash/v2"
 
 	"pearlatch/core/membership"
@@ -17,7 +19,7 @@
 // candidacy is a host's claim to a group.
 type candidacy struct {
 	prefix xxhash.Digest
-	score  uint64
+	score  float64
 	// before counts the staying hosts of the zone with a better claim.
 	before int
 }
@@ -32,10 +34,10 @@
 			continue
 		}
 		c := &candidacy{prefix: groupPrefix(name)}
-		c.score = scoreOf(c.prefix, self.ID)
+		c.score = scoreOf(c.prefix, self)
 		if z := t.zones[self.Zone]; z != nil {
 			for _, h := range z.staying {
-				c.count(h.ID, self.ID, 1)
+				c.count(h.Host, self.ID, 1)
 			}
 		}
 		t.candidates.groups[name] = c
@@ -55,14 +57,14 @@
 		return
 	}
 	for _, each := range c.groups {
-		each.count(h.ID, c.self.ID, by)
+		each.count(h.Host, c.self.ID, by)
 	}
 }
 
-// count adds by if the host of an ID comes before the one with this claim.
-func (c *candidacy) count(id, self string, by int) {
-	score := scoreOf(c.prefix, id)
-	if score > c.score || score == c.score && id < self {
+// count adds by if the host comes before the one with this claim.
+func (c *candidacy) count(h membership.Host, self string, by int) {
+	score := scoreOf(c.prefix, h)
+	if score > c.score || score == c.score && h.ID < self {
 		c.before += by
 	}
 }
@@ -76,8 +78,20 @@
 	return d
 }
 
-// scoreOf is a host's claim to a group by rendezvous hashing.
-func scoreOf(prefix xxhash.Digest, id string) uint64 {
-	_, _ = prefix.WriteString(id)
-	return prefix.Sum64()
+// scoreOf is a host's claim to a group by rendezvous hashing with weights: hosts have the best claim to as many groups as
+// their strengths say. Hosts of the same strength are in the order of their hashes.
+//
+// See Schindelhauer and Schomaker, "Weighted Distributed Hash Tables", SPAA 2005, the logarithmic method.
+func scoreOf(prefix xxhash.Digest, h membership.Host) float64 {
+	_, _ = prefix.WriteString(h.ID)
+	const bits = 53 // of a float64 without loss
+	u := (float64(prefix.Sum64()>>(64-bits)) + 0.5) / (1 << bits)
+	return math.Log(u) / strengthOf(h)
+}
+
+func strengthOf(h membership.Host) float64 {
+	if h.Strength <= 0 {
+		return 1
+	}
+	return h.Strength
 }
--- a/core/serving/feeds.go
+++ b/core/serving/feeds.go
@@ -1,6 +1,7 @@
 package serving
 
 import (
+	"cmp"
 	"slices"
 
 	"pearlatch/core/membership"
@@ -30,13 +31,13 @@
 // of other zones: a host whose zone is lost for it, or that the store turns away, still
 // learns.
 func (t *Table) Feeds(self membership.Host) Feeds {
-	zone := t.rankZone(newsGroup, self.Zone)
+	zone := t.rankZone(self.Zone)
 	place := slices.IndexFunc(zone, func(c claim) bool { return c.host.ID == self.ID })
 	if place < 0 {
 		place = len(zone)
 	}
 	if place == 0 {
-		return Feeds{StoreFirst: true, Hosts: t.firsts(newsGroup, self.Zone)}
+		return Feeds{StoreFirst: true, Hosts: t.firsts(self.Zone)}
 	}
 	parent := (place - 1) / fanOut
 	out := []membership.Host{zone[parent].host.Host}
@@ -45,36 +46,56 @@
 			out = append(out, c.host.Host)
 		}
 	}
-	return Feeds{Hosts: append(out, t.firsts(newsGroup, self.Zone)...)}
+	return Feeds{Hosts: append(out, t.firsts(self.Zone)...)}
 }
 
 // alternates is how many hosts of the own zone are tried beside the parent.
 const alternates = 2
 
-// rankZone returns the claims of all hosts of an availability zone, the first one first.
-func (t *Table) rankZone(group, name string) []claim {
+// rankZone returns the hosts of an availability zone in the order in which they pass news on: the strongest first, since
+// those near the root send the most, and hosts alike by their claims.
+func (t *Table) rankZone(name string) []claim {
 	z := t.zones[name]
 	if z == nil {
 		return nil
 	}
-	c := t.group(group)
+	prefix := groupPrefix(newsGroup)
 	out := make([]claim, len(z.staying))
 	for i, h := range z.staying {
-		out[i] = claim{h, c.score(h)}
+		out[i] = claim{h, scoreOf(prefix, h.Host)}
 	}
-	slices.SortFunc(out, compareClaims)
+	slices.SortFunc(out, compareFeeds)
 	return out
 }
 
-// firsts returns the host with the first claim of each availability zone but one.
-func (t *Table) firsts(group, but string) []membership.Host {
-	seen := map[string]bool{but: true}
-	var out []membership.Host
-	for _, h := range t.Ranked(group) {
-		if !seen[h.Zone] {
-			seen[h.Zone] = true
-			out = append(out, h)
+// firsts returns the host of each availability zone but one that passes news on first.
+func (t *Table) firsts(but string) []membership.Host {
+	prefix := groupPrefix(newsGroup)
+	var firsts []claim
+	for name, z := range t.zones {
+		if name == but || len(z.staying) == 0 {
+			continue
 		}
+		first := claim{z.staying[0], scoreOf(prefix, z.staying[0].Host)}
+		for _, h := range z.staying[1:] {
+			if c := (claim{h, scoreOf(prefix, h.Host)}); compareFeeds(c, first) < 0 {
+				first = c
+			}
+		}
+		firsts = append(firsts, first)
+	}
+	slices.SortFunc(firsts, compareFeeds)
+	out := make([]membership.Host, len(firsts))
+	for i, c := range firsts {
+		out[i] = c.host.Host
 	}
 	return out
 }
+
+// compareFeeds orders hosts as they pass news on, the first one first.
+func compareFeeds(a, b claim) int {
+	if c := cmp.Compare(strengthOf(b.host.Host), strengthOf(a.host.Host)); c != 0 {
+		return c
+	}
+	return compareClaims(a, b)
+}
--- a/core/serving/table.go
+++ b/core/serving/table.go
@@ -56,14 +56,14 @@
 	// zones holds the first claims of each availability zone, the first one first: all of a
 	// zone with fewer hosts than keptPerZone.
 	zones map[string][]claim
-	// order is what Ranked returns, or nil after a change.
-	order []membership.Host
+	// order is what Ranked returns, and holders what Holders does, or nil after a change.
+	order, holders []membership.Host
 }
 
 // claim is a host's claim to a group. Higher scores come first.
 type claim struct {
 	host  *listed
-	score uint64
+	score float64
 }
 
 // Update takes over a new list of hosts. It reports whether it differs from the one before.
@@ -145,14 +145,17 @@
 	return c.order
 }
 
-// Place returns how many hosts come before one in the order in which hosts serve a group, or how
-// many claims are kept if it is not among them.
-func (t *Table) Place(group, id string) int {
+// Holders returns the same hosts in the order in which they take the group's duty: the strongest first, and those alike
+// in the order in which they serve. What a duty costs goes with the hosts that hold any, so that few hold many. The
+// slice stays as it is, and is not to be changed.
+func (t *Table) Holders(group string) []membership.Host {
 	ranked := t.Ranked(group)
-	if i := slices.IndexFunc(ranked, func(h membership.Host) bool { return h.ID == id }); i >= 0 {
-		return i
+	c := t.group(group)
+	if c.holders == nil {
+		c.holders = slices.Clone(ranked)
+		slices.SortStableFunc(c.holders, func(a, b membership.Host) int { return cmp.Compare(strengthOf(b), strengthOf(a)) })
 	}
-	return len(ranked)
+	return c.holders
 }
 
 // Len returns how many hosts are listed.
@@ -210,7 +213,7 @@
 		kept = insert(kept, claim{h, c.score(h)})
 	}
 	c.zones[z.name] = kept
-	c.order = nil
+	c.order, c.holders = nil, nil
 }
 
 // add takes a host that joined into the claims of its availability zone, if it is one of the first.
@@ -221,7 +224,7 @@
 		return
 	}
 	c.zones[h.Zone] = insert(kept, joined)
-	c.order = nil
+	c.order, c.holders = nil, nil
 }
 
 // remove takes out a host that left its availability zone.
@@ -234,10 +237,10 @@
 		c.fill(z)
 	case len(z.staying) == 0:
 		delete(c.zones, h.Zone)
-		c.order = nil
+		c.order, c.holders = nil, nil
 	default:
 		c.zones[h.Zone] = slices.Delete(kept, i, i+1)
-		c.order = nil
+		c.order, c.holders = nil, nil
 	}
 }
 
@@ -262,4 +265,4 @@
 }
 
 // score is the host's claim to the group.
-func (c *claims) score(h *listed) uint64 { return scoreOf(c.prefix, h.ID) }
+func (c *claims) score(h *listed) float64 { return scoreOf(c.prefix, h.Host) }
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -148,12 +149,12 @@
 	return 1
 }
 
-// place returns how many hosts that answer come before this one for a group.
+// place returns how many hosts that answer take a group's duty before this one.
 func (f *fleet) place(group string) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	place := 0
-	for _, h := range f.table.Ranked(group) {
+	for _, h := range f.table.Holders(group) {
 		if h.ID == f.self.ID {
 			break
 		}
@@ -276,19 +277,29 @@
 	return h.Peer, ok
 }
 
-// entryOf returns the value of a host's entry in the store: its availability zone and
-// its address for other hosts, if it has one.
+// entryOf returns the value of a host's entry in the store: its availability zone, its address for other hosts, if it
+// has one, and that it leaves or its strength.
 func entryOf(h membership.Host) []byte {
 	if !h.Peer.IsValid() {
 		return []byte(h.Zone)
 	}
 	text := h.Zone + " " + h.Peer.String()
-	if h.Leaving {
+	switch {
+	case h.Leaving:
+		// Hosts of the version before read no further word. A host that leaves has no claims, whatever its strength.
 		text += " " + leavingMark
+	case h.Strength > 0:
+		text += " " + strengthMark + strconv.FormatFloat(h.Strength, 'g', -1, 64)
 	}
 	return []byte(text)
 }
 
+// strengthMark precedes a host's strength in its entry.
+const strengthMark = "cores="
+
+// mostCores is the largest strength that is believed.
+const mostCores = 1 << 12
+
 // leavingMark ends the entry of a host that is about to stop.
 const leavingMark = "leaving"
 
@@ -298,6 +309,11 @@
 	zone, rest, _ := strings.Cut(string(value), " ")
 	addr, mark, _ := strings.Cut(rest, " ")
 	h := membership.Host{ID: id, Zone: zone, Leaving: mark == leavingMark}
+	if text, ok := strings.CutPrefix(mark, strengthMark); ok {
+		if cores, err := strconv.ParseFloat(text, 64); err == nil && cores > 0 && cores <= mostCores {
+			h.Strength = cores
+		}
+	}
 	if p, err := netip.ParseAddrPort(addr); err == nil {
 		h.Peer = p
 	}
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -43,6 +43,8 @@
 	Peer netip.AddrPort
 	// Seeds are addresses of other hosts, some of which may be gone.
 	Seeds []netip.AddrPort
+	// Strength is what the host can do, in cores of a processor. Zero means that it is not known, and counts as one.
+	Strength float64
 }
 
 // Ports are a host's ways to the outside.
@@ -164,7 +166,7 @@
 	}
 	h.view = kv.NewView(h.later)
 	h.holding.host = h
-	h.fleet.self = membership.Host{ID: s.Host, Zone: s.Zone, Peer: s.Peer}
+	h.fleet.self = membership.Host{ID: s.Host, Zone: s.Zone, Peer: s.Peer, Strength: s.Strength}
 	h.granters, h.remembered = map[string]kv.Item{}, map[string]leadership.Found{}
 	h.quotas = quotas.New(quotas.Settings{Host: s.Host, Process: h.process, Terms: s.Quotas}, quotaFleet{h}, logger, now)
 	return h
