--- a/internal/gateway/duty_test.go
+++ b/internal/gateway/duty_test.go
@@ -26,7 +26,9 @@
 
 // renewNow renews the lease of a host's duty.
 func renewNow(h *Host, d *duty) {
+	d.mu.Lock()
 	lease := d.lease
+	d.mu.Unlock()
 	epoch, asked, err := h.holding.renew(context.Background(), lease)
 	d.afterRenewal(context.Background(), asked, epoch, err)
 }
