--- a/core/joining/joiner.go
+++ b/core/joining/joiner.go
@@ -17,6 +17,8 @@
 	unknownShare = 1.0 / 1024
 	// askedPerRound is how many hosts are asked between two pauses.
 	askedPerRound = 3
+	// drawsPerAddress bounds the draws for each address to ask.
+	drawsPerAddress = 8
 	// firstPause and longestPause bound the pause between two rounds, which doubles; up to half as much is added or
 	// taken away, so that hosts that started together don't return together.
 	firstPause   = 200 * time.Millisecond
@@ -32,7 +34,7 @@
 	seeds []netip.AddrPort
 	draw  func() float64
 
-	// hosts are the others that are listed in the store. listed is true if an earlier process of this one is too, so that
+	// hosts are those that are listed in the store. listed is true if an earlier process of this one is among them, so that
 	// the list is not the beginning of one.
 	hosts  []netip.AddrPort
 	listed bool
@@ -61,8 +63,7 @@
 
 // Counted takes over the addresses of the listed hosts, and plans the rest of the round by them.
 func (j *Joiner) Counted(hosts []netip.AddrPort) {
-	j.listed = slices.Contains(hosts, j.self)
-	j.hosts = slices.DeleteFunc(slices.Clone(hosts), func(a netip.AddrPort) bool { return a == j.self })
+	j.hosts, j.listed = hosts, slices.Contains(hosts, j.self)
 	switch {
 	case j.reads():
 		j.plan = append([]Step{ReadStore{}}, j.ask()...)
@@ -104,7 +105,7 @@
 	case j.listed && len(j.hosts) < readersAtOnce:
 		return true
 	case j.listed:
-		return j.draw() < readersAtOnce/float64(1+len(j.hosts))
+		return j.draw() < readersAtOnce/float64(len(j.hosts))
 	}
 	return j.draw() < unknownShare*float64(uint64(1)<<min(j.round, 10))
 }
@@ -113,12 +114,13 @@
 
 // some returns up to n of the addresses, drawn at random, without this host's own.
 func (j *Joiner) some(from []netip.AddrPort, n int) []netip.AddrPort {
-	rest := slices.DeleteFunc(slices.Clone(from), func(a netip.AddrPort) bool { return a == j.self || !a.IsValid() })
 	var out []netip.AddrPort
-	for len(out) < n && len(rest) > 0 {
-		i := int(j.draw() * float64(len(rest)))
-		out = append(out, rest[i])
-		rest = slices.Delete(rest, i, i+1)
+	// Draws that hit an address twice are spent, so that of a few addresses one may be left out.
+	for tries := drawsPerAddress * n; tries > 0 && len(out) < min(n, len(from)); tries-- {
+		a := from[int(j.draw()*float64(len(from)))]
+		if a != j.self && a.IsValid() && !slices.Contains(out, a) {
+			out = append(out, a)
+		}
 	}
 	return out
 }
