Hosts that are turned away learn elsewhere, and the store is the last resort of a few

Tried and left: to keep to a feed for half a second at least. Found by a test that hung: the lock on a host's lease was held while a new one was opened, so that a renewal waited for the store. TestRenewalDoesNotWaitForANewLease.

--- a/core/leadership/duty.go
+++ b/core/leadership/duty.go
@@ -42,8 +42,9 @@
 	// Known is the revision up to which the host knows the store.
 	Known kv.Revision
 	// Stopping is true once the host is to end, and MayServe while it may take duties. Candidate is true if it is among
-	// the hosts that take this one when nobody holds it.
-	Stopping, MayServe, Candidate bool
+	// the hosts that take this one when nobody holds it, and Informed while its news of the store are recent: a host
+	// whose news lag would try to take what others hold by now.
+	Stopping, MayServe, Candidate, Informed bool
 	// Inherited is true once the record of the holder before was read.
 	Inherited bool
 }
@@ -65,7 +66,7 @@
 		return KeepDuty
 	case d.Entry > d.Token && d.Own && d.MayServe:
 		return ReclaimDuty
-	case d.Entry != 0 || !d.MayServe || !d.Candidate:
+	case d.Entry != 0 || !d.MayServe || !d.Candidate || !d.Informed:
 		return ForgetVacancy
 	}
 	return ClaimDuty
--- a/core/leadership/duty_test.go
+++ b/core/leadership/duty_test.go
@@ -27,9 +27,10 @@
 		{"lost to the store's return, and its own in the copy", DutyState{Token: 37, Entry: kv.At(1, 30), Own: true, Known: kv.At(1, 30), MayServe: true}, ReclaimDuty},
 		{"its own entry, given up", DutyState{Token: 37, Entry: 37, Own: true, Known: 40, MayServe: true}, ForgetVacancy},
 		{"another host holds it", DutyState{Entry: 30, Known: 40, MayServe: true}, ForgetVacancy},
-		{"nobody holds it", DutyState{Known: 40, MayServe: true, Candidate: true}, ClaimDuty},
-		{"nobody holds it, and it concerns other hosts", DutyState{Known: 40, MayServe: true}, ForgetVacancy},
-		{"nobody holds it, and the host stops", DutyState{Known: 40, Stopping: true, Candidate: true}, ForgetVacancy},
+		{"nobody holds it", DutyState{Known: 40, MayServe: true, Candidate: true, Informed: true}, ClaimDuty},
+		{"nobody held it when the last news came", DutyState{Known: 40, MayServe: true, Candidate: true}, ForgetVacancy},
+		{"nobody holds it, and it concerns other hosts", DutyState{Known: 40, MayServe: true, Informed: true}, ForgetVacancy},
+		{"nobody holds it, and the host stops", DutyState{Known: 40, Stopping: true, Candidate: true, Informed: true}, ForgetVacancy},
 	} {
 		if got := c.state.Next(); got != c.want {
 			t.Errorf("%s: %v, want %v", c.name, got, c.want)
--- a/core/serving/feeds.go
+++ b/core/serving/feeds.go
@@ -19,6 +19,8 @@
 	// StoreFirst is true for hosts that ask the store itself and turn to other
 	// hosts when it fails. The others turn to the store last.
 	StoreFirst bool
+	// Placed is true if the host has a place of its own in the tree: it is listed.
+	Placed bool
 	// Hosts pass news on, the preferred one first.
 	Hosts []membership.Host
 }
@@ -33,11 +35,12 @@
 func (t *Table) Feeds(self membership.Host) Feeds {
 	zone := t.rankZone(self.Zone)
 	place := slices.IndexFunc(zone, func(c claim) bool { return c.host.ID == self.ID })
-	if place < 0 {
+	placed := place >= 0
+	if !placed {
 		place = len(zone)
 	}
 	if place == 0 {
-		return Feeds{StoreFirst: true, Hosts: t.firsts(self.Zone)}
+		return Feeds{StoreFirst: true, Placed: placed, Hosts: t.firsts(self.Zone)}
 	}
 	parent := (place - 1) / fanOut
 	out := []membership.Host{zone[parent].host.Host}
@@ -46,7 +49,7 @@
 			out = append(out, c.host.Host)
 		}
 	}
-	return Feeds{Hosts: append(out, t.firsts(self.Zone)...)}
+	return Feeds{Placed: placed, Hosts: append(out, t.firsts(self.Zone)...)}
 }
 
 // alternates is how many hosts of the own zone are tried beside the parent.
--- a/internal/gateway/duty.go
+++ b/internal/gateway/duty.go
@@ -174,14 +174,14 @@
 	h := d.host
 	h.mu.Lock()
 	entry, _ := h.view.Item(h.dutyKey(d.group.name))
-	known := h.view.Revision()
+	known, informed := h.view.Revision(), h.now().Sub(h.heardAt) <= staleNews
 	h.mu.Unlock()
 	holder = string(entry.Value)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return leadership.DutyState{
 		Held: d.held, Token: d.token, Entry: entry.Revision, Own: holder == h.settings.Host, Known: known,
-		Stopping: h.stopping.Load(), MayServe: h.mayServe(), Candidate: h.candidate(d.group.name), Inherited: d.recordRevision != 0,
+		Stopping: h.stopping.Load(), MayServe: h.mayServe(), Candidate: h.candidate(d.group.name), Informed: informed, Inherited: d.recordRevision != 0,
 	}, holder
 }
 
--- a/internal/gateway/fleet.go
+++ b/internal/gateway/fleet.go
@@ -75,6 +75,13 @@
 	return f.table.Len() > 0
 }
 
+// size returns how many hosts are listed.
+func (f *fleet) size() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.table.Len()
+}
+
 // plan says who serves a group before members that take so many connections.
 func (f *fleet) plan(group string, connections int) serving.Plan {
 	f.mu.Lock()
--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/netip"
 	"time"
 
 	"github.com/pkg/errors"
@@ -21,6 +22,8 @@
 	// the store by itself, and seven feeds opened and dropped for each of these. It is within
 	// the time that hosts have to recover in.
 	followerPauseMax = 3 * time.Second
+	// askedElsewhere is how many of the hosts are tried that a busy one has named.
+	askedElsewhere = 2
 	// preferAgain is how long a host keeps to a source that it does not prefer.
 	preferAgain = 3 * time.Second
 )
@@ -76,6 +79,11 @@
 func (f *follower) turn(ctx context.Context, s source, patience time.Duration) bool {
 	h := f.host
 	err := s.follow(ctx, f, patience)
+	if busy := (*busyError)(nil); errors.As(err, &busy) {
+		if f.turnElsewhere(ctx, busy.elsewhere) {
+			return true
+		}
+	}
 	if err != nil {
 		f.logFailure(ctx, s, err)
 		f.failures++
@@ -90,6 +98,18 @@
 	return true
 }
 
+// turnElsewhere follows one of the hosts that a busy one has named for a while, and returns false if none has news.
+func (f *follower) turnElsewhere(ctx context.Context, hosts []netip.AddrPort) bool {
+	f.at++ // they are no preferred ones
+	defer func() { f.at-- }()
+	for _, a := range hosts[:min(len(hosts), askedElsewhere)] {
+		if s := (peerSource{a}); s.follow(ctx, f, 0) == nil {
+			return true
+		}
+	}
+	return false
+}
+
 // logFailure writes a line when the first source fails, and whenever the next ones fail for another reason.
 func (f *follower) logFailure(ctx context.Context, s source, err error) {
 	if ctx.Err() != nil {
--- a/internal/gateway/holding.go
+++ b/internal/gateway/holding.go
@@ -22,15 +22,16 @@
 }
 
 // get returns the lease and when it was last renewed, after opening one if there is none. While it can't be renewed no
-// duty is to be taken under it.
+// duty is to be taken under it. One goroutine calls it.
 func (l *holding) get(ctx context.Context) (lease int64, renewed time.Time, err error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	now := l.host.now()
+	l.mu.Lock()
+	lease, renewed = l.lease, l.renewed
+	l.mu.Unlock()
 	switch {
-	case l.lease != 0 && now.Sub(l.renewed) < 2*leadership.RenewalPause:
-		return l.lease, l.renewed, nil
-	case l.lease != 0 && now.Sub(l.renewed) < dutyLease:
+	case lease != 0 && now.Sub(renewed) < 2*leadership.RenewalPause:
+		return lease, renewed, nil
+	case lease != 0 && now.Sub(renewed) < dutyLease:
 		return 0, time.Time{}, errNotRenewed
 	}
 	call, cancel := context.WithTimeout(ctx, leaseTimeout)
@@ -39,6 +40,8 @@
 	if err != nil {
 		return 0, time.Time{}, err
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.lease, l.renewed, l.tried = lease, now, now
 	return lease, now, nil
 }
--- a/internal/gateway/holding_test.go
+++ b/internal/gateway/holding_test.go
@@ -80,6 +80,30 @@
 	})
 }
 
+// A host opens a lease for new duties while those that it holds are due for renewal. The store takes long to open it: the
+// renewal must not wait for that. It did, on a lock held over the call.
+func TestRenewalDoesNotWaitForANewLease(t *testing.T) {
+	manyDuties(t, 1, func(s *fakeSite, h *Host) {
+		h.holding.mu.Lock()
+		h.holding.renewed = time.Now().Add(-dutyLease) // not to be used for a new duty
+		h.holding.mu.Unlock()
+		s.mu.Lock()
+		s.slow = 900 * time.Millisecond
+		s.mu.Unlock()
+		opened := make(chan struct{})
+		go func() {
+			defer close(opened)
+			_, _, _ = h.holding.get(context.Background())
+		}()
+		time.Sleep(10 * time.Millisecond)
+		if !h.holding.mu.TryLock() {
+			t.Fatal("the lease is locked while the store is called")
+		}
+		h.holding.mu.Unlock()
+		<-opened
+	})
+}
+
 // One of the entries is taken by another host meanwhile: the others of the same call must be taken all the same.
 func TestDutyThatIsTakenDoesNotHoldUpTheOthers(t *testing.T) {
 	manyDuties(t, 8, func(s *fakeSite, h *Host) {
--- a/internal/gateway/join_test.go
+++ b/internal/gateway/join_test.go
@@ -81,17 +81,17 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		turned := make(chan News, 3*mostLists)
+		overSlowLink := func(n News) error {
+			if len(n.Elsewhere) > 0 {
+				turned <- n
+				return nil
+			}
+			<-ctx.Done()
+			return ctx.Err()
+		}
 		for range 3 * mostLists {
 			go func() {
-				err := h.Feed(ctx, 0, func(n News) error {
-					if len(n.Elsewhere) == 0 {
-						<-ctx.Done() // a slow link
-						return ctx.Err()
-					}
-					turned <- n
-					return nil
-				})
-				if !errors.Is(err, errTurnedAway) && ctx.Err() == nil {
+				if err := h.Feed(ctx, 0, overSlowLink); !errors.Is(err, errTurnedAway) && ctx.Err() == nil {
 					t.Errorf("a feed ended with %v", err)
 				}
 			}()
--- a/internal/gateway/source.go
+++ b/internal/gateway/source.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"pearlatch/core/membership"
+	"pearlatch/core/serving"
 )
 
 const (
@@ -84,7 +86,7 @@
 		if spare && followed > preferAgain {
 			return nil
 		}
-		if now := h.fleet.version.Load(); now != version && !spare && h.sources()[0] != source(s) {
+		if now := h.fleet.version.Load(); now != version && !spare && h.prefersAnother(s) {
 			return nil
 		}
 	}
@@ -96,6 +98,12 @@
 
 func (*busyError) Error() string { return "the host passes news on to too many others" }
 
+// prefersAnother reports whether the host is to learn from another source, now that it has a place of its own among the
+// listed hosts. Until then all of those that start would turn to the few that are listed.
+func (h *Host) prefersAnother(s source) bool {
+	return h.ports.Peers != nil && h.fleet.feedsOf().Placed && h.sources()[0] != s
+}
+
 // errStaleNews means that a host has not heard of the store lately either.
 var errStaleNews = errors.New("the news is old")
 
@@ -115,7 +123,11 @@
 	if feeds.StoreFirst {
 		return append([]source{storeSource{}}, toSources(addrs)...)
 	}
-	return append(toSources(addrs), storeSource{})
+	out := toSources(addrs)
+	if serving.AsksStore(h.fleet.size(), rand.Float64()) {
+		out = append(out, storeSource{})
+	}
+	return out
 }
 
 func toSources(addrs []netip.AddrPort) []source {
--- a/internal/gateway/source_test.go
+++ b/internal/gateway/source_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -155,3 +156,50 @@
 		f.wantInForce(t, 2)
 	})
 }
+
+// While a fleet starts, a host has no place in the tree of feeds until it is listed, and all of those that are not would
+// turn to the first one that is: they stay where they learned the list.
+func TestHostWithoutAPlaceKeepsItsFeed(t *testing.T) {
+	playFleet(t, 30, 20, freshness.Latest{}, func(_ *fakeSite, f *fakeFleet) {
+		h := f.watching()[0]
+		other := peerSource{addrOf(200)}
+		if !h.prefersAnother(other) {
+			t.Error("a listed host keeps to a source that it does not prefer")
+		}
+		h.fleet.self.ID = "not listed"
+		h.fleet.mu.Lock()
+		h.fleet.listed++ // what was worked out of the list is void
+		h.fleet.mu.Unlock()
+		if h.prefersAnother(other) {
+			t.Error("a host that is not listed turns to another source")
+		}
+	})
+}
+
+// A host's source passes news on to too many others and names some that have them. The host learns from one of these, and
+// does not go on to the store.
+func TestHostThatIsTurnedAwayLearnsElsewhere(t *testing.T) {
+	playFleet(t, 30, 20, freshness.Latest{}, func(_ *fakeSite, f *fakeFleet) {
+		var h *Host
+		for _, each := range f.all() {
+			if _, store := each.sources()[0].(storeSource); !store {
+				h = each
+			}
+		}
+		busy, ok := h.sources()[0].(peerSource)
+		if !ok {
+			t.Fatal("the host learns from no other one")
+		}
+		feeder := f.hosts[busy.addr]
+		feeder.feeds.Add(mostFeeds)
+		defer feeder.feeds.Add(-mostFeeds)
+		fol := &follower{host: h, since: time.Now(), pause: sourcePause}
+		started := time.Now()
+		if !fol.turn(context.Background(), busy, 0) || fol.failures != 0 {
+			t.Errorf("the host that was turned away has %d failures", fol.failures)
+		}
+		if took := time.Since(started); took < preferAgain || took > 2*preferAgain {
+			t.Errorf("it learned elsewhere for %s", took)
+		}
+	})
+}
