What a host knows of the other hosts is a package of its own

fleet.go and the part of follow.go that keeps entries of hosts which lapsed left internal/gateway for internal/fleet, with entries' format beside it. Host no longer keeps them under its own lock.

--- a/internal/gateway/duty.go
+++ b/internal/gateway/duty.go
@@ -191,11 +191,11 @@
 		d.vacant = now
 		return false
 	}
-	return now.Sub(d.vacant) >= time.Duration(d.host.fleet.place(d.group.name))*dutyStagger && !now.Before(d.retryAt)
+	return now.Sub(d.vacant) >= time.Duration(d.host.fleet.Place(d.group.name))*dutyStagger && !now.Before(d.retryAt)
 }
 
 // candidate reports whether the host is among the first that take a group's duty when nobody holds it.
-func (h *Host) candidate(name string) bool { return h.ports.Peers == nil || h.fleet.candidate(name) }
+func (h *Host) candidate(name string) bool { return h.ports.Peers == nil || h.fleet.Candidate(name) }
 
 // mayServe reports whether the host may take on duties.
 func (h *Host) mayServe() bool { return !h.stopping.Load() && h.synced.Load() }
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -76,7 +76,7 @@
 // turnAway names other hosts that have the news, if any are known.
 func (h *Host) turnAway(send func(News) error) error {
 	var elsewhere []netip.AddrPort
-	for _, o := range h.fleet.some(named) {
+	for _, o := range h.fleet.Some(named) {
 		elsewhere = append(elsewhere, o.Peer)
 	}
 	if len(elsewhere) > 0 {
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -11,7 +11,6 @@
 	"github.com/pkg/errors"
 
 	"pearlatch/core/kv"
-	"pearlatch/core/membership"
 )
 
 const (
@@ -135,7 +134,7 @@
 	}
 	h.seen.Store(int64(known))
 	configured := h.applyConfig()
-	listed := h.applyHosts()
+	listed := h.fleet.Apply(h.now())
 	if h.config == nil {
 		return nil
 	}
@@ -171,67 +170,13 @@
 	}
 }
 
-// applyAgain is how often the list of hosts is worked out anew from news that change nothing of it:
-// lapsed hosts lose their place by time alone.
-const applyAgain = time.Second
-
-// applyHosts takes over the list of hosts and reports whether it changed. A host whose entry has
-// lapsed is kept in it for a while: when the store was away, or turned hosts away, many entries
-// lapse at once, and groups would change the hosts that serve them twice, each time with new
-// connections.
-func (h *Host) applyHosts() (changed bool) {
-	now := h.now()
-	changed = h.hostsChanged
-	if !changed && now.Sub(h.hostsApplied) < applyAgain {
-		return false
-	}
-	h.hostsChanged, h.hostsApplied = false, now
-	var hosts []membership.Host
-	for id, seen := range h.hostsSeen {
-		switch {
-		case seen.lapsedAt.IsZero():
-			hosts = append(hosts, seen.host)
-		case now.Sub(seen.lapsedAt) > hostMemory:
-			delete(h.hostsSeen, id)
-			changed = true
-		case !seen.host.Leaving && now.Sub(seen.lapsedAt) <= lapseMemory:
-			hosts = append(hosts, seen.host)
-		}
-	}
-	return h.fleet.set(hosts) || changed
-}
-
-// seenHost is a host's entry as it was last seen, and when it lapsed, or zero.
-type seenHost struct {
-	host     membership.Host
-	lapsedAt time.Time
-}
-
-// noteHost takes over a change of a host's entry. News may hold several changes of one
-// host, of which the one that says that it leaves must not be missed.
+// noteHost takes over a change of a host's entry.
 func (h *Host) noteHost(i kv.Item) {
-	id, ok := strings.CutPrefix(i.Key, h.hostsPrefix())
-	if !ok {
-		return
-	}
-	h.hostsChanged = true
-	seen := seenHost{host: parseEntry(id, i.Value)}
-	if i.Removed {
-		seen = seenHost{h.hostsSeen[id].host, h.now()}
+	if id, ok := strings.CutPrefix(i.Key, h.hostsPrefix()); ok {
+		h.fleet.Note(id, i.Value, i.Removed, h.now())
 	}
-	h.hostsSeen[id] = seen
 }
 
-const (
-	// hostMemory is how long a host counts after its entry has lapsed. It may be cut off
-	// from the store and hold its connections all the same.
-	hostMemory = 20 * time.Second
-	// lapseMemory is how long a host whose entry has lapsed goes on to serve for
-	// others, unless it said that it leaves. It outlasts the outages of the users'
-	// stores, of up to 9 s for a part of the hosts.
-	lapseMemory = 10 * time.Second
-)
-
 // applyConfig takes over the configuration and reports whether it is a newer one.
 func (h *Host) applyConfig() (newer bool) {
 	i, ok := h.view.Item(h.ports.Keys.Config)
@@ -263,7 +208,7 @@
 	close(h.reconfigured)
 	h.reconfigured = make(chan struct{})
 	h.log("config", "version", c.Version, "routes", len(c.Routes), "accounts", c.Accounts.Len(), "news_age_ms", h.now().Sub(h.heardAt).Milliseconds())
-	h.fleet.consider(slices.Collect(maps.Keys(c.Groups)))
+	h.fleet.Consider(slices.Collect(maps.Keys(c.Groups)))
 	return true
 }
 
@@ -277,7 +222,7 @@
 	}
 	if plans {
 		for name, g := range h.groups {
-			g.configure(h.config.Groups[name], h.ages[name], h.planOf(name), len(h.hostsSeen))
+			g.configure(h.config.Groups[name], h.ages[name], h.planOf(name), h.fleet.Seen())
 		}
 	}
 }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -132,7 +132,7 @@
 // eachDetour offers a statement to hosts that may reach the primary while this one, which
 // serves the group, can't.
 func (s *Session) eachDetour(w *work, settle offer) {
-	detours := s.host.fleet.usable(s.host.detours(w.group))
+	detours := s.host.fleet.Usable(s.host.detours(w.group))
 	for _, server := range detours[:min(len(detours), 1+maxDetours)] {
 		if settle(server, false) == nil || !s.host.now().Before(w.waitUntil()) {
 			return
@@ -162,7 +162,7 @@
 // send sends a request on a lane, which is closed when it fails.
 func (s *Session) send(ctx context.Context, server membership.Host, lane Lane, r *PeerRequest, deadline time.Time) (*PeerReply, error) {
 	h := s.host
-	r.To = h.fleet.process(server.ID)
+	r.To = h.fleet.Process(server.ID)
 	call, cancel := context.WithTimeout(ctx, deadline.Sub(h.now())+peerGrace)
 	defer cancel()
 	sent := h.now()
@@ -260,7 +260,7 @@
 
 // peerFailed records that another host did not answer.
 func (h *Host) peerFailed(id string, err error) {
-	if !h.fleet.failed(id) {
+	if !h.fleet.Failed(id) {
 		return
 	}
 	h.log("peer_lost", "peer", id, "err", err)
@@ -272,8 +272,8 @@
 func (h *Host) regain(id string) {
 	ctx, cancel := until(context.Background(), h.ended)
 	defer cancel()
-	for pause := serving.RegainPause(0, 1); sleep(ctx, pause); pause = serving.RegainPause(pause, h.fleet.suspects()) {
-		addr, suspect := h.fleet.suspect(id)
+	for pause := serving.RegainPause(0, 1); sleep(ctx, pause); pause = serving.RegainPause(pause, h.fleet.Suspects()) {
+		addr, suspect := h.fleet.Suspect(id)
 		if !suspect {
 			return
 		}
@@ -289,7 +289,7 @@
 
 // peerAnswered records that another host answered.
 func (h *Host) peerAnswered(id, process string) {
-	if h.fleet.answered(id, process) {
+	if h.fleet.Answered(id, process) {
 		h.log("peer_regained", "peer", id, "process", process)
 	}
 }
--- a/internal/gateway/grantor.go
+++ b/internal/gateway/grantor.go
@@ -163,7 +163,7 @@
 	if host == h.settings.Host {
 		w.group.endLease(member, planned)
 	} else {
-		addr, ok := h.fleet.address(host)
+		addr, ok := h.fleet.Address(host)
 		if !ok || h.ports.Peers == nil {
 			return
 		}
--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -17,6 +17,7 @@
 	"pearlatch/core/outage"
 	"pearlatch/core/pool"
 	"pearlatch/core/serving"
+	"pearlatch/internal/fleet"
 )
 
 // Group is a database group as one host serves it. Use newGroup.
@@ -42,7 +43,7 @@
 	plan        serving.Plan
 	deputyUntil time.Time
 	// turns are the hosts to turn to while others serve.
-	turns versioned[turns]
+	turns fleet.Versioned[turns]
 	// unreachedSince is since when none of the servers has answered, or zero.
 	unreachedSince time.Time
 	// triedAt is when a statement last tried the servers.
--- a/internal/gateway/groups.go
+++ b/internal/gateway/groups.go
@@ -46,7 +46,7 @@
 		g = newGroup(name, h)
 		h.groups[name] = g
 		g.update(memberChange{members: h.members.list(name)})
-		g.configure(c, h.ages[name], h.planOf(name), len(h.hostsSeen))
+		g.configure(c, h.ages[name], h.planOf(name), h.fleet.Seen())
 		select {
 		case h.grouped <- struct{}{}:
 		default:
@@ -58,7 +58,7 @@
 
 // concerns reports whether the host may serve a group, or hold its duty, now or next. h.mu is held.
 func (h *Host) concerns(name string) bool {
-	if h.ports.Peers == nil || h.fleet.candidate(name) {
+	if h.ports.Peers == nil || h.fleet.Candidate(name) {
 		return true
 	}
 	entry, ok := h.view.Item(h.dutyKey(name))
@@ -97,7 +97,7 @@
 		if h.now().Sub(g.neededAt) >= groupMemory && !(h.config.describes(g.name) && h.concerns(g.name)) {
 			delete(h.groups, g.name)
 			delete(h.duties, g.name)
-			h.fleet.forget(g.name)
+			h.fleet.Forget(g.name)
 			g.end()
 		}
 		h.mu.Unlock()
--- a/internal/gateway/groups_test.go
+++ b/internal/gateway/groups_test.go
@@ -9,6 +9,7 @@
 	"pearlatch/core/account"
 	"pearlatch/core/kv"
 	"pearlatch/core/membership"
+	"pearlatch/internal/fleet"
 )
 
 // A host kept a Group, two goroutines and a look ten times a second for each group of the configuration, and worked out
@@ -34,16 +35,16 @@
 		{ID: "h", Zone: "z", Peer: addrOf(1), Leaving: true},
 		{ID: "h", Zone: "z", Peer: addrOf(1)},
 	} {
-		if got := parseEntry("h", entryOf(h)); got != h {
-			t.Errorf("%q is read as %+v, want %+v", entryOf(h), got, h)
+		if got := fleet.ParseEntry("h", fleet.Entry(h)); got != h {
+			t.Errorf("%q is read as %+v, want %+v", fleet.Entry(h), got, h)
 		}
 	}
 	leaves := membership.Host{ID: "h", Zone: "z", Peer: addrOf(1), Strength: 2, Leaving: true}
-	if got := string(entryOf(leaves)); got != "z 10.0.0.1:1 leaving" {
+	if got := string(fleet.Entry(leaves)); got != "z 10.0.0.1:1 leaving" {
 		t.Errorf("an entry that leaves is %q", got)
 	}
 	for _, odd := range []string{"z 10.0.0.1:1 cores=many", "z 10.0.0.1:1 cores=-1", "z 10.0.0.1:1 cores=NaN", "z 10.0.0.1:1 cores=1e9"} {
-		if got := parseEntry("h", []byte(odd)); got.Strength != 0 || !got.Peer.IsValid() {
+		if got := fleet.ParseEntry("h", []byte(odd)); got.Strength != 0 || !got.Peer.IsValid() {
 			t.Errorf("%q is read as %+v", odd, got)
 		}
 	}
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -18,6 +18,7 @@
 	"pearlatch/core/membership"
 	"pearlatch/core/quota"
 	"pearlatch/core/recall"
+	"pearlatch/internal/fleet"
 	"pearlatch/internal/quotas"
 )
 
@@ -102,11 +103,6 @@
 	// configRevision is that of the configuration's item that was read last.
 	configRevision kv.Revision
 	members        memberList
-	// hostsSeen holds each host's entry as it was last seen. The list of hosts was last worked out
-	// from it at hostsApplied, and hostsChanged is true if an entry changed since.
-	hostsSeen    map[string]seenHost
-	hostsChanged bool
-	hostsApplied time.Time
 	// duties holds this host's part in the promotions of each group, by group.
 	duties map[string]*duty
 	// holding is the lease of those that this host holds.
@@ -132,7 +128,7 @@
 	// process names this run of the host: what it knew is lost with it. It began at started.
 	process string
 	started time.Time
-	fleet   fleet
+	fleet   *fleet.Hosts
 	// recent holds the requests of other hosts that came lately.
 	recent recall.Log[*PeerReply]
 	// serial numbers the requests to other hosts.
@@ -161,12 +157,12 @@
 	p.Store = meteredStore{store: p.Store, meters: m, now: now}
 	h := &Host{
 		started: now(), meters: m, settings: s, ports: p, logger: log.With(logger, "host", s.Host), now: now,
-		groups: map[string]*Group{}, grouped: make(chan struct{}, 1), hostsSeen: map[string]seenHost{}, members: newMemberList(), informed: make(chan struct{}), configured: make(chan struct{}), reconfigured: make(chan struct{}),
+		groups: map[string]*Group{}, grouped: make(chan struct{}, 1), members: newMemberList(), informed: make(chan struct{}), configured: make(chan struct{}), reconfigured: make(chan struct{}),
 		stopped: make(chan struct{}), ended: make(chan struct{}), duties: map[string]*duty{}, changed: make(chan struct{}), process: fmt.Sprintf("%s-%08x", s.Host, rand.Uint32()),
 	}
 	h.view = kv.NewView(h.later)
 	h.holding.host = h
-	h.fleet.self = membership.Host{ID: s.Host, Zone: s.Zone, Peer: s.Peer, Strength: s.Strength}
+	h.fleet = fleet.New(membership.Host{ID: s.Host, Zone: s.Zone, Peer: s.Peer, Strength: s.Strength})
 	h.granters, h.remembered = map[string]kv.Item{}, map[string]leadership.Found{}
 	h.quotas = quotas.New(quotas.Settings{Host: s.Host, Process: h.process, Terms: s.Quotas}, quotaFleet{h}, logger, now)
 	return h
--- a/internal/gateway/indirect.go
+++ b/internal/gateway/indirect.go
@@ -60,7 +60,7 @@
 		return out
 	case <-time.After(indirectAfter):
 	}
-	hosts := w.host.fleet.some(indirectHosts)
+	hosts := w.host.fleet.Some(indirectHosts)
 	call, cancel := context.WithTimeout(ctx, indirectTimeout)
 	defer cancel()
 	answers := make(chan answered, len(hosts))
--- a/internal/gateway/join.go
+++ b/internal/gateway/join.go
@@ -9,6 +9,7 @@
 
 	"pearlatch/core/joining"
 	"pearlatch/core/kv"
+	"pearlatch/internal/fleet"
 )
 
 // join learns what is in the store for the first time, from the store or from a host that knows it.
@@ -62,7 +63,7 @@
 	}
 	var out []netip.AddrPort
 	for _, i := range list.Items {
-		if each := parseEntry("", i.Value); each.Peer.IsValid() {
+		if each := fleet.ParseEntry("", i.Value); each.Peer.IsValid() {
 			out = append(out, each.Peer)
 		}
 	}
--- a/internal/gateway/lessee.go
+++ b/internal/gateway/lessee.go
@@ -119,7 +119,7 @@
 		r.Calm, r.Suspects = g.report()
 		r.SampleOnly = !g.serves()
 	}
-	addr, ok := h.fleet.address(holder)
+	addr, ok := h.fleet.Address(holder)
 	if !ok || h.ports.Peers == nil {
 		return LeaseReply{}, errNoHolder
 	}
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -34,7 +34,7 @@
 
 // Ask implements quotas.Fleet.
 func (f quotaFleet) Ask(ctx context.Context, host string, r quotas.Request) (quotas.Reply, error) {
-	addr, ok := f.h.fleet.address(host)
+	addr, ok := f.h.fleet.Address(host)
 	if !ok || f.h.ports.Peers == nil {
 		return quotas.Reply{}, errNoHolder
 	}
@@ -43,7 +43,7 @@
 
 // Tell implements quotas.Fleet.
 func (f quotaFleet) Tell(ctx context.Context, host string, r quotas.TellRequest) (quotas.TellReply, error) {
-	addr, ok := f.h.fleet.address(host)
+	addr, ok := f.h.fleet.Address(host)
 	if !ok || f.h.ports.Peers == nil {
 		return quotas.TellReply{}, errNoHolder
 	}
@@ -70,7 +70,7 @@
 	if !ok {
 		return nil, errNotInherited
 	}
-	r.Grantees = leadership.Union(append(d.host.fleet.listedIDs(), r.Grantees...), host, d.host.settings.Host)
+	r.Grantees = leadership.Union(append(d.host.fleet.ListedIDs(), r.Grantees...), host, d.host.settings.Host)
 	if err := d.save(ctx, r); err != nil {
 		return nil, err
 	}
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -77,7 +77,7 @@
 	i := inheritance{found: found, certain: certain && readable, before: found.Granters, record: found.Record}
 	if !i.certain {
 		// A holder that the store has forgotten may be any host.
-		i.before = leadership.Union(i.before, d.host.fleet.listedIDs()...)
+		i.before = leadership.Union(i.before, d.host.fleet.ListedIDs()...)
 		i.record.Grantees = leadership.Union(i.record.Grantees, i.before...)
 	}
 	i.record.Holder, i.record.HandedBack, i.record.Epoch = d.host.settings.Host, false, epoch
--- a/internal/gateway/register.go
+++ b/internal/gateway/register.go
@@ -8,6 +8,7 @@
 
 	"pearlatch/core/kv"
 	"pearlatch/core/membership"
+	"pearlatch/internal/fleet"
 )
 
 func (h *Host) hostsPrefix() string { return h.ports.Keys.Own + "hosts/" }
@@ -128,5 +129,5 @@
 	h.mu.Lock()
 	known, _ := h.view.Item(key)
 	h.mu.Unlock()
-	return h.ports.Store.Commit(ctx, kv.Replace(key, known.Revision, entryOf(self), lease))
+	return h.ports.Store.Commit(ctx, kv.Replace(key, known.Revision, fleet.Entry(self), lease))
 }
--- a/internal/gateway/serving.go
+++ b/internal/gateway/serving.go
@@ -58,13 +58,13 @@
 // turnsOf returns the hosts to turn to for a group. They are worked out once for each change of the
 // list of hosts and of those that answer, since each statement that is passed on needs them.
 func (h *Host) turnsOf(g *Group) turns {
-	version := h.fleet.version.Load()
+	version := h.fleet.Version()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.turns.of(version, func() turns {
+	return g.turns.Of(version, func() turns {
 		var out turns
 		ranked, k := g.plan.Ranked, g.plan.Servers
-		for _, o := range h.fleet.firstUsable(ranked, k) {
+		for _, o := range h.fleet.FirstUsable(ranked, k) {
 			if out.deputy = out.deputy || o.ID == h.settings.Host; o.ID != h.settings.Host {
 				out.servers = append(out.servers, o)
 			}
@@ -72,7 +72,7 @@
 		if len(out.servers) == 0 {
 			out.servers = ranked[:k]
 		}
-		out.servers = serving.Order(h.fleet.self, out.servers)
+		out.servers = serving.Order(h.fleet.Self(), out.servers)
 		return out
 	})
 }
@@ -107,7 +107,7 @@
 	case plan.Elsewhere:
 		return nil
 	case plan.Servers == 0:
-		return h.fleet.allOthers()
+		return h.fleet.AllOthers()
 	}
 	return slices.DeleteFunc(slices.Clone(plan.Ranked), func(o membership.Host) bool { return o.ID == h.settings.Host })
 }
@@ -180,7 +180,7 @@
 	if h.ports.Peers == nil {
 		return serving.Plan{}
 	}
-	return h.fleet.plan(name, h.config.Groups[name].Connections-controlShare)
+	return h.fleet.Plan(name, h.config.Groups[name].Connections-controlShare)
 }
 
 // pooled reports whether a few hosts serve the group for all. The group's lock is held.
--- a/internal/gateway/source.go
+++ b/internal/gateway/source.go
@@ -62,7 +62,7 @@
 		return err
 	}
 	defer feed.Close()
-	version := h.fleet.version.Load()
+	version := h.fleet.Version()
 	for started := h.now(); ctx.Err() == nil; {
 		news, err := feed.Next(feedTimeout)
 		if err != nil {
@@ -86,7 +86,7 @@
 		if spare && followed > preferAgain {
 			return nil
 		}
-		if now := h.fleet.version.Load(); now != version && !spare && h.prefersAnother(s) {
+		if now := h.fleet.Version(); now != version && !spare && h.prefersAnother(s) {
 			return nil
 		}
 	}
@@ -101,7 +101,7 @@
 // prefersAnother reports whether the host is to learn from another source, now that it has a place of its own among the
 // listed hosts. Until then all of those that start would turn to the few that are listed.
 func (h *Host) prefersAnother(s source) bool {
-	return h.ports.Peers != nil && h.fleet.feedsOf().Placed && h.sources()[0] != s
+	return h.ports.Peers != nil && h.fleet.Feeds().Placed && h.sources()[0] != s
 }
 
 // errStaleNews means that a host has not heard of the store lately either.
@@ -112,10 +112,10 @@
 	if h.ports.Peers == nil {
 		return []source{storeSource{}}
 	}
-	if !h.fleet.known() {
+	if !h.fleet.Known() {
 		return []source{storeSource{}}
 	}
-	feeds := h.fleet.feedsOf()
+	feeds := h.fleet.Feeds()
 	var addrs []netip.AddrPort
 	for _, each := range feeds.Hosts {
 		addrs = append(addrs, each.Peer)
@@ -124,7 +124,7 @@
 		return append([]source{storeSource{}}, toSources(addrs)...)
 	}
 	out := toSources(addrs)
-	if serving.AsksStore(h.fleet.size(), rand.Float64()) {
+	if serving.AsksStore(h.fleet.Size(), rand.Float64()) {
 		out = append(out, storeSource{})
 	}
 	return out
@@ -142,5 +142,5 @@
 
 // self describes this host to others.
 func (h *Host) self() membership.Host {
-	return h.fleet.self
+	return h.fleet.Self()
 }
--- a/internal/gateway/source_test.go
+++ b/internal/gateway/source_test.go
@@ -160,20 +160,18 @@
 // While a fleet starts, a host has no place in the tree of feeds until it is listed, and all of those that are not would
 // turn to the first one that is: they stay where they learned the list.
 func TestHostWithoutAPlaceKeepsItsFeed(t *testing.T) {
-	playFleet(t, 30, 20, freshness.Latest{}, func(_ *fakeSite, f *fakeFleet) {
-		h := f.watching()[0]
-		other := peerSource{addrOf(200)}
-		if !h.prefersAnother(other) {
-			t.Error("a listed host keeps to a source that it does not prefer")
-		}
-		h.fleet.self.ID = "not listed"
-		h.fleet.mu.Lock()
-		h.fleet.listed++ // what was worked out of the list is void
-		h.fleet.mu.Unlock()
-		if h.prefersAnother(other) {
-			t.Error("a host that is not listed turns to another source")
-		}
-	})
+	listed, _ := wideHost(30, 1)
+	starts := NewHost(Settings{Host: "starts", Zone: "zone-0", Peer: addrOf(201)}, listed.ports, testLogger(), time.Now)
+	if err := starts.apply(News{News: listed.view.Since(0)}); err != nil {
+		t.Fatal(err)
+	}
+	other := peerSource{addrOf(200)}
+	if !listed.prefersAnother(other) {
+		t.Error("a listed host keeps to a source that it does not prefer")
+	}
+	if starts.prefersAnother(other) {
+		t.Error("a host that is not listed turns to another source")
+	}
 }
 
 // A host's source passes news on to too many others and names some that have them. The host learns from one of these, and
