Following the store is a package of its own

The follower, its sources, joining, the reading of lists and watches and the feeds to other hosts left internal/gateway for internal/follow, with what is known of the store under a lock of its own (Knowledge). Host keeps what follows from the news. No change of behaviour meant.

--- a/internal/gateway/follower.go
+++ b/internal/follow/follower.go
@@ -1,4 +1,4 @@
-package gateway
+package follow
 
 import (
 	"context"
@@ -9,14 +9,15 @@
 	"github.com/pkg/errors"
 
 	"pearlatch/core/kv"
+	"pearlatch/internal/fleet"
 )
 
 const (
 	// sourcePause is the pause after all sources of news failed.
 	sourcePause = 100 * time.Millisecond
-	// sourcePauseMax bounds that pause for hosts that ask the store themselves, when the sources
+	// SourcePauseMax bounds that pause for hosts that ask the store themselves, when the sources
 	// keep failing.
-	sourcePauseMax = 400 * time.Millisecond
+	SourcePauseMax = 400 * time.Millisecond
 	// followerPauseMax bounds it for all others. While the store is away they wait for the hosts that
 	// ask it: at 195 hosts, an outage of six seconds cost 4,000 calls in which each looked for
 	// the store by itself, and seven feeds opened and dropped for each of these. It is within
@@ -28,28 +29,68 @@
 	preferAgain = 3 * time.Second
 )
 
-// follower keeps a host's view of the store up to date, from the store itself or from
-// another host.
-type follower struct {
-	host *Host
+// Settings are what a Follower needs to know at its start.
+type Settings struct {
+	// Self is the host's address for other hosts, and Seeds are those of some, which may be gone.
+	Self  netip.AddrPort
+	Seeds []netip.AddrPort
+	// Hosts precedes the hosts' entries in the store.
+	Hosts string
+}
+
+// Follower keeps a host's knowledge of the store up to date, from the store itself or from
+// another host. Use New.
+type Follower struct {
+	settings Settings
+	store    Store
+	// peers is nil for a host that learns from no other.
+	peers Peers
+	fleet *fleet.Hosts
+	known *Knowledge
+	// apply takes news over.
+	apply func(News) error
+	log   func(event string, fields ...any)
+	now   func() time.Time
+
 	// at is the index of the source in use, and since when it is in use.
 	at    int
 	since time.Time
-	// failures counts sources that failed in a row, and reason says why the last of them did.
+	// failures counts Sources that failed in a row, and reason says why the last of them did.
 	failures int
 	reason   string
 	// pause is how long the preferred source is given once all have failed.
 	pause time.Duration
+	// missed is true after a watch failed: what it missed is to be asked for. The store was last asked for changes at
+	// watchedAt.
+	missed    bool
+	watchedAt time.Time
+}
+
+// Ports are a Follower's ways to the outside.
+type Ports struct {
+	Store Store
+	// Peers is nil for a host that learns from no other.
+	Peers Peers
+	// Apply takes news over.
+	Apply func(News) error
+	Log   func(event string, fields ...any)
+}
+
+// New returns a Follower that does not run yet.
+func New(s Settings, p Ports, f *fleet.Hosts, known *Knowledge, now func() time.Time) *Follower {
+	return &Follower{
+		settings: s, store: p.Store, peers: p.Peers, apply: p.Apply, log: p.Log, fleet: f, known: known, now: now,
+		since: now(), pause: sourcePause,
+	}
 }
 
-// follow keeps the host's view of the store up to date.
-func (h *Host) follow(ctx context.Context) {
-	f := &follower{host: h, since: h.now(), pause: sourcePause}
-	if h.ports.Peers != nil {
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	if f.peers != nil {
 		f.join(ctx)
 	}
 	for ctx.Err() == nil {
-		sources := h.sources()
+		sources := f.Sources()
 		f.at %= len(sources)
 		if f.at == 0 && f.failures > 0 {
 			f.hold(ctx, sources[0])
@@ -61,23 +102,22 @@
 
 // hold keeps to the preferred source for a while after all have failed, though its news may be old: it
 // is the first to tell when the store is back.
-func (f *follower) hold(ctx context.Context, s source) {
-	until := f.host.now().Add(f.pause + rand.N(f.pause/2))
-	if f.turn(ctx, s, until.Sub(f.host.now())) {
+func (f *Follower) hold(ctx context.Context, s Source) {
+	until := f.now().Add(f.pause + rand.N(f.pause/2))
+	if f.turn(ctx, s, until.Sub(f.now())) {
 		return
 	}
 	longest := followerPauseMax
-	if _, asks := s.(storeSource); asks {
-		longest = sourcePauseMax
+	if _, asks := s.(FromStore); asks {
+		longest = SourcePauseMax
 	}
 	f.pause = min(2*f.pause, longest)
-	sleep(ctx, until.Sub(f.host.now()))
+	sleep(ctx, until.Sub(f.now()))
 }
 
 // turn follows a source for a while, for as long as patience though its news are old. It returns false
 // if the source failed, and goes on to the next one.
-func (f *follower) turn(ctx context.Context, s source, patience time.Duration) bool {
-	h := f.host
+func (f *Follower) turn(ctx context.Context, s Source, patience time.Duration) bool {
 	err := s.follow(ctx, f, patience)
 	if busy := (*busyError)(nil); errors.As(err, &busy) {
 		if f.turnElsewhere(ctx, busy.elsewhere) {
@@ -88,22 +128,22 @@
 		f.logFailure(ctx, s, err)
 		f.failures++
 		f.at++
-		f.since = h.now()
+		f.since = f.now()
 		return false
 	}
 	f.heard(s)
-	if f.at > 0 && h.now().Sub(f.since) > preferAgain {
-		f.at, f.since = 0, h.now()
+	if f.at > 0 && f.now().Sub(f.since) > preferAgain {
+		f.at, f.since = 0, f.now()
 	}
 	return true
 }
 
 // turnElsewhere follows one of the hosts that a busy one has named for a while, and returns false if none has news.
-func (f *follower) turnElsewhere(ctx context.Context, hosts []netip.AddrPort) bool {
+func (f *Follower) turnElsewhere(ctx context.Context, hosts []netip.AddrPort) bool {
 	f.at++ // they are no preferred ones
 	defer func() { f.at-- }()
 	for _, a := range hosts[:min(len(hosts), askedElsewhere)] {
-		if s := (peerSource{a}); s.follow(ctx, f, 0) == nil {
+		if s := (FromHost{a}); s.follow(ctx, f, 0) == nil {
 			return true
 		}
 	}
@@ -111,16 +151,16 @@
 }
 
 // logFailure writes a line when the first source fails, and whenever the next ones fail for another reason.
-func (f *follower) logFailure(ctx context.Context, s source, err error) {
+func (f *Follower) logFailure(ctx context.Context, s Source, err error) {
 	if ctx.Err() != nil {
 		return
 	}
 	reason := reasonOf(err)
 	switch {
 	case f.failures == 0:
-		f.host.log("source_lost", "source", s.String(), "err", err)
+		f.log("source_lost", "source", s.String(), "err", err)
 	case reason != f.reason:
-		f.host.log("source_failing", "source", s.String(), "failures", f.failures, "err", err)
+		f.log("source_failing", "source", s.String(), "failures", f.failures, "err", err)
 	}
 	f.reason = reason
 }
@@ -136,9 +176,21 @@
 }
 
 // heard records that a source brought news that are not old.
-func (f *follower) heard(s source) {
+func (f *Follower) heard(s Source) {
 	if f.failures > 0 {
-		f.host.log("source_regained", "source", s.String(), "failures", f.failures)
+		f.log("source_regained", "source", s.String(), "failures", f.failures)
 	}
 	f.failures, f.pause = 0, sourcePause
 }
+
+// sleep waits and returns false when ctx ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/gateway/join.go
+++ b/internal/follow/join.go
@@ -1,4 +1,4 @@
-package gateway
+package follow
 
 import (
 	"context"
@@ -13,25 +13,24 @@
 )
 
 // join learns what is in the store for the first time, from the store or from a host that knows it.
-func (f *follower) join(ctx context.Context) {
-	h := f.host
-	j := joining.New(h.settings.Peer, h.settings.Seeds, rand.Float64)
-	started, reads, asked := h.now(), 0, 0
-	for ctx.Err() == nil && !h.knows() {
+func (f *Follower) join(ctx context.Context) {
+	j := joining.New(f.settings.Self, f.settings.Seeds, rand.Float64)
+	started, reads, asked := f.now(), 0, 0
+	for ctx.Err() == nil && f.known.Revision() == 0 {
 		var err error
-		var from source = storeSource{}
+		var from Source = FromStore{}
 		switch step := j.Next().(type) {
 		case joining.ReadStore:
 			reads++
-			err = h.listAll(ctx)
+			err = f.listAll(ctx)
 		case joining.CountHosts:
 			var hosts []netip.AddrPort
-			if hosts, err = h.countHosts(ctx); err == nil {
+			if hosts, err = f.countHosts(ctx); err == nil {
 				j.Counted(hosts)
 			}
 		case joining.AskHost:
 			asked++
-			from = peerSource{step.Addr}
+			from = FromHost{step.Addr}
 			err = from.follow(ctx, f, 0)
 			if busy := (*busyError)(nil); errors.As(err, &busy) {
 				j.Busy(busy.elsewhere)
@@ -39,25 +38,18 @@
 		case joining.Pause:
 			sleep(ctx, step.For)
 		}
-		if err != nil && !h.knows() {
+		if err != nil && f.known.Revision() == 0 {
 			f.logFailure(ctx, from, err)
 			f.failures++
 		}
 	}
 	f.failures = 0
-	h.log("joined", "took_ms", h.now().Sub(started).Milliseconds(), "store_reads", reads, "hosts_asked", asked)
-}
-
-// knows reports whether the host knows what is in the store, or was in it.
-func (h *Host) knows() bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.view.Revision() != 0
+	f.log("joined", "took_ms", f.now().Sub(started).Milliseconds(), "store_reads", reads, "hosts_asked", asked)
 }
 
 // countHosts returns the addresses of the hosts that the store lists, as of some seconds ago at most.
-func (h *Host) countHosts(ctx context.Context) ([]netip.AddrPort, error) {
-	list, err := h.list(ctx, kv.Range{Prefix: h.hostsPrefix(), Stale: true})
+func (f *Follower) countHosts(ctx context.Context) ([]netip.AddrPort, error) {
+	list, err := f.list(ctx, kv.Range{Prefix: f.settings.Hosts, Stale: true})
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/follow/knowledge.go
@@ -0,0 +1,115 @@
+package follow
+
+import (
+	"sync"
+	"time"
+
+	"pearlatch/core/kv"
+)
+
+// Knowledge is what a host knows of the store, and how old that is. Use NewKnowledge.
+type Knowledge struct {
+	now func() time.Time
+
+	mu   sync.Mutex
+	view *kv.View
+	// changed is closed and replaced with each change of view, and heardAt is when the store itself was last
+	// heard of.
+	changed chan struct{}
+	heardAt time.Time
+	// listed is the last whole list that was passed on, of listedAt, for further hosts that need one.
+	listed   kv.News
+	listedAt time.Time
+}
+
+// NewKnowledge returns what a host knows at its start: nothing.
+func NewKnowledge(later kv.Later, now func() time.Time) *Knowledge {
+	return &Knowledge{now: now, view: kv.NewView(later), changed: make(chan struct{})}
+}
+
+// Apply takes over news, as kv.View.Apply does.
+func (k *Knowledge) Apply(n News) (kv.Applied, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	applied, err := k.view.Apply(n.News)
+	if err != nil {
+		return applied, err
+	}
+	if heard := k.now().Add(-n.Age); heard.After(k.heardAt) {
+		k.heardAt = heard
+	}
+	if len(applied.Changed) > 0 || k.view.Revision() != applied.Before {
+		close(k.changed)
+		k.changed = make(chan struct{})
+	}
+	return applied, nil
+}
+
+// Item returns what is known of a key, and whether it exists.
+func (k *Knowledge) Item(key string) (kv.Item, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.view.Item(key)
+}
+
+// Revision returns the revision up to which all changes are known, or zero before the first news.
+func (k *Knowledge) Revision() kv.Revision {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.view.Revision()
+}
+
+// Age returns how long ago the store itself was heard of.
+func (k *Knowledge) Age() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.now().Sub(k.heardAt)
+}
+
+// Recent reports whether the news are recent enough to decide on what others may have changed.
+func (k *Knowledge) Recent() bool { return k.Age() <= staleNews }
+
+// After returns what changed after the revision, and what is closed with the next change.
+func (k *Knowledge) After(after kv.Revision) (News, <-chan struct{}, error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.view.Revision() == 0 {
+		return News{}, nil, errNoNews
+	}
+	n := News{News: k.view.Since(after), Age: k.now().Sub(k.heardAt)}
+	if n.Whole {
+		n.News = k.wholeNews(n.News)
+	}
+	if n.Revision < k.view.Revision() {
+		return n, closedChannel, nil // more is known already
+	}
+	return n, k.changed, nil
+}
+
+var closedChannel = func() chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}()
+
+// listReuse is how long a whole list is sent to further hosts, with what changed since after it, so that a fleet that
+// starts does not have it put together and compressed for each of them.
+const listReuse = time.Second
+
+// wholeNews returns the given list, or a recent one from which the changes that follow are known. k.mu is held.
+func (k *Knowledge) wholeNews(list kv.News) kv.News {
+	now := k.now()
+	if k.listed.Revision == 0 || now.Sub(k.listedAt) > listReuse || k.view.Since(k.listed.Revision).Whole {
+		k.listed, k.listedAt = list, now
+	}
+	return k.listed
+}
+
+// Trim drops the list that is kept for further hosts once it is old.
+func (k *Knowledge) Trim() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.now().Sub(k.listedAt) > listReuse {
+		k.listed = kv.News{}
+	}
+}
--- a/internal/gateway/source.go
+++ b/internal/follow/source.go
@@ -1,4 +1,4 @@
-package gateway
+package follow
 
 import (
 	"context"
@@ -8,7 +8,6 @@
 
 	"github.com/pkg/errors"
 
-	"pearlatch/core/membership"
 	"pearlatch/core/serving"
 )
 
@@ -26,44 +25,41 @@
 	newsTransit = 50 * time.Millisecond
 )
 
-// source is where a host learns what is in the store. Its implementations are
-// storeSource and peerSource.
-type source interface {
+// Source is where a host learns what is in the store. Its implementations are
+// FromStore and FromHost.
+type Source interface {
 	// follow returns nil after a while in which the source did not fail. A source that is not the
 	// preferred one is followed for less long. Old news count as a failure only after patience.
-	follow(ctx context.Context, f *follower, patience time.Duration) error
+	follow(ctx context.Context, f *Follower, patience time.Duration) error
 	String() string
 }
 
 type (
-	// storeSource is the store itself.
-	storeSource struct{}
-	// peerSource is another host.
-	peerSource struct{ addr netip.AddrPort }
+	// FromStore is the store itself.
+	FromStore struct{}
+	// FromHost is another host.
+	FromHost struct{ Addr netip.AddrPort }
 )
 
-func (storeSource) String() string { return "store" }
+func (FromStore) String() string { return "store" }
 
-func (s peerSource) String() string { return s.addr.String() }
+func (s FromHost) String() string { return s.Addr.String() }
 
-func (storeSource) follow(ctx context.Context, f *follower, _ time.Duration) error {
-	return f.host.followStore(ctx)
+func (FromStore) follow(ctx context.Context, f *Follower, _ time.Duration) error {
+	return f.followStore(ctx)
 }
 
-func (s peerSource) follow(ctx context.Context, f *follower, patience time.Duration) error {
-	h, spare := f.host, f.at > 0
-	h.mu.Lock()
-	after := h.view.Revision()
-	h.mu.Unlock()
+func (s FromHost) follow(ctx context.Context, f *Follower, patience time.Duration) error {
+	spare, after := f.at > 0, f.known.Revision()
 	call, cancel := context.WithTimeout(ctx, feedOpenTimeout)
 	defer cancel()
-	feed, err := h.ports.Peers.Feed(call, s.addr, after)
+	feed, err := f.peers.Feed(call, s.Addr, after)
 	if err != nil {
 		return err
 	}
 	defer feed.Close()
-	version := h.fleet.Version()
-	for started := h.now(); ctx.Err() == nil; {
+	version := f.fleet.Version()
+	for started := f.now(); ctx.Err() == nil; {
 		news, err := feed.Next(feedTimeout)
 		if err != nil {
 			return err
@@ -72,10 +68,10 @@
 			return &busyError{news.Elsewhere}
 		}
 		news.Age += newsTransit
-		if err := h.apply(news); err != nil {
+		if err := f.apply(news); err != nil {
 			return err
 		}
-		followed := h.now().Sub(started)
+		followed := f.now().Sub(started)
 		switch {
 		case news.Age <= staleNews:
 			f.heard(s)
@@ -86,7 +82,7 @@
 		if spare && followed > preferAgain {
 			return nil
 		}
-		if now := h.fleet.Version(); now != version && !spare && h.prefersAnother(s) {
+		if now := f.fleet.Version(); now != version && !spare && f.prefersAnother(s) {
 			return nil
 		}
 	}
@@ -100,47 +96,42 @@
 
 // prefersAnother reports whether the host is to learn from another source, now that it has a place of its own among the
 // listed hosts. Until then all of those that start would turn to the few that are listed.
-func (h *Host) prefersAnother(s source) bool {
-	return h.ports.Peers != nil && h.fleet.Feeds().Placed && h.sources()[0] != s
+func (f *Follower) prefersAnother(s Source) bool {
+	return f.peers != nil && f.fleet.Feeds().Placed && f.Sources()[0] != s
 }
 
 // errStaleNews means that a host has not heard of the store lately either.
 var errStaleNews = errors.New("the news is old")
 
-// sources returns where the host learns what is in the store, the preferred one first.
-func (h *Host) sources() []source {
-	if h.ports.Peers == nil {
-		return []source{storeSource{}}
+// Sources returns where the host learns what is in the store, the preferred one first.
+func (f *Follower) Sources() []Source {
+	if f.peers == nil {
+		return []Source{FromStore{}}
 	}
-	if !h.fleet.Known() {
-		return []source{storeSource{}}
+	if !f.fleet.Known() {
+		return []Source{FromStore{}}
 	}
-	feeds := h.fleet.Feeds()
+	feeds := f.fleet.Feeds()
 	var addrs []netip.AddrPort
 	for _, each := range feeds.Hosts {
 		addrs = append(addrs, each.Peer)
 	}
 	if feeds.StoreFirst {
-		return append([]source{storeSource{}}, toSources(addrs)...)
+		return append([]Source{FromStore{}}, toSources(addrs)...)
 	}
 	out := toSources(addrs)
-	if serving.AsksStore(h.fleet.Size(), rand.Float64()) {
-		out = append(out, storeSource{})
+	if serving.AsksStore(f.fleet.Size(), rand.Float64()) {
+		out = append(out, FromStore{})
 	}
 	return out
 }
 
-func toSources(addrs []netip.AddrPort) []source {
-	var out []source
+func toSources(addrs []netip.AddrPort) []Source {
+	var out []Source
 	for _, a := range addrs {
 		if a.IsValid() {
-			out = append(out, peerSource{a})
+			out = append(out, FromHost{a})
 		}
 	}
 	return out
 }
-
-// self describes this host to others.
-func (h *Host) self() membership.Host {
-	return h.fleet.Self()
-}
--- a/internal/gateway/beliefs.go
+++ b/internal/gateway/beliefs.go
@@ -56,7 +56,7 @@
 	h.mu.Lock()
 	out := Beliefs{
 		Host: h.settings.Host, Zone: h.settings.Zone, Ready: h.Ready(), Stopping: h.Stopping(),
-		Sessions: h.Sessions(), StoreRevision: h.view.Revision(),
+		Sessions: h.Sessions(), StoreRevision: h.known.Revision(),
 	}
 	if h.config != nil {
 		out.ConfigVersion = h.config.Version
--- a/internal/gateway/duty.go
+++ b/internal/gateway/duty.go
@@ -173,8 +173,8 @@
 func (d *duty) state() (s leadership.DutyState, holder string) {
 	h := d.host
 	h.mu.Lock()
-	entry, _ := h.view.Item(h.dutyKey(d.group.name))
-	known, informed := h.view.Revision(), h.now().Sub(h.heardAt) <= staleNews
+	entry, _ := h.known.Item(h.dutyKey(d.group.name))
+	known, informed := h.known.Revision(), h.known.Recent()
 	h.mu.Unlock()
 	holder = string(entry.Value)
 	d.mu.Lock()
--- a/internal/gateway/errors.go
+++ b/internal/gateway/errors.go
@@ -8,10 +8,9 @@
 
 // Errors of the ports.
 var (
-	ErrCompacted = errors.New("the history asked for is no longer kept")
-	ErrConflict  = errors.New("the key has changed meanwhile")
-	ErrNoLease   = errors.New("the lease has ended")
-	ErrFenced    = errors.New("a higher fencing token was used, or the member does not run")
+	ErrConflict = errors.New("the key has changed meanwhile")
+	ErrNoLease  = errors.New("the lease has ended")
+	ErrFenced   = errors.New("a higher fencing token was used, or the member does not run")
 )
 
 // processEnded reports whether nothing listens at an address whose machine answers. A reset
--- a/internal/gateway/fakefleet_test.go
+++ b/internal/gateway/fakefleet_test.go
@@ -12,6 +12,7 @@
 
 	"pearlatch/core/freshness"
 	"pearlatch/core/kv"
+	"pearlatch/internal/follow"
 	"pearlatch/internal/quotas"
 )
 
@@ -341,15 +342,15 @@
 
 func (l *fakeLane) Mistrust(time.Duration) {}
 
-func (p *fakePeers) Feed(ctx context.Context, to netip.AddrPort, after kv.Revision) (Feed, error) {
+func (p *fakePeers) Feed(ctx context.Context, to netip.AddrPort, after kv.Revision) (follow.Feed, error) {
 	h, err := p.reach(ctx, to)
 	if err != nil {
 		return nil, err
 	}
 	run, cancel := context.WithCancel(context.Background())
-	f := &fakeFeed{news: make(chan News), done: make(chan error, 1), cancel: cancel}
+	f := &fakeFeed{news: make(chan follow.News), done: make(chan error, 1), cancel: cancel}
 	go func() {
-		f.done <- h.Feed(run, after, func(n News) error {
+		f.done <- h.Feed(run, after, func(n follow.News) error {
 			if _, err := p.reach(run, to); err != nil {
 				return err
 			}
@@ -365,21 +366,21 @@
 }
 
 type fakeFeed struct {
-	news   chan News
+	news   chan follow.News
 	done   chan error
 	cancel func()
 }
 
-func (f *fakeFeed) Next(atMost time.Duration) (News, error) {
+func (f *fakeFeed) Next(atMost time.Duration) (follow.News, error) {
 	late := time.NewTimer(atMost)
 	defer late.Stop()
 	select {
 	case n := <-f.news:
 		return n, nil
 	case err := <-f.done:
-		return News{}, err
+		return follow.News{}, err
 	case <-late.C:
-		return News{}, context.DeadlineExceeded
+		return follow.News{}, context.DeadlineExceeded
 	}
 }
 
--- a/internal/gateway/fakesite_test.go
+++ b/internal/gateway/fakesite_test.go
@@ -74,9 +74,8 @@
 	keyLease map[string]int64
 	down     bool // the store answers nothing
 	refusing bool // the store refuses all calls at once
-	// pages counts the pages that were read. Each holds pageItems items at most, if that is set, and each failPage-th
-	// fails, if that is.
-	pages, pageItems, failPage int
+	// pages counts the pages that were read. Each holds pageItems items at most, if that is set.
+	pages, pageItems int
 	// commits counts the transactions, and renewals those of leases.
 	commits, renewals int
 	slow              time.Duration // each call takes so long
--- a/internal/gateway/fakestore_test.go
+++ b/internal/gateway/fakestore_test.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"pearlatch/core/kv"
+	"pearlatch/internal/follow"
 )
 
 // list writes a member's entry. An empty state removes it.
@@ -137,9 +138,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.pages++
-	if s.failPage > 0 && s.pages%s.failPage == 0 {
-		return kv.Page{}, errDown
-	}
 	out := kv.Page{Snapshot: kv.Snapshot{Revision: s.revision}}
 	for _, key := range slices.Sorted(maps.Keys(s.items)) {
 		if i := s.items[key]; !strings.HasPrefix(key, r.Prefix) || key <= r.After || i.Removed {
@@ -164,7 +162,7 @@
 		out, changed := kv.Snapshot{Revision: s.revision}, s.changed
 		if after.Number() > s.revision.Number() {
 			s.mu.Unlock()
-			return kv.Snapshot{}, ErrCompacted
+			return kv.Snapshot{}, follow.ErrCompacted
 		}
 		for _, i := range s.items {
 			if i.Revision.Number() > after.Number() {
--- a/internal/gateway/follow_bench_test.go
+++ b/internal/gateway/follow_bench_test.go
@@ -10,6 +10,7 @@
 
 	"pearlatch/core/freshness"
 	"pearlatch/core/kv"
+	"pearlatch/internal/follow"
 )
 
 // wideDecoder reads entries of many groups: the configuration is the number of groups, and a member's
@@ -52,11 +53,11 @@
 
 // wideHost returns a host that knows a fleet of n before many groups, and a function that returns the
 // news of a host that joins, or leaves again the second time.
-func wideHost(n, groups int) (*Host, func(name string, turn int) News) {
+func wideHost(n, groups int) (*Host, func(name string, turn int) follow.News) {
 	h := NewHost(Settings{Host: "host-0", Zone: "zone-0", Peer: netip.MustParseAddrPort("10.0.0.1:1")}, Ports{
 		Peers: &fakePeers{}, Decode: wideDecoder{}, Keys: Keys{Config: "config", Members: "members/", Own: "own/"},
 	}, testLogger(), time.Now)
-	news := News{News: kv.News{Whole: true, Snapshot: kv.Snapshot{Revision: 1, Items: []kv.Item{{Key: "config", Value: binary.BigEndian.AppendUint32(nil, uint32(groups)), Revision: 1}}}}}
+	news := follow.News{News: kv.News{Whole: true, Snapshot: kv.Snapshot{Revision: 1, Items: []kv.Item{{Key: "config", Value: binary.BigEndian.AppendUint32(nil, uint32(groups)), Revision: 1}}}}}
 	entry := func(i int) []byte { return fmt.Appendf(nil, "zone-%d 10.0.0.1:1", i%5) }
 	for i := range n {
 		news.Items = append(news.Items, kv.Item{Key: fmt.Sprint("own/hosts/host-", i), Value: entry(i), Revision: 1})
@@ -70,9 +71,9 @@
 		panic(err)
 	}
 	revision := kv.Revision(1)
-	return h, func(name string, turn int) News {
+	return h, func(name string, turn int) follow.News {
 		revision++
 		i := kv.Item{Key: "own/hosts/" + name, Value: entry(turn), Revision: revision}
-		return News{News: kv.News{Snapshot: kv.Snapshot{Revision: revision, Items: []kv.Item{i}}}}
+		return follow.News{News: kv.News{Snapshot: kv.Snapshot{Revision: revision, Items: []kv.Item{i}}}}
 	}
 }
--- a/internal/gateway/groups.go
+++ b/internal/gateway/groups.go
@@ -61,7 +61,7 @@
 	if h.ports.Peers == nil || h.fleet.Candidate(name) {
 		return true
 	}
-	entry, ok := h.view.Item(h.dutyKey(name))
+	entry, ok := h.known.Item(h.dutyKey(name))
 	return ok && string(entry.Value) == h.settings.Host
 }
 
--- a/internal/gateway/groups_test.go
+++ b/internal/gateway/groups_test.go
@@ -10,6 +10,7 @@
 	"pearlatch/core/kv"
 	"pearlatch/core/membership"
 	"pearlatch/internal/fleet"
+	"pearlatch/internal/follow"
 )
 
 // A host kept a Group, two goroutines and a look ten times a second for each group of the configuration, and worked out
@@ -90,7 +91,7 @@
 			continue
 		}
 		entry := kv.Item{Key: h.dutyKey(name), Value: []byte(h.settings.Host), Revision: 2}
-		if err := h.apply(News{News: kv.News{Snapshot: kv.Snapshot{Revision: 2, Items: []kv.Item{entry}}}}); err != nil {
+		if err := h.apply(follow.News{News: kv.News{Snapshot: kv.Snapshot{Revision: 2, Items: []kv.Item{entry}}}}); err != nil {
 			t.Fatal(err)
 		}
 		if h.existing(name) == nil {
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -19,6 +19,7 @@
 	"pearlatch/core/quota"
 	"pearlatch/core/recall"
 	"pearlatch/internal/fleet"
+	"pearlatch/internal/follow"
 	"pearlatch/internal/quotas"
 )
 
@@ -94,11 +95,11 @@
 	// groups holds the Groups that something depends on, and grouped gets a token when one comes into being.
 	groups  map[string]*Group
 	grouped chan struct{}
-	// view is what the host knows of the store.
-	view *kv.View
-	// missed is true after a watch failed: what it missed is to be asked for.
-	missed bool
-	// seen is the revision of view, for groups.
+	// known is what the host knows of the store, kept up to date by follower and passed on by feeder.
+	known    *follow.Knowledge
+	follower *follow.Follower
+	feeder   *follow.Feeder
+	// seen is the revision of known, for groups.
 	seen atomic.Int64
 	// configRevision is that of the configuration's item that was read last.
 	configRevision kv.Revision
@@ -107,17 +108,6 @@
 	duties map[string]*duty
 	// holding is the lease of those that this host holds.
 	holding holding
-	// changed is closed and replaced with each change of view, and heardAt is when the store itself was last
-	// heard of.
-	changed chan struct{}
-	heardAt time.Time
-
-	// feeds counts the hosts that news are passed on to, and lists the whole lists that are being sent.
-	feeds, lists atomic.Int64
-	// listed is the last whole list that was sent, of listedAt, for further hosts that need one.
-	listed   kv.News
-	listedAt time.Time
-
 	// remembered holds, by group, the newest record known from before the store last came back from an older copy.
 	remembered map[string]leadership.Found
 
@@ -140,8 +130,6 @@
 	informed, configured chan struct{}
 	// reconfigured is closed and replaced with each configuration.
 	reconfigured chan struct{}
-	// watchedAt is when the store was last asked for changes. One goroutine uses it.
-	watchedAt time.Time
 
 	sessions atomic.Int64
 	stopping atomic.Bool
@@ -158,11 +146,15 @@
 	h := &Host{
 		started: now(), meters: m, settings: s, ports: p, logger: log.With(logger, "host", s.Host), now: now,
 		groups: map[string]*Group{}, grouped: make(chan struct{}, 1), members: newMemberList(), informed: make(chan struct{}), configured: make(chan struct{}), reconfigured: make(chan struct{}),
-		stopped: make(chan struct{}), ended: make(chan struct{}), duties: map[string]*duty{}, changed: make(chan struct{}), process: fmt.Sprintf("%s-%08x", s.Host, rand.Uint32()),
+		stopped: make(chan struct{}), ended: make(chan struct{}), duties: map[string]*duty{}, process: fmt.Sprintf("%s-%08x", s.Host, rand.Uint32()),
 	}
-	h.view = kv.NewView(h.later)
+	h.known = follow.NewKnowledge(h.later, now)
 	h.holding.host = h
 	h.fleet = fleet.New(membership.Host{ID: s.Host, Zone: s.Zone, Peer: s.Peer, Strength: s.Strength})
+	h.feeder = follow.NewFeeder(h.known, h.fleet, h.stopping.Load)
+	h.follower = follow.New(follow.Settings{Self: s.Peer, Seeds: s.Seeds, Hosts: h.hostsPrefix()}, follow.Ports{
+		Store: p.Store, Peers: p.Peers, Apply: h.apply, Log: h.log,
+	}, h.fleet, h.known, now)
 	h.granters, h.remembered = map[string]kv.Item{}, map[string]leadership.Found{}
 	h.quotas = quotas.New(quotas.Settings{Host: s.Host, Process: h.process, Terms: s.Quotas}, quotaFleet{h}, logger, now)
 	return h
@@ -172,7 +164,7 @@
 func (h *Host) Run(ctx context.Context) {
 	defer close(h.ended)
 	var wait sync.WaitGroup
-	wait.Go(func() { h.follow(ctx) })
+	wait.Go(func() { h.follower.Run(ctx) })
 	wait.Go(func() { h.register(ctx) })
 	wait.Go(func() { h.serveDuties(ctx) })
 	wait.Go(func() { h.keepHolding(ctx) })
@@ -294,7 +286,7 @@
 			g.trim()
 			g.trimControls()
 		}
-		h.forgetList()
+		h.known.Trim()
 	}
 }
 
@@ -365,10 +357,7 @@
 
 // logRefused writes the line of a caller that gets no session, with how old the news is that decided it.
 func (h *Host) logRefused(database string, f *Failure) {
-	h.mu.Lock()
-	age := h.now().Sub(h.heardAt)
-	h.mu.Unlock()
-	h.log("caller_refused", "database", database, "code", f.Code, "config_version", h.configVersion(), "news_age_ms", age.Milliseconds())
+	h.log("caller_refused", "database", database, "code", f.Code, "config_version", h.configVersion(), "news_age_ms", h.known.Age().Milliseconds())
 	h.meters.count(fmt.Sprintf("callers_refused_total{code=%q}", f.Code), 1)
 }
 
--- a/internal/gateway/join_test.go
+++ b/internal/gateway/join_test.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"context"
-	"errors"
 	"fmt"
 	"net/netip"
 	"testing"
@@ -10,7 +8,6 @@
 	"time"
 
 	"pearlatch/core/freshness"
-	"pearlatch/core/kv"
 )
 
 // wideSite starts n hosts together before a store that holds so many further keys, in pages of a tenth of them.
@@ -52,56 +49,3 @@
 		}
 	})
 }
-
-// The store refuses each third call while a host reads a list of many pages. A list that begins again with each failure
-// would hardly ever end.
-func TestPageThatFailedIsReadAgainAlone(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		s := newFakeSite("a", "b", "c")
-		s.pageItems, s.failPage = 5, 3
-		for i := range 100 {
-			s.put(fmt.Sprint("own/other/", i), []byte("x"), 0)
-		}
-		h := NewHost(Settings{Host: "h"}, Ports{Store: s, Decode: fakeDecoder{freshness.Latest{}}, Keys: Keys{Config: "config", Members: "members/", Own: "own/"}}, testLogger(), time.Now)
-		list, err := h.list(t.Context(), kv.Range{Prefix: "own/other/"})
-		if err != nil || len(list.Items) != 100 {
-			t.Errorf("%d items, %v", len(list.Items), err)
-		}
-		if s.pages > 40 {
-			t.Errorf("%d pages were read for a list of 20", s.pages)
-		}
-	})
-}
-
-// A thousand hosts that start turn to the few that have the list. Each sends it to some at a time, and names the others
-// hosts that have it too, or its memory fills with lists on their way.
-func TestHostsBeyondTheFeedsAreTurnedAway(t *testing.T) {
-	playFleet(t, 30, 20, freshness.Latest{}, func(_ *fakeSite, f *fakeFleet) {
-		h := f.watching()[0]
-		ctx, cancel := context.WithCancel(context.Background())
-		defer cancel()
-		turned := make(chan News, 3*mostLists)
-		overSlowLink := func(n News) error {
-			if len(n.Elsewhere) > 0 {
-				turned <- n
-				return nil
-			}
-			<-ctx.Done()
-			return ctx.Err()
-		}
-		for range 3 * mostLists {
-			go func() {
-				if err := h.Feed(ctx, 0, overSlowLink); !errors.Is(err, errTurnedAway) && ctx.Err() == nil {
-					t.Errorf("a feed ended with %v", err)
-				}
-			}()
-		}
-		time.Sleep(time.Second)
-		if n := len(turned); n != 2*mostLists {
-			t.Errorf("%d of %d were turned away", n, 3*mostLists)
-		}
-		if n := <-turned; len(n.Elsewhere) != named || n.Age < staleNews || n.Whole {
-			t.Errorf("they were told %+v", n)
-		}
-	})
-}
--- a/internal/gateway/lessee.go
+++ b/internal/gateway/lessee.go
@@ -108,7 +108,7 @@
 
 func (h *Host) requestLease(ctx context.Context, groupName string) (LeaseReply, error) {
 	h.mu.Lock()
-	entry, _ := h.view.Item(h.dutyKey(groupName))
+	entry, _ := h.known.Item(h.dutyKey(groupName))
 	holder, d := string(entry.Value), h.duties[groupName]
 	h.mu.Unlock()
 	if d != nil && d.isHeld() {
--- a/internal/gateway/meteredstore.go
+++ b/internal/gateway/meteredstore.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"pearlatch/core/kv"
+	"pearlatch/internal/follow"
 )
 
 // meteredStore counts and times the calls to a store.
@@ -27,7 +28,7 @@
 		result = "conflict"
 	case errors.Is(err, ErrNoLease):
 		result = "no_lease"
-	case errors.Is(err, ErrCompacted):
+	case errors.Is(err, follow.ErrCompacted):
 		result = "compacted"
 	default:
 		result = "failed"
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 
 	"pearlatch/core/group"
-	"pearlatch/core/kv"
+	"pearlatch/internal/follow"
 	"pearlatch/internal/quotas"
 )
 
@@ -28,8 +28,7 @@
 	// Quota asks the host for tokens of accounts' quotas, and TellQuota what it holds of them.
 	Quota(ctx context.Context, to netip.AddrPort, r quotas.Request) (quotas.Reply, error)
 	TellQuota(ctx context.Context, to netip.AddrPort, r quotas.TellRequest) (quotas.TellReply, error)
-	// Feed lets the host pass on what changed in the store after the revision.
-	Feed(ctx context.Context, to netip.AddrPort, after kv.Revision) (Feed, error)
+	follow.Peers
 }
 
 // Lane carries requests to another host, one after the other.
@@ -45,13 +44,6 @@
 	Mistrust(age time.Duration)
 }
 
-// Feed is a stream of the store's news from another host.
-type Feed interface {
-	// Next waits for news, at most for the given time.
-	Next(atMost time.Duration) (News, error)
-	Close()
-}
-
 // ErrNotSent means that a request did not leave this host.
 var ErrNotSent = errors.New("the request was not sent")
 
@@ -159,13 +151,3 @@
 func (RecalledRunning) isRecalled() {}
 func (RecalledDone) isRecalled()    {}
 func (RecalledUnknown) isRecalled() {}
-
-// News is what changed in the store, as another host passes it on.
-type News struct {
-	kv.News
-	// Age is how long ago the store itself was heard of.
-	Age time.Duration
-	// Elsewhere is not empty if the host passes on to too many others already. Then there are no news, and these hosts
-	// have them.
-	Elsewhere []netip.AddrPort
-}
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -7,6 +7,7 @@
 
 	"pearlatch/core/group"
 	"pearlatch/core/kv"
+	"pearlatch/internal/follow"
 )
 
 // Member identifies a member of a group and what the platform says of it.
@@ -129,13 +130,7 @@
 // Store is the platform's store. It may come back from an older copy, see package kv. An error may come
 // after a write has taken effect.
 type Store interface {
-	// List returns the first items of a range.
-	List(ctx context.Context, r kv.Range) (kv.Page, error)
-	// Watch waits for changes after the revision, at most for wait, and returns
-	// them with the revision to go on from. ErrCompacted means that the changes
-	// are no longer kept. If the revision to go on from is of another epoch, the changes do not
-	// follow on those before.
-	Watch(ctx context.Context, prefix string, after kv.Revision, wait time.Duration) (kv.Snapshot, error)
+	follow.Store
 	// Commit carries a transaction out and returns its revision. ErrConflict means that a key has not the revision that
 	// is expected. If the new revision is of another epoch, the number may have stood for another content.
 	Commit(ctx context.Context, t kv.Transaction) (kv.Revision, error)
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -25,7 +25,7 @@
 	f.h.mu.Lock()
 	defer f.h.mu.Unlock()
 	key := f.h.dutyKey(shard)
-	if i, known := f.h.view.Item(key); known {
+	if i, known := f.h.known.Item(key); known {
 		f.h.granters[shard] = i
 	}
 	i, ok := f.h.granters[shard]
--- a/internal/gateway/register.go
+++ b/internal/gateway/register.go
@@ -9,6 +9,7 @@
 	"pearlatch/core/kv"
 	"pearlatch/core/membership"
 	"pearlatch/internal/fleet"
+	"pearlatch/internal/follow"
 )
 
 func (h *Host) hostsPrefix() string { return h.ports.Keys.Own + "hosts/" }
@@ -46,7 +47,7 @@
 		}
 		pause := hostRenewal
 		if lease == 0 {
-			pause = sourcePauseMax
+			pause = follow.SourcePauseMax
 		}
 		if !sleep(ctx, pause) {
 			break
@@ -55,6 +56,9 @@
 	h.depart(lease)
 }
 
+// self describes this host to others.
+func (h *Host) self() membership.Host { return h.fleet.Self() }
+
 // depart tells other hosts that this one stops. The entry is left to lapse: if it were
 // removed at once, hosts that read the list only then would take this one for a host
 // whose entry has lapsed, and that may serve still.
@@ -127,7 +131,7 @@
 func (h *Host) enter(ctx context.Context, self membership.Host, lease int64) (kv.Revision, error) {
 	key := h.hostsPrefix() + self.ID
 	h.mu.Lock()
-	known, _ := h.view.Item(key)
+	known, _ := h.known.Item(key)
 	h.mu.Unlock()
 	return h.ports.Store.Commit(ctx, kv.Replace(key, known.Revision, fleet.Entry(self), lease))
 }
--- a/internal/gateway/restore_test.go
+++ b/internal/gateway/restore_test.go
@@ -208,7 +208,7 @@
 		s.restore(b)
 		time.Sleep(1500 * time.Millisecond)
 		for _, h := range f.all() {
-			news, _, err := h.newsAfter(0)
+			news, _, err := h.known.After(0)
 			if err != nil || !news.Whole {
 				t.Fatalf("%+v, %v", news, err)
 			}
@@ -263,7 +263,7 @@
 		s.restore(b)
 		time.Sleep(hostRenewal + time.Second)
 		for _, h := range f.all() {
-			if i, listed := h.view.Item(h.hostsPrefix() + h.settings.Host); !listed || i.Revision.Epoch() != 1 {
+			if i, listed := h.known.Item(h.hostsPrefix() + h.settings.Host); !listed || i.Revision.Epoch() != 1 {
 				t.Errorf("%s is not listed", h.settings.Host)
 			}
 		}
@@ -349,7 +349,7 @@
 func (f *fakeFleet) inEpoch(e kv.Epoch) bool {
 	for _, h := range f.all() {
 		h.mu.Lock()
-		known := h.view.Revision().Epoch()
+		known := h.known.Revision().Epoch()
 		h.mu.Unlock()
 		if known != e {
 			return false
--- a/internal/gateway/source_test.go
+++ b/internal/gateway/source_test.go
@@ -1,18 +1,21 @@
 package gateway
 
 import (
-	"context"
 	"testing"
 	"time"
 
 	"pearlatch/core/freshness"
+	"pearlatch/internal/follow"
 )
 
+// watchWait is how long a watch of the store lasts that brings nothing.
+const watchWait = time.Second
+
 // watching returns the hosts that ask the store themselves.
 func (f *fakeFleet) watching() []*Host {
 	var out []*Host
 	for _, h := range f.all() {
-		if _, ok := h.sources()[0].(storeSource); ok {
+		if _, ok := h.follower.Sources()[0].(follow.FromStore); ok {
 			out = append(out, h)
 		}
 	}
@@ -21,10 +24,10 @@
 
 // facing returns two watching hosts that turn to each other when the store fails them.
 func (f *fakeFleet) facing() []*Host {
-	second := func(h *Host) source { return h.sources()[1] }
+	second := func(h *Host) follow.Source { return h.follower.Sources()[1] }
 	for _, a := range f.watching() {
 		for _, b := range f.watching() {
-			if second(a) == source(peerSource{b.settings.Peer}) && second(b) == source(peerSource{a.settings.Peer}) {
+			if second(a) == follow.Source(follow.FromHost{Addr: b.settings.Peer}) && second(b) == follow.Source(follow.FromHost{Addr: a.settings.Peer}) {
 				return []*Host{a, b}
 			}
 		}
@@ -120,7 +123,7 @@
 				t.Errorf("%s is behind", h.settings.Host)
 			}
 			h.mu.Lock()
-			_, listed := h.view.Item("members/c")
+			_, listed := h.known.Item("members/c")
 			h.mu.Unlock()
 			if listed {
 				t.Errorf("%s still lists the member that left", h.settings.Host)
@@ -152,52 +155,7 @@
 		f.mu.Unlock()
 		s.setRefusing(false)
 		f.newConfig(2, 20)
-		time.Sleep(sourcePauseMax + 300*time.Millisecond)
+		time.Sleep(follow.SourcePauseMax + 300*time.Millisecond)
 		f.wantInForce(t, 2)
 	})
 }
-
-// While a fleet starts, a host has no place in the tree of feeds until it is listed, and all of those that are not would
-// turn to the first one that is: they stay where they learned the list.
-func TestHostWithoutAPlaceKeepsItsFeed(t *testing.T) {
-	listed, _ := wideHost(30, 1)
-	starts := NewHost(Settings{Host: "starts", Zone: "zone-0", Peer: addrOf(201)}, listed.ports, testLogger(), time.Now)
-	if err := starts.apply(News{News: listed.view.Since(0)}); err != nil {
-		t.Fatal(err)
-	}
-	other := peerSource{addrOf(200)}
-	if !listed.prefersAnother(other) {
-		t.Error("a listed host keeps to a source that it does not prefer")
-	}
-	if starts.prefersAnother(other) {
-		t.Error("a host that is not listed turns to another source")
-	}
-}
-
-// A host's source passes news on to too many others and names some that have them. The host learns from one of these, and
-// does not go on to the store.
-func TestHostThatIsTurnedAwayLearnsElsewhere(t *testing.T) {
-	playFleet(t, 30, 20, freshness.Latest{}, func(_ *fakeSite, f *fakeFleet) {
-		var h *Host
-		for _, each := range f.all() {
-			if _, store := each.sources()[0].(storeSource); !store {
-				h = each
-			}
-		}
-		busy, ok := h.sources()[0].(peerSource)
-		if !ok {
-			t.Fatal("the host learns from no other one")
-		}
-		feeder := f.hosts[busy.addr]
-		feeder.feeds.Add(mostFeeds)
-		defer feeder.feeds.Add(-mostFeeds)
-		fol := &follower{host: h, since: time.Now(), pause: sourcePause}
-		started := time.Now()
-		if !fol.turn(context.Background(), busy, 0) || fol.failures != 0 {
-			t.Errorf("the host that was turned away has %d failures", fol.failures)
-		}
-		if took := time.Since(started); took < preferAgain || took > 2*preferAgain {
-			t.Errorf("it learned elsewhere for %s", took)
-		}
-	})
-}
--- a/internal/gateway/take.go
+++ b/internal/gateway/take.go
@@ -71,9 +71,9 @@
 func (d *duty) prepare(lease int64) taking {
 	h := d.host
 	h.mu.Lock()
-	entry, _ := h.view.Item(h.dutyKey(d.group.name))
-	read, _ := h.view.Item(h.recordKey(d.group.name))
-	epoch := h.view.Revision().Epoch()
+	entry, _ := h.known.Item(h.dutyKey(d.group.name))
+	read, _ := h.known.Item(h.recordKey(d.group.name))
+	epoch := h.known.Revision().Epoch()
 	h.mu.Unlock()
 	t := taking{duty: d}
 	if string(entry.Value) == h.settings.Host {
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -9,6 +9,7 @@
 
 	"pearlatch/core/group"
 	"pearlatch/core/kv"
+	"pearlatch/internal/follow"
 	"pearlatch/internal/gateway"
 	"pearlatch/platform"
 )
@@ -184,7 +185,7 @@
 	}
 	s.Write("op/x", []byte("1"))
 	s.Forget()
-	if _, err := v.Watch(ctx, "", written, time.Second); !errors.Is(err, gateway.ErrCompacted) {
+	if _, err := v.Watch(ctx, "", written, time.Second); !errors.Is(err, follow.ErrCompacted) {
 		t.Errorf("%v, want ErrCompacted", err)
 	}
 }
@@ -219,7 +220,7 @@
 	if err != nil || len(list.Items) != 1 || list.Items[0].Key != "kept" || list.Revision.Epoch() != 1 {
 		t.Errorf("%+v, %v", list, err)
 	}
-	if _, err := v.Watch(ctx, "", before, time.Second); !errors.Is(err, gateway.ErrCompacted) {
+	if _, err := v.Watch(ctx, "", before, time.Second); !errors.Is(err, follow.ErrCompacted) {
 		t.Errorf("%v, want ErrCompacted", err)
 	}
 	if epoch, err := v.Renew(ctx, kept); err != nil || epoch != 1 {
--- a/internal/site/store.go
+++ b/internal/site/store.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"pearlatch/core/kv"
+	"pearlatch/internal/follow"
 	"pearlatch/internal/gateway"
 	"pearlatch/platform"
 )
@@ -232,7 +233,7 @@
 		}
 		s.mu.Unlock()
 		if forgotten {
-			return kv.Snapshot{}, gateway.ErrCompacted
+			return kv.Snapshot{}, follow.ErrCompacted
 		}
 		if len(out.Items) > 0 {
 			return out, nil
--- a/io/peer/gateway_client.go
+++ b/io/peer/gateway_client.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"pearlatch/core/kv"
+	"pearlatch/internal/follow"
 	"pearlatch/internal/gateway"
 	"pearlatch/internal/quotas"
 )
@@ -138,7 +139,7 @@
 }
 
 // Feed implements gateway.Peers.
-func (c *GatewayClient) Feed(ctx context.Context, to netip.AddrPort, after kv.Revision) (gateway.Feed, error) {
+func (c *GatewayClient) Feed(ctx context.Context, to netip.AddrPort, after kv.Revision) (follow.Feed, error) {
 	s, err := c.client.openStream(ctx, to, feedCall)
 	if err != nil {
 		return nil, err
@@ -157,18 +158,18 @@
 	stream *stream
 }
 
-var _ gateway.Feed = (*feed)(nil)
+var _ follow.Feed = (*feed)(nil)
 
-// Next implements gateway.Feed.
-func (f *feed) Next(atMost time.Duration) (gateway.News, error) {
+// Next implements follow.Feed.
+func (f *feed) Next(atMost time.Duration) (follow.News, error) {
 	late := time.AfterFunc(atMost, f.stream.close)
 	defer late.Stop()
 	var in newsMessage
 	if err := f.stream.drpc.MsgRecv(&in, encoding{}); err != nil {
-		return gateway.News{}, errors.Wrapf(err, "news of host %s", f.addr)
+		return follow.News{}, errors.Wrapf(err, "news of host %s", f.addr)
 	}
 	return in.News, nil
 }
 
-// Close implements gateway.Feed.
+// Close implements follow.Feed.
 func (f *feed) Close() { f.stream.close() }
--- a/io/peer/gateway_server.go
+++ b/io/peer/gateway_server.go
@@ -8,6 +8,7 @@
 	"storj.io/drpc"
 	"storj.io/drpc/drpcserver"
 
+	"pearlatch/internal/follow"
 	"pearlatch/internal/gateway"
 )
 
@@ -50,7 +51,7 @@
 	if err := stream.MsgRecv(&in, encoding{}); err != nil {
 		return err
 	}
-	return r.h.Feed(stream.Context(), in.after, func(n gateway.News) error {
+	return r.h.Feed(stream.Context(), in.after, func(n follow.News) error {
 		return stream.MsgSend(&newsMessage{n, &r.packer, in.packs}, encoding{})
 	})
 }
--- a/io/peer/news_messages.go
+++ b/io/peer/news_messages.go
@@ -4,7 +4,7 @@
 	"net/netip"
 
 	"pearlatch/core/kv"
-	"pearlatch/internal/gateway"
+	"pearlatch/internal/follow"
 )
 
 // feedRequest asks for a feed.
@@ -29,9 +29,9 @@
 	return false
 }
 
-// newsMessage is gateway.News on the wire.
+// newsMessage is follow.News on the wire.
 type newsMessage struct {
-	gateway.News
+	follow.News
 	// packer compresses large values, and if packs is true whole lists.
 	packer *packer
 	packs  bool
