--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -98,12 +98,13 @@
 			<-ctx.Done()
 			return ctx.Err()
 		}
+		feed := func() {
+			if err := f.Feed(ctx, 0, overSlowLink); !errors.Is(err, errTurnedAway) && ctx.Err() == nil {
+				t.Errorf("a feed ended with %v", err)
+			}
+		}
 		for range 3 * mostLists {
-			go func() {
-				if err := f.Feed(ctx, 0, overSlowLink); !errors.Is(err, errTurnedAway) && ctx.Err() == nil {
-					t.Errorf("a feed ended with %v", err)
-				}
-			}()
+			go feed()
 		}
 		time.Sleep(time.Second)
 		if n := len(turned); n != 2*mostLists {
