--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -10,6 +10,7 @@
 
 	"pearlatch/core/kv"
 	"pearlatch/internal/fleet"
+	"pearlatch/internal/pause"
 )
 
 const (
@@ -112,7 +113,7 @@
 		longest = SourcePauseMax
 	}
 	f.pause = min(2*f.pause, longest)
-	sleep(ctx, until.Sub(f.now()))
+	pause.For(ctx, until.Sub(f.now()))
 }
 
 // turn follows a source for a while, for as long as patience though its news are old. It returns false
@@ -182,15 +183,3 @@
 	}
 	f.failures, f.pause = 0, sourcePause
 }
-
-// sleep waits and returns false when ctx ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/follow/join.go
+++ b/internal/follow/join.go
@@ -10,6 +10,7 @@
 	"pearlatch/core/joining"
 	"pearlatch/core/kv"
 	"pearlatch/internal/fleet"
+	"pearlatch/internal/pause"
 )
 
 // join learns what is in the store for the first time, from the store or from a host that knows it.
@@ -36,7 +37,7 @@
 				j.Busy(busy.elsewhere)
 			}
 		case joining.Pause:
-			sleep(ctx, step.For)
+			pause.For(ctx, step.For)
 		}
 		if err != nil && f.known.Revision() == 0 {
 			f.logFailure(ctx, from, err)
--- a/internal/follow/store.go
+++ b/internal/follow/store.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"pearlatch/core/kv"
+	"pearlatch/internal/pause"
 )
 
 const (
@@ -41,7 +42,7 @@
 	if revision == 0 {
 		return f.listAll(ctx)
 	}
-	if !sleep(ctx, watchSpacing-f.now().Sub(f.watchedAt)) {
+	if !pause.For(ctx, watchSpacing-f.now().Sub(f.watchedAt)) {
 		return ctx.Err()
 	}
 	f.watchedAt = f.now()
@@ -94,7 +95,7 @@
 		call, cancel := context.WithTimeout(ctx, pageTimeout)
 		p, err := f.store.List(call, r)
 		cancel()
-		if err == nil || !again || tries == pageTries || !sleep(ctx, pagePause+rand.N(pagePause)) {
+		if err == nil || !again || tries == pageTries || !pause.For(ctx, pagePause+rand.N(pagePause)) {
 			return p, err
 		}
 	}
--- a/internal/gateway/fakestore_test.go
+++ b/internal/gateway/fakestore_test.go
@@ -11,6 +11,7 @@
 
 	"pearlatch/core/kv"
 	"pearlatch/internal/follow"
+	"pearlatch/internal/pause"
 )
 
 // list writes a member's entry. An empty state removes it.
@@ -119,7 +120,7 @@
 	down, refusing, slow := s.down, s.refusing, s.slow
 	s.expire()
 	s.mu.Unlock()
-	if slow > 0 && !sleep(ctx, slow) {
+	if slow > 0 && !pause.For(ctx, slow) {
 		return ctx.Err()
 	}
 	if down && !refusing {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -8,6 +8,7 @@
 
 	"pearlatch/core/membership"
 	"pearlatch/core/serving"
+	"pearlatch/internal/pause"
 )
 
 const (
@@ -87,7 +88,7 @@
 		return
 	}
 	for s.onePass(w, settle) {
-		if !sleep(ctx, peerPause) {
+		if !pause.For(ctx, peerPause) {
 			return
 		}
 	}
@@ -221,7 +222,7 @@
 				return
 			}
 		}
-		if !sleep(ctx, recallPause) {
+		if !pause.For(ctx, recallPause) {
 			return
 		}
 	}
@@ -251,7 +252,7 @@
 			}
 			return nil, errNotRun
 		}
-		if !sleep(ctx, peerPause) {
+		if !pause.For(ctx, peerPause) {
 			break
 		}
 	}
@@ -272,7 +273,7 @@
 func (h *Host) regain(id string) {
 	ctx, cancel := until(context.Background(), h.ended)
 	defer cancel()
-	for pause := serving.RegainPause(0, 1); sleep(ctx, pause); pause = serving.RegainPause(pause, h.fleet.Suspects()) {
+	for next := serving.RegainPause(0, 1); pause.For(ctx, next); next = serving.RegainPause(next, h.fleet.Suspects()) {
 		addr, suspect := h.fleet.Suspect(id)
 		if !suspect {
 			return
--- a/internal/gateway/grantor.go
+++ b/internal/gateway/grantor.go
@@ -7,6 +7,7 @@
 
 	"pearlatch/core/group"
 	"pearlatch/core/leadership"
+	"pearlatch/internal/pause"
 )
 
 // recallTries is how long a host may take to give a lease back until it is left to run
@@ -110,15 +111,15 @@
 	}
 	wait.Wait()
 	for left := w.holders(planned); len(left) > 0; left = w.holders(planned) {
-		pause := w.grantsEnd().Sub(w.host.now())
-		w.log("leases_awaited", "member", id, "hosts", left, "for_ms", pause.Milliseconds())
-		if !sleep(ctx, pause) {
+		ends := w.grantsEnd().Sub(w.host.now())
+		w.log("leases_awaited", "member", id, "hosts", left, "for_ms", ends.Milliseconds())
+		if !pause.For(ctx, ends) {
 			return false
 		}
 	}
 	// Leases of the holder before may still hold, if it was an earlier process of this host, or lost its
 	// entry early.
-	if !sleep(ctx, w.outwaited().Sub(w.host.now())) {
+	if !pause.For(ctx, w.outwaited().Sub(w.host.now())) {
 		return false
 	}
 	w.group.meters.recall(w.group.name, w.host.now().Sub(started))
--- a/internal/gateway/handover.go
+++ b/internal/gateway/handover.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"pearlatch/core/group"
+	"pearlatch/internal/pause"
 )
 
 // handOver replaces a leaving primary while it goes on serving: all replicas but
@@ -79,7 +80,7 @@
 		if ok && best.Member == heir.ID {
 			return true
 		}
-		if !sleep(ctx, leadPoll) {
+		if !pause.For(ctx, leadPoll) {
 			return false
 		}
 	}
--- a/internal/gateway/holding.go
+++ b/internal/gateway/holding.go
@@ -9,6 +9,7 @@
 
 	"pearlatch/core/kv"
 	"pearlatch/core/leadership"
+	"pearlatch/internal/pause"
 )
 
 // holding is the lease under which the entries of all duties of a host stand.
@@ -96,7 +97,7 @@
 // keepHolding renews the lease for as long as duties stand under it. It waits for nothing else, so that calls which take
 // long lose no duty.
 func (h *Host) keepHolding(ctx context.Context) {
-	for sleep(ctx, dutyPoll) {
+	for pause.For(ctx, dutyPoll) {
 		if held := h.heldDuties(); len(held) > 0 {
 			h.renewDuties(ctx, held)
 		}
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -20,6 +20,7 @@
 	"pearlatch/core/recall"
 	"pearlatch/internal/fleet"
 	"pearlatch/internal/follow"
+	"pearlatch/internal/pause"
 	"pearlatch/internal/quotas"
 )
 
@@ -281,7 +282,7 @@
 const trimPause = 250 * time.Millisecond
 
 func (h *Host) trim(ctx context.Context) {
-	for sleep(ctx, trimPause) {
+	for pause.For(ctx, trimPause) {
 		for _, g := range h.allGroups() {
 			g.trim()
 			g.trimControls()
@@ -303,18 +304,6 @@
 	return ctx, cancel
 }
 
-// sleep waits and returns false when ctx ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (h *Host) log(event string, fields ...any) {
 	_ = h.logger.Log(append([]any{"event", event}, fields...)...)
 }
--- a/internal/gateway/leader.go
+++ b/internal/gateway/leader.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"pearlatch/core/group"
+	"pearlatch/internal/pause"
 )
 
 const (
@@ -115,7 +116,7 @@
 	until := g.now().Add(timeout)
 	p, err := g.borrow(ctx, m)
 	for p == nil && err == nil {
-		if !sleep(ctx, askPause) {
+		if !pause.For(ctx, askPause) {
 			return Status{}, errNoRoom
 		}
 		p, err = g.borrow(ctx, m)
--- a/internal/gateway/offer.go
+++ b/internal/gateway/offer.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"pearlatch/core/group"
+	"pearlatch/internal/pause"
 )
 
 // run answers a read or a write.
@@ -85,7 +86,7 @@
 
 func (a *again) pause(ctx context.Context) {
 	if a.wait > 0 {
-		sleep(ctx, a.wait)
+		pause.For(ctx, a.wait)
 	}
 }
 
@@ -189,7 +190,7 @@
 		if leader == "" || g.prove(call, leader, w.provenSince()) {
 			return true
 		}
-		if !sleep(call, proofPause) {
+		if !pause.For(call, proofPause) {
 			return false
 		}
 	}
--- a/internal/gateway/order.go
+++ b/internal/gateway/order.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"pearlatch/core/group"
+	"pearlatch/internal/pause"
 )
 
 // choice says on what a successor was chosen. The zero value says nothing.
@@ -156,7 +157,7 @@
 				return answers[0], true
 			}
 		}
-		if !sleep(ctx, leadPoll) {
+		if !pause.For(ctx, leadPoll) {
 			return answered{}, false
 		}
 	}
--- a/internal/gateway/register.go
+++ b/internal/gateway/register.go
@@ -10,6 +10,7 @@
 	"pearlatch/core/membership"
 	"pearlatch/internal/fleet"
 	"pearlatch/internal/follow"
+	"pearlatch/internal/pause"
 )
 
 func (h *Host) hostsPrefix() string { return h.ports.Keys.Own + "hosts/" }
@@ -45,11 +46,11 @@
 			lease = 0
 			continue
 		}
-		pause := hostRenewal
+		next := hostRenewal
 		if lease == 0 {
-			pause = follow.SourcePauseMax
+			next = follow.SourcePauseMax
 		}
-		if !sleep(ctx, pause) {
+		if !pause.For(ctx, next) {
 			break
 		}
 	}
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"pearlatch/internal/pause"
 )
 
 // transaction is an open transaction. It takes a connection with its first
@@ -288,7 +290,7 @@
 		}
 		reply := replies[0]
 		if reply.Failure != nil && reply.Failure.Code == Busy && reply.State == InTransaction && g.now().Before(w.deadline) {
-			sleep(ctx, busyPause)
+			pause.For(ctx, busyPause)
 			continue
 		}
 		s.committed(p, asked, reply)
--- a/internal/host/route.go
+++ b/internal/host/route.go
@@ -11,6 +11,7 @@
 
 	"pearlatch/core/membership"
 	"pearlatch/core/statement"
+	"pearlatch/internal/pause"
 	"pearlatch/io/caller"
 	"pearlatch/io/peer"
 	"pearlatch/io/postgres"
@@ -149,14 +150,7 @@
 	default:
 		return false
 	}
-	t := time.NewTimer(ownerPause)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return pause.For(ctx, ownerPause)
 }
 
 // final turns an error into what the caller is told.
