Duties are claimed no sooner than news of those before can have come

Each host with a later claim tried in vain, and where several were tried together each once more by itself. Change: the wait grows by twice the lag with which changes reach the host, above 0.1 s. core/leadership decides; the lag is the age of the last news that changed anything.

--- a/internal/follow/knowledge.go
+++ b/internal/follow/knowledge.go
@@ -17,6 +17,8 @@
 	// heard of.
 	changed chan struct{}
 	heardAt time.Time
+	// lag is how old the last news were that changed anything.
+	lag time.Duration
 	// listed is the last whole list that was passed on, of listedAt, for further hosts that need one.
 	listed   kv.News
 	listedAt time.Time
@@ -38,6 +40,9 @@
 	if heard := k.now().Add(-n.Age); heard.After(k.heardAt) {
 		k.heardAt = heard
 	}
+	if len(applied.Changed) > 0 {
+		k.lag = n.Age
+	}
 	if len(applied.Changed) > 0 || k.view.Revision() != applied.Before {
 		close(k.changed)
 		k.changed = make(chan struct{})
@@ -66,6 +71,13 @@
 	return k.now().Sub(k.heardAt)
 }
 
+// Lag returns how long changes take until the host hears of them.
+func (k *Knowledge) Lag() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.lag
+}
+
 // Recent reports whether the news are recent enough to decide on what others may have changed.
 func (k *Knowledge) Recent() bool { return k.Age() <= staleNews }
 
--- a/internal/gateway/duty.go
+++ b/internal/gateway/duty.go
@@ -22,9 +22,6 @@
 	// lateOrder is how long an order without an answer may still be carried out where the
 	// platform checks no fencing tokens: the users' late calls come up to 6 s after.
 	lateOrder = 8 * time.Second
-	// dutyStagger is how much longer each host of a lower rank waits before it
-	// takes a duty that nobody holds, so that the first one usually succeeds.
-	dutyStagger = 150 * time.Millisecond
 	// dutyPoll is the pause between looks at duties that others may leave. After a restart of
 	// all hosts nobody grants leases until the duties are taken again.
 	dutyPoll = 100 * time.Millisecond
@@ -191,7 +188,8 @@
 		d.vacant = now
 		return false
 	}
-	return now.Sub(d.vacant) >= time.Duration(d.host.fleet.Place(d.group.name))*dutyStagger && !now.Before(d.retryAt)
+	wait := leadership.ClaimWait(d.host.fleet.Place(d.group.name), d.host.known.Lag())
+	return now.Sub(d.vacant) >= wait && !now.Before(d.retryAt)
 }
 
 // candidate reports whether the host is among the first that take a group's duty when nobody holds it.
