--- a/core/joining/joiner.go
+++ b/core/joining/joiner.go
@@ -8,8 +8,7 @@
 
 const (
 	// readersAtOnce is how many hosts of a fleet read the whole store at a time, on average. Fewer hosts than that all
-	// do, since the store is the nearest source. Before 1,000 groups a list is 20 pages and 2 MB: a thousand hosts that
-	// started together asked for more than the store's calls and link carry, and none got its list.
+	// do, since the store is the nearest source.
 	readersAtOnce = 32
 	// unknownShare is the chance that a host reads the store in its first round while it can't tell how large the fleet
 	// is. It doubles with each round, so that the first readers come early in a large fleet and after seconds in a small
--- a/core/kv/view.go
+++ b/core/kv/view.go
@@ -161,9 +161,9 @@
 	return out
 }
 
-// changedSince returns the keys that changed after the revision, or false if it is not known which were removed. A start
-// of a whole fleet changes more keys than the history keeps changes: hosts that were behind were sent everything again
-// and again, and the host that sent it needed 0.6 GB.
+// changedSince returns the keys that changed after the revision, or false if it is not known which were removed. The
+// start of a large fleet changes more keys than the history keeps changes, and hosts that are behind would be sent
+// everything again and again.
 func (v *View) changedSince(after Revision) ([]Item, bool) {
 	if after < v.removals.from {
 		return nil, false
--- a/internal/gateway/groups.go
+++ b/internal/gateway/groups.go
@@ -10,15 +10,13 @@
 	"pearlatch/core/kv"
 )
 
-// A host keeps a Group only while something on it depends on one: it may serve the group or hold its duty, or a statement
-// came for it lately. With a Group for each group of the configuration, a host before 1,000 groups spent its time on
-// looking through them: each host that joined cost 34 ms of a core.
-
 // groupMemory is how long a Group is kept that nothing depends on. Leases, windows and what was learned of members are
 // worth nothing after that, and no statement lasts as long.
 const groupMemory = 30 * time.Second
 
-// group returns the Group of a name, which comes into being if the configuration describes it, or nil.
+// group returns the Group of a name, which comes into being if the configuration describes it, or nil. A host keeps a
+// Group only while something depends on it: it may serve the group or hold its duty, or a statement came for it lately.
+// What it does for groups then goes with those that concern it, not with all of the configuration.
 func (h *Host) group(name string) *Group {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -111,8 +111,7 @@
 	if !d.inherited { // later, this holder knows best which order it gave
 		d.inherited, d.handedBack = true, i.certain && (found.HandedBack || found.Holder == "")
 		if i.certain && found.Holder == "" && !d.reclaimed {
-			// A holder orders nothing before it has left a record. When a fleet starts for the first time, a thousand
-			// tokens took the platform 20 s.
+			// A holder orders nothing before it has left a record.
 			d.first = d.token
 		}
 		d.reclaimed = d.reclaimed && i.certain && found.Holder == d.host.settings.Host
