--- a/internal/follow/feeder.go
+++ b/internal/follow/feeder.go
@@ -17,8 +17,8 @@
 	// other side that the feed lives.
 	newsPause = 400 * time.Millisecond
 	// mostFeeds is how many hosts a host passes news on to: those below it in the tree of feeds, and as many again that
-	// have lost their own source. mostLists is to how many at a time it sends the whole list, of 0.2 MB before 1,000
-	// groups: a weak host's link carries that to eight in 0.7 s.
+	// have lost their own source. mostLists is to how many at a time it sends the whole list, so that the last of them has
+	// it before it takes the feed for lost.
 	mostFeeds = 48
 	mostLists = 8
 	// namedHosts is how many hosts are named to one that is turned away.
