--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -105,10 +105,7 @@
 
 // Sources returns where the host learns what is in the store, the preferred one first.
 func (f *Follower) Sources() []Source {
-	if f.peers == nil {
-		return []Source{FromStore{}}
-	}
-	if !f.fleet.Known() {
+	if f.peers == nil || !f.fleet.Known() {
 		return []Source{FromStore{}}
 	}
 	feeds := f.fleet.Feeds()
@@ -120,7 +117,7 @@
 		return append([]Source{FromStore{}}, toSources(addrs)...)
 	}
 	out := toSources(addrs)
-	if serving.AsksStore(f.fleet.Size(), rand.Float64()) {
+	if len(out) == 0 || serving.AsksStore(f.fleet.Size(), rand.Float64()) {
 		out = append(out, FromStore{})
 	}
 	return out
--- a/internal/gateway/groups.go
+++ b/internal/gateway/groups.go
@@ -34,26 +34,28 @@
 func (h *Host) need(name string) *Group {
 	g := h.groups[name]
 	if g == nil {
-		if h.config == nil {
+		if h.config == nil || !h.config.describes(name) {
 			return nil
 		}
-		c, ok := h.config.Groups[name]
-		if !ok {
-			return nil
-		}
-		g = newGroup(name, h)
-		h.groups[name] = g
-		g.update(memberChange{members: h.members.list(name)})
-		g.configure(c, h.ages[name], h.planOf(name), h.fleet.Seen())
-		select {
-		case h.grouped <- struct{}{}:
-		default:
-		}
+		g = h.begin(name)
 	}
 	g.neededAt = h.now()
 	return g
 }
 
+// begin brings a Group into being, and wakes what looks after duties and leases. h.mu is held.
+func (h *Host) begin(name string) *Group {
+	g := newGroup(name, h)
+	h.groups[name] = g
+	g.update(memberChange{members: h.members.list(name)})
+	g.configure(h.config.Groups[name], h.ages[name], h.planOf(name), h.fleet.Seen())
+	select {
+	case h.grouped <- struct{}{}:
+	default:
+	}
+	return g
+}
+
 // concerns reports whether the host may serve a group, or hold its duty, now or next. h.mu is held.
 func (h *Host) concerns(name string) bool {
 	if h.ports.Peers == nil || h.fleet.Candidate(name) {
