Read again: one piece for what stood twice, and lists put together once

- A whole list was put together to learn that one is needed, and once more to see whether a recent one can still be continued: kv.View.Keeps tells both, held to Since by the model test.
Host.concerns calls Host.candidate.
- The share of hosts that read the store stood in core/joining and core/serving, the bound of a strength in platform and internal/fleet, the claims to pass news on twice in feeds.go: one of each.
- internal/site and internal/soak wait by internal/pause as well.
- Three comments in which a renaming had changed words.
No change of behaviour meant; a host that starts among fewer than 32 draws a number that it did not before.

--- a/core/joining/joiner.go
+++ b/core/joining/joiner.go
@@ -4,12 +4,11 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"pearlatch/core/serving"
 )
 
 const (
-	// readersAtOnce is how many hosts of a fleet read the whole store at a time, on average. Fewer hosts than that all
-	// do, since the store is the nearest source.
-	readersAtOnce = 32
 	// unknownShare is the chance that a host reads the store in its first round while it can't tell how large the fleet
 	// is. It doubles with each round, so that the first readers come early in a large fleet and after seconds in a small
 	// one whose seeds are gone.
@@ -100,11 +99,8 @@
 
 // reads draws whether this host reads the store in this round.
 func (j *Joiner) reads() bool {
-	switch {
-	case j.listed && len(j.hosts) < readersAtOnce:
-		return true
-	case j.listed:
-		return j.draw() < readersAtOnce/float64(len(j.hosts))
+	if j.listed {
+		return serving.AsksStore(len(j.hosts), j.draw())
 	}
 	return j.draw() < unknownShare*float64(uint64(1)<<min(j.round, 10))
 }
--- a/core/kv/view.go
+++ b/core/kv/view.go
@@ -145,6 +145,9 @@
 	return i, ok
 }
 
+// Keeps reports whether it is known what changed after the revision, so that Since does not tell everything.
+func (v *View) Keeps(after Revision) bool { return after >= min(v.history.from, v.removals.from) }
+
 // Since returns news that tell of all changes after the revision: of each change while they are kept, else of how the
 // changed keys stand now, or of everything that there is.
 func (v *View) Since(after Revision) News {
--- a/core/kv/world_test.go
+++ b/core/kv/world_test.go
@@ -140,6 +140,9 @@
 
 // check checks that a host which takes over another one's changes knows all that the other one does.
 func (m *model) check(t *testing.T, from, to *View, news News) {
+	if from.Keeps(to.Revision()) == news.Whole {
+		t.Fatalf("changes after %v are kept: %t, and all is told: %t", to.Revision(), from.Keeps(to.Revision()), news.Whole)
+	}
 	if from.Revision() < to.Revision() {
 		return // it has nothing to tell
 	}
--- a/core/serving/feeds.go
+++ b/core/serving/feeds.go
@@ -62,30 +62,28 @@
 	if z == nil {
 		return nil
 	}
+	out := z.feedClaims()
+	slices.SortFunc(out, compareFeeds)
+	return out
+}
+
+// feedClaims returns the claims of a zone's hosts to pass news on, in no order.
+func (z *zone) feedClaims() []claim {
 	prefix := groupPrefix(newsGroup)
 	out := make([]claim, len(z.staying))
 	for i, h := range z.staying {
 		out[i] = claim{h, scoreOf(prefix, h.Host)}
 	}
-	slices.SortFunc(out, compareFeeds)
 	return out
 }
 
 // firsts returns the host of each availability zone but one that passes news on first.
 func (t *Table) firsts(but string) []membership.Host {
-	prefix := groupPrefix(newsGroup)
 	var firsts []claim
 	for name, z := range t.zones {
-		if name == but || len(z.staying) == 0 {
-			continue
-		}
-		first := claim{z.staying[0], scoreOf(prefix, z.staying[0].Host)}
-		for _, h := range z.staying[1:] {
-			if c := (claim{h, scoreOf(prefix, h.Host)}); compareFeeds(c, first) < 0 {
-				first = c
-			}
+		if name != but && len(z.staying) > 0 {
+			firsts = append(firsts, slices.MinFunc(z.feedClaims(), compareFeeds))
 		}
-		firsts = append(firsts, first)
 	}
 	slices.SortFunc(firsts, compareFeeds)
 	out := make([]membership.Host, len(firsts))
--- a/core/serving/spare_test.go
+++ b/core/serving/spare_test.go
@@ -16,7 +16,7 @@
 				asking++
 			}
 		}
-		if want := min(n, 2*spareReaders); asking > want || n <= spareReaders && asking != n {
+		if want := min(n, 2*StoreReaders); asking > want || n <= StoreReaders && asking != n {
 			t.Errorf("%d of %d hosts turn to the store", asking, n)
 		}
 	}
--- a/internal/fleet/entry.go
+++ b/internal/fleet/entry.go
@@ -28,8 +28,8 @@
 // strengthMark precedes a host's strength in its entry.
 const strengthMark = "cores="
 
-// mostCores is the largest strength that is believed.
-const mostCores = 1 << 12
+// MostCores is the largest strength that is believed.
+const MostCores = 1 << 12
 
 // leavingMark ends the entry of a host that is about to stop.
 const leavingMark = "leaving"
@@ -41,7 +41,7 @@
 	addr, mark, _ := strings.Cut(rest, " ")
 	h := membership.Host{ID: id, Zone: zone, Leaving: mark == leavingMark}
 	if text, ok := strings.CutPrefix(mark, strengthMark); ok {
-		if cores, err := strconv.ParseFloat(text, 64); err == nil && cores > 0 && cores <= mostCores {
+		if cores, err := strconv.ParseFloat(text, 64); err == nil && cores > 0 && cores <= MostCores {
 			h.Strength = cores
 		}
 	}
--- a/internal/fleet/hosts.go
+++ b/internal/fleet/hosts.go
@@ -13,7 +13,7 @@
 )
 
 // Hosts is what a host knows of the other hosts: who is listed, and which of them
-// Failed to answer lately. Use New.
+// failed to answer lately. Use New.
 type Hosts struct {
 	self membership.Host
 	// version rises with each change of the list, and of what failed.
@@ -98,7 +98,7 @@
 	return f.table.Plan(f.self, group, connections)
 }
 
-// Consider names the groups of which candidate tells.
+// Consider names the groups of which Candidate tells.
 func (f *Hosts) Consider(groups []string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -56,7 +56,7 @@
 	// at is the index of the source in use, and since when it is in use.
 	at    int
 	since time.Time
-	// failures counts Sources that failed in a row, and reason says why the last of them did.
+	// failures counts sources that failed in a row, and reason says why the last of them did.
 	failures int
 	reason   string
 	// pause is how long the preferred source is given once all have failed.
--- a/internal/follow/knowledge.go
+++ b/internal/follow/knowledge.go
@@ -88,9 +88,11 @@
 	if k.view.Revision() == 0 {
 		return News{}, nil, errNoNews
 	}
-	n := News{News: k.view.Since(after), Age: k.now().Sub(k.heardAt)}
-	if n.Whole {
-		n.News = k.wholeNews(n.News)
+	n := News{Age: k.now().Sub(k.heardAt)}
+	if k.view.Keeps(after) {
+		n.News = k.view.Since(after)
+	} else {
+		n.News = k.wholeNews(after)
 	}
 	if n.Revision < k.view.Revision() {
 		return n, closedChannel, nil // more is known already
@@ -108,11 +110,12 @@
 // starts does not have it put together and compressed for each of them.
 const listReuse = time.Second
 
-// wholeNews returns the given list, or a recent one from which the changes that follow are known. k.mu is held.
-func (k *Knowledge) wholeNews(list kv.News) kv.News {
+// wholeNews returns everything for a host that needs it, or a recent list from which the changes that follow are known.
+// k.mu is held.
+func (k *Knowledge) wholeNews(after kv.Revision) kv.News {
 	now := k.now()
-	if k.listed.Revision == 0 || now.Sub(k.listedAt) > listReuse || k.view.Since(k.listed.Revision).Whole {
-		k.listed, k.listedAt = list, now
+	if k.listed.Revision == 0 || now.Sub(k.listedAt) > listReuse || !k.view.Keeps(k.listed.Revision) {
+		k.listed, k.listedAt = k.view.Since(after), now
 	}
 	return k.listed
 }
--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -97,7 +97,7 @@
 // prefersAnother reports whether the host is to learn from another source, now that it has a place of its own among the
 // listed hosts. Until then all of those that start would turn to the few that are listed.
 func (f *Follower) prefersAnother(s Source) bool {
-	return f.peers != nil && f.fleet.Feeds().Placed && f.Sources()[0] != s
+	return f.fleet.Feeds().Placed && f.Sources()[0] != s
 }
 
 // errStaleNews means that a host has not heard of the store lately either.
--- a/internal/gateway/groups.go
+++ b/internal/gateway/groups.go
@@ -58,7 +58,7 @@
 
 // concerns reports whether the host may serve a group, or hold its duty, now or next. h.mu is held.
 func (h *Host) concerns(name string) bool {
-	if h.ports.Peers == nil || h.fleet.Candidate(name) {
+	if h.candidate(name) {
 		return true
 	}
 	entry, ok := h.known.Item(h.dutyKey(name))
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"pearlatch/internal/gateway"
+	"pearlatch/internal/pause"
 	"pearlatch/platform"
 )
 
@@ -217,7 +218,7 @@
 // run lets members hear of each other and tell the store of themselves.
 func (s *Site) run(ctx context.Context) {
 	defer close(s.stopped)
-	for pause(ctx, stepTime) {
+	for pause.For(ctx, stepTime) {
 		for _, g := range s.groups {
 			g.reunite()
 			for _, m := range g.members {
--- a/internal/site/store.go
+++ b/internal/site/store.go
@@ -13,6 +13,7 @@
 	"pearlatch/core/kv"
 	"pearlatch/internal/follow"
 	"pearlatch/internal/gateway"
+	"pearlatch/internal/pause"
 	"pearlatch/platform"
 )
 
@@ -173,7 +174,7 @@
 		return platform.ErrNoAnswer
 	case f.Refusing || f.TurnsAway[v.host]:
 		return platform.ErrOverRate
-	case f.Slow > 0 && !pause(ctx, f.Slow):
+	case f.Slow > 0 && !pause.For(ctx, f.Slow):
 		return platform.ErrNoAnswer
 	}
 	s.mu.Lock()
@@ -310,13 +311,3 @@
 	v.store.end(id)
 	return v.leave(nil)
 }
-
-// pause waits and returns false when ctx ended.
-func pause(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-time.After(d):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/soak/await.go
+++ b/internal/soak/await.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"pearlatch/core/freshness"
+	"pearlatch/internal/pause"
 	"pearlatch/platform"
 )
 
@@ -44,7 +45,7 @@
 	defer cancel()
 	conn, err := platform.DialCaller(call, r.site.Callers(host), d.name, name)
 	if err != nil {
-		sleep(ctx, awaitPause)
+		pause.For(ctx, awaitPause)
 		return false
 	}
 	c := &caller{run: r, name: name, class: d.class, ledger: d.ledger, conn: conn, host: host}
@@ -52,7 +53,7 @@
 	c.values, c.prepared = map[string]string{}, map[string]string{}
 	read := c.ask("READ 1a")
 	if !read.served() {
-		sleep(ctx, awaitPause)
+		pause.For(ctx, awaitPause)
 		return false
 	}
 	c.checkRead(read, read.began, "")
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -13,6 +13,7 @@
 	"pearlatch/core/freshness"
 	"pearlatch/core/group"
 	"pearlatch/internal/gateway"
+	"pearlatch/internal/pause"
 	"pearlatch/platform"
 )
 
@@ -50,7 +51,7 @@
 
 // work runs operations until ctx ends.
 func (c *caller) work(ctx context.Context) {
-	for sleep(ctx, jitter(c.random, callerRest)) {
+	for pause.For(ctx, jitter(c.random, callerRest)) {
 		if c.conn == nil && !c.open(ctx) {
 			continue
 		}
--- a/internal/soak/inflict.go
+++ b/internal/soak/inflict.go
@@ -7,12 +7,13 @@
 	"syscall"
 	"time"
 
+	"pearlatch/internal/pause"
 	"pearlatch/internal/site"
 )
 
 // inflict makes a fault begin and end.
 func (r *run) inflict(ctx context.Context, f Fault) {
-	if !sleep(ctx, f.At) {
+	if !pause.For(ctx, f.At) {
 		return
 	}
 	if !f.Kind.planned() {
@@ -25,7 +26,7 @@
 		return
 	}
 	end := r.begin(f, random)
-	sleep(ctx, f.For)
+	pause.For(ctx, f.For)
 	end()
 }
 
@@ -39,23 +40,23 @@
 	case StopHostsInTurn:
 		for range 2 + random.IntN(2) {
 			r.processes[random.IntN(len(r.processes))].signal(syscall.SIGTERM, 0)
-			sleep(ctx, f.For/3)
+			pause.For(ctx, f.For/3)
 		}
 	case Reload:
 		r.reload(ctx, p, f, random)
 	case KillHost:
 		p.signal(syscall.SIGKILL, f.For)
-		sleep(ctx, f.For)
+		pause.For(ctx, f.For)
 	case KillHosts:
 		for _, each := range r.processes {
 			if random.IntN(4) > 0 {
 				each.signal(syscall.SIGKILL, f.For)
 			}
 		}
-		sleep(ctx, f.For)
+		pause.For(ctx, f.For)
 	case FreezeHost:
 		p.signal(syscall.SIGSTOP, 0)
-		sleep(ctx, f.For)
+		pause.For(ctx, f.For)
 		p.signal(syscall.SIGCONT, 0)
 	case CutHost, DelayHost, ResetHost:
 		r.disturb(ctx, f, random, r.site.Host(h))
@@ -76,7 +77,7 @@
 	if random.IntN(2) == 0 {
 		p.signal(syscall.SIGHUP, 0)
 	}
-	sleep(ctx, f.For)
+	pause.For(ctx, f.For)
 	r.note(p.writeSettings(good))
 	p.signal(syscall.SIGHUP, 0)
 }
@@ -102,7 +103,7 @@
 		}
 		p.Set(host, rule)
 	}
-	sleep(ctx, f.For)
+	pause.For(ctx, f.For)
 	for _, p := range chosen {
 		p.Set(host, site.Rule{})
 	}
--- a/internal/soak/rotation.go
+++ b/internal/soak/rotation.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"pearlatch/internal/pause"
 	"pearlatch/internal/site"
 	"pearlatch/platform"
 )
@@ -44,7 +45,7 @@
 	var wait sync.WaitGroup
 	for i := range r.missed {
 		wait.Go(func() {
-			for sleep(ctx, readyPause) {
+			for pause.For(ctx, readyPause) {
 				r.note(i, ready(ctx, client, r.site.Ready(i)))
 			}
 		})
@@ -90,13 +91,3 @@
 	}
 	return in[random.IntN(len(in))]
 }
-
-// sleep waits and returns false when ctx ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-time.After(d):
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -12,6 +12,7 @@
 
 	"pearlatch/core/freshness"
 	"pearlatch/internal/gateway"
+	"pearlatch/internal/pause"
 	"pearlatch/internal/site"
 )
 
@@ -179,7 +180,7 @@
 		troubles.Go(func() { r.inflict(ctx, f) })
 	}
 	troubles.Wait()
-	sleep(ctx, settleTime)
+	pause.For(ctx, settleTime)
 	stop()
 	callers.Wait()
 }
--- a/internal/soak/serve.go
+++ b/internal/soak/serve.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"pearlatch/internal/pause"
 	"pearlatch/internal/site"
 )
 
@@ -47,7 +48,7 @@
 	}()
 	started := time.Now()
 	var before Progress
-	for sleep(ctx, progressPause) {
+	for pause.For(ctx, progressPause) {
 		now := Progress{
 			Elapsed: time.Since(started), Served: r.served.Load(), Refused: r.refused.Load(), Unknown: r.unknown.Load(),
 			Findings: s.History().Findings(),
--- a/internal/soak/settings.go
+++ b/internal/soak/settings.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"pearlatch/internal/gateway"
+	"pearlatch/internal/pause"
 	"pearlatch/platform"
 )
 
@@ -50,7 +51,7 @@
 
 // watch looks at one host after the other until ctx ends.
 func (w *settingsWatch) watch(ctx context.Context) {
-	for sleep(ctx, awaitPause) {
+	for pause.For(ctx, awaitPause) {
 		w.look(ctx, w.random.IntN(len(w.run.processes)))
 	}
 }
@@ -98,7 +99,7 @@
 	defer cancel()
 	for host := range w.run.processes {
 		for told, has := w.look(ctx, host); !told || has != hasExtra(w.latest); told, has = w.look(ctx, host) {
-			if !sleep(ctx, awaitPause) {
+			if !pause.For(ctx, awaitPause) {
 				w.run.site.History().Broken("CONFIG: version %d is not in force at host %d", w.latest, host)
 				return
 			}
