Tests of the gateway: a replaced fake member acknowledges no write

TestMissingPrimaryServesUntilItIsReplaced failed in 2 of 300 runs with "a may have been replaced as it acknowledged the write". The fault is in the fake member, not in the host. runStatement checked under the site's lock that the member is the primary, released the lock, and appended the write in commit under the lock again. If the promotion was carried out between the two, which needs the same instant of the test's clock, the old primary acknowledged the write as a replica, in the new primary's term. The host has no lease in that term on that member and correctly reports the write as in doubt.

commit refuses a write of a member that is no longer the primary, as a database does, under the same lock as it appends.

--- a/internal/gateway/fakeconn_test.go
+++ b/internal/gateway/fakeconn_test.go
@@ -213,10 +213,10 @@
 	switch f.Request.Statement.(type) {
 	case Commit:
 		c.state = Idle
-		return c.commit(timeout)
+		return c.commit(timeout, c.readWrite)
 	case Write:
 		if c.state == Idle {
-			return c.commit(timeout)
+			return c.commit(timeout, true)
 		}
 	}
 	return Reply{Rows: []string{row}, Signature: "by " + c.m.id, Position: c.applied()}, nil
@@ -235,11 +235,16 @@
 	return nil
 }
 
-// commit appends a record to the member's log and fails after the timeout if no replica receives it.
-func (c *fakeConn) commit(timeout time.Duration) (Reply, error) {
+// commit appends a record to the member's log and fails after the timeout if no replica receives it. A write is refused
+// if the member is no longer the primary: it may have been replaced since it began to run the statement, and would
+// otherwise acknowledge a write as a replica, in the new primary's term.
+func (c *fakeConn) commit(timeout time.Duration, writes bool) (Reply, error) {
 	c.site.mu.Lock()
 	defer c.site.mu.Unlock()
 	m := c.m
+	if writes && !m.isPrimary {
+		return Reply{Failure: &Failure{NotPrimary, m.id}, Position: m.applied}, nil
+	}
 	m.received = group.Position{Term: m.term, LSN: m.received.LSN + 1}
 	m.applied = m.received
 	acknowledged := false
