Serving hosts forward accounts' statements to the home server too

A host that serves a group ran the statements of its own callers itself, so that it still needed connections for every account. It now forwards them to the account's home server once; if that does not take the statement, this host runs it, as before. A forwarded statement is still never forwarded again, and nothing changes where callers have no accounts.

--- a/internal/fleet/servers.go
+++ b/internal/fleet/servers.go
@@ -11,12 +11,12 @@
 	// Hosts are the hosts that serve the group, in the order in which this host tries them for
 	// statements without an account. The next ranked hosts replace those that failed recently.
 	Hosts []membership.Host
-	// Fallback is true if this host is one of those next ranked hosts, and serves the group in
-	// place of hosts that it can't reach. Without fallbacks, the loss of a single serving host left
+	// Fallback is true if this host is one of the next ranked hosts, and serves the group in place
+	// of hosts that it can't reach. Without fallbacks, the loss of a single serving host left
 	// every other host with one connection until the lost host's entry expired, up to 18 s. The worth
 	// of those seconds was 0.64, against 0.9 with a fallback.
 	Fallback bool
-	// choices describes Hosts to core/load.
+	// choices describes Hosts to core/load. If this host serves the group too, it is the last one.
 	choices []load.Server
 }
 
@@ -24,26 +24,45 @@
 func (f *Hosts) Servers(plan serving.Plan) Servers {
 	var out Servers
 	ranked, k := plan.Ranked, plan.DedicatedServers
+	servesToo := false
 	for _, o := range f.FirstUsable(ranked, k) {
-		if out.Fallback = out.Fallback || o.ID == f.self.ID; o.ID != f.self.ID {
+		if servesToo = servesToo || o.ID == f.self.ID; o.ID != f.self.ID {
 			out.Hosts = append(out.Hosts, o)
 		}
 	}
-	if len(out.Hosts) == 0 {
+	out.Fallback = servesToo && plan.ServedByOthers
+	if len(out.Hosts) == 0 && plan.ServedByOthers {
 		out.Hosts = ranked[:k]
 	}
 	out.Hosts = serving.ForwardingOrder(f.self, out.Hosts)
 	for _, o := range out.Hosts {
 		out.choices = append(out.choices, load.Server{ID: o.ID})
 	}
+	if servesToo {
+		out.choices = append(out.choices, load.Server{ID: f.self.ID})
+	}
 	return out
 }
 
+// HomeElsewhere returns the home server of an account if this host serves the group too but is not
+// that server.
+func (s *Servers) HomeElsewhere(group, account string) (home membership.Host, ok bool) {
+	if len(s.choices) == len(s.Hosts) {
+		return membership.Host{}, false // this host does not serve the group
+	}
+	var order [8]int
+	first := load.AppendAffinity(order[:0], group, account, s.choices)[0]
+	if first == len(s.Hosts) {
+		return membership.Host{}, false
+	}
+	return s.Hosts[first], true
+}
+
 // AppendOrder appends to dst the indices of Hosts in the order in which they are tried for a
 // statement of the account. The account is empty where callers have none.
 func (s *Servers) AppendOrder(dst []int, group, account string) []int {
 	if account != "" {
-		return load.AppendAffinity(dst, group, account, s.choices)
+		return load.AppendAffinity(dst, group, account, s.choices[:len(s.Hosts)])
 	}
 	for i := range s.Hosts {
 		dst = append(dst, i)
--- a/internal/gateway/account_test.go
+++ b/internal/gateway/account_test.go
@@ -67,21 +67,67 @@
 }
 
 // A connection belongs to an account. If hosts of different zones forwarded an account's statements to different serving
-// hosts, each of these would need connections for every account.
+// hosts, each of these would need connections for every account. This includes the callers of the serving hosts.
 func TestAccountHasOneServingHost(t *testing.T) {
 	withFleet(t, 20, 20, freshness.OwnWrites{}, func(s *fakeSite, f *fakeFleet) {
 		s.put("config", configWithAccounts(52, 20, twoAccounts...), 0)
 		time.Sleep(3 * time.Second)
-		_, others := f.serving()
-		for _, h := range others {
+		for _, h := range f.all() {
 			if r := execAs(h, "k1", Write{}); r.Failure != nil {
 				t.Error(r.Failure)
 			}
+			caller := openSessionAs(t, h, "k1")
+			execIn(caller, Begin{})
+			execIn(caller, Write{})
+			if r := execIn(caller, Commit{}); r.Failure != nil {
+				t.Error(r.Failure)
+			}
+		}
+		if home := f.homeOf(t, "bakery"); f.forwardedTo[home] < 3*19 || len(f.forwardedTo) != 1 {
+			t.Errorf("the home server is %s; statements of one account by host: %v", home, f.forwardedTo)
+		}
+		f.wantNoForwardedWork(t)
+	})
+}
+
+// homeOf returns the home server of an account, on which all hosts must agree.
+func (f *fakeFleet) homeOf(t *testing.T, name string) string {
+	t.Helper()
+	home := ""
+	for _, h := range f.all() {
+		if o, ok := h.homeElsewhere(h.group(testGroup), name); ok {
+			if home != "" && o.ID != home {
+				t.Errorf("%s and %s are the home servers of one account", home, o.ID)
+			}
+			home = o.ID
+		}
+	}
+	return home
+}
+
+// The home server of an account is unreachable. A host that serves the group too must run the statements of its callers
+// itself, and none may be forwarded twice.
+func TestServingHostReplacesTheHomeServer(t *testing.T) {
+	withFleet(t, 20, 20, freshness.Latest{}, func(s *fakeSite, f *fakeFleet) {
+		s.put("config", configWithAccounts(52, 20, twoAccounts...), 0)
+		time.Sleep(3 * time.Second)
+		home := f.homeOf(t, "bakery")
+		f.setFault(f.unreachable, home, true)
+		serving, _ := f.serving()
+		for _, h := range serving {
+			if h.settings.Host == home {
+				continue
+			}
+			started := time.Now()
+			if r := execAs(h, "k1", Write{}); r.Failure != nil {
+				t.Error(r.Failure)
+			}
+			if took := time.Since(started); took > 250*time.Millisecond {
+				t.Errorf("a write took %s", took)
+			}
 		}
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		if len(f.forwardedTo) != 1 {
-			t.Errorf("statements of one account by host: %v", f.forwardedTo)
+		if len(f.forwardedTo) != 0 {
+			t.Errorf("statements were forwarded: %v", f.forwardedTo)
 		}
 	})
 }
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -35,7 +35,7 @@
 		if reply, ok := s.runOnOtherHost(ctx, r, &op); ok {
 			return reply
 		}
-		op.setRequirements(s.lastWrite)
+		s.runHere(&op)
 	}
 	for {
 		if f := op.outageRefusal(Busy); f != nil && !op.need.Forwardable {
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -85,11 +85,19 @@
 
 // tryServingHosts tries the hosts that serve the group in turn until the outcome of the statement
 // is decided, its time to wait is over, or this host is to serve the group itself. If this host
-// serves the group, it tries the alternative hosts.
+// serves the group, it tries the home server of the account or the alternative hosts.
 func (s *Session) tryServingHosts(ctx context.Context, op *operation, send sendFunc) {
-	if !op.shouldForward {
+	switch {
+	case !op.shouldForward:
 		s.tryAlternatives(op, send)
 		return
+	case op.toHome:
+		// After a failure the operation runs here.
+		op.shouldForward, op.toHome = false, false
+		if home, ok := s.host.homeElsewhere(op.group, op.need.Account); ok {
+			_ = send(home, false) // logged by forward
+		}
+		return
 	}
 	for s.tryServingHostsOnce(op, send) {
 		if !pause.For(ctx, peerRetryInterval) {
--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -46,10 +46,8 @@
 	fallbackUntil time.Time
 	// servers holds the hosts to forward statements to if other hosts serve the group.
 	servers fleet.Versioned[fleet.Servers]
-	// servingHostsLostSince is since when none of the serving hosts has been reachable, or zero.
-	servingHostsLostSince time.Time
-	// servingHostsTriedAt is when a statement was last forwarded to the serving hosts.
-	servingHostsTriedAt time.Time
+	// isolation says whether the serving hosts can be reached.
+	isolation serving.Isolation
 	// maxStaleness is the shortest maximum age among the group's routes, or zero.
 	maxStaleness time.Duration
 	// pool decides which connections to open, assign and close. conns holds the connections, and
--- a/internal/gateway/operation.go
+++ b/internal/gateway/operation.go
@@ -24,6 +24,9 @@
 	// shouldForward is true if the operation is to be forwarded to a host that serves the group.
 	// That host then decides what is required of the member.
 	shouldForward bool
+	// toHome is true if this host serves the group but is not the home server of the account. The
+	// operation is then forwarded only to the home server, and runs here if that does not take it.
+	toHome bool
 }
 
 // planOperation returns the operation for a request, with its requirements. For a transaction,
@@ -39,11 +42,22 @@
 		op.shouldForward = true
 		return op, nil
 	}
-	op.setRequirements(s.lastWrite)
-	op.need.Forwardable = op.need.PrimaryOnly && s.mayReroute(g)
+	if s.origin == nil {
+		_, op.toHome = s.host.homeElsewhere(g, op.need.Account)
+		op.shouldForward = op.toHome
+	}
+	if !op.shouldForward {
+		s.runHere(&op)
+	}
 	return op, nil
 }
 
+// runHere sets the requirements of an operation that runs on this host.
+func (s *Session) runHere(op *operation) {
+	op.setRequirements(s.lastWrite)
+	op.need.Forwardable = op.need.PrimaryOnly && s.mayReroute(op.group)
+}
+
 // mayReroute reports whether a statement may run by way of another host if this host can't reach
 // the primary. This host declines a forwarded statement in that case, since the host that sent it
 // knows alternative hosts.
--- a/internal/gateway/serving.go
+++ b/internal/gateway/serving.go
@@ -27,19 +27,11 @@
 }
 
 // shouldForward reports whether a statement is to run on one of the serving hosts. While none of them is reachable,
-// one statement every isolatedRetryInterval tries them again.
+// a statement tries them again from time to time.
 func (g *Group) shouldForward() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.plan.ServedByOthers {
-		return false
-	}
-	now := g.now()
-	if g.isIsolated() && now.Sub(g.servingHostsTriedAt) < isolatedRetryInterval {
-		return false
-	}
-	g.servingHostsTriedAt = now
-	return true
+	return g.plan.ServedByOthers && g.isolation.ShouldTry(g.now())
 }
 
 // fallbackTTL is how long a host remains a fallback after the last statement that it served as one.
@@ -54,6 +46,15 @@
 	return g.servers.Get(version, func() fleet.Servers { return h.fleet.Servers(g.plan) })
 }
 
+// homeElsewhere returns the home server of an account, if this host serves the group too but is not the account's home.
+func (h *Host) homeElsewhere(g *Group, account string) (home membership.Host, ok bool) {
+	if account == "" || h.ports.Peers == nil {
+		return membership.Host{}, false
+	}
+	servers := h.serversFor(g)
+	return servers.HomeElsewhere(g.name, account)
+}
+
 // startFallback makes this host a fallback for the group for fallbackTTL, if others serve the group.
 func (g *Group) startFallback() {
 	g.mu.Lock()
@@ -121,19 +122,11 @@
 	return slices.ContainsFunc(g.sortedMembers, func(m *member) bool { return m.beingReplaced })
 }
 
-// isolationTimeout is how long all hosts that serve a group must have been unreachable until another host opens its
-// own connection. When all hosts restart, the serving hosts are unreachable for about that long, and the members'
-// connections must be left to them.
-const isolationTimeout = 400 * time.Millisecond
-
-// isolatedRetryInterval is the time between two statements of an isolated host that try the serving hosts again.
-const isolatedRetryInterval = 500 * time.Millisecond
-
 // noteServerReached records that a host that serves the group accepted a statement.
 func (g *Group) noteServerReached() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.servingHostsLostSince = time.Time{}
+	g.isolation.Reached()
 }
 
 // noteServerUnreached records that a host that serves the group could not be reached, and reports whether this host
@@ -141,17 +134,12 @@
 func (g *Group) noteServerUnreached() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.servingHostsLostSince.IsZero() {
-		g.servingHostsLostSince = g.now()
-	}
-	return g.isIsolated()
+	return g.isolation.Unreached(g.now())
 }
 
 // isIsolated reports whether this host serves the group because none of the serving hosts is reachable. g.mu must be
 // held.
-func (g *Group) isIsolated() bool {
-	return !g.servingHostsLostSince.IsZero() && g.now().Sub(g.servingHostsLostSince) > isolationTimeout
-}
+func (g *Group) isIsolated() bool { return g.isolation.Isolated(g.now()) }
 
 // servingPlan returns which hosts serve a group. h.mu must be held.
 func (h *Host) servingPlan(name string) serving.Plan {
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -90,7 +90,7 @@
 		if reply, ok := s.forwardInTransaction(ctx, r, arrived); ok {
 			return reply
 		}
-		t.op.setRequirements(s.lastWrite)
+		s.runHere(&t.op)
 	}
 	for {
 		if t.conn == nil {
@@ -244,7 +244,7 @@
 			s.tx, s.state = nil, Idle
 			return reply
 		}
-		t.op.setRequirements(s.lastWrite)
+		s.runHere(&t.op)
 	}
 	reply, answered := s.beginForCommit(ctx, r, arrived)
 	if !answered {
