Load reports between hosts order the servers of a group

A serving host attaches its queue length, the rate at which waiting statements are served and the expected wait to the replies to forwarded statements, while statements wait and for one second after that (new optional fields load_sequence, load_waiting, load_rate_u, load_delay_us). Entry hosts move a part of their statements when another server is expected to answer sooner: without accounts by more than the round trip, with accounts from the home server to the second one by more than the cost of a connection (25 ms). Small accounts move as a whole, on all hosts alike; those that make up more than half of a server's part use both servers. Without reports, nothing changes.

--- a/core/load/affinity.go
+++ b/core/load/affinity.go
@@ -2,12 +2,6 @@
 
 import "github.com/cespare/xxhash/v2"
 
-// Server is a host that serves a group.
-type Server struct {
-	// ID is the host's ID.
-	ID string
-}
-
 // typicalServers is the number of servers up to which AppendAffinity does not allocate. A group has
 // one server for each availability zone, and at least three.
 const typicalServers = 8
@@ -21,12 +15,7 @@
 // See Thaler and Ravishankar, "Using Name-Based Mappings to Increase Hit Rates", IEEE/ACM
 // Transactions on Networking 6(1), 1998.
 func AppendAffinity(dst []int, group, account string, servers []Server) []int {
-	var prefix xxhash.Digest
-	prefix.Reset()
-	_, _ = prefix.WriteString(group)
-	_, _ = prefix.Write(separator[:])
-	_, _ = prefix.WriteString(account)
-	_, _ = prefix.Write(separator[:])
+	prefix := accountDigest(group, account)
 	var stack [typicalServers]uint64
 	scores := stack[:0]
 	first := len(dst)
@@ -46,5 +35,23 @@
 	return dst
 }
 
+// fraction returns a number in [0, 1) that depends only on the group and the account.
+func fraction(group, account string) float64 {
+	digest := accountDigest(group, account)
+	const bits = 53 // the bits of an integer that a float64 holds exactly
+	return float64(digest.Sum64()>>(64-bits)) / (1 << bits)
+}
+
+// accountDigest returns the hash state after the names of a group and an account.
+func accountDigest(group, account string) xxhash.Digest {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(group)
+	_, _ = d.Write(separator[:])
+	_, _ = d.WriteString(account)
+	_, _ = d.Write(separator[:])
+	return d
+}
+
 // separator keeps the concatenations of different names apart.
 var separator = [1]byte{0}
--- a/core/load/doc.go
+++ b/core/load/doc.go
@@ -8,4 +8,10 @@
 // account and replaces them constantly: with 80 accounts, 75 hosts and three serving
 // hosts, 23,566 connections were opened for 56,348 statements. All entry hosts
 // therefore send the statements of an account to the same serving host, its home.
+//
+// Demand and servers are uneven, and one server's queue may be long while another
+// has none. Serving hosts therefore report their queue with their replies, while they
+// have one (Meter, Report), and entry hosts move a part of their statements to
+// another server when that is expected to answer sooner (Table). Reports are hundreds
+// of milliseconds old when they are used.
 package load
--- a/internal/fleet/servers.go
+++ b/internal/fleet/servers.go
@@ -1,6 +1,9 @@
 package fleet
 
 import (
+	"slices"
+	"time"
+
 	"pearlatch/core/load"
 	"pearlatch/core/membership"
 	"pearlatch/core/serving"
@@ -20,6 +23,10 @@
 	choices []load.Server
 }
 
+// zoneRoundTrip is the time that a statement takes to another availability zone and back: twice 0.9 to
+// 1.4 ms at the users' sites.
+const zoneRoundTrip = 3 * time.Millisecond
+
 // Servers returns the hosts to which this host forwards statements of a group with the given plan.
 func (f *Hosts) Servers(plan serving.Plan) Servers {
 	var out Servers
@@ -36,7 +43,11 @@
 	}
 	out.Hosts = serving.ForwardingOrder(f.self, out.Hosts)
 	for _, o := range out.Hosts {
-		out.choices = append(out.choices, load.Server{ID: o.ID})
+		way := time.Duration(0)
+		if o.Zone != f.self.Zone {
+			way = zoneRoundTrip
+		}
+		out.choices = append(out.choices, load.Server{ID: o.ID, Way: way})
 	}
 	if servesToo {
 		out.choices = append(out.choices, load.Server{ID: f.self.ID})
@@ -58,14 +69,21 @@
 	return s.Hosts[first], true
 }
 
-// AppendOrder appends to dst the indices of Hosts in the order in which they are tried for a
-// statement of the account. The account is empty where callers have none.
-func (s *Servers) AppendOrder(dst []int, group, account string) []int {
-	if account != "" {
-		return load.AppendAffinity(dst, group, account, s.choices[:len(s.Hosts)])
-	}
-	for i := range s.Hosts {
-		dst = append(dst, i)
+// Choice describes the choice of one of Hosts for a statement of the account, which is empty where
+// callers have none. random is a random number in [0, 1).
+func (s *Servers) Choice(group, account string, random float64) load.Choice {
+	return load.Choice{Group: group, Account: account, Servers: s.choices[:len(s.Hosts)], Random: random}
+}
+
+// Alternatives returns the hosts that may reach a group's primary while this one serves the group and
+// can't reach it: the other serving hosts and their replacements, which have connections, or all
+// other hosts if every host serves its own callers.
+func (f *Hosts) Alternatives(plan serving.Plan) []membership.Host {
+	switch {
+	case plan.ServedByOthers:
+		return nil
+	case plan.DedicatedServers == 0:
+		return f.ForwardingOrder()
 	}
-	return dst
+	return slices.DeleteFunc(slices.Clone(plan.Ranked), func(o membership.Host) bool { return o.ID == f.self.ID })
 }
--- a/internal/gateway/acquire.go
+++ b/internal/gateway/acquire.go
@@ -9,6 +9,7 @@
 
 	"pearlatch/core/kv"
 	"pearlatch/core/leadership"
+	"pearlatch/internal/rolerecord"
 )
 
 // acquisition is an attempt to acquire a coordinator role.
@@ -87,7 +88,7 @@
 		return a
 	}
 	i := d.newInheritance(stored, epoch)
-	value, err := encodeRecord(i.record)
+	value, err := rolerecord.Encode(i.record)
 	if err != nil {
 		d.log("record_not_written", "err", err)
 		return a
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"pearlatch/core/membership"
-	"pearlatch/core/serving"
 	"pearlatch/internal/pause"
 )
 
@@ -111,9 +111,9 @@
 func (s *Session) tryServingHostsOnce(op *operation, send sendFunc) bool {
 	g, h := op.group, s.host
 	var withoutPrimary []membership.Host // hosts that can't reach the primary
-	servers := h.serversFor(g)
 	var order [8]int
-	for _, i := range servers.AppendOrder(order[:0], g.name, op.need.Account) {
+	servers, indices := h.orderServers(g, op.need.Account, order[:0])
+	for _, i := range indices {
 		server := servers.Hosts[i]
 		err := send(server, false)
 		switch {
@@ -216,6 +216,9 @@
 		return nil, errNotRun
 	}
 	h.metrics.sentForward(r.Group, "answered")
+	if reply.LoadSequence != 0 {
+		h.group(r.Group).recordLoad(server.ID, r.Route.Priority, reply)
+	}
 	return reply, nil
 }
 
@@ -287,24 +290,18 @@
 	go h.probeUntilRegained(id)
 }
 
-// probeUntilRegained probes a host that failed until it answers or is no longer listed, so that no
-// caller's request has to find out whether it is back.
+// probeUntilRegained probes a host that failed until it answers or is no longer listed.
 func (h *Host) probeUntilRegained(id string) {
 	ctx, cancel := contextUntil(context.Background(), h.ended)
 	defer cancel()
-	for next := serving.PeerRetryDelay(0, 1); pause.For(ctx, next); next = serving.PeerRetryDelay(next, h.fleet.SuspectCount()) {
-		addr, suspect := h.fleet.SuspectAddress(id)
-		if !suspect {
-			return
-		}
-		callCtx, cancel := context.WithTimeout(ctx, outcomeQueryTimeout)
+	process, answered := h.fleet.ProbeSuspect(ctx, id, outcomeQueryTimeout, func(ctx context.Context, addr netip.AddrPort) (string, bool) {
 		// No request has the serial 0, so this only tests whether the host answers.
-		got, err := h.ports.Peers.QueryOutcome(callCtx, addr, h.processID, 0)
-		cancel()
-		if known, ok := got.(OutcomeUnknown); ok && err == nil {
-			h.peerAnswered(id, known.Process)
-			return
-		}
+		got, err := h.ports.Peers.QueryOutcome(ctx, addr, h.processID, 0)
+		known, ok := got.(OutcomeUnknown)
+		return known.Process, ok && err == nil
+	})
+	if answered {
+		h.peerAnswered(id, process)
 	}
 }
 
--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -14,6 +14,7 @@
 	"pearlatch/core/group"
 	"pearlatch/core/kv"
 	"pearlatch/core/leadership"
+	"pearlatch/core/load"
 	"pearlatch/core/outage"
 	"pearlatch/core/pool"
 	"pearlatch/core/serving"
@@ -46,6 +47,11 @@
 	fallbackUntil time.Time
 	// servers holds the hosts to forward statements to if other hosts serve the group.
 	servers fleet.Versioned[fleet.Servers]
+	// loads holds the load reports of the servers, and meter measures this host's load. movesLoggedAt
+	// is when a statement was last logged that went to another server because of its load.
+	loads         load.Table
+	meter         load.Meter
+	movesLoggedAt time.Time
 	// isolation says whether the serving hosts can be reached.
 	isolation serving.Isolation
 	// maxStaleness is the shortest maximum age among the group's routes, or zero.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"pearlatch/core/group"
+	"pearlatch/core/load"
 	"pearlatch/internal/follow"
 	"pearlatch/internal/quotas"
 )
@@ -103,6 +104,9 @@
 	Reply    Reply
 	// LastWrite is the position of the session's last write after the request.
 	LastWrite group.Position
+	// Load is the host's load for the group. LoadSequence numbers the reports of a process. It is zero if there is none.
+	Load         load.Report
+	LoadSequence uint64
 }
 
 // DeclineReason is the reason why a host declines a forwarded request.
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -8,6 +8,7 @@
 
 	"pearlatch/core/kv"
 	"pearlatch/core/leadership"
+	"pearlatch/internal/rolerecord"
 )
 
 func (h *Host) recordsPrefix() string { return h.ports.Keys.OwnPrefix + "leadership/" }
@@ -22,7 +23,7 @@
 		if !ok {
 			continue
 		}
-		r, err := decodeRecord(i.Value)
+		r, err := rolerecord.Decode(i.Value)
 		if err != nil {
 			h.log("record_unreadable", "group", name, "revision", i.Revision, "err", err)
 			continue
@@ -53,7 +54,7 @@
 	if len(item.Value) == 0 {
 		return leadership.StoredRecord{}, true
 	}
-	r, err := decodeRecord(item.Value)
+	r, err := rolerecord.Decode(item.Value)
 	if err != nil {
 		d.log("record_unreadable", "revision", item.Revision, "err", err)
 		return leadership.StoredRecord{}, false
@@ -158,7 +159,7 @@
 // grantees and the granters.
 func (d *coordinator) writeRecord(ctx context.Context, r leadership.Record, revision kv.Revision, extra kv.Transaction) error {
 	r.Epoch = d.acquiredEpoch()
-	value, err := encodeRecord(r)
+	value, err := rolerecord.Encode(r)
 	if err != nil {
 		return err
 	}
--- a/internal/gateway/serving.go
+++ b/internal/gateway/serving.go
@@ -1,9 +1,12 @@
 package gateway
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"slices"
 	"time"
 
+	"pearlatch/core/load"
 	"pearlatch/core/membership"
 	"pearlatch/core/serving"
 	"pearlatch/internal/fleet"
@@ -37,13 +40,54 @@
 // fallbackTTL is how long a host remains a fallback after the last statement that it served as one.
 const fallbackTTL = 2 * time.Second
 
-// serversFor returns the hosts to which statements of a group are forwarded. The result is cached until the list of
-// hosts or the set of those that answer changes, since every forwarded statement needs it.
+// serversFor returns the hosts to which statements of a group are forwarded.
 func (h *Host) serversFor(g *Group) fleet.Servers {
-	version := h.fleet.Version()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.servers.Get(version, func() fleet.Servers { return h.fleet.Servers(g.plan) })
+	return h.serversLocked(g)
+}
+
+// serversLocked is serversFor for callers that hold g.mu. The result is cached until the list of hosts or the set of
+// those that answer changes, since every forwarded statement needs it.
+func (h *Host) serversLocked(g *Group) fleet.Servers {
+	return g.servers.Get(h.fleet.Version(), func() fleet.Servers { return h.fleet.Servers(g.plan) })
+}
+
+// orderServers appends to dst the indices of the hosts to which a statement of the account is forwarded, in the order in
+// which they are tried.
+func (h *Host) orderServers(g *Group, account string, dst []int) (fleet.Servers, []int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	servers := h.serversLocked(g)
+	moves, now := g.loads.Moves(), g.now()
+	dst = g.loads.Order(dst, servers.Choice(g.name, account, rand.Float64()), now)
+	if g.loads.Moves() > moves {
+		g.metrics.count(fmt.Sprintf("load_moves_total{group=%q}", g.name), 1)
+		if now.Sub(g.movesLoggedAt) > movesLogInterval {
+			g.movesLoggedAt = now
+			g.log("load_moved", "account", account, "to", servers.Hosts[dst[0]].ID)
+		}
+	}
+	return servers, dst
+}
+
+// movesLogInterval is the minimum time between two log lines about statements of a group that go to another server
+// because of its load.
+const movesLogInterval = 10 * time.Second
+
+// recordLoad records the load report that a serving host has sent with the reply to a statement of the given rank.
+func (g *Group) recordLoad(server string, rank int, reply *PeerReply) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	reply.Load.Rank = rank
+	g.loads.Record(server, reply.Process, reply.LoadSequence, reply.Load, g.now())
+}
+
+// loadReport returns this host's load report for the sender of a statement of the given rank.
+func (g *Group) loadReport(rank int) (load.Report, uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.meter.Report(rank, g.pool.Waiting(), g.now())
 }
 
 // homeElsewhere returns the home server of an account, if this host serves the group too but is not the account's home.
@@ -74,8 +118,7 @@
 	return g.plan.ServedByOthers && now.Before(g.fallbackUntil)
 }
 
-// alternativeHosts returns the hosts that may reach the primary while this one serves the group and can't reach it:
-// the other serving hosts, which have connections, or all other hosts if every host serves its own callers.
+// alternativeHosts returns the hosts that may reach the primary while this one serves the group and can't reach it.
 func (h *Host) alternativeHosts(g *Group) []membership.Host {
 	if h.ports.Peers == nil {
 		return nil
@@ -83,13 +126,7 @@
 	g.mu.Lock()
 	plan := g.plan
 	g.mu.Unlock()
-	switch {
-	case plan.ServedByOthers:
-		return nil
-	case plan.DedicatedServers == 0:
-		return h.fleet.ForwardingOrder()
-	}
-	return slices.DeleteFunc(slices.Clone(plan.Ranked), func(o membership.Host) bool { return o.ID == h.settings.Host })
+	return h.fleet.Alternatives(plan)
 }
 
 // primaryReachTimeout is how long the primary may be silent or unknown until this host reroutes operations to
--- a/internal/gateway/record_codec.go
+++ b/internal/rolerecord/codec.go
@@ -1,4 +1,4 @@
-package gateway
+package rolerecord
 
 import (
 	"encoding/json"
@@ -31,7 +31,8 @@
 	}
 )
 
-func encodeRecord(r leadership.Record) ([]byte, error) {
+// Encode returns the stored form of a record.
+func Encode(r leadership.Record) ([]byte, error) {
 	out := wireRecord{
 		Holder: r.Holder, Epoch: int64(r.Epoch), Term: uint64(r.Term), Ordered: r.PendingPromotion, HandedBack: r.HandedBack, Grantees: r.PortionHolders, Granters: r.QuotaGranters,
 		FloorTerm: uint64(r.Floor.Term), FloorLSN: uint64(r.Floor.LSN),
@@ -42,7 +43,8 @@
 	return json.Marshal(out)
 }
 
-func decodeRecord(value []byte) (leadership.Record, error) {
+// Decode parses the stored form of a record.
+func Decode(value []byte) (leadership.Record, error) {
 	var in wireRecord
 	if err := json.Unmarshal(value, &in); err != nil {
 		return leadership.Record{}, errors.Wrap(err, "decode leadership record")
--- a/io/peer/gateway_codec_test.go
+++ b/io/peer/gateway_codec_test.go
@@ -15,6 +15,7 @@
 	"pearlatch/core/freshness"
 	"pearlatch/core/group"
 	"pearlatch/core/kv"
+	"pearlatch/core/load"
 	"pearlatch/internal/follow"
 	"pearlatch/internal/gateway"
 )
@@ -31,6 +32,7 @@
 			Failure: &gateway.Failure{Code: gateway.Busy, Detail: "no room"},
 		},
 	}
+	loaded := peerReplyMessage{Process: "h2-1f", LoadSequence: 812, Load: load.Report{Waiting: 41, Rate: 212.5, Delay: 120 * time.Millisecond}}
 	item := kv.Item{Key: "config", Value: []byte("v"), Revision: 9}
 	return map[string]message{
 		"link_request": &linkRequest{lane: 4, peerRequestMessage: peerRequestMessage{version: Version, PeerRequest: gateway.PeerRequest{
@@ -43,13 +45,14 @@
 			Prepared: &gateway.PreparedStatement{Writes: true, Text: "q2c"}, Begin: &gateway.Begin{ReadOnly: true}, WaitForPrimary: true, Continues: true,
 			Request: gateway.Request{ID: "5c0e", Text: "EXEC s1 1a4", Statement: gateway.Execute{Name: "s1", Arguments: "1a4"}},
 		}}},
-		"link_close":     &linkRequest{lane: 4, closes: true},
-		"link_recall":    &linkRequest{lane: 5, recall: &recallRequest{from: "h1-2a", serial: 7}},
-		"link_recalled":  &linkReply{lane: 5, recalled: &recallReply{running: true}},
-		"link_reply":     &linkReply{lane: 4, peerReplyMessage: reply},
-		"recall_request": &recallRequest{from: "h1-2a", serial: 7},
-		"recall_reply":   &recallReply{running: true, process: "h2-1f", reply: &reply},
-		"member_request": &memberRequest{group: "lessons", member: "i-7f"},
+		"link_close":      &linkRequest{lane: 4, closes: true},
+		"link_recall":     &linkRequest{lane: 5, recall: &recallRequest{from: "h1-2a", serial: 7}},
+		"link_recalled":   &linkReply{lane: 5, recalled: &recallReply{running: true}},
+		"link_reply":      &linkReply{lane: 4, peerReplyMessage: reply},
+		"link_reply_load": &linkReply{lane: 4, peerReplyMessage: loaded},
+		"recall_request":  &recallRequest{from: "h1-2a", serial: 7},
+		"recall_reply":    &recallReply{running: true, process: "h2-1f", reply: &reply},
+		"member_request":  &memberRequest{group: "lessons", member: "i-7f"},
 		"member_reply": &memberReply{
 			IsPrimary: true, Received: position, Term: 3, Fenced: 4, Lag: 12 * time.Millisecond, Running: 2, Connections: 17,
 		},
