--- a/internal/gateway/serving.go
+++ b/internal/gateway/serving.go
@@ -1,17 +1,21 @@
 package gateway
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"slices"
 	"time"
 
+	"pearlatch/core/load"
 	"pearlatch/core/membership"
 	"pearlatch/core/serving"
+	"pearlatch/internal/fleet"
 )
 
 // shouldForward reports whether a statement is to run on another host. If this host is one of those that replace
 // unreachable serving hosts, it starts to serve the group as a fallback.
 func (h *Host) shouldForward(g *Group) bool {
-	if g.servedByOthers() && h.serversFor(g).fallback {
+	if g.servedByOthers() && h.serversFor(g).Fallback {
 		g.startFallback()
 		return false
 	}
@@ -26,56 +30,73 @@
 }
 
 // shouldForward reports whether a statement is to run on one of the serving hosts. While none of them is reachable,
-// one statement every isolatedRetryInterval tries them again.
+// a statement tries them again from time to time.
 func (g *Group) shouldForward() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.plan.ServedByOthers {
-		return false
-	}
-	now := g.now()
-	if g.isIsolated() && now.Sub(g.servingHostsTriedAt) < isolatedRetryInterval {
-		return false
-	}
-	g.servingHostsTriedAt = now
-	return true
+	return g.plan.ServedByOthers && g.isolation.ShouldTry(g.now())
 }
 
 // fallbackTTL is how long a host remains a fallback after the last statement that it served as one.
 const fallbackTTL = 2 * time.Second
 
-// servingHosts are the hosts to which this one forwards statements of a group that others serve.
-type servingHosts struct {
-	// servers are the hosts that serve the group, in the order in which this host tries them. The
-	// next ranked hosts replace those that failed recently.
-	servers []membership.Host
-	// fallback is true if this host is one of those next ranked hosts, and serves the group in
-	// place of hosts that it can't reach. Without fallbacks, the loss of a single serving host left
-	// every other host with one connection until the lost host's entry expired, up to 18 s. The worth
-	// of those seconds was 0.64, against 0.9 with a fallback.
-	fallback bool
-}
-
-// serversFor returns the hosts to which statements of a group are forwarded. The result is cached until the list of
-// hosts or the set of those that answer changes, since every forwarded statement needs it.
-func (h *Host) serversFor(g *Group) servingHosts {
-	version := h.fleet.Version()
+// serversFor returns the hosts to which statements of a group are forwarded.
+func (h *Host) serversFor(g *Group) fleet.Servers {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.servingHosts.Get(version, func() servingHosts {
-		var out servingHosts
-		ranked, k := g.plan.Ranked, g.plan.DedicatedServers
-		for _, o := range h.fleet.FirstUsable(ranked, k) {
-			if out.fallback = out.fallback || o.ID == h.settings.Host; o.ID != h.settings.Host {
-				out.servers = append(out.servers, o)
-			}
-		}
-		if len(out.servers) == 0 {
-			out.servers = ranked[:k]
+	return h.serversLocked(g)
+}
+
+// serversLocked is serversFor for callers that hold g.mu. The result is cached until the list of hosts or the set of
+// those that answer changes, since every forwarded statement needs it.
+func (h *Host) serversLocked(g *Group) fleet.Servers {
+	return g.servers.Get(h.fleet.Version(), func() fleet.Servers { return h.fleet.Servers(g.plan) })
+}
+
+// orderServers appends to dst the indices of the hosts to which a statement of the account is forwarded, in the order in
+// which they are tried.
+func (h *Host) orderServers(g *Group, account string, dst []int) (fleet.Servers, []int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	servers := h.serversLocked(g)
+	moves, now := g.loads.Moves(), g.now()
+	dst = g.loads.Order(dst, servers.Choice(g.name, account, rand.Float64()), now)
+	if g.loads.Moves() > moves {
+		g.metrics.count(fmt.Sprintf("load_moves_total{group=%q}", g.name), 1)
+		if now.Sub(g.movesLoggedAt) > movesLogInterval {
+			g.movesLoggedAt = now
+			g.log("load_moved", "account", account, "to", servers.Hosts[dst[0]].ID)
 		}
-		out.servers = serving.ForwardingOrder(h.fleet.Self(), out.servers)
-		return out
-	})
+	}
+	return servers, dst
+}
+
+// movesLogInterval is the minimum time between two log lines about statements of a group that go to another server
+// because of its load.
+const movesLogInterval = 10 * time.Second
+
+// recordLoad records the load report that a serving host has sent with the reply to a statement of the given rank.
+func (g *Group) recordLoad(server string, rank int, reply *PeerReply) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	reply.Load.Rank = rank
+	g.loads.Record(server, reply.Process, reply.LoadSequence, reply.Load, g.now())
+}
+
+// loadReport returns this host's load report for the sender of a statement of the given rank.
+func (g *Group) loadReport(rank int) (load.Report, uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.meter.Report(rank, g.pool.Waiting(), g.now())
+}
+
+// homeElsewhere returns the home server of an account, if this host serves the group too but is not the account's home.
+func (h *Host) homeElsewhere(g *Group, account string) (home membership.Host, ok bool) {
+	if account == "" || h.ports.Peers == nil {
+		return membership.Host{}, false
+	}
+	servers := h.serversFor(g)
+	return servers.HomeElsewhere(g.name, account)
 }
 
 // startFallback makes this host a fallback for the group for fallbackTTL, if others serve the group.
@@ -97,8 +118,7 @@
 	return g.plan.ServedByOthers && now.Before(g.fallbackUntil)
 }
 
-// alternativeHosts returns the hosts that may reach the primary while this one serves the group and can't reach it:
-// the other serving hosts, which have connections, or all other hosts if every host serves its own callers.
+// alternativeHosts returns the hosts that may reach the primary while this one serves the group and can't reach it.
 func (h *Host) alternativeHosts(g *Group) []membership.Host {
 	if h.ports.Peers == nil {
 		return nil
@@ -106,13 +126,7 @@
 	g.mu.Lock()
 	plan := g.plan
 	g.mu.Unlock()
-	switch {
-	case plan.ServedByOthers:
-		return nil
-	case plan.DedicatedServers == 0:
-		return h.fleet.ForwardingOrder()
-	}
-	return slices.DeleteFunc(slices.Clone(plan.Ranked), func(o membership.Host) bool { return o.ID == h.settings.Host })
+	return h.fleet.Alternatives(plan)
 }
 
 // primaryReachTimeout is how long the primary may be silent or unknown until this host reroutes operations to
@@ -145,19 +159,11 @@
 	return slices.ContainsFunc(g.sortedMembers, func(m *member) bool { return m.beingReplaced })
 }
 
-// isolationTimeout is how long all hosts that serve a group must have been unreachable until another host opens its
-// own connection. When all hosts restart, the serving hosts are unreachable for about that long, and the members'
-// connections must be left to them.
-const isolationTimeout = 400 * time.Millisecond
-
-// isolatedRetryInterval is the time between two statements of an isolated host that try the serving hosts again.
-const isolatedRetryInterval = 500 * time.Millisecond
-
 // noteServerReached records that a host that serves the group accepted a statement.
 func (g *Group) noteServerReached() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.servingHostsLostSince = time.Time{}
+	g.isolation.Reached()
 }
 
 // noteServerUnreached records that a host that serves the group could not be reached, and reports whether this host
@@ -165,17 +171,12 @@
 func (g *Group) noteServerUnreached() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.servingHostsLostSince.IsZero() {
-		g.servingHostsLostSince = g.now()
-	}
-	return g.isIsolated()
+	return g.isolation.Unreached(g.now())
 }
 
 // isIsolated reports whether this host serves the group because none of the serving hosts is reachable. g.mu must be
 // held.
-func (g *Group) isIsolated() bool {
-	return !g.servingHostsLostSince.IsZero() && g.now().Sub(g.servingHostsLostSince) > isolationTimeout
-}
+func (g *Group) isIsolated() bool { return g.isolation.Isolated(g.now()) }
 
 // servingPlan returns which hosts serve a group. h.mu must be held.
 func (h *Host) servingPlan(name string) serving.Plan {
