--- a/core/quota/granter_test.go
+++ b/core/quota/granter_test.go
@@ -128,6 +128,29 @@
 	}
 }
 
+// A host's second request confirms the first response, and the second response is lost. The host counts from its first
+// request, so its portion becomes active earlier than it would after the second one. The granter must not count the
+// portion as suspended for longer.
+func TestSuspensionIsCountedFromTheConfirmedRequest(t *testing.T) {
+	g := newTestGranter(noTolerance, "h1", "h2")
+	grant := requestAccount(t, g, "h1", t0, AccountRequest{Demand: 20})
+	first := requestID
+	requestID++
+	confirmation := Request{ID: requestID, LastAnswered: first, FencingToken: 5}
+	if _, ok := g.HandleRequest("h1", "h1.1", confirmation, t0.Add(assumeActiveAfter-100*ms)); !ok {
+		t.Fatal("no response")
+	}
+	for _, c := range []struct {
+		after time.Duration
+		want  float64
+	}{{assumeActiveAfter - ms, 0}, {assumeActiveAfter, grant.Rate}} {
+		requestAccount(t, g, "h2", t0.Add(c.after), AccountRequest{Waiting: 1})
+		if got := g.pools["a"].totals.activeRate; math.Abs(got-c.want) > 0.001 || grant.Rate < 1 {
+			t.Errorf("%s after the first request a rate of %.1f/s counts as active, want %.1f", c.after, got, c.want)
+		}
+	}
+}
+
 // An unreachable host accumulates tokens up to its portion's capacity. Callers on other hosts get the burst less that
 // capacity.
 func TestBurstExcludesTokensOfUnreachableHost(t *testing.T) {
