--- a/core/quota/bench_test.go
+++ b/core/quota/bench_test.go
@@ -44,7 +44,7 @@
 			q := account.Quota{Rate: 1e7, Burst: 1e7}
 			for i := range names {
 				names[i] = fmt.Sprint("a", i)
-				s.Begin(names[i], q, t0)
+				s.Begin(names[i], q, t0, t0)
 			}
 			req, _ := s.NextRequest(t0)
 			grants := make([]Grant, len(req.Accounts))
@@ -56,7 +56,7 @@
 			b.ReportAllocs()
 			for b.Loop() {
 				n++
-				s.Begin(names[n%accounts], q, t0)
+				s.Begin(names[n%accounts], q, t0, t0)
 			}
 		})
 	}
--- a/core/quota/granter.go
+++ b/core/quota/granter.go
@@ -7,6 +7,7 @@
 
 	"pearlatch/core/account"
 	"pearlatch/core/leadership"
+	"pearlatch/core/quota/waiting"
 )
 
 // Granter distributes the tokens of a group of accounts, and tracks what it has granted. Use NewGranter. It is not safe
@@ -46,10 +47,11 @@
 	// reportedAt is when the process first reported. heardAt is when it last reported or sent a request.
 	reportedAt, heardAt time.Time
 	// lastRequest is the ID of the host's last request. suspendSent is true if the response to it, sent at
-	// suspendSentAt, suspended the host's portions.
+	// suspendSentAt, suspended the host's portions. They count as active after suspension, if the host confirms it.
 	lastRequest   uint64
 	suspendSent   bool
 	suspendSentAt time.Time
+	suspension    time.Duration
 	// suspendedUntil is the time until which the host's portions are certainly suspended. active is true if they
 	// count as active.
 	suspendedUntil time.Time
@@ -196,13 +198,6 @@
 	}
 }
 
-// Holding is the portion of an account that a host holds, and how long it remains valid.
-type Holding struct {
-	Account string
-	Portion Portion
-	TTL     time.Duration
-}
-
 // RecordReport records what a process of a host holds from earlier granters. The process accepts nothing more from these
 // granters once it has reported. The report must be the reply to a query by this granter, so that processes of a host
 // are seen in the order in which they ran.
@@ -232,45 +227,6 @@
 	return h != nil && !h.unreported && h.process == process
 }
 
-// AccountRequest is the part of a Request that concerns one account.
-type AccountRequest struct {
-	Account string
-	// Quota is the account's quota in the granter's configuration.
-	Quota account.Quota
-	// HeldSerial is the serial of the portion that the host holds, and Tokens the number of tokens it has left.
-	HeldSerial uint64
-	Tokens     float64
-	// Returned is the number of tokens that the host gives back.
-	Returned int
-	// Demand is the average rate at which the host's callers request operations, per second.
-	Demand float64
-	// Waiting is the number of operations that wait for a token, and Prefetch how many more tokens the host would like
-	// to store for later operations.
-	Waiting  int
-	Prefetch float64
-}
-
-// Grant is the reply to an AccountRequest.
-type Grant struct {
-	Account string
-	Serial  uint64
-	// Rate and Cap define the host's portion. It is valid for TTL from when the request was sent.
-	Rate, Cap float64
-	TTL       time.Duration
-	// Tokens is the number of tokens for waiting operations, and Prefetched for later ones.
-	Tokens     int
-	Prefetched float64
-	// RetryAfter is the time after which tokens may be available for the waiting operations that got none.
-	RetryAfter time.Duration
-}
-
-// Response is the reply to a Request.
-type Response struct {
-	// Suspended is true if the host's portions are to be suspended while the host reaches the granter.
-	Suspended bool
-	Grants    []Grant
-}
-
 // HandleRequest answers a request from a process of a host. It returns false if the host follows another granter, if the
 // process has not reported its holdings, if the request is not newer than the last one, or if this granter has
 // stopped answering requests.
@@ -283,7 +239,7 @@
 	g.activateExpired(now)
 	if req.LastAnswered == h.lastRequest && h.suspendSent {
 		// The host counts from when it sent the request, which is slightly earlier.
-		h.suspendedUntil = h.suspendSentAt.Add(assumeActiveAfter)
+		h.suspendedUntil = h.suspendSentAt.Add(h.suspension)
 		g.suspend(id, h, now)
 	}
 	known := g.HoldingsKnown(now)
@@ -291,7 +247,11 @@
 	// unused.
 	suspend := known || now.Sub(h.reportedAt) >= assumeActiveAfter
 	h.heardAt, h.lastRequest, h.suspendSent, h.suspendSentAt = now, req.ID, suspend, now
-	out := Response{Suspended: suspend, Grants: make([]Grant, len(req.Accounts))}
+	out := Response{Suspended: suspend, Partial: !known, Grants: make([]Grant, len(req.Accounts))}
+	h.suspension = assumeActiveAfter
+	if req.FrequentKeepalives {
+		h.suspension, out.ActivateAfter = reserveAssumeActiveAfter, reserveActivateAfter
+	}
 	for i, a := range req.Accounts {
 		h.accounts[a.Account] = true
 		out.Grants[i] = g.handleAccount(id, h, a, known, now)
@@ -348,10 +308,10 @@
 	p.tokens += out.Prefetched
 	pool.setPortions(id, p)
 	if out.Tokens < req.Waiting {
-		out.RetryAfter = pool.retryAfter(g.scope)
+		out.RetryAfter, out.Interval = pool.expect(req.Waiting-out.Tokens, g.scope, now)
 		if g.scope == scopeFollowers && now.Before(g.soleUntil) {
 			// By then this granter is the only one.
-			out.RetryAfter = min(out.RetryAfter, max(minRetryAfter, g.startedAt.Add(leadership.RoleValidity+maxClockDrift).Sub(now)))
+			out.RetryAfter = min(out.RetryAfter, max(waiting.MinRetryAfter, g.startedAt.Add(leadership.RoleValidity+maxClockDrift).Sub(now)))
 		}
 	}
 	return out
--- a/core/quota/granter_test.go
+++ b/core/quota/granter_test.go
@@ -7,6 +7,7 @@
 
 	"pearlatch/core/account"
 	"pearlatch/core/leadership"
+	"pearlatch/core/quota/waiting"
 )
 
 const ms = time.Millisecond
@@ -276,14 +277,14 @@
 	var after time.Duration
 	for at := t0; at.Before(t0.Add(20 * time.Second)); at = at.Add(10 * ms) {
 		g.Extend(at)
-		v, later := s.Begin("a", quota40, at)
-		if v == AskGranter {
-			s.AddWaiter("a")
+		v, later := s.Begin("a", quota40, at, at)
+		if v == Wait {
+			ticket := s.AddWaiter("a")
 			if req, ok := s.NextRequest(at); ok {
 				response, _ := g.HandleRequest("h1", "h1.1", req, at)
 				s.HandleResponse(req.ID, 5, response, at)
 			}
-			v, later = s.RemoveWaiter("a", at)
+			v, later = s.Decide("a", ticket, at, at)
 		}
 		if v == Admitted {
 			started++
@@ -294,7 +295,7 @@
 	if started < 20*40*95/100 || started > 20*40+40 {
 		t.Errorf("%d operations started in 20 s; the quota allows %d and a burst of 40", started, 20*40)
 	}
-	if after <= 0 || after > maxRetryAfter {
+	if after <= 0 || after > waiting.MaxRetryAfter {
 		t.Errorf("a refused caller was told to retry after %s", after)
 	}
 }
@@ -333,7 +334,7 @@
 		for range 40 {
 			at = at.Add(25 * ms)
 			g.Extend(at)
-			s.Begin("a", quota40, at)
+			s.Begin("a", quota40, at, at)
 			sendRequest(host, at)
 		}
 	}
@@ -348,11 +349,11 @@
 	g.Extend(at)
 	begin := func(host string) bool {
 		s := shards[host]
-		v, _ := s.Begin("a", quota40, at)
-		if v == AskGranter {
-			s.AddWaiter("a")
+		v, _ := s.Begin("a", quota40, at, at)
+		if v == Wait {
+			ticket := s.AddWaiter("a")
 			sendRequest(host, at)
-			v, _ = s.RemoveWaiter("a", at)
+			v, _ = s.Decide("a", ticket, at, at)
 		}
 		return v == Admitted
 	}
--- a/core/quota/limiter.go
+++ b/core/quota/limiter.go
@@ -1,11 +1,15 @@
 package quota
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
 
 	"pearlatch/core/account"
+	"pearlatch/core/quota/demand"
+	"pearlatch/core/quota/reserve"
+	"pearlatch/core/quota/waiting"
 )
 
 const (
@@ -40,25 +44,48 @@
 	requestedAt               time.Time
 	// activeAt is when the host's portions become active.
 	activeAt time.Time
+	// failingSince is when the granter stopped responding, or zero.
+	failingSince time.Time
+	// partial is true if the granter did not know what all hosts hold when it last responded.
+	partial bool
+	// waiting holds the accounts with waiting operations, and reserved those of which the host holds reserves.
+	waiting  map[string]*localAccount
+	reserved map[string]bool
+	holders  reserve.Client
 }
 
 // localAccount is a host's state of one account.
 type localAccount struct {
 	bucket Bucket
-	demand demand
+	demand demand.Average
 	quota  account.Quota
-	// waiting is the number of operations that wait for a token, and ready the number of tokens received for them.
-	// returned is the number of tokens of operations that have not run, which are to be returned to the granter.
-	waiting, ready, returned int
+	// queue holds the operations that wait for a token. returned is the number of tokens of operations that have not run,
+	// which are to be returned to the granter.
+	queue    waiting.Queue
+	returned int
 	// requestedAt is when the last request for the account was made.
 	requestedAt time.Time
-	// refusedUntil is the time until which the granter is not asked again after it had no token. retryAt is when it
-	// expects to have one.
-	refusedUntil, retryAt time.Time
+	// refusedUntil is the time until which the granter is not asked again after it had no token. expected says when the
+	// granter or a reserve holder expects to have one.
+	refusedUntil time.Time
+	expected     waiting.Expectation
+	spread       waiting.Spread
+	// unserved is true if the granter had too few tokens while it did not know what all hosts hold.
+	unserved bool
+	// reserve is the fraction of the quota that the host wants to hold for the callers of all hosts. given holds what
+	// other hosts were told about the tokens that this host lacked.
+	reserve float64
+	given   waiting.Schedule
+	// holderRefusals is the number of reserve holders that had no token, one after the other. holdersRefusedUntil is the
+	// time until which no holder is asked again.
+	holderRefusals      int
+	holdersRefusedUntil time.Time
 }
 
 // NewLimiter returns a limiter without tokens.
-func NewLimiter() *Limiter { return &Limiter{accounts: map[string]*localAccount{}} }
+func NewLimiter() *Limiter {
+	return &Limiter{accounts: map[string]*localAccount{}, waiting: map[string]*localAccount{}, reserved: map[string]bool{}}
+}
 
 // FencingToken returns the fencing token of the latest granter that the host knows of.
 func (l *Limiter) FencingToken() int64 { return l.fencingToken }
@@ -99,51 +126,6 @@
 	return a
 }
 
-// Decision says whether an operation may begin.
-type Decision uint8
-
-// The decisions.
-const (
-	// Admitted means that the operation may begin. Its token is spent.
-	Admitted Decision = iota
-	// AskGranter means that the granter may have a token.
-	AskGranter
-	// Refused means that there is no token.
-	Refused
-)
-
-// Begin counts a new operation of an account in the demand and takes a token for it. With Refused it also returns the
-// time after which to retry.
-func (l *Limiter) Begin(name string, q account.Quota, now time.Time) (Decision, time.Duration) {
-	a := l.account(name, q, now)
-	a.demand.record(now)
-	return l.tryTake(name, a, now)
-}
-
-// tryTake takes a token if there is one. With Refused it also returns the time after which to retry.
-func (l *Limiter) tryTake(name string, a *localAccount, now time.Time) (Decision, time.Duration) {
-	if a.bucket.take(now, l.activeAt) {
-		return Admitted, 0
-	}
-	if now.Before(a.refusedUntil) {
-		return Refused, l.RetryAfter(name, now)
-	}
-	return AskGranter, 0
-}
-
-// RetryAfter returns the time after which an operation of the account may be retried.
-func (l *Limiter) RetryAfter(name string, now time.Time) time.Duration {
-	a := l.accounts[name]
-	if a == nil {
-		return 0
-	}
-	after := a.retryAt.Sub(now)
-	if next, ok := a.bucket.nextTokenIn(now, l.activeAt); ok && (after <= 0 || next < after) {
-		after = next
-	}
-	return max(0, after)
-}
-
 // ReturnToken returns the token of an operation that has certainly not run. The token goes back to the granter with the
 // next request. If the host kept it, it would come on top of tokens that other hosts were granted since.
 func (l *Limiter) ReturnToken(name string) {
@@ -152,68 +134,52 @@
 	}
 }
 
-// AddWaiter counts an operation that waits for the granter's response. The account must have been passed to Begin.
-func (l *Limiter) AddWaiter(name string) { l.accounts[name].waiting++ }
-
-// RemoveWaiter ends the wait of an operation counted by AddWaiter and returns the decision on it. With AskGranter the
-// operation must wait again for a token.
-func (l *Limiter) RemoveWaiter(name string, now time.Time) (Decision, time.Duration) {
-	a := l.accounts[name]
-	a.waiting--
-	if a.ready > 0 {
-		a.ready--
-		return Admitted, 0
-	}
-	return l.tryTake(name, a, now)
-}
-
-// Request is a host's request to the granter, for several accounts.
-type Request struct {
-	// ID identifies the request. IDs of a limiter increase, and only the response to the last request is accepted.
-	ID uint64
-	// LastAnswered is the ID of the last request that was answered.
-	LastAnswered uint64
-	// FencingToken is that of the granter that the host follows.
-	FencingToken int64
-	// Accounts may be empty. Such a request only shows that the host reaches the granter.
-	Accounts []AccountRequest
-}
-
 // NextRequest returns the request to send to the granter now, or false if none is due.
 func (l *Limiter) NextRequest(now time.Time) (Request, bool) {
 	var out []AccountRequest
-	holds := false
+	// A granter that stopped responding is tried again also without portions, since operations wait no longer for it.
+	holds := !l.failingSince.IsZero() && len(l.accounts) > 0
 	for _, name := range slices.Sorted(maps.Keys(l.accounts)) {
 		a := l.accounts[name]
 		a.bucket.refill(now, l.activeAt)
 		holds = holds || a.bucket.portion.Rate > 0
-		if a.requestDue(now) {
+		if l.requestDue(a, now) {
 			a.requestedAt = now
 			out = append(out, a.request(name, now))
 		}
 	}
-	if len(out) == 0 && (!holds || now.Sub(l.requestedAt) < keepaliveInterval) {
+	interval := keepaliveInterval
+	if l.HoldsReserves() {
+		interval = reserveKeepaliveInterval
+	}
+	if len(out) == 0 && (!holds || now.Sub(l.requestedAt) < interval) {
 		return Request{}, false
 	}
 	l.lastRequest++
 	l.pending, l.requestedAt = true, now
-	return Request{l.lastRequest, l.lastAnswered, l.fencingToken, out}, true
+	return Request{l.lastRequest, l.lastAnswered, l.fencingToken, l.HoldsReserves(), out}, true
 }
 
 // RequestDue reports whether a request for the account is due.
 func (l *Limiter) RequestDue(name string, now time.Time) bool {
 	a := l.accounts[name]
-	return a != nil && a.requestDue(now)
+	return a != nil && l.requestDue(a, now)
 }
 
 // requestDue reports whether a request for the account is due.
-func (a *localAccount) requestDue(now time.Time) bool {
-	d, held, since := a.demand.value(now), a.bucket.portion, now.Sub(a.requestedAt)
+func (l *Limiter) requestDue(a *localAccount, now time.Time) bool {
+	d, held, since := a.demand.Value(now), a.bucket.portion, now.Sub(a.requestedAt)
 	switch {
-	case a.waiting > a.ready:
+	case a.queue.Missing() > 0 && !now.Before(a.refusedUntil):
 		return true
 	case d >= prefetchMinRate && a.bucket.tokens < 1 && held.Cap >= minCap && !now.Before(a.refusedUntil):
 		return since >= prefetchInterval
+	case a.reserve > 0 && held.Rate > 0 && a.bucket.tokens < held.Cap/2:
+		return since >= reserveKeepaliveInterval
+	case a.reserve > 0 && held.Rate == 0 && (held.Serial == 0 || l.partial):
+		return since >= adaptInterval
+	case a.reserve > 0:
+		return since >= refreshInterval
 	case d < minRate && held.Rate == 0:
 		return false
 	case d < held.Rate/2 || d > 2*held.Rate:
@@ -223,16 +189,19 @@
 }
 
 func (a *localAccount) request(name string, now time.Time) AccountRequest {
-	d := a.demand.value(now)
+	d := a.demand.Value(now)
 	prefetch := 0.0
-	if d >= prefetchMinRate {
+	switch {
+	case a.reserve > 0:
+		prefetch = max(0, a.bucket.portion.Cap-a.bucket.tokens)
+	case d >= prefetchMinRate:
 		prefetch = max(0, min(a.bucket.portion.Cap, 1+d*prefetchDuration.Seconds())-a.bucket.tokens)
 	}
 	returned := a.returned
 	a.returned = 0 // dropped if the request is lost, since the granter may have received it
 	return AccountRequest{
 		Account: name, Returned: returned, Quota: a.quota, HeldSerial: a.bucket.portion.Serial, Tokens: a.bucket.tokens, Demand: d,
-		Waiting: a.waiting - a.ready, Prefetch: prefetch,
+		Waiting: a.queue.Missing(), Prefetch: prefetch, Reserve: a.reserve,
 	}
 }
 
@@ -242,21 +211,22 @@
 	if !l.pending || id != l.lastRequest || fencingToken != l.fencingToken || now.Sub(l.requestedAt) > ResponseTimeout {
 		return false
 	}
-	l.pending, l.lastAnswered = false, id
+	l.pending, l.lastAnswered, l.failingSince, l.partial = false, id, time.Time{}, resp.Partial || !resp.Suspended
 	activeAt := l.activeAt
 	if resp.Suspended {
-		activeAt = l.requestedAt.Add(activateAfter)
+		activeAt = l.requestedAt.Add(cmp.Or(resp.ActivateAfter, activateAfter))
 	}
 	for _, g := range resp.Grants {
 		a := l.accounts[g.Account]
 		if a == nil {
 			continue
 		}
-		a.ready = min(a.waiting, a.ready+g.Tokens)
+		a.queue.AddTokens(g.Tokens)
 		a.bucket.applyGrant(g, l.requestedAt, now, l.activeAt)
-		a.refusedUntil, a.retryAt = time.Time{}, time.Time{}
+		a.refusedUntil, a.expected, a.unserved = time.Time{}, waiting.Expectation{}, g.RetryAfter > 0 && l.partial
 		if g.RetryAfter > 0 {
-			a.refusedUntil, a.retryAt = now.Add(min(g.RetryAfter, maxRefusalTTL)), now.Add(g.RetryAfter)
+			a.refusedUntil = now.Add(min(g.RetryAfter, maxRefusalTTL))
+			a.expected.Expect(g.RetryAfter, g.Interval, now)
 		}
 	}
 	if activeAt.After(l.activeAt) {
@@ -268,10 +238,11 @@
 	return true
 }
 
-// Abandon records that no response to the request will be accepted.
-func (l *Limiter) Abandon(id uint64) {
+// Abandon records that the granter did not respond to the request or declined it. No response to it will be accepted.
+func (l *Limiter) Abandon(id uint64, now time.Time) {
 	if id == l.lastRequest {
 		l.pending = false
+		l.RecordNoGranter(now)
 	}
 }
 
@@ -279,6 +250,6 @@
 func (l *Limiter) RemoveIdle(now time.Time) {
 	maps.DeleteFunc(l.accounts, func(_ string, a *localAccount) bool {
 		a.bucket.refill(now, l.activeAt)
-		return a.waiting == 0 && a.bucket.portion.Serial == 0 && a.demand.value(now) < minRate/2
+		return a.reserve == 0 && a.queue.Len() == 0 && a.bucket.portion.Serial == 0 && a.demand.Value(now) < minRate/2
 	})
 }
--- a/core/quota/limiter_test.go
+++ b/core/quota/limiter_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"pearlatch/core/quota/demand"
 )
 
 // A response arrives after the host has sent another request, when the granter already counts it as lost. If the host
@@ -10,10 +12,10 @@
 func TestOnlyTheLastResponseIsAccepted(t *testing.T) {
 	l := NewLimiter()
 	l.Follow(5)
-	l.Begin("a", quota40, t0)
+	l.Begin("a", quota40, t0, t0)
 	l.AddWaiter("a")
 	first, _ := l.NextRequest(t0)
-	l.Abandon(first.ID)
+	l.Abandon(first.ID, t0)
 	second, ok := l.NextRequest(t0.Add(time.Second))
 	if !ok {
 		t.Fatal("no second request")
@@ -34,7 +36,7 @@
 func TestReportRejectsEarlierGranters(t *testing.T) {
 	s := NewShard()
 	s.Follow(5)
-	s.Begin("a", quota40, t0)
+	s.Begin("a", quota40, t0, t0)
 	req, _ := s.NextRequest(t0)
 	s.SetGranter(NewGranter(5, noTolerance, t0, nil, nil))
 	if _, ok := s.Report(6, t0); !ok || s.Granter() != nil {
@@ -47,7 +49,7 @@
 	if _, ok := s.Report(5, t0); ok {
 		t.Error("the host reported to an earlier granter")
 	}
-	s.Begin("a", quota40, t0)
+	s.Begin("a", quota40, t0, t0)
 	if req, _ := s.NextRequest(t0.Add(time.Second)); req.FencingToken != 6 {
 		t.Errorf("the request has fencing token %d", req.FencingToken)
 	}
@@ -57,9 +59,10 @@
 func TestTokensForWaitingOperations(t *testing.T) {
 	l := NewLimiter()
 	l.Follow(5)
+	var tickets []uint64
 	for range 3 {
-		l.Begin("a", quota40, t0)
-		l.AddWaiter("a")
+		l.Begin("a", quota40, t0, t0)
+		tickets = append(tickets, l.AddWaiter("a"))
 	}
 	req, _ := l.NextRequest(t0)
 	if q := req.Accounts[0]; q.Waiting != 3 {
@@ -67,8 +70,8 @@
 	}
 	l.HandleResponse(req.ID, 5, Response{Grants: []Grant{{Account: "a", Serial: 1, TTL: PortionTTL, Tokens: 2, RetryAfter: 30 * ms}}}, t0)
 	decisions := map[Decision]int{}
-	for range 3 {
-		v, after := l.RemoveWaiter("a", t0.Add(5*ms))
+	for _, ticket := range tickets {
+		v, after := l.Decide("a", ticket, t0.Add(5*ms), t0.Add(5*ms))
 		decisions[v]++
 		if v == Refused && after != 25*ms {
 			t.Errorf("retry after %s", after)
@@ -84,7 +87,7 @@
 	l := NewLimiter()
 	l.Follow(5)
 	for range 4 {
-		l.Begin("a", quota40, t0)
+		l.Begin("a", quota40, t0, t0)
 	}
 	req, _ := l.NextRequest(t0)
 	l.HandleResponse(req.ID, 5, Response{Suspended: true, Grants: []Grant{{Account: "a", Serial: 1, Rate: 1, Cap: 1, TTL: PortionTTL}}}, t0)
@@ -93,7 +96,7 @@
 		t.Errorf("unexpected request of a host that holds a portion: %+v", req)
 	}
 	l.HandleResponse(req.ID, 5, Response{Suspended: true}, at)
-	at = at.Add(2 * demandTimeConstant)
+	at = at.Add(2 * demand.TimeConstant)
 	if req, _ = l.NextRequest(at); len(req.Accounts) != 1 || req.Accounts[0].Demand > 0.5 {
 		t.Errorf("the portion is not given back: %+v", req)
 	}
@@ -111,13 +114,13 @@
 func TestReturnedTokens(t *testing.T) {
 	l := NewLimiter()
 	l.Follow(5)
-	l.Begin("a", quota40, t0)
+	l.Begin("a", quota40, t0, t0)
 	l.AddWaiter("a")
 	l.ReturnToken("a")
 	if req, _ := l.NextRequest(t0); req.Accounts[0].Returned != 1 {
 		t.Errorf("unexpected request %+v", req)
 	}
-	l.Abandon(1)
+	l.Abandon(1, t0)
 	if req, _ := l.NextRequest(t0.Add(time.Second)); req.Accounts[0].Returned != 0 {
 		t.Errorf("a token that the granter may have received is returned again: %+v", req)
 	}
@@ -127,18 +130,20 @@
 func TestPortionsActivateWithoutTheGranter(t *testing.T) {
 	l := NewLimiter()
 	l.Follow(5)
-	l.Begin("a", quota40, t0)
-	l.AddWaiter("a")
+	l.Begin("a", quota40, t0, t0)
+	ticket := l.AddWaiter("a")
 	req, _ := l.NextRequest(t0)
 	l.HandleResponse(req.ID, 5, Response{Suspended: true, Grants: []Grant{{Account: "a", Serial: 1, Rate: 10, Cap: 2, TTL: PortionTTL, Tokens: 1}}}, t0)
-	l.RemoveWaiter("a", t0)
+	if v, _ := l.Decide("a", ticket, t0, t0); v != Admitted {
+		t.Fatalf("decision %d on the operation for which a token came", v)
+	}
 	for _, c := range []struct {
 		after time.Duration
 		want  int
 	}{{activateAfter - ms, 0}, {activateAfter + 101*ms, 1}, {activateAfter + 10*time.Second, 2}, {PortionTTL, 0}} {
 		n := 0
 		for at := t0.Add(c.after); n < 9; n++ {
-			if v, _ := l.tryTake("a", l.accounts["a"], at); v != Admitted {
+			if !l.accounts["a"].bucket.take(at, l.activeAt) {
 				break
 			}
 		}
--- a/core/quota/removal_test.go
+++ b/core/quota/removal_test.go
@@ -39,8 +39,12 @@
 		{"a host stores no more tokens than its portion allows", "bucket.go", "b.tokens = min(b.portion.Cap, b.tokens)\n\tb.updatedAt", "b.updatedAt"},
 		{"a suspended portion yields no tokens", "bucket.go", "now.Sub(later(b.updatedAt, activeAt))", "now.Sub(b.updatedAt)"},
 		{"a portion counts as suspended only once the host has confirmed it", "granter.go", "if req.LastAnswered == h.lastRequest && h.suspendSent {", "if h.suspendSent {"},
-		{"a suspension ends no later than the host assumes", "granter.go", "h.suspendSentAt.Add(assumeActiveAfter)", "now.Add(assumeActiveAfter)"},
+		{"a suspension ends no later than the host assumes", "granter.go", "h.suspendSentAt.Add(h.suspension)", "now.Add(h.suspension)"},
 		{"tokens that a host with an active portion may store are not in the pool", "token_pool.go", "s.stored += sign * p.cap()", "s.stored += sign * p.tokens"},
+		{"a holder gives only tokens that it takes from its bucket", "reserve.go", "g.Tokens < d.Waiting && a.bucket.take(now, l.activeAt)", "g.Tokens < d.Waiting"},
+		{"only a holder's last reply is accepted in time", "reserve.go", "if !l.holders.Accept(id, now, ResponseTimeout) {", "if l.holders.Accept(id, now, ResponseTimeout); false {"},
+		{"reserves and other portions together are bounded", "token_pool.go", "portionRateFraction*t.quota.Rate-(t.totals.rate-p.rate())", "t.quota.Rate"},
+		{"a reserve counts as active before it may yield tokens", "granter.go", "h.suspension, out.ActivateAfter = reserveAssumeActiveAfter,", "h.suspension, out.ActivateAfter = assumeActiveAfter,"},
 		{"active portions count", "token_pool.go", "t.quota.Rate-t.totals.activeRate-t.unreportedMax", "t.quota.Rate-t.unreportedMax"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- /dev/null
+++ b/core/quota/reserve.go
@@ -0,0 +1,171 @@
+package quota
+
+import (
+	"time"
+
+	"pearlatch/core/account"
+	"pearlatch/core/quota/reserve"
+)
+
+// reserveKeepaliveInterval replaces keepaliveInterval at a host that holds reserves, so that its portions become active
+// earlier after the loss of the granter.
+const reserveKeepaliveInterval = 250 * time.Millisecond
+
+// ReserveFraction returns the fraction of each quota that one of the given number of reserve holders wants to hold.
+func ReserveFraction(holders int) float64 {
+	if holders <= 0 {
+		return 0
+	}
+	return reserveRateFraction / float64(holders)
+}
+
+// SetReserveHolders sets the hosts that may be asked for tokens, in the order in which this host asks them.
+func (l *Limiter) SetReserveHolders(hosts []string) { l.holders.SetHolders(hosts) }
+
+// SetReserve makes the host request the given fraction of an account's quota for the callers of all hosts. Zero means
+// that the host needs a portion only for its own callers.
+func (l *Limiter) SetReserve(name string, q account.Quota, fraction float64, now time.Time) {
+	if fraction > 0 {
+		l.account(name, q, now).reserve = fraction
+		l.reserved[name] = true
+	} else if a := l.accounts[name]; a != nil {
+		a.reserve = 0
+		delete(l.reserved, name)
+	}
+}
+
+// HoldsReserves reports whether the host requests reserves.
+func (l *Limiter) HoldsReserves() bool { return len(l.reserved) > 0 }
+
+// RecordNoGranter records that the host knows no granter.
+func (l *Limiter) RecordNoGranter(now time.Time) {
+	if l.failingSince.IsZero() {
+		l.failingSince = now
+	}
+}
+
+// FailingSince returns when the granter stopped responding, or zero.
+func (l *Limiter) FailingSince() time.Time { return l.failingSince }
+
+// holdersMayServe reports whether a reserve holder may have a token of the account while the granter has none.
+func (l *Limiter) holdersMayServe(a *localAccount, now time.Time) bool {
+	return l.holdersNeeded(a, now) && !now.Before(a.holdersRefusedUntil)
+}
+
+// holdersNeeded reports whether the granter fails to respond, is late, or had no token of the account while it did not
+// know what all hosts hold.
+func (l *Limiter) holdersNeeded(a *localAccount, now time.Time) bool {
+	late := l.pending && now.Sub(l.requestedAt) >= reserve.HedgeDelay
+	return late || !l.failingSince.IsZero() || a.unserved
+}
+
+// HoldersNeeded reports whether waiting operations of any account need reserve holders.
+func (l *Limiter) HoldersNeeded(now time.Time) bool {
+	for _, a := range l.waiting {
+		if l.holdersNeeded(a, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// NextReserveRequest returns the request to send to a reserve holder now, or false if none is due. It covers all waiting
+// operations for which another holder may be asked.
+func (l *Limiter) NextReserveRequest(now time.Time) (holder string, req reserve.Request, ok bool) {
+	if !l.holders.Idle() {
+		return "", reserve.Request{}, false
+	}
+	var demands []reserve.Demand
+	for name, a := range l.waiting {
+		if !l.holdersMayServe(a, now) {
+			continue
+		}
+		if n := a.queue.Ask(l.holders.MaxAsks()); n > 0 {
+			demands = append(demands, reserve.Demand{Account: name, Waiting: n})
+		}
+	}
+	if len(demands) == 0 {
+		return "", reserve.Request{}, false
+	}
+	holder, req = l.holders.Start(demands, now)
+	return holder, req, true
+}
+
+// HandleReserveReply applies the reply of a reserve holder. It returns the number of tokens received. Nothing changes if
+// the request is not the last one or if the reply is later than ResponseTimeout.
+func (l *Limiter) HandleReserveReply(id uint64, reply reserve.Reply, now time.Time) (tokens int) {
+	if reply.Declined {
+		l.AbandonReserve(id, now)
+		return 0
+	}
+	if !l.holders.Accept(id, now, ResponseTimeout) {
+		return 0
+	}
+	enough := true
+	for _, g := range reply.Grants {
+		a := l.accounts[g.Account]
+		if a == nil {
+			continue
+		}
+		tokens += g.Tokens
+		a.queue.AddTokens(g.Tokens)
+		if g.RetryAfter <= 0 {
+			a.holderRefusals = 0
+			continue
+		}
+		enough = false
+		a.expected.Expect(g.RetryAfter, g.Interval, now)
+		l.countHolderRefusal(a, min(g.RetryAfter, maxRefusalTTL), now)
+	}
+	if !enough {
+		l.holders.Advance()
+	}
+	return tokens
+}
+
+// countHolderRefusal counts a holder that had too few tokens or did not reply. Once these are as many as are asked for one
+// operation, no holder is asked again for the given time.
+func (l *Limiter) countHolderRefusal(a *localAccount, pause time.Duration, now time.Time) {
+	if a.holderRefusals++; a.holderRefusals >= l.holders.MaxAsks() {
+		a.holderRefusals, a.holdersRefusedUntil = 0, now.Add(pause)
+	}
+}
+
+// AbandonReserve records that a request to a reserve holder failed, or that the holder declined it.
+func (l *Limiter) AbandonReserve(id uint64, now time.Time) {
+	demands, ok := l.holders.Abandon(id)
+	if !ok {
+		return
+	}
+	for _, d := range demands {
+		if a := l.accounts[d.Account]; a != nil {
+			l.countHolderRefusal(a, reserve.FailurePause, now)
+		}
+	}
+}
+
+// Give takes tokens that this host holds for operations of another host's callers. They are spent even if the reply is
+// lost. quotaOf returns an account's quota in this host's configuration, or false if there is none.
+func (l *Limiter) Give(req reserve.Request, quotaOf func(name string) (account.Quota, bool), now time.Time) reserve.Reply {
+	if !l.HoldsReserves() {
+		return reserve.Reply{Declined: true}
+	}
+	var out reserve.Reply
+	for _, d := range req.Accounts {
+		q, ok := quotaOf(d.Account)
+		if !ok || q.Unlimited() {
+			continue
+		}
+		a := l.account(d.Account, q, now)
+		g := reserve.Grant{Account: d.Account}
+		for g.Tokens < d.Waiting && a.bucket.take(now, l.activeAt) {
+			g.Tokens++
+		}
+		if missing := d.Waiting - g.Tokens; missing > 0 {
+			first, _ := a.bucket.nextTokenIn(now, l.activeAt)
+			g.RetryAfter, g.Interval = a.given.Book(missing, first, a.bucket.portion.Rate, now)
+		}
+		out.Grants = append(out.Grants, g)
+	}
+	return out
+}
--- a/core/quota/simulation_test.go
+++ b/core/quota/simulation_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"pearlatch/core/account"
+	"pearlatch/core/quota/reserve"
 )
 
 // simulation simulates hosts, their granters, the coordinator role, and a network that partitions and loses or delays
@@ -30,6 +31,10 @@
 	// refused is the number of operations that were refused.
 	refused int
 	trace   []string
+	// reserveHolders are the hosts that hold reserves.
+	reserveHolders []*simHost
+	// given is the number of operations that began with a token of a reserve holder.
+	given int
 	// faults are the kinds of faults that this seed injects.
 	faults []func(*simulation, *simHost)
 }
@@ -58,10 +63,22 @@
 	renewedAt time.Time
 	// storeUnreachable is true while the host can't reach the store.
 	storeUnreachable bool
+	// reserveHolders are the hosts that this host takes for the reserve holders.
+	reserveHolders []*simHost
+	// lastReserve is the ID of the last request to a reserve holder.
+	lastReserve uint64
+	// waiting holds the operations that wait for a token.
+	waiting []simWaiter
 	// loadPerStep is the average number of operations that the host's callers request per step.
 	loadPerStep float64
 }
 
+// simWaiter is an operation that waits for a token until a time.
+type simWaiter struct {
+	ticket uint64
+	until  time.Time
+}
+
 const stepDuration = 50 * time.Millisecond
 
 func newSimulation(seed uint64, hosts int, q account.Quota, t Tolerance) *simulation {
@@ -73,6 +90,7 @@
 	for _, i := range s.random.Perm(len(allFaults))[:2+s.random.IntN(4)] {
 		s.faults = append(s.faults, allFaults[i])
 	}
+	s.chooseReserveHolders()
 	s.acquireRole(s.hosts[0])
 	return s
 }
@@ -93,6 +111,35 @@
 	s.announceGranter()
 }
 
+// chooseReserveHolders makes up to three hosts the reserve holders. In some seeds there are none.
+func (s *simulation) chooseReserveHolders() {
+	s.reserveHolders = nil
+	for _, i := range s.random.Perm(len(s.hosts))[:s.random.IntN(reserve.MaxHolders+1)] {
+		s.reserveHolders = append(s.reserveHolders, s.hosts[i])
+		s.logf("%s holds reserves", s.hosts[i].id)
+	}
+}
+
+// announceReserveHolders tells the hosts that reach the store which hosts hold reserves.
+func (s *simulation) announceReserveHolders() {
+	for _, h := range s.hosts {
+		if h.up && !h.unresponsive && !h.storeUnreachable {
+			h.reserveHolders = s.reserveHolders
+		}
+		fraction := 0.0
+		var others []string
+		for _, o := range h.reserveHolders {
+			if o == h {
+				fraction = ReserveFraction(len(h.reserveHolders))
+			} else {
+				others = append(others, o.id)
+			}
+		}
+		h.shard.SetReserve("a", s.quota, fraction, s.now)
+		h.shard.SetReserveHolders(others)
+	}
+}
+
 // announceGranter tells the hosts that reach the store which host is the coordinator.
 func (s *simulation) announceGranter() {
 	for _, h := range s.hosts {
@@ -126,7 +173,7 @@
 func (s *simulation) restart(h *simHost) {
 	s.logf("%s is restarted", h.id)
 	h.process++
-	h.shard, h.fencingToken, h.granterHost, h.up = NewShard(), 0, nil, true
+	h.shard, h.fencingToken, h.granterHost, h.up, h.waiting = NewShard(), 0, nil, true, nil
 }
 
 func (h *simHost) processName() string { return fmt.Sprint(h.id, ".", h.process) }
@@ -136,6 +183,7 @@
 func (s *simulation) advance() {
 	s.now = s.now.Add(stepDuration)
 	s.announceGranter()
+	s.announceReserveHolders()
 	s.deliver()
 	for _, g := range s.hosts {
 		if g.shard.Granter() != nil && g.up && !g.unresponsive {
@@ -187,26 +235,63 @@
 	if s.random.Float64() < h.loadPerStep-float64(n) {
 		n++
 	}
-	waiting := 0
 	for range n {
-		switch v, _ := h.shard.Begin("a", s.quota, s.now); v {
+		until := s.now.Add(time.Duration(s.random.IntN(8)) * stepDuration)
+		switch v, _ := h.shard.Begin("a", s.quota, s.now, until); v {
 		case Admitted:
 			s.startOperation(h)
-		case AskGranter:
-			h.shard.AddWaiter("a")
-			waiting++
+		case Wait:
+			h.waiting = append(h.waiting, simWaiter{h.shard.AddWaiter("a"), until})
 		case Refused:
 			s.refused++
 		}
 	}
 	s.request(h)
-	for range waiting {
-		if v, _ := h.shard.RemoveWaiter("a", s.now); v == Admitted {
+	s.decide(h)
+	s.requestReserve(h)
+	s.requestReserve(h)
+	s.decide(h)
+}
+
+// decide ends the wait of the host's operations that are admitted or refused.
+func (s *simulation) decide(h *simHost) {
+	h.waiting = slices.DeleteFunc(h.waiting, func(w simWaiter) bool {
+		switch v, _ := h.shard.Decide("a", w.ticket, s.now, w.until); v {
+		case Admitted:
 			s.startOperation(h)
-		} else {
+			return true
+		case Refused:
 			s.refused++
+			return true
+		}
+		return false
+	})
+}
+
+// requestReserve sends a request to the reserve holder that the host asks next. Without an immediate reply the host may
+// send another in the next step.
+func (s *simulation) requestReserve(h *simHost) {
+	id, req, ok := h.shard.NextReserveRequest(s.now)
+	if !ok {
+		if s.random.IntN(4) == 0 {
+			h.shard.AbandonReserve(h.lastReserve, s.now)
 		}
+		return
 	}
+	o := s.hosts[slices.IndexFunc(s.hosts, func(o *simHost) bool { return o.id == id })]
+	h.lastReserve = req.ID
+	shard, process := h.shard, h.process
+	s.send(h, o, func() {
+		if !o.up || o.unresponsive {
+			return
+		}
+		reply := o.shard.Give(req, func(string) (account.Quota, bool) { return s.quota, true }, s.now)
+		s.send(o, h, func() {
+			if h.process == process && h.up && !h.unresponsive {
+				s.given += shard.HandleReserveReply(req.ID, reply, s.now)
+			}
+		})
+	})
 }
 
 // startOperation records the start of an operation. One in ten operations is not run, as if its upstream had refused it,
@@ -273,95 +358,8 @@
 		})
 	})
 	if s.now.Equal(asked) && s.random.IntN(4) == 0 {
-		shard.Abandon(req.ID)
-	}
-}
-
-// allFaults holds the kinds of faults and recoveries. Each seed uses a few of them, so that these coincide often.
-var allFaults = []func(s *simulation, h *simHost){
-	func(s *simulation, h *simHost) { s.restart(h) },
-	func(s *simulation, h *simHost) {
-		for _, each := range s.hosts {
-			s.restart(each)
-		}
-		s.acquireRole(h)
-	},
-	func(s *simulation, h *simHost) {
-		if h.up = !h.up; h.up {
-			s.restart(h)
-			return
-		}
-		s.logf("%s stops", h.id)
-	},
-	func(s *simulation, h *simHost) {
-		h.unresponsive = !h.unresponsive
-		s.logf("%s unresponsive: %v", h.id, h.unresponsive)
-	},
-	func(s *simulation, h *simHost) {
-		h.partition = s.random.IntN(2)
-		s.logf("%s in partition %d", h.id, h.partition)
-	},
-	func(s *simulation, h *simHost) {
-		h.storeUnreachable = !h.storeUnreachable
-		s.logf("%s can't reach the store: %v", h.id, h.storeUnreachable)
-	},
-	func(s *simulation, _ *simHost) {
-		s.lossRate, s.delayRate = s.random.Float64()*0.5, s.random.Float64()*0.5
-	},
-	func(s *simulation, h *simHost) {
-		h.loadPerStep = s.random.Float64() * 3 * s.quota.Rate * stepDuration.Seconds()
-		s.logf("%s gets %.2f operations per step", h.id, h.loadPerStep)
-	},
-	func(s *simulation, h *simHost) { s.transferRole(h) },
-	func(s *simulation, h *simHost) { s.splitNetwork(h) },
-	func(s *simulation, _ *simHost) {
-		for _, each := range s.hosts {
-			each.partition, each.unresponsive, each.storeUnreachable = 0, false, false
-		}
-		s.lossRate, s.delayRate = 0, 0
-		s.logf("all faults end")
-	},
-}
-
-// injectFault injects one of the seed's faults on a random host.
-func (s *simulation) injectFault() {
-	h := s.hosts[s.random.IntN(len(s.hosts))]
-	s.faults[s.random.IntN(len(s.faults))](s, h)
-}
-
-// splitNetwork separates the coordinator and some other hosts from the store, and some of them also from the other
-// hosts. It then moves the role to the given host, before or after the coordinator's lease has ended.
-func (s *simulation) splitNetwork(h *simHost) {
-	for _, o := range s.hosts {
-		o.storeUnreachable = o != h && (o.fencingToken == s.latestToken || s.random.IntN(2) == 0)
-		o.partition = 0
-		if o.storeUnreachable && s.random.IntN(3) > 0 {
-			o.partition = 1
-		}
-	}
-	s.logf("%s is separated from some of the other hosts", h.id)
-	s.transferRole(h)
-}
-
-// transferRole moves the role to the host: because the coordinator handed it back, because the role's entry was removed
-// without the coordinator's knowledge, or because the coordinator has not renewed its lease in time.
-func (s *simulation) transferRole(h *simHost) {
-	if !h.up || h.unresponsive || h.storeUnreachable {
-		return
-	}
-	var former *simHost
-	for _, o := range s.hosts {
-		if o.fencingToken == s.latestToken {
-			former = o
-		}
-	}
-	if former == h {
-		return
-	}
-	if former != nil && !former.storeUnreachable && s.random.IntN(2) == 0 {
-		former.shard.SetGranter(nil) // it handed back the role
+		shard.Abandon(req.ID, s.now)
 	}
-	s.acquireRole(h)
 }
 
 // busiestWindow returns the largest number of operations that started within one window, and the start of that window.
--- a/core/quota/token_pool.go
+++ b/core/quota/token_pool.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"pearlatch/core/account"
+	"pearlatch/core/quota/waiting"
 )
 
 const (
@@ -19,12 +20,21 @@
 	// portionHeadroom is the ratio of a host's portion to its demand, where the quota allows it. Demand is an average,
 	// so a portion must exceed it.
 	portionHeadroom = 1.15
+	// reserveRateFraction bounds the sum of the reserves' rates, and reserveCapFraction that of their capacities. Half of a
+	// quota nearly covers a usual day's callers. The other portions share the rest of portionRateFraction and
+	// portionCapFraction. Hosts of the previous version, which may succeed this granter, rely on these two fractions. Much of
+	// the capacity is left to other portions, since hosts store tokens there to request fewer.
+	reserveRateFraction = 0.5
+	reserveCapFraction  = 0.35
+	// reserveCapDuration is the time for which a reserve holder may store its reserve's tokens, at most: until its portion
+	// becomes active after the loss of the granter.
+	reserveCapDuration = reserveActivateAfter
 	// capDuration is the time for which a host may store its portion's tokens, and minCap the least capacity of a
 	// portion.
 	capDuration = 600 * time.Millisecond
 	minCap      = 1.0
 	// minRate is the least demand, in operations per second, for which a portion is granted: one operation within
-	// demandTimeConstant yields no portion, two do.
+	// demand.TimeConstant yields no portion, two do.
 	minRate = 0.2
 )
 
@@ -46,17 +56,24 @@
 	lastSerial uint64
 	// prunedAt is when expired portions were last removed.
 	prunedAt time.Time
+	// refused holds the expected tokens that refused operations were told to come back for.
+	refused waiting.Schedule
 }
 
-// portionTotals holds sums over the portions of a pool. activeRate is the rate of the active portions, rate that of all
-// portions, and demand that of the hosts' callers. stored bounds the tokens that hosts may store now, and caps those
-// that they could store if all portions were active.
-type portionTotals struct{ activeRate, rate, stored, caps, demand float64 }
+// portionTotals holds sums over the portions of a pool. activeRate is the rate of the active portions and rate that of all
+// portions. stored bounds the tokens that hosts may store now, and caps those that they could store if all portions were
+// active. reserve is the fraction of the quota that hosts want to hold as reserves. otherRate, otherCaps and demand concern
+// the portions that are not reserves; demand is that of the hosts' callers.
+type portionTotals struct{ activeRate, rate, stored, caps, reserve, otherRate, otherCaps, demand float64 }
 
 func (s *portionTotals) add(p *hostPortions, sign float64) {
 	s.rate += sign * p.rate()
 	s.caps += sign * p.cap()
-	s.demand += sign * p.demand
+	if s.reserve += sign * p.reserve; p.reserve == 0 {
+		s.otherRate += sign * p.rate()
+		s.otherCaps += sign * p.cap()
+		s.demand += sign * p.demand
+	}
 	if p.active {
 		s.activeRate += sign * p.rate()
 		s.stored += sign * p.cap()
@@ -75,8 +92,9 @@
 	tokens float64
 	// expiresAt is when both portions have certainly expired.
 	expiresAt time.Time
-	// demand is in operations per second.
-	demand float64
+	// demand is in operations per second. reserve is the fraction of the quota that the host wants to hold for the callers
+	// of all hosts.
+	demand, reserve float64
 }
 
 // rate and cap return upper bounds of what the host may use.
@@ -86,7 +104,7 @@
 // applyRequest records what the host holds according to its request. Tokens that were granted but are not in the request
 // were lost with a response, and so was the portion in the same response.
 func (p *hostPortions) applyRequest(req AccountRequest) {
-	p.demand = req.Demand
+	p.demand, p.reserve = req.Demand, max(0, min(req.Reserve, reserveRateFraction))
 	switch req.HeldSerial {
 	case p.offered.Serial:
 		p.held = p.offered
@@ -220,31 +238,54 @@
 	if !known {
 		return p.held
 	}
-	left := portionRateFraction*t.quota.Rate - (t.totals.rate - p.rate())
+	// What all portions together leave of their fractions of the quota.
+	left := Portion{
+		Rate: min(portionRateFraction*t.quota.Rate-(t.totals.rate-p.rate()), perHostFraction*t.quota.Rate),
+		Cap:  min(portionCapFraction*t.quota.Burst-(t.totals.caps-p.cap()), perHostFraction*t.quota.Burst),
+	}
+	if p.reserve > 0 {
+		return t.nextReserve(p, left)
+	}
+	reserved := min(t.totals.reserve, reserveRateFraction)
+	rateLimit := (portionRateFraction - reserved) * t.quota.Rate
+	capLimit := (portionCapFraction - reserved/reserveRateFraction*reserveCapFraction) * t.quota.Burst
 	scale := portionHeadroom
-	if t.totals.demand*scale > portionRateFraction*t.quota.Rate {
-		scale = portionRateFraction * t.quota.Rate / t.totals.demand
+	if t.totals.demand*scale > rateLimit {
+		scale = rateLimit / t.totals.demand
 	}
-	out := Portion{Rate: min(p.demand*scale, left, perHostFraction*t.quota.Rate)}
-	out.Cap = min(minCap+out.Rate*capDuration.Seconds(), portionCapFraction*t.quota.Burst-(t.totals.caps-p.cap()), perHostFraction*t.quota.Burst)
-	if p.demand < minRate || out.Rate < minRate/2 || out.Cap < minCap {
-		return Portion{} // too small to be useful
+	out := Portion{Rate: min(p.demand*scale, rateLimit-(t.totals.otherRate-p.rate()), left.Rate)}
+	out.Cap = min(minCap+out.Rate*capDuration.Seconds(), capLimit-(t.totals.otherCaps-p.cap()), left.Cap)
+	if p.demand < minRate {
+		return Portion{}
 	}
-	return out
+	return out.useful()
 }
 
-// retryAfter returns the time until the pool has a token.
-func (t *tokenPool) retryAfter(scope distributionScope) time.Duration {
-	rate := t.refillRate(scope)
-	if rate <= 0 {
-		return maxRetryAfter
+// nextReserve returns the reserve to offer to a host. left is what other portions leave. The reserves share their limits
+// in proportion to what the hosts want.
+func (t *tokenPool) nextReserve(p *hostPortions, left Portion) Portion {
+	share := p.reserve / max(reserveRateFraction, t.totals.reserve)
+	out := Portion{Rate: min(share*reserveRateFraction*t.quota.Rate, left.Rate)}
+	// A small burst yields less than one token for each of the holders, so the first ones hold one token each.
+	out.Cap = min(max(minCap, min(minCap+out.Rate*reserveCapDuration.Seconds(), share*reserveCapFraction*t.quota.Burst)), left.Cap)
+	return out.useful()
+}
+
+// useful returns the portion, or none if it is too small to be useful.
+func (p Portion) useful() Portion {
+	if p.Rate < minRate/2 || p.Cap < minCap {
+		return Portion{}
 	}
-	return max(minRetryAfter, min(maxRetryAfter, time.Duration((1-t.tokens)/rate*float64(time.Second))))
+	return p
 }
 
-// minRetryAfter and maxRetryAfter bound the result of retryAfter. The minimum is one or two round trips. The maximum is
-// the time in which portions follow demand.
-const (
-	minRetryAfter = 20 * time.Millisecond
-	maxRetryAfter = 2 * time.Second
-)
+// expect returns the time after which the first of n operations is to retry, and the interval between the retries of the
+// following ones.
+func (t *tokenPool) expect(n int, scope distributionScope, now time.Time) (after, interval time.Duration) {
+	rate := t.refillRate(scope)
+	first := waiting.MaxRetryAfter
+	if rate > 0 {
+		first = time.Duration(min(max(0, 1-t.tokens)/rate*float64(time.Second), float64(first)))
+	}
+	return t.refused.Book(n, first, rate, now)
+}
--- a/core/quota/tolerance.go
+++ b/core/quota/tolerance.go
@@ -15,8 +15,14 @@
 	maxClockDrift = 50 * time.Millisecond
 	// A host's portions become active activateAfter after it sent its last answered request. The granter counts them as
 	// active assumeActiveAfter after it received that request. The difference allows for the request's time in transit.
-	activateAfter     = 1400 * time.Millisecond
+	activateAfter = 1400 * time.Millisecond
+	// The granter learns of the arrival of a response with the next request, so assumeActiveAfter exceeds two
+	// keepaliveIntervals.
 	assumeActiveAfter = 1100 * time.Millisecond
+	// reserveActivateAfter and reserveAssumeActiveAfter replace them for hosts that send a request every
+	// reserveKeepaliveInterval, which with the driver's maintenance interval is up to 300 ms.
+	reserveActivateAfter     = 950 * time.Millisecond
+	reserveAssumeActiveAfter = 650 * time.Millisecond
 	// ResponseTimeout is how long after a request its response may be accepted.
 	ResponseTimeout = activateAfter - assumeActiveAfter - maxClockDrift
 )
--- /dev/null
+++ b/core/quota/waiting/schedule.go
@@ -0,0 +1,73 @@
+package waiting
+
+import (
+	"math"
+	"time"
+)
+
+// MinRetryAfter and MaxRetryAfter bound the times that refused operations are told. The minimum is one or two round trips.
+// The maximum is the time in which portions follow demand.
+const (
+	MinRetryAfter = 20 * time.Millisecond
+	MaxRetryAfter = 2 * time.Second
+)
+
+// Schedule assigns the tokens that are expected next to the operations that are told when to retry, so that callers that
+// are refused together do not all come back for the same token. The zero value has assigned none.
+type Schedule struct {
+	// bookedUntil is the time until which tokens are assigned.
+	bookedUntil time.Time
+	spread      Spread
+}
+
+// Book assigns the next tokens to n operations. first is the time until the next token, and rate the number of tokens per
+// second. It returns the time after which the first operation is to retry, and the interval between the retries of the
+// following ones.
+func (s *Schedule) Book(n int, first time.Duration, rate float64, now time.Time) (after, interval time.Duration) {
+	if rate <= 0 {
+		return s.spread.Next(), MinRetryAfter
+	}
+	interval = time.Duration(min(float64(time.Second)/rate, float64(MaxRetryAfter)))
+	after = max(MinRetryAfter, first, s.bookedUntil.Sub(now))
+	if after > MaxRetryAfter {
+		return s.spread.Next(), interval
+	}
+	s.bookedUntil = now.Add(min(after+time.Duration(n)*interval, MaxRetryAfter+interval))
+	return after, interval
+}
+
+// Spread returns retry times for operations for which no token is expected within MaxRetryAfter: between half of it and
+// all of it, evenly spread by multiples of the golden ratio. The zero value is ready for use.
+type Spread struct{ count uint32 }
+
+// Next returns the next retry time.
+func (s *Spread) Next() time.Duration {
+	s.count++
+	_, fraction := math.Modf(float64(s.count) * math.Phi)
+	return MaxRetryAfter/2 + time.Duration(fraction*float64(MaxRetryAfter/2))
+}
+
+// Expectation says when an account's next tokens are expected. The zero value means that this is not known.
+type Expectation struct {
+	// at is when the first token is expected, and interval the time between the following ones.
+	at       time.Time
+	interval time.Duration
+	// Told is the number of refused operations that were told a time.
+	Told int
+}
+
+// After returns the time until the token after the given number of earlier ones is expected, or false if that is not
+// known.
+func (e *Expectation) After(earlier int, now time.Time) (time.Duration, bool) {
+	if e.at.IsZero() {
+		return 0, false
+	}
+	return max(0, e.at.Sub(now)) + time.Duration(earlier)*e.interval, true
+}
+
+// Expect records that the next token is expected after a time, unless an earlier one is already expected.
+func (e *Expectation) Expect(after, interval time.Duration, now time.Time) {
+	if at := now.Add(after); e.at.Before(now) || at.Before(e.at) {
+		*e = Expectation{at: at, interval: interval}
+	}
+}
--- a/core/quota/window_test.go
+++ b/core/quota/window_test.go
@@ -26,17 +26,18 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			maxRatio := 0.0
+			maxRatio, given := 0.0, 0
 			for seed := range uint64(*seeds) {
 				s := runSimulation(seed, c.quota, c.tolerance)
 				count, at := s.busiestWindow()
+				given += s.given
 				maxRatio = max(maxRatio, float64(count)/c.tolerance.MaxOperations(c.quota))
 				if float64(count) > c.tolerance.MaxOperations(c.quota) {
 					t.Fatalf("seed %d: %d operations began within %s from %s, allowed %.0f\n%s", seed, count, c.tolerance.Window,
 						at.Sub(time.UnixMilli(1_000_000)), c.tolerance.MaxOperations(c.quota), joinLines(s.trace))
 				}
 			}
-			t.Logf("the busiest window used %.2f of the allowed operations", maxRatio)
+			t.Logf("the busiest window used %.2f of the allowed operations; %d operations got tokens from reserve holders", maxRatio, given)
 		})
 	}
 }
--- a/internal/gateway/fakefleet_test.go
+++ b/internal/gateway/fakefleet_test.go
@@ -12,6 +12,7 @@
 
 	"pearlatch/core/freshness"
 	"pearlatch/core/kv"
+	"pearlatch/core/quota/reserve"
 	"pearlatch/internal/follow"
 	"pearlatch/internal/quotas"
 )
@@ -292,6 +293,14 @@
 	return h.Quotas().HandleRequest(r), nil
 }
 
+func (p *fakePeers) RequestReserve(ctx context.Context, to netip.AddrPort, r quotas.ReserveRequest) (reserve.Reply, error) {
+	h, err := p.reach(ctx, to)
+	if err != nil {
+		return reserve.Reply{}, err
+	}
+	return h.Quotas().HandleReserveRequest(r), nil
+}
+
 func (p *fakePeers) TellQuota(ctx context.Context, to netip.AddrPort, r quotas.ReportRequest) (quotas.ReportResponse, error) {
 	h, err := p.reach(ctx, to)
 	if err != nil {
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -158,7 +158,7 @@
 		Store: p.Store, Peers: p.Peers, Apply: h.applyChanges, Log: h.log,
 	}, h.fleet, h.storeView, now)
 	h.quotaGranterEntries, h.formerRecords = map[string]kv.Item{}, map[string]leadership.StoredRecord{}
-	h.quotas = quotas.New(quotas.Settings{Host: s.Host, Process: h.processID, Tolerance: s.QuotaTolerance}, quotaFleet{h}, logger, now)
+	h.quotas = quotas.New(quotas.Settings{Host: s.Host, Process: h.processID, Tolerance: s.QuotaTolerance, Metrics: p.Metrics}, quotaFleet{h.fleet, h}, logger, now)
 	return h
 }
 
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -26,10 +26,7 @@
 	// RevokeLease asks the host to give up its lease on the primary of a group. The lease has ended if the error is nil.
 	// planned is true for a switchover.
 	RevokeLease(ctx context.Context, to netip.AddrPort, groupName, memberID string, planned bool) error
-	// RequestQuota asks the host for portions of accounts' quotas. TellQuota asks which portions the host holds and
-	// makes it follow the sender as granter.
-	RequestQuota(ctx context.Context, to netip.AddrPort, r quotas.Request) (quotas.Response, error)
-	TellQuota(ctx context.Context, to netip.AddrPort, r quotas.ReportRequest) (quotas.ReportResponse, error)
+	quotas.Peers
 	follow.Peers
 }
 
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"slices"
 	"time"
 
 	"pearlatch/core/account"
 	"pearlatch/core/leadership"
+	"pearlatch/internal/fleet"
 	"pearlatch/internal/quotas"
 )
 
@@ -16,7 +18,10 @@
 
 // quotaFleet gives the quota keeper access to other hosts. A shard of accounts is a group: the group's coordinator is
 // the granter of the accounts assigned to the group.
-type quotaFleet struct{ h *Host }
+type quotaFleet struct {
+	*fleet.Hosts
+	h *Host
+}
 
 var _ quotas.Fleet = quotaFleet{}
 
@@ -33,22 +38,13 @@
 	return string(entry.Value), int64(entry.Revision), ok
 }
 
-// RequestTokens implements quotas.Fleet.
-func (f quotaFleet) RequestTokens(ctx context.Context, host string, r quotas.Request) (quotas.Response, error) {
-	addr, ok := f.h.fleet.Address(host)
-	if !ok || f.h.ports.Peers == nil {
-		return quotas.Response{}, errNoCoordinator
-	}
-	return f.h.ports.Peers.RequestQuota(ctx, addr, r)
-}
-
-// RequestReport implements quotas.Fleet.
-func (f quotaFleet) RequestReport(ctx context.Context, host string, r quotas.ReportRequest) (quotas.ReportResponse, error) {
-	addr, ok := f.h.fleet.Address(host)
+// Peer implements quotas.Fleet.
+func (f quotaFleet) Peer(host string) (quotas.Peers, netip.AddrPort, error) {
+	addr, ok := f.Address(host)
 	if !ok || f.h.ports.Peers == nil {
-		return quotas.ReportResponse{}, errNoCoordinator
+		return nil, addr, errNoCoordinator
 	}
-	return f.h.ports.Peers.TellQuota(ctx, addr, r)
+	return f.h.ports.Peers, addr, nil
 }
 
 // IsProcessEnded implements quotas.Fleet.
--- a/internal/gateway/store_changes.go
+++ b/internal/gateway/store_changes.go
@@ -102,11 +102,11 @@
 		close(h.configured)
 	}
 	h.config, h.maxStaleness = c, c.maxStalenessByGroup()
+	h.fleet.TrackCandidates(slices.Collect(maps.Keys(c.Groups)))
 	h.quotas.Configure(c.Accounts, slices.Collect(maps.Keys(c.Groups)))
 	close(h.reconfigured)
 	h.reconfigured = make(chan struct{})
 	h.log("config", "version", c.Version, "routes", len(c.Routes), "accounts", c.Accounts.Len(), "news_age_ms", h.storeView.Age().Milliseconds())
-	h.fleet.TrackCandidates(slices.Collect(maps.Keys(c.Groups)))
 	return true
 }
 
--- a/internal/quotas/enforcer.go
+++ b/internal/quotas/enforcer.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-kit/log"
+	"github.com/rcrowley/go-metrics"
 
 	"pearlatch/core/account"
 	"pearlatch/core/quota"
@@ -18,6 +19,8 @@
 	// Host and Process identify this host and its process.
 	Host, Process string
 	Tolerance     quota.Tolerance
+	// Metrics receives the Enforcer's metrics. With nil nothing is recorded.
+	Metrics metrics.Registry
 }
 
 // Enforcer enforces the quotas of the client accounts on a host. Accounts are distributed over shards by a hash of
@@ -34,6 +37,10 @@
 	shardNames []string
 	accounts   *account.Directory
 	shards     map[string]*shard
+	// shardNameOf holds the shards of accounts, as far as they are known.
+	shardNameOf map[string]string
+	// reserves tracks of which accounts this host is to hold reserves.
+	reserves reserveScan
 }
 
 // shard is the host's state of one shard: what it holds and, if it is the granter, what it has granted.
@@ -44,8 +51,14 @@
 	*quota.Shard
 	// requestPending is true while a request to the granter is in progress.
 	requestPending bool
-	// failingSince is when the granter stopped responding, or zero. No request is sent before nextRequestAt.
-	failingSince, nextRequestAt time.Time
+	// No request is sent before nextRequestAt.
+	nextRequestAt time.Time
+	// holdersVersion is the fleet's version for which the reserve holders were last set, or zero.
+	holdersVersion uint64
+	// reserveLoggedAt is when a request to a reserve holder was last logged. reserveAsks counts these requests, and
+	// reserveTokens the tokens received, since the granter stopped responding.
+	reserveLoggedAt            time.Time
+	reserveAsks, reserveTokens int
 	// changed is closed and replaced when waiting operations should check again.
 	changed chan struct{}
 	// recording is true while hosts are being recorded for a successor. After a failure this is not retried before
@@ -66,30 +79,44 @@
 
 // New returns an Enforcer without accounts. now must read a clock that advances while the machine is suspended.
 func New(s Settings, f Fleet, logger log.Logger, now func() time.Time) *Enforcer {
-	return &Enforcer{settings: s, fleet: f, logger: logger, now: now, shards: map[string]*shard{}}
+	return &Enforcer{settings: s, fleet: f, logger: logger, now: now, shards: map[string]*shard{}, shardNameOf: map[string]string{}}
 }
 
 // Configure sets the accounts in force, and the shards over which they are distributed.
 func (e *Enforcer) Configure(accounts *account.Directory, shards []string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.accounts, e.shardNames = accounts, slices.Sorted(slices.Values(shards))
+	names := slices.Sorted(slices.Values(shards))
+	if !slices.Equal(names, e.shardNames) {
+		clear(e.shardNameOf)
+	}
+	e.accounts, e.shardNames, e.reserves.stale = accounts, names, true
 }
 
 // shardForAccount returns the shard of an account, or nil if there are no shards.
 func (e *Enforcer) shardForAccount(name string) *shard {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	best, bestScore := "", uint64(0)
+	best := e.shardName(name)
+	if best == "" {
+		return nil
+	}
+	return e.getOrCreateShard(best)
+}
+
+// shardName returns the name of an account's shard, or an empty one if there are no shards. e.mu must be held.
+func (e *Enforcer) shardName(name string) string {
+	best, bestScore := e.shardNameOf[name], uint64(0)
+	if best != "" || len(e.shardNames) == 0 {
+		return best
+	}
 	for _, candidate := range e.shardNames {
 		if score := rendezvousScore(candidate, name); best == "" || score > bestScore {
 			best, bestScore = candidate, score
 		}
 	}
-	if best == "" {
-		return nil
-	}
-	return e.getOrCreateShard(best)
+	e.shardNameOf[name] = best
+	return best
 }
 
 // rendezvousScore returns a shard's score for an account. By rendezvous hashing, the shard with the highest score has
@@ -144,7 +171,7 @@
 }
 
 // Admit reports whether an operation of an account may start. If not, retryAfter is how long the caller should wait before it retries.
-// It waits for the granter until the given time at most, and no longer than maxGranterDelay.
+// It waits for a token until the given time at most, and no longer than maxTokenDelay.
 func (e *Enforcer) Admit(ctx context.Context, a *account.Account, until time.Time) (ok bool, retryAfter time.Duration) {
 	if a.Quota.Unlimited() {
 		return true, 0
@@ -154,26 +181,44 @@
 		return false, requestRetryDelay
 	}
 	now := e.now()
-	until = earlier(until, now.Add(maxGranterDelay))
+	until = earlier(until, now.Add(maxTokenDelay))
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	decision, retryAfter := s.Shard.Begin(a.Name, a.Quota, now)
-	for decision == quota.AskGranter && s.mayWait(now, until) {
-		s.AddWaiter(a.Name)
-		e.sendRequest(s)
-		s.waitForChange(ctx, until.Sub(now))
-		now = e.now()
-		decision, retryAfter = s.RemoveWaiter(a.Name, now)
+	decision, retryAfter := s.Begin(a.Name, a.Quota, now, until)
+	if decision == quota.Wait {
+		decision, retryAfter = e.wait(ctx, s, a.Name, until)
 	}
-	if decision == quota.Admitted && s.RequestDue(a.Name, now) {
+	if decision == quota.Admitted && s.RequestDue(a.Name, e.now()) {
 		e.sendRequest(s)
 	}
-	if decision == quota.AskGranter {
-		retryAfter = max(requestRetryDelay, s.RetryAfter(a.Name, now))
-	}
 	return decision == quota.Admitted, retryAfter
 }
 
+// wait requests a token for an operation from the granter and the reserve holders and waits for it until the given time
+// at most. s.mu must be held, and is released while waiting.
+func (e *Enforcer) wait(ctx context.Context, s *shard, name string, until time.Time) (quota.Decision, time.Duration) {
+	ticket := s.AddWaiter(name)
+	for {
+		now := e.now()
+		if ctx.Err() != nil {
+			until = now
+		}
+		if now.Before(until) {
+			e.sendRequest(s)
+			e.requestReserve(s)
+		}
+		decision, after := s.Decide(name, ticket, now, until)
+		if decision != quota.Wait {
+			return decision, after
+		}
+		timeout := until.Sub(now)
+		if after > 0 {
+			timeout = min(timeout, after)
+		}
+		s.waitForChange(ctx, timeout)
+	}
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
@@ -181,12 +226,6 @@
 	return b
 }
 
-// mayWait reports whether an operation may wait for the granter. s.mu must be held.
-func (s *shard) mayWait(now, until time.Time) bool {
-	lost := !s.failingSince.IsZero() && now.Sub(s.failingSince) > granterLossTimeout
-	return now.Before(until) && !lost
-}
-
 // waitForChange waits for a change, no longer than timeout. s.mu must be held, and is released while waiting.
 func (s *shard) waitForChange(ctx context.Context, timeout time.Duration) {
 	changed := s.changed
@@ -229,6 +268,7 @@
 		case <-ctx.Done():
 			return
 		}
+		e.assignReserves()
 		for _, s := range e.allShards() {
 			s.mu.Lock()
 			s.RemoveIdle(e.now())
--- a/internal/quotas/granting.go
+++ b/internal/quotas/granting.go
@@ -169,7 +169,11 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 		defer cancel()
-		response, err := e.fleet.RequestReport(ctx, host, r)
+		var response ReportResponse
+		peer, addr, err := e.fleet.Peer(host)
+		if err == nil {
+			response, err = peer.TellQuota(ctx, addr, r)
+		}
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		e.handleReport(s, g, host, t, response, err)
--- a/internal/quotas/messages.go
+++ b/internal/quotas/messages.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"pearlatch/core/quota"
+	"pearlatch/core/quota/reserve"
 )
 
 // Request is a host's request to a granter.
@@ -37,14 +39,34 @@
 	Holdings []quota.Holding
 }
 
+// ReserveRequest is a host's request for tokens to a host that holds reserves of a shard.
+type ReserveRequest struct {
+	Shard, Host, Process string
+	Request              reserve.Request
+}
+
+// Peers sends messages to other hosts. Its methods may be called from several goroutines.
+type Peers interface {
+	// RequestQuota sends a request to a granter.
+	RequestQuota(ctx context.Context, to netip.AddrPort, r Request) (Response, error)
+	// TellQuota asks a host for a report of its holdings and makes it follow the sender as granter.
+	TellQuota(ctx context.Context, to netip.AddrPort, r ReportRequest) (ReportResponse, error)
+	// RequestReserve asks a reserve holder for tokens.
+	RequestReserve(ctx context.Context, to netip.AddrPort, r ReserveRequest) (reserve.Reply, error)
+}
+
 // Fleet gives an Enforcer access to other hosts. Its methods may be called from several goroutines.
 type Fleet interface {
 	// Granter returns the host that holds a shard's duty and its fencing token, as known to this host. ok is false if
 	// no granter is known.
 	Granter(shard string) (host string, token int64, ok bool)
-	// RequestTokens sends a request to a granter, and RequestReport sends a report request to a host.
-	RequestTokens(ctx context.Context, host string, r Request) (Response, error)
-	RequestReport(ctx context.Context, host string, r ReportRequest) (ReportResponse, error)
+	// Peer returns the connection to a host and its address.
+	Peer(host string) (Peers, netip.AddrPort, error)
+	// ReserveHolders returns the hosts that hold reserves of a shard's accounts. They may change when Version does.
+	// IsCandidate returns false if this host is certainly not one of them; it costs less than ReserveHolders.
+	ReserveHolders(shard string) []string
+	IsCandidate(shard string) bool
+	Version() uint64
 	// IsProcessEnded reports whether an error proves that a host's process has ended.
 	IsProcessEnded(err error) bool
 	// RecordGrantee records that a host may hold portions of a shard, so that a successor of the granter knows of it.
@@ -56,13 +78,18 @@
 	// requestTimeout bounds a request to a host. A granter that is five times as slow as usual still responds in
 	// time.
 	requestTimeout = quota.ResponseTimeout
-	// maxGranterDelay is how long an operation waits for the granter's response. The rest of its caller's latency
-	// objective is reserved for the member.
-	maxGranterDelay = 250 * time.Millisecond
-	// granterLossTimeout is how long a granter may fail to respond before operations stop waiting for it.
-	granterLossTimeout = 300 * time.Millisecond
+	// maxTokenDelay is how long an operation waits for a token. The rest of its caller's latency objective is reserved
+	// for the member.
+	maxTokenDelay = 250 * time.Millisecond
 	// requestRetryDelay is the pause after a request that failed or was declined.
 	requestRetryDelay = 25 * time.Millisecond
+	// reserveLogInterval is the least time between two log lines on requests to reserve holders of a shard.
+	reserveLogInterval = 10 * time.Second
+	// maxReserveAccounts is the largest number of a shard's accounts of which this host holds reserves. Their renewal
+	// takes about 100 bytes for each account every 5 s.
+	maxReserveAccounts = 128
+	// reserveScanHashes bounds the work of one maintenance round for finding the shards of accounts, to a few milliseconds.
+	reserveScanHashes = 100_000
 	// maintenanceInterval is how often each shard is checked for portions to renew and hosts to query.
 	maintenanceInterval = 100 * time.Millisecond
 	// recordTimeout bounds the recording of hosts that may get portions, and recordRetryDelay is the pause after it
--- a/internal/quotas/requests.go
+++ b/internal/quotas/requests.go
@@ -15,6 +15,8 @@
 	}
 	host, token, ok := e.fleet.Granter(s.name)
 	if !ok {
+		s.RecordNoGranter(now)
+		e.updateHolders(s)
 		return
 	}
 	s.Follow(token)
@@ -34,7 +36,11 @@
 func (e *Enforcer) requestFrom(s *shard, host string, req quota.Request) {
 	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 	defer cancel()
-	response, err := e.fleet.RequestTokens(ctx, host, Request{s.name, e.settings.Host, e.settings.Process, req})
+	var response Response
+	peer, addr, err := e.fleet.Peer(host)
+	if err == nil {
+		response, err = peer.RequestQuota(ctx, addr, Request{s.name, e.settings.Host, e.settings.Process, req})
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.requestPending = false
@@ -44,18 +50,27 @@
 
 // handleResponse handles a response from the granter, or the failure of a request. s.mu must be held.
 func (e *Enforcer) handleResponse(s *shard, req quota.Request, response Response, err error) {
-	now := e.now()
+	now, failingSince := e.now(), s.FailingSince()
 	if err == nil && !response.Declined && s.HandleResponse(req.ID, req.FencingToken, response.Response, now) {
-		if !s.failingSince.IsZero() {
-			e.log("granter_regained", "shard", s.name, "after_ms", now.Sub(s.failingSince).Milliseconds())
+		if !failingSince.IsZero() {
+			e.log("granter_regained", "shard", s.name, "after_ms", now.Sub(failingSince).Milliseconds(), "reserve_requests", s.reserveAsks, "reserve_tokens", s.reserveTokens)
+			s.reserveAsks, s.reserveTokens = 0, 0
+		}
+		tokens := 0.0
+		for _, g := range response.Response.Grants {
+			tokens += float64(g.Tokens) + g.Prefetched
+		}
+		e.countTokens("granter", int64(tokens))
+		if response.Response.Partial || !response.Response.Suspended {
+			e.updateHolders(s)
 		}
-		s.failingSince, s.nextRequestAt = time.Time{}, time.Time{}
+		s.nextRequestAt = time.Time{}
 		s.notify()
 		return
 	}
-	s.Abandon(req.ID)
-	if s.failingSince.IsZero() {
-		s.failingSince = now
+	s.Abandon(req.ID, now)
+	e.updateHolders(s)
+	if failingSince.IsZero() {
 		e.log("granter_lost", "shard", s.name, "token", req.FencingToken, "declined", response.Declined, "err", err)
 	}
 	s.nextRequestAt = now.Add(requestRetryDelay)
--- a/io/peer/gateway_client.go
+++ b/io/peer/gateway_client.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"pearlatch/core/kv"
+	"pearlatch/core/quota/reserve"
 	"pearlatch/internal/follow"
 	"pearlatch/internal/gateway"
 	"pearlatch/internal/quotas"
@@ -121,6 +122,16 @@
 	return quotas.ReportResponse(*reply.told), nil
 }
 
+// RequestReserve implements gateway.Peers. It is a call of its own, since a host of the previous version would take an
+// unknown message on the link for a forwarded request and close the link.
+func (c *GatewayClient) RequestReserve(ctx context.Context, to netip.AddrPort, r quotas.ReserveRequest) (reserve.Reply, error) {
+	out, err := call[reserveRequest, reserveReply](ctx, c.client, to, reserveCall, (*reserveRequest)(&r))
+	if err != nil {
+		return reserve.Reply{}, err
+	}
+	return reserve.Reply(*out), nil
+}
+
 // askOnLink sends a request that belongs to no session on the link to a host, and waits for the reply. If the request fails
 // and nothing has arrived on the link meanwhile, the link may have gone silent and is replaced.
 func (c *GatewayClient) askOnLink(ctx context.Context, to netip.AddrPort, in *linkRequest) (*linkReply, error) {
--- a/io/peer/gateway_codec_test.go
+++ b/io/peer/gateway_codec_test.go
@@ -15,6 +15,8 @@
 	"pearlatch/core/freshness"
 	"pearlatch/core/group"
 	"pearlatch/core/kv"
+	"pearlatch/core/quota"
+	"pearlatch/core/quota/reserve"
 	"pearlatch/internal/follow"
 	"pearlatch/internal/gateway"
 )
@@ -53,6 +55,18 @@
 		"member_reply": &memberReply{
 			IsPrimary: true, Received: position, Term: 3, Fenced: 4, Lag: 12 * time.Millisecond, Running: 2, Connections: 17,
 		},
+		"reserve_request": &reserveRequest{Shard: "lessons", Host: "h1", Process: "h1-2a", Request: reserve.Request{ID: 7, Accounts: []reserve.Demand{{Account: "a1", Waiting: 2}}}},
+		"reserve_reply": &reserveReply{Declined: true, Grants: []reserve.Grant{
+			{Account: "a1", Tokens: 1, RetryAfter: 30 * time.Millisecond, Interval: 20 * time.Millisecond},
+		}},
+		"quota_request": &quotaRequest{Shard: "lessons", Host: "h1", Process: "h1-2a", Request: quota.Request{
+			ID: 7, LastAnswered: 6, FencingToken: 40, FrequentKeepalives: true,
+			Accounts: []quota.AccountRequest{{Account: "a1", HeldSerial: 3, Tokens: 1.5, Returned: 1, Demand: 2.5, Waiting: 1, Prefetch: 0.5, Reserve: 0.25}},
+		}},
+		"quota_reply": &quotaReply{Response: quota.Response{
+			Suspended: true, ActivateAfter: 950 * time.Millisecond, Partial: true,
+			Grants: []quota.Grant{{Account: "a1", Serial: 4, Rate: 2.5, Cap: 3, TTL: time.Second, Tokens: 1, Prefetched: 0.5, RetryAfter: time.Millisecond, Interval: time.Millisecond}},
+		}},
 		"feed_request":        &feedRequest{after: 412},
 		"feed_request_packed": &feedRequest{after: 412, readsCompressedLists: true},
 		"news_elsewhere": &newsMessage{StoreUpdate: follow.StoreUpdate{
--- a/io/peer/gateway_messages.go
+++ b/io/peer/gateway_messages.go
@@ -8,10 +8,11 @@
 
 // Names of the drpc calls between gateways.
 const (
-	linkCall   = "/pearlatch.Gateway/Link"
-	recallCall = "/pearlatch.Gateway/Recall"
-	feedCall   = "/pearlatch.Gateway/Feed"
-	memberCall = "/pearlatch.Gateway/ProbeMember"
+	linkCall    = "/pearlatch.Gateway/Link"
+	recallCall  = "/pearlatch.Gateway/Recall"
+	feedCall    = "/pearlatch.Gateway/Feed"
+	memberCall  = "/pearlatch.Gateway/ProbeMember"
+	reserveCall = "/pearlatch.Gateway/QuotaReserve"
 )
 
 // peerRequestVersion is the version of a forwarded request. Up to version 1, requests named no client account. A host that does
--- a/io/peer/gateway_server.go
+++ b/io/peer/gateway_server.go
@@ -10,6 +10,7 @@
 
 	"pearlatch/internal/follow"
 	"pearlatch/internal/gateway"
+	"pearlatch/internal/quotas"
 )
 
 // ServeGateway answers the calls of gateways that connect to lis until ctx ends.
@@ -41,6 +42,9 @@
 	case memberCall:
 		r.traffic.Served.Add(1)
 		return unary(stream, r.probeMember)
+	case reserveCall:
+		r.traffic.Served.Add(1)
+		return unary(stream, r.giveReserve)
 	}
 	return errors.Errorf("call %q is not known to version %d", rpc, Version)
 }
@@ -61,6 +65,11 @@
 	return (*memberReply)(&s), err
 }
 
+func (r *gatewayRouter) giveReserve(_ context.Context, in *reserveRequest) (*reserveReply, error) {
+	reply := r.h.Quotas().HandleReserveRequest(quotas.ReserveRequest(*in))
+	return (*reserveReply)(&reply), nil
+}
+
 func (r *gatewayRouter) queryOutcome(_ context.Context, in *recallRequest) (*recallReply, error) {
 	return outcomeReply(r.h, in), nil
 }
--- a/io/peer/quota_messages.go
+++ b/io/peer/quota_messages.go
@@ -35,6 +35,7 @@
 	w.fraction("demand_u", m.Demand)
 	w.uint("waiting", uint64(m.Waiting))
 	w.fraction("room_u", m.Prefetch)
+	w.fraction("reserve_u", m.Reserve)
 }
 
 func (m *accountRequestMessage) field(name string, r *fieldReader) bool {
@@ -53,6 +54,8 @@
 		return readUint(r, &m.Waiting)
 	case "room_u":
 		return r.fraction(&m.Prefetch)
+	case "reserve_u":
+		return r.fraction(&m.Reserve)
 	}
 	return false
 }
@@ -67,6 +70,7 @@
 	w.uint("id", m.Request.ID)
 	w.uint("heard", m.Request.LastAnswered)
 	w.uint("token", uint64(m.Request.FencingToken))
+	w.bool("frequent", m.Request.FrequentKeepalives)
 	list := make([]accountRequestMessage, len(m.Request.Accounts))
 	for i, q := range m.Request.Accounts {
 		list[i] = accountRequestMessage(q)
@@ -88,6 +92,8 @@
 		return r.uint(&m.Request.LastAnswered)
 	case "token":
 		return readUint(r, &m.Request.FencingToken)
+	case "frequent":
+		return r.bool(&m.Request.FrequentKeepalives)
 	case "questions":
 		var list []accountRequestMessage
 		readList(r, &list)
@@ -111,6 +117,7 @@
 	w.uint("tokens", uint64(m.Tokens))
 	w.fraction("ahead_u", m.Prefetched)
 	w.duration("after_us", m.RetryAfter)
+	w.duration("every_us", m.Interval)
 }
 
 func (m *grantMessage) field(name string, r *fieldReader) bool {
@@ -131,6 +138,8 @@
 		return r.fraction(&m.Prefetched)
 	case "after_us":
 		return r.duration(&m.RetryAfter)
+	case "every_us":
+		return r.duration(&m.Interval)
 	}
 	return false
 }
@@ -141,6 +150,8 @@
 func (m *quotaReply) fields(w *fieldWriter) {
 	w.bool("declined", m.Declined)
 	w.bool("asleep", m.Response.Suspended)
+	w.duration("active_after_us", m.Response.ActivateAfter)
+	w.bool("partial", m.Response.Partial)
 	list := make([]grantMessage, len(m.Response.Grants))
 	for i, g := range m.Response.Grants {
 		list[i] = grantMessage(g)
@@ -154,6 +165,10 @@
 		return r.bool(&m.Declined)
 	case "asleep":
 		return r.bool(&m.Response.Suspended)
+	case "active_after_us":
+		return r.duration(&m.Response.ActivateAfter)
+	case "partial":
+		return r.bool(&m.Response.Partial)
 	case "grants":
 		var list []grantMessage
 		readList(r, &list)
