--- a/core/quota/granter_test.go
+++ b/core/quota/granter_test.go
@@ -7,6 +7,7 @@
 
 	"pearlatch/core/account"
 	"pearlatch/core/leadership"
+	"pearlatch/core/quota/waiting"
 )
 
 const ms = time.Millisecond
@@ -128,6 +129,29 @@
 	}
 }
 
+// A host's second request confirms the first response, and the second response is lost. The host counts from its first
+// request, so its portion becomes active earlier than it would after the second one. The granter must not count the
+// portion as suspended for longer.
+func TestSuspensionIsCountedFromTheConfirmedRequest(t *testing.T) {
+	g := newTestGranter(noTolerance, "h1", "h2")
+	grant := requestAccount(t, g, "h1", t0, AccountRequest{Demand: 20})
+	first := requestID
+	requestID++
+	confirmation := Request{ID: requestID, LastAnswered: first, FencingToken: 5}
+	if _, ok := g.HandleRequest("h1", "h1.1", confirmation, t0.Add(assumeActiveAfter-100*ms)); !ok {
+		t.Fatal("no response")
+	}
+	for _, c := range []struct {
+		after time.Duration
+		want  float64
+	}{{assumeActiveAfter - ms, 0}, {assumeActiveAfter, grant.Rate}} {
+		requestAccount(t, g, "h2", t0.Add(c.after), AccountRequest{Waiting: 1})
+		if got := g.pools["a"].totals.activeRate; math.Abs(got-c.want) > 0.001 || grant.Rate < 1 {
+			t.Errorf("%s after the first request a rate of %.1f/s counts as active, want %.1f", c.after, got, c.want)
+		}
+	}
+}
+
 // An unreachable host accumulates tokens up to its portion's capacity. Callers on other hosts get the burst less that
 // capacity.
 func TestBurstExcludesTokensOfUnreachableHost(t *testing.T) {
@@ -253,14 +277,14 @@
 	var after time.Duration
 	for at := t0; at.Before(t0.Add(20 * time.Second)); at = at.Add(10 * ms) {
 		g.Extend(at)
-		v, later := s.Begin("a", quota40, at)
-		if v == AskGranter {
-			s.AddWaiter("a")
+		v, later := s.Begin("a", quota40, at, at)
+		if v == Wait {
+			ticket := s.AddWaiter("a")
 			if req, ok := s.NextRequest(at); ok {
 				response, _ := g.HandleRequest("h1", "h1.1", req, at)
 				s.HandleResponse(req.ID, 5, response, at)
 			}
-			v, later = s.RemoveWaiter("a", at)
+			v, later = s.Decide("a", ticket, at, at)
 		}
 		if v == Admitted {
 			started++
@@ -271,7 +295,7 @@
 	if started < 20*40*95/100 || started > 20*40+40 {
 		t.Errorf("%d operations started in 20 s; the quota allows %d and a burst of 40", started, 20*40)
 	}
-	if after <= 0 || after > maxRetryAfter {
+	if after <= 0 || after > waiting.MaxRetryAfter {
 		t.Errorf("a refused caller was told to retry after %s", after)
 	}
 }
@@ -310,7 +334,7 @@
 		for range 40 {
 			at = at.Add(25 * ms)
 			g.Extend(at)
-			s.Begin("a", quota40, at)
+			s.Begin("a", quota40, at, at)
 			sendRequest(host, at)
 		}
 	}
@@ -325,11 +349,11 @@
 	g.Extend(at)
 	begin := func(host string) bool {
 		s := shards[host]
-		v, _ := s.Begin("a", quota40, at)
-		if v == AskGranter {
-			s.AddWaiter("a")
+		v, _ := s.Begin("a", quota40, at, at)
+		if v == Wait {
+			ticket := s.AddWaiter("a")
 			sendRequest(host, at)
-			v, _ = s.RemoveWaiter("a", at)
+			v, _ = s.Decide("a", ticket, at, at)
 		}
 		return v == Admitted
 	}
