Soak: the flaw "positions are not asked for" runs with lagging replicas

TestFlawsAreFound/positions_are_not_asked_for once found nothing beside load. Its three faults LagMember all chose the primary (seeds 0, 2 and 3), whose lag has no effect. Stale reads were found only because replicas always lag by 10 ms, and a caller sometimes reads within 10 ms of its own write; beside load that may not happen.

Two seeds that choose the two replicas, with lags of 6 and 8 s, replace them.

--- a/internal/soak/flaw_test.go
+++ b/internal/soak/flaw_test.go
@@ -40,14 +40,14 @@
 // Guards against checks that pass whatever hosts do: for each check, a host that violates the guarantee must lead to
 // a finding with the name of that guarantee.
 func TestFlawsAreFound(t *testing.T) {
-	lag := Fault{Kind: LagMember, For: 3 * time.Second}
+	lag := func(seed uint64) Fault { return Fault{Kind: LagMember, For: 3 * time.Second, Seed: seed} }
 	for _, c := range []struct {
 		flaw, finding string
 		faults        []Fault
 		// work is how long a statement takes; zero stands for the default.
 		work time.Duration
 	}{
-		{"positions are not asked for", "STALE", []Fault{lag, {Kind: LagMember, For: 3 * time.Second, Seed: 2}, {Kind: LagMember, For: 3 * time.Second, Seed: 3}}, 0},
+		{"positions are not asked for", "STALE", []Fault{lag(laggingReplicaSeed), lag(otherLaggingReplicaSeed)}, 0},
 		{"writes are sent twice", "TWICE", nil, 0},
 		{"lost answers are refusals", "REFUSED", []Fault{{Kind: LoseAnswers, For: 3 * time.Second, Seed: 1}, {Kind: LoseAnswers, For: 3 * time.Second, Seed: 5}}, 0},
 		{"values are changed", "MIXED", nil, 0},
@@ -86,6 +86,9 @@
 	crashedPrimarySeed = 2
 	oddChangesSeed     = 1
 	manyChangesSeed    = 3
+	// Lag of the primary has no effect, so both replicas lag: by 6 s and by 8 s.
+	laggingReplicaSeed      = 11
+	otherLaggingReplicaSeed = 29
 )
 
 // longStatementTime is so long that callers have requests in progress whenever a host shuts down: their delay between
