Entry hosts refuse at once what every server would refuse

A statement that needs the primary is refused before it is forwarded if all hosts that serve the group have reported, within the last second, queues for the primary that exceed the statement's wait bound even after deducting what they may have served since. The caller is told to come back when the shortest queue is expected to take half of the wait bound, at most after half of the route's timeout.

Reads and statements with an account are still forwarded: a read may run on a member that is free while others wait for the primary, and a server that is fair among accounts may serve a small account before another one's queue. The wait of statements that need the primary is therefore measured apart.

At one to two statements per second and group, an entry host seldom has fresh reports of all servers; this saves a round trip where it has them.

--- a/core/load/meter.go
+++ b/core/load/meter.go
@@ -25,90 +25,127 @@
 // Meter measures how fast a host serves the statements that wait for a connection to the members of
 // a group. The zero value is ready for use. A Meter is not safe for concurrent use.
 type Meter struct {
+	// all is the queue of all statements, and primary that of the ones that need the primary.
+	all, primary drain
+	// sequence numbers the reports.
+	sequence uint64
+}
+
+// Enqueued records that a statement has begun to wait.
+func (m *Meter) Enqueued(k Kind, now time.Time) {
+	m.all.enqueued(k.Rank, now)
+	if k.NeedsPrimary {
+		m.primary.enqueued(k.Rank, now)
+	}
+}
+
+// Left records that a statement no longer waits. served is true if it got a connection.
+func (m *Meter) Left(k Kind, served bool, now time.Time) {
+	m.all.left(k.Rank, served, now)
+	if k.NeedsPrimary {
+		m.primary.left(k.Rank, served, now)
+	}
+}
+
+// Report returns the report for the sender of a statement of the given kind. queued is the length of
+// the queue. The sequence is zero, and there is nothing to report, if no statement has waited for
+// reportTTL.
+func (m *Meter) Report(k Kind, queued int, now time.Time) (r Report, sequence uint64) {
+	if queued == 0 {
+		m.all.empty(now) // in case Left was not called for a statement
+		m.primary.empty(now)
+	}
+	if m.all.total == 0 && (m.all.updatedAt.IsZero() || now.Sub(m.all.updatedAt) > reportTTL) {
+		return Report{}, 0
+	}
+	r = Report{Waiting: m.all.total, Rate: m.all.rate(now), Kind: k}
+	if k.NeedsPrimary {
+		r.Delay = m.primary.delay(k.Rank, now)
+	} else {
+		r.Delay = m.all.delay(k.Rank, now)
+	}
+	m.sequence++
+	return r, m.sequence
+}
+
+// drain measures how fast the statements of a queue are served.
+type drain struct {
 	// waiting is the number of statements that wait, by rank, and total their sum.
 	waiting [meteredRanks]int
 	total   int
-	// served is the number of services and busy the time during which statements waited. Both decay
-	// with rateWindow.
-	served, busy float64 // busy in seconds
+	// served is the number of services and busy the time in seconds during which statements waited.
+	// Both decay with rateWindow.
+	served, busy float64
 	// updatedAt is when busy was last brought up to date. servedAt is when a waiting statement was
 	// last served, or when one began to wait after a time without any.
 	updatedAt, servedAt time.Time
-	// sequence numbers the reports.
-	sequence uint64
 }
 
-// Enqueued records that a statement has begun to wait.
-func (m *Meter) Enqueued(rank int, now time.Time) {
-	m.update(now)
-	if m.total == 0 {
-		m.updatedAt, m.servedAt = now, now
+func (d *drain) enqueued(rank int, now time.Time) {
+	d.update(now)
+	if d.total == 0 {
+		d.updatedAt, d.servedAt = now, now
 	}
-	m.waiting[meteredRank(rank)]++
-	m.total++
+	d.waiting[meteredRank(rank)]++
+	d.total++
 }
 
-// Left records that a statement no longer waits. served is true if it got a connection.
-func (m *Meter) Left(rank int, served bool, now time.Time) {
-	m.update(now)
-	if i := meteredRank(rank); m.waiting[i] > 0 {
-		m.waiting[i]--
-		m.total--
+func (d *drain) left(rank int, served bool, now time.Time) {
+	d.update(now)
+	if i := meteredRank(rank); d.waiting[i] > 0 {
+		d.waiting[i]--
+		d.total--
 	}
 	if served {
-		m.served++
-		m.servedAt = now
+		d.served++
+		d.servedAt = now
 	}
 }
 
-// Rate returns how many waiting statements are served per second, or zero if that is not known.
-func (m *Meter) Rate(now time.Time) float64 {
-	m.update(now)
-	if m.served < minServices || m.busy <= 0 {
+// empty records that no statement waits.
+func (d *drain) empty(now time.Time) {
+	d.update(now)
+	d.waiting, d.total = [meteredRanks]int{}, 0
+}
+
+// rate returns how many statements are served per second, or zero if that is not known.
+func (d *drain) rate(now time.Time) float64 {
+	d.update(now)
+	if d.served < minServices || d.busy <= 0 {
 		return 0
 	}
-	return m.served / m.busy
+	return d.served / d.busy
 }
 
-// Report returns the report for the sender of a statement of the given rank. queued is the length of
-// the queue. The sequence is zero, and there is nothing to report, if no statement has waited for
-// reportTTL.
-func (m *Meter) Report(rank, queued int, now time.Time) (r Report, sequence uint64) {
-	m.update(now)
-	if queued == 0 {
-		m.waiting, m.total = [meteredRanks]int{}, 0 // in case Left was not called for a statement
-	}
-	if m.total == 0 && (m.updatedAt.IsZero() || now.Sub(m.updatedAt) > reportTTL) {
-		return Report{}, 0
+// delay returns the time in which the statements of the rank and of more important ranks are
+// served, or zero if that is not known.
+func (d *drain) delay(rank int, now time.Time) time.Duration {
+	rate, ahead := d.rate(now), 0
+	if rate <= 0 {
+		return 0
 	}
-	r = Report{Waiting: m.total, Rate: m.Rate(now), Rank: rank}
-	if r.Rate > 0 {
-		ahead := 0
-		for _, n := range m.waiting[:meteredRank(rank)+1] {
-			ahead += n
-		}
-		r.Delay = toDelay(ahead, r.Rate)
+	for _, n := range d.waiting[:meteredRank(rank)+1] {
+		ahead += n
 	}
-	m.sequence++
-	return r, m.sequence
+	return toDelay(ahead, rate)
 }
 
 // update brings busy up to date. While no statement waits, updatedAt stays at the last change.
-func (m *Meter) update(now time.Time) {
-	elapsed := now.Sub(m.updatedAt)
+func (d *drain) update(now time.Time) {
+	elapsed := now.Sub(d.updatedAt)
 	switch {
-	case m.total > 0:
+	case d.total > 0:
 		decay := math.Exp(-elapsed.Seconds() / rateWindow.Seconds())
-		m.served *= decay
-		m.busy = m.busy*decay + elapsed.Seconds()
-		m.updatedAt = now
-		if now.Sub(m.servedAt) > maxServiceGap {
-			m.served, m.busy = 0, 0
+		d.served *= decay
+		d.busy = d.busy*decay + elapsed.Seconds()
+		d.updatedAt = now
+		if now.Sub(d.servedAt) > maxServiceGap {
+			d.served, d.busy = 0, 0
 		}
 	case elapsed > rateRetention:
-		m.served, m.busy = 0, 0
+		d.served, d.busy = 0, 0
 	}
 }
 
-// meteredRank returns the index of a rank in Meter.waiting.
+// meteredRank returns the index of a rank in drain.waiting.
 func meteredRank(rank int) int { return max(0, min(rank, meteredRanks-1)) }
--- a/core/load/report.go
+++ b/core/load/report.go
@@ -8,12 +8,20 @@
 	Waiting int
 	// Rate is how many waiting statements are served per second, or zero if that is not known.
 	Rate float64
-	// Delay is the expected wait of a statement of rank Rank that arrives now, if every statement of
-	// the same or a more important rank that waits is served before it. It is zero if Rate is.
+	// Delay is the expected wait of a statement of Kind that arrives now, if all that wait and precede
+	// it are served first. It is zero if that is not known.
 	Delay time.Duration
-	// Rank is the rank of the statement with whose reply the report came. Statements of rank 0 are
-	// served first.
+	// Kind is the kind of the statement with whose reply the report came.
+	Kind Kind
+}
+
+// Kind is what determines which statements compete with a statement for a connection.
+type Kind struct {
+	// Rank is the rank of the statement. Statements of rank 0 are served first.
 	Rank int
+	// NeedsPrimary is true if the statement can only run on the primary. Other statements may run on
+	// any member that holds what they must read, which their sender does not know.
+	NeedsPrimary bool
 }
 
 const (
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -75,6 +75,9 @@
 			return reply, true
 		}
 	}
+	if f := s.overloadRefusal(op, Busy); f != nil {
+		return Reply{Failure: f}, true
+	}
 	return s.forwardSingle(ctx, r, op)
 }
 
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -217,7 +217,7 @@
 	}
 	h.metrics.sentForward(r.Group, "answered")
 	if reply.LoadSequence != 0 {
-		h.group(r.Group).recordLoad(server.ID, r.Route.Priority, reply)
+		h.group(r.Group).recordLoad(server.ID, r.loadKind(), reply)
 	}
 	return reply, nil
 }
@@ -292,7 +292,7 @@
 
 // probeUntilRegained probes a host that failed until it answers or is no longer listed.
 func (h *Host) probeUntilRegained(id string) {
-	ctx, cancel := contextUntil(context.Background(), h.ended)
+	ctx, cancel := pause.Until(context.Background(), h.ended)
 	defer cancel()
 	process, answered := h.fleet.ProbeSuspect(ctx, id, outcomeQueryTimeout, func(ctx context.Context, addr netip.AddrPort) (string, bool) {
 		// No request has the serial 0, so this only tests whether the host answers.
@@ -357,6 +357,9 @@
 	if t.remote != nil {
 		return s.continueRemote(ctx, r, arrived), true
 	}
+	if f := s.overloadRefusal(&t.op, Aborted); f != nil {
+		return s.failTransaction(Reply{Failure: f}), true
+	}
 	s.tryServingHosts(ctx, &t.op, func(server membership.Host, waitForPrimary bool) error {
 		req := s.newPeerRequest(r, arrived, &t.op)
 		req.Begin, req.BeginAge = &Begin{ReadOnly: t.readOnly}, s.host.now().Sub(t.started)
--- a/internal/gateway/forwarded_session.go
+++ b/internal/gateway/forwarded_session.go
@@ -150,7 +150,7 @@
 		s.state = Idle
 	}
 	out := &PeerReply{Process: h.processID, Reply: reply, LastWrite: s.lastWrite}
-	out.Load, out.LoadSequence = s.origin.group.loadReport(r.Route.Priority)
+	out.Load, out.LoadSequence = s.origin.group.loadReport(r.loadKind())
 	if s.origin.declined {
 		out.Declined = PrimaryUnreachable
 	}
--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -48,7 +48,7 @@
 	// servers holds the hosts to forward statements to if other hosts serve the group.
 	servers fleet.Versioned[fleet.Servers]
 	// loads holds the load reports of the servers, and meter measures this host's load. movesLoggedAt
-	// is when a statement was last logged that went to another server because of its load.
+	// is when "load_moved" was last logged.
 	loads         load.Table
 	meter         load.Meter
 	movesLoggedAt time.Time
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -293,19 +293,6 @@
 	}
 }
 
-// contextUntil returns a context that ends when parent ends or done is closed.
-func contextUntil(parent context.Context, done <-chan struct{}) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(parent)
-	go func() {
-		select {
-		case <-done:
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
-	return ctx, cancel
-}
-
 func (h *Host) log(event string, fields ...any) {
 	_ = h.logger.Log(append([]any{"event", event}, fields...)...)
 }
--- a/internal/gateway/host_entry.go
+++ b/internal/gateway/host_entry.go
@@ -30,7 +30,7 @@
 // maintainHostEntry keeps the host's entry in the store until Stop is called or ctx ends. Then it marks the entry as
 // leaving: other hosts send no new requests, and open ones can finish.
 func (h *Host) maintainHostEntry(ctx context.Context) {
-	ctx, cancel := contextUntil(ctx, h.stopped)
+	ctx, cancel := pause.Until(ctx, h.stopped)
 	defer cancel()
 	select {
 	case <-h.storeRead: // the store answers, and an entry of an earlier process is known
--- a/internal/gateway/load_test.go
+++ b/internal/gateway/load_test.go
@@ -35,9 +35,50 @@
 		}
 		callers.Wait()
 		for _, h := range serving {
-			if r, _ := h.group(testGroup).loadReport(0); r.Waiting != 0 || r.Delay != 0 {
+			if r, _ := h.group(testGroup).loadReport(load.Kind{}); r.Waiting != 0 || r.Delay != 0 {
 				t.Errorf("%s reports %+v", h.settings.Host, r)
 			}
 		}
 	})
 }
+
+// All hosts that serve the group have reported queues for the primary that exceed the wait bound. A write must be refused at
+// once and without running, a read must still run, and the refusals must end with the reports.
+func TestEntryHostRefusesWhatAllServersWouldRefuse(t *testing.T) {
+	withFleet(t, 20, 20, freshness.OwnWrites{}, func(_ *fakeSite, f *fakeFleet) {
+		_, others := f.serving()
+		g := others[0].group(testGroup)
+		for _, server := range others[0].serversFor(g).Hosts {
+			g.recordLoad(server.ID, load.Kind{NeedsPrimary: true}, &PeerReply{Process: "p", LoadSequence: 1, Load: load.Report{Waiting: 400, Rate: 200, Delay: 2 * time.Second}})
+		}
+		caller := openSession(t, others[0])
+		started := time.Now()
+		if r := execIn(caller, Read{}); r.Failure != nil {
+			t.Errorf("a read: %v", r.Failure)
+		}
+		for name, write := range map[string]func() Reply{
+			"write":       func() Reply { return execIn(caller, Write{}) },
+			"transaction": func() Reply { execIn(caller, Begin{}); return execIn(caller, Write{}) },
+		} {
+			r := write()
+			if r.Failure == nil || !r.Failure.Code.NotRun() && r.Failure.Code != Aborted {
+				t.Errorf("%s: %v", name, r.Failure)
+			}
+			execIn(caller, Rollback{})
+		}
+		if took := time.Since(started); took > 50*time.Millisecond || f.site.writes() != 0 {
+			t.Errorf("the refusals took %s, %d writes ran", took, f.site.writes())
+		}
+		time.Sleep(1100 * time.Millisecond)
+		if r := execIn(caller, Write{}); r.Failure != nil {
+			t.Errorf("a write after the reports: %v", r.Failure)
+		}
+	})
+}
+
+// writes returns the number of writes that were acknowledged.
+func (s *fakeSite) writes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.acknowledgedWrites)
+}
--- a/internal/gateway/serving.go
+++ b/internal/gateway/serving.go
@@ -6,8 +6,10 @@
 	"slices"
 	"time"
 
+	"pearlatch/core/freshness"
 	"pearlatch/core/load"
 	"pearlatch/core/membership"
+	"pearlatch/core/pool"
 	"pearlatch/core/serving"
 	"pearlatch/internal/fleet"
 )
@@ -71,23 +73,49 @@
 	return servers, dst
 }
 
-// movesLogInterval is the minimum time between two log lines about statements of a group that go to another server
-// because of its load.
+// movesLogInterval is the minimum time between two log lines "load_moved" of a group.
 const movesLogInterval = 10 * time.Second
 
-// recordLoad records the load report that a serving host has sent with the reply to a statement of the given rank.
-func (g *Group) recordLoad(server string, rank int, reply *PeerReply) {
+// overloadRefusal returns a failure with the code if every host that serves the group would refuse the operation, or nil.
+func (s *Session) overloadRefusal(op *operation, code Code) *Failure {
+	_, latest := op.route.Class.(freshness.Latest)
+	k := load.Kind{Rank: op.need.Rank, NeedsPrimary: op.writes || latest}
+	g := op.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	reply.Load.Rank = rank
+	servers, now := s.host.serversLocked(g), g.now()
+	comeBack, refused := g.loads.Refusal(servers.Choice(g.name, op.need.Account, 0), k, op.waitUntil().Sub(now), now)
+	if !refused || !op.shouldForward || op.toHome {
+		return nil
+	}
+	g.metrics.count(fmt.Sprintf("load_refusals_total{group=%q}", g.name), 1)
+	// The caller needs at least half of its time for later attempts.
+	return &Failure{code, "no connection in time on any host that serves the group, " + retryAfter(min(comeBack, op.route.Timeout/2))}
+}
+
+// loadKind returns the kind of a request for a connection.
+func loadKind(r pool.ConnRequest) load.Kind {
+	return load.Kind{Rank: r.Rank, NeedsPrimary: r.PrimaryOnly}
+}
+
+// loadKind returns the kind of a forwarded request.
+func (r *PeerRequest) loadKind() load.Kind {
+	return load.Kind{Rank: r.Route.Priority, NeedsPrimary: r.needsPrimary()}
+}
+
+// recordLoad records the load report that a serving host has sent with the reply to a statement of the given kind.
+func (g *Group) recordLoad(server string, k load.Kind, reply *PeerReply) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	reply.Load.Kind = k
 	g.loads.Record(server, reply.Process, reply.LoadSequence, reply.Load, g.now())
 }
 
-// loadReport returns this host's load report for the sender of a statement of the given rank.
-func (g *Group) loadReport(rank int) (load.Report, uint64) {
+// loadReport returns this host's load report for the sender of a statement of the given kind.
+func (g *Group) loadReport(k load.Kind) (load.Report, uint64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.meter.Report(rank, g.pool.Waiting(), g.now())
+	return g.meter.Report(k, g.pool.Waiting(), g.now())
 }
 
 // homeElsewhere returns the home server of an account, if this host serves the group too but is not the account's home.
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -17,3 +17,16 @@
 		return false
 	}
 }
+
+// Until returns a context that ends when parent ends or done is closed.
+func Until(parent context.Context, done <-chan struct{}) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(parent)
+	go func() {
+		select {
+		case <-done:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
