--- a/internal/gateway/acquire.go
+++ b/internal/gateway/acquire.go
@@ -9,7 +9,7 @@
 
 	"pearlatch/core/kv"
 	"pearlatch/core/leadership"
-	"pearlatch/internal/rolerecord"
+	"pearlatch/internal/recordcodec"
 )
 
 // acquisition is an attempt to acquire a coordinator role.
@@ -88,7 +88,7 @@
 		return a
 	}
 	i := d.newInheritance(stored, epoch)
-	value, err := rolerecord.Encode(i.record)
+	value, err := recordcodec.Encode(i.record)
 	if err != nil {
 		d.log("record_not_written", "err", err)
 		return a
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -8,7 +8,7 @@
 
 	"pearlatch/core/kv"
 	"pearlatch/core/leadership"
-	"pearlatch/internal/rolerecord"
+	"pearlatch/internal/recordcodec"
 )
 
 func (h *Host) recordsPrefix() string { return h.ports.Keys.OwnPrefix + "leadership/" }
@@ -23,7 +23,7 @@
 		if !ok {
 			continue
 		}
-		r, err := rolerecord.Decode(i.Value)
+		r, err := recordcodec.Decode(i.Value)
 		if err != nil {
 			h.log("record_unreadable", "group", name, "revision", i.Revision, "err", err)
 			continue
@@ -54,7 +54,7 @@
 	if len(item.Value) == 0 {
 		return leadership.StoredRecord{}, true
 	}
-	r, err := rolerecord.Decode(item.Value)
+	r, err := recordcodec.Decode(item.Value)
 	if err != nil {
 		d.log("record_unreadable", "revision", item.Revision, "err", err)
 		return leadership.StoredRecord{}, false
@@ -159,7 +159,7 @@
 // grantees and the granters.
 func (d *coordinator) writeRecord(ctx context.Context, r leadership.Record, revision kv.Revision, extra kv.Transaction) error {
 	r.Epoch = d.acquiredEpoch()
-	value, err := rolerecord.Encode(r)
+	value, err := recordcodec.Encode(r)
 	if err != nil {
 		return err
 	}
--- a/internal/rolerecord/codec.go
+++ b/internal/recordcodec/record.go
@@ -1,4 +1,4 @@
-package rolerecord
+package recordcodec
 
 import (
 	"encoding/json"
