--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -78,7 +78,7 @@
 		return connOrReroute(p)
 	default:
 	}
-	g.meter.Left(loadKind(r), false, g.now())
+	g.loads.Left(loadKind(r), false)
 	return nil, errNoConnection
 }
 
@@ -96,7 +96,7 @@
 	assigned := make(chan *pooledConn, 1)
 	w := g.pool.Enqueue(r)
 	g.waiting[w] = assigned
-	g.meter.Enqueued(loadKind(r), g.now())
+	g.loads.Enqueued(loadKind(r))
 	g.lastQueuedAt = g.now()
 	g.waitCount++
 	g.dispatch()
@@ -131,7 +131,7 @@
 		case pool.Assign:
 			g.waiting[action.Waiter] <- g.conns[action.Conn]
 			delete(g.waiting, action.Waiter)
-			g.meter.Left(loadKind(action.Waiter.Request), action.Conn != nil, g.now())
+			g.loads.Left(loadKind(action.Waiter.Request), action.Conn != nil)
 		case pool.Open:
 			m := g.members[action.Member]
 			go g.dial(m, m.Member, action.Account)
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -75,7 +75,7 @@
 			return reply, true
 		}
 	}
-	if f := s.overloadRefusal(op, Busy); f != nil {
+	if f := op.overloadRefusal(Busy); f != nil {
 		return Reply{Failure: f}, true
 	}
 	return s.forwardSingle(ctx, r, op)
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -94,7 +94,7 @@
 	case op.toHome:
 		// After a failure the operation runs here.
 		op.shouldForward, op.toHome = false, false
-		if home, ok := s.host.homeElsewhere(op.group, op.need.Account); ok {
+		if home, ok := op.group.loads.HomeElsewhere(op.need.Account); ok {
 			_ = send(home, false) // logged by forward
 		}
 		return
@@ -112,7 +112,7 @@
 	g, h := op.group, s.host
 	var withoutPrimary []membership.Host // hosts that can't reach the primary
 	var order [8]int
-	servers, indices := h.orderServers(g, op.need.Account, order[:0])
+	servers, indices := g.loads.Order(order[:0], op.need.Account)
 	for _, i := range indices {
 		server := servers.Hosts[i]
 		err := send(server, false)
@@ -216,8 +216,9 @@
 		return nil, errNotRun
 	}
 	h.metrics.sentForward(r.Group, "answered")
-	if reply.LoadSequence != 0 {
-		h.group(r.Group).recordLoad(server.ID, r.loadKind(), reply)
+	if g := h.existingGroup(r.Group); g != nil {
+		reply.Load.Kind = r.loadKind()
+		g.loads.Record(server.ID, reply.Process, reply.LoadSequence, reply.Load)
 	}
 	return reply, nil
 }
@@ -357,7 +358,7 @@
 	if t.remote != nil {
 		return s.continueRemote(ctx, r, arrived), true
 	}
-	if f := s.overloadRefusal(&t.op, Aborted); f != nil {
+	if f := t.op.overloadRefusal(Aborted); f != nil {
 		return s.failTransaction(Reply{Failure: f}), true
 	}
 	s.tryServingHosts(ctx, &t.op, func(server membership.Host, waitForPrimary bool) error {
--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -14,11 +14,10 @@
 	"pearlatch/core/group"
 	"pearlatch/core/kv"
 	"pearlatch/core/leadership"
-	"pearlatch/core/load"
 	"pearlatch/core/outage"
 	"pearlatch/core/pool"
 	"pearlatch/core/serving"
-	"pearlatch/internal/fleet"
+	"pearlatch/internal/loads"
 )
 
 // Group is a host's view of a database group: its members, the connections to them and what is known
@@ -30,6 +29,8 @@
 	logger  log.Logger
 	now     func() time.Time
 	metrics hostMetrics
+	// loads says to which hosts statements are forwarded if other hosts serve the group.
+	loads *loads.Group
 	// maxDrain is how long a primary that is leaving may still get new work.
 	maxDrain time.Duration
 
@@ -45,13 +46,6 @@
 	// until fallbackUntil.
 	plan          serving.Plan
 	fallbackUntil time.Time
-	// servers holds the hosts to forward statements to if other hosts serve the group.
-	servers fleet.Versioned[fleet.Servers]
-	// loads holds the load reports of the servers, and meter measures this host's load. movesLoggedAt
-	// is when "load_moved" was last logged.
-	loads         load.Table
-	meter         load.Meter
-	movesLoggedAt time.Time
 	// isolation says whether the serving hosts can be reached.
 	isolation serving.Isolation
 	// maxStaleness is the shortest maximum age among the group's routes, or zero.
@@ -151,6 +145,7 @@
 		conns: map[*pool.Conn]*pooledConn{}, waiting: map[*pool.Waiter]chan *pooledConn{},
 	}
 	g.pool = pool.New(poolView{g})
+	g.loads = loads.New(name, h.fleet, h.now, g.logger, h.metrics.registry)
 	return g
 }
 
@@ -172,6 +167,7 @@
 		g.log("serving", "here", !p.ServedByOthers, "hosts", hosts)
 	}
 	g.plan = p
+	g.loads.SetPlan(p)
 	g.dispatch()
 }
 
--- a/internal/gateway/operation.go
+++ b/internal/gateway/operation.go
@@ -43,7 +43,7 @@
 		return op, nil
 	}
 	if s.origin == nil {
-		_, op.toHome = s.host.homeElsewhere(g, op.need.Account)
+		_, op.toHome = g.loads.HomeElsewhere(op.need.Account)
 		op.shouldForward = op.toHome
 	}
 	if !op.shouldForward {
