Leases right after a restart of all hosts: fences show that no promotion is pending

Cause: a coordinator whose platform checks tokens granted no lease for 1.2 s after the platform had seen its token, or after the start of its process if an earlier process of the host held the role: an earlier coordinator that could not reach the store may have requested a promotion without a record. The next round came up to 350 ms later still. After a restart of all hosts every group waited for that, 1.4 to 2.2 s from the start of the processes.

Change: such a promotion leaves a fence on every replica but the target of a switchover, until it takes effect or the replica restarts. leadership.NoPromotionPending decides from probes sent after the last possible request: all other members answer, none has a fence of a later term, none leads, the record names no promotion, the members' runs are those of the record, all runs are reported and there are at least three members. Otherwise the wait remains, and the round comes when it ends. The host must have seen the store up to its own entry, so that restarts of members are known; the round waits for that for 250 ms at most. What is known of earlier coordinators is a value of core/leadership now (Predecessor), the detection of stuck writes one of core/group.

--- a/core/leadership/proof.go
+++ b/core/leadership/proof.go
@@ -37,6 +37,19 @@
 	return anyAnswered
 }
 
+// Unrefuted reports whether at least one other member answered and none contradicted that a member is the primary in
+// the term. A lost packet may then be why PrimaryConfirmed returned false, and new probes may confirm the primary.
+func Unrefuted(term group.Term, results []ProbeResult) bool {
+	anyAnswered := false
+	for _, r := range results {
+		if r.Leads || r.Answered && r.Term > term {
+			return false
+		}
+		anyAnswered = anyAnswered || r.Answered
+	}
+	return anyAnswered
+}
+
 // WriteConfirmed reports whether the results of the other members prove that a failover keeps every write that the
 // primary acknowledged in the term before they were probed. A coordinator that replaces the primary first fences
 // all replicas and then determines the position that the new primary must have. If all replicas follow and none has
@@ -53,3 +66,33 @@
 	}
 	return PrimaryConfirmed(primary, term, members, results)
 }
+
+// minMembersForProof is the smallest group in which NoPromotionPending can prove anything. A switchover fences all
+// replicas but its target, so a group of two members has no fence.
+const minMembersForProof = 3
+
+// NoPromotionPending reports whether the results of the other members prove that no promotion which an earlier
+// coordinator requested can still take effect. All probes must have been sent after the last time at which such a
+// request can have been accepted. last is the record that the earlier coordinator left, and current are the runs of the
+// members that are listed now.
+//
+// Before a coordinator requests a promotion, every replica but the target of a switchover holds a fence, or the primary
+// was demoted. A fence lasts until the promotion takes effect, or until the replica restarts. So if the primary leads,
+// no replica holds a fence, and no member has restarted since the record was written, nothing is pending. The promotion
+// must not be recorded either: a recorded one may be requested again although its fences were lost.
+//
+// It is designed for the restart of all hosts. Every group has a new coordinator then, and all callers waited for
+// PromotionDelay, which guards against a promotion that hardly ever exists.
+func NoPromotionPending(last Record, current []MemberRun, primary string, term group.Term, results []ProbeResult) bool {
+	if last.PendingPromotion != "" || last.Term > term || len(current) < minMembersForProof || !last.SameMembers(current) {
+		return false
+	}
+	members := make([]string, len(current))
+	for i, m := range current {
+		if m.Incarnation == 0 {
+			return false // its restarts are not visible
+		}
+		members[i] = m.Member
+	}
+	return WriteConfirmed(primary, term, members, results)
+}
--- a/internal/gateway/acquire.go
+++ b/internal/gateway/acquire.go
@@ -100,8 +100,10 @@
 // completeAcquisition records that the role was acquired at the revision, and takes over the previous coordinator's record.
 func (d *coordinator) completeAcquisition(ctx context.Context, a acquisition, revision kv.Revision, lease int64, renewed time.Time) {
 	d.mu.Lock()
-	d.held, d.leaseID, d.token, d.acquiredAt, d.renewedAt, d.renewalsUnbroken = true, lease, revision, d.host.now(), renewed, true
-	d.reclaimed, d.predecessorHandedBack, d.tokenRaisedAt = a.entryRevision != 0 && !d.writeUncertain, false, time.Time{}
+	d.held, d.leaseID, d.token, d.renewedAt, d.renewalsUnbroken = true, lease, revision, renewed, true
+	d.predecessor = leadership.Predecessor{
+		SameHost: a.entryRevision != 0 && !d.writeUncertain, ProcessStarted: d.host.started, AcquiredAt: d.host.now(),
+	}
 	d.writeUncertain, d.exemptToken = false, 0
 	d.recordInherited, d.pendingMember, d.recordRevision, d.primaryStatus, d.grants, d.resigning = false, "", 0, primaryStatus{}, leadership.Grants{}, false
 	d.mu.Unlock()
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -33,9 +33,6 @@
 	// acquireBatchSize is how many roles are acquired in one transaction. A transaction has at most 32 entries, and
 	// each role needs two preconditions and two writes.
 	acquireBatchSize = 8
-	// acceptedPromotionDelay is how long an accepted promotion may take to complete: users' members take up to 1 s
-	// to become primary.
-	acceptedPromotionDelay = 1200 * time.Millisecond
 )
 
 // coordinator is the coordinator role of one group as seen by this host, which may or may not hold it.
@@ -50,16 +47,15 @@
 	// new coordinator and with each decision of a coordinator, even if the store is restored from an older copy in
 	// between.
 	token kv.Revision
-	// acquiredAt is when the role was acquired. renewedAt is when the entry was last known to belong to this host.
-	acquiredAt, renewedAt time.Time
+	// renewedAt is when the entry was last known to belong to this host.
+	renewedAt time.Time
 	// renewalsUnbroken is true while every renewal of the lease since renewedAt has succeeded.
 	renewalsUnbroken bool
 	// writeUncertain is true after a write of the entry with an unknown outcome: an entry of this host may then
 	// be newer than the previous coordinator's.
 	writeUncertain bool
-	// tokenRaisedAt is when the platform first acknowledged a token of this host since the role was acquired, or
-	// zero.
-	tokenRaisedAt time.Time
+	// predecessor is what is known of the earlier coordinators.
+	predecessor leadership.Predecessor
 	// record is the last record of the group that this host has written, possibly when it held the role before.
 	// The store holds it for the next coordinator at recordRevision, which is zero while the stored record is not
 	// known.
@@ -71,9 +67,6 @@
 	// still be valid.
 	primaryStatus primaryStatus
 	grants        leadership.Grants
-	// reclaimed is true if an earlier process of this host held the role before. predecessorHandedBack is true if
-	// the previous coordinator handed the role back.
-	reclaimed, predecessorHandedBack bool
 	// lastWokenAt is when a lease request that was not granted last woke the group's monitor.
 	lastWokenAt time.Time
 	// resigning is true once the host has begun to hand the role back and waits for its leases to end.
@@ -293,7 +286,7 @@
 func (d *coordinator) acquiredTime() time.Time {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.acquiredAt
+	return d.predecessor.AcquiredAt
 }
 
 // acquiredEpoch returns the epoch in which the role was acquired.
@@ -315,37 +308,6 @@
 // fencing tokens. d.mu must be held.
 func (d *coordinator) soleHolderUntil() time.Time { return d.renewedAt.Add(leadership.RoleValidity) }
 
-// unrecordedPromotionsUntil returns until when an earlier coordinator may have requested promotions without recording
-// them: the time at which the platform saw this host's token, the start of this process if the earlier coordinator was a
-// process of the same host, or the zero time if it had handed the role back. It returns false while the platform has not
-// seen this host's token.
-func (d *coordinator) unrecordedPromotionsUntil() (time.Time, bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	switch {
-	case d.predecessorHandedBack:
-		return time.Time{}, true
-	case d.reclaimed:
-		return d.host.started, true
-	}
-	return d.tokenRaisedAt, !d.tokenRaisedAt.IsZero()
-}
-
-// predecessorLeasesEnd returns when the leases that earlier coordinators may have granted have ended: the zero time if the
-// previous one handed the role back, one lease duration after the start of this process if it was a process of this
-// host, and else the time at which it can no longer rely on its role.
-func (d *coordinator) predecessorLeasesEnd() time.Time {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	switch {
-	case d.predecessorHandedBack:
-		return time.Time{}
-	case d.reclaimed:
-		return d.host.started.Add(leadership.LeaseDuration)
-	}
-	return d.acquiredAt.Add(leadership.RoleValidity)
-}
-
 // isHeld reports whether this host has acquired the role and has not seen that it was lost.
 func (d *coordinator) isHeld() bool {
 	d.mu.Lock()
--- a/internal/gateway/coordinator_lease_test.go
+++ b/internal/gateway/coordinator_lease_test.go
@@ -142,8 +142,8 @@
 		}
 		d.mu.Lock()
 		defer d.mu.Unlock()
-		if d.reclaimed || d.predecessorHandedBack || d.exemptToken != 0 {
-			t.Errorf("reclaimed %t, handed back %t, exempt token %v", d.reclaimed, d.predecessorHandedBack, d.exemptToken)
+		if d.predecessor.SameHost || d.predecessor.HandedBack || d.exemptToken != 0 {
+			t.Errorf("reclaimed %t, handed back %t, exempt token %v", d.predecessor.SameHost, d.predecessor.HandedBack, d.exemptToken)
 		}
 	})
 }
--- a/internal/gateway/failover_test.go
+++ b/internal/gateway/failover_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"pearlatch/core/freshness"
+	"pearlatch/core/leadership"
 )
 
 // awaitWrite repeats a write until it succeeds, and returns how long that took. It fails the test after the timeout.
@@ -213,7 +214,7 @@
 		stop := map[string]func(){"h1": stop1, "h2": stop2}
 		stop[holder]()
 		s.updateMember("a", func(m *fakeMember) { m.crashed = true })
-		time.Sleep(coordinatorLeaseTTL + acceptedPromotionDelay + 2*time.Second)
+		time.Sleep(coordinatorLeaseTTL + leadership.PromotionDelay + 2*time.Second)
 		if got := s.primaryID(); got != "b" && got != "c" {
 			t.Errorf("%q is the primary, want b or c", got)
 		}
--- a/internal/gateway/floor.go
+++ b/internal/gateway/floor.go
@@ -91,6 +91,13 @@
 	return out
 }
 
+// runs returns the incarnations of the listed members.
+func (g *Group) runs() []leadership.MemberRun {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.listedIncarnations()
+}
+
 // successorRequirements returns the record's term, members and floor, which say what a successor of the primary must hold,
 // or false while they are not known for certain.
 func (g *Group) successorRequirements() (leadership.Record, bool) {
--- a/internal/gateway/group_monitor.go
+++ b/internal/gateway/group_monitor.go
@@ -20,9 +20,6 @@
 	maxSilentRounds = 2
 	// silentProbeInterval is the time until a primary that did not answer is probed again.
 	silentProbeInterval = 20 * time.Millisecond
-	// stuckWriteTimeout is how long the replicas may receive nothing of what the primary has written
-	// before the primary counts as cut off from them.
-	stuckWriteTimeout = 600 * time.Millisecond
 	// promoteCallTimeout bounds the call that requests a promotion. The call is answered within
 	// milliseconds unless the answer is lost; the request is then repeated.
 	promoteCallTimeout = 350 * time.Millisecond
@@ -48,10 +45,7 @@
 	primary Member
 	// silentRounds counts rounds without an answer from the primary.
 	silentRounds int
-	// unreceivedPosition is a position of the primary that no replica has received since
-	// unreceivedSince, or zero.
-	unreceivedPosition group.Position
-	unreceivedSince    time.Time
+	stuckWrites  group.StuckWriteDetector
 	// overloadDetector detects an overloaded primary. lastWaitCount is how many statements had waited
 	// for a connection by the previous round.
 	overloadDetector group.OverloadDetector
@@ -71,7 +65,8 @@
 		d.group.setCoordinated(d.mayPromote())
 		w.roundAcquiredAt = d.acquiredTime()
 		if !d.mayPromote() {
-			w.silentRounds, w.unreceivedPosition, w.primary = 0, group.Position{}, Member{}
+			w.silentRounds, w.primary = 0, Member{}
+			w.stuckWrites.Reset()
 			continue
 		}
 		w.runRound(ctx)
@@ -87,6 +82,11 @@
 		pause := probeInterval
 		if w.silentRounds > 0 && w.silentRounds < maxSilentRounds {
 			pause = silentProbeInterval
+		} else if at, known := w.settledAt(); known {
+			// Leases are granted from then on, so the round is not delayed beyond that time.
+			if left := at.Sub(w.host.now()); left > 0 {
+				pause = min(pause, left)
+			}
 		}
 		timer := time.NewTimer(pause)
 		defer timer.Stop()
@@ -110,6 +110,7 @@
 	}
 	w.lastHealthyProbe = time.Time{}
 	w.raiseToken(ctx)
+	w.awaitOwnEntry(ctx)
 	answers := w.probeAll(ctx)
 	if w.group.adoptPrimary(answers) {
 		w.actOnPrimary(ctx, answers)
@@ -174,13 +175,13 @@
 // effect unknown to this one, which knows all recorded ones. Where the platform checks fencing tokens,
 // a coordinator that can't reach the store requests promotions without a record, until its process
 // ends or the platform has seen a higher token. A request accepted before then has been carried out
-// after acceptedPromotionDelay.
+// after leadership.PromotionDelay. The answers of the members may show earlier that none is pending.
 func (w *groupMonitor) promotionsSettled() bool {
 	if !w.knowsPromotions() {
 		return false
 	}
-	until, known := w.unrecordedPromotionsUntil()
-	return !w.host.settings.PromotionTokens || known && w.host.now().Sub(until) >= acceptedPromotionDelay
+	at, known := w.settledAt()
+	return !w.host.settings.PromotionTokens || known && !w.host.now().Before(at)
 }
 
 // actOnPrimary handles a round in which a primary answered.
@@ -198,6 +199,7 @@
 		return
 	}
 	w.clearPendingPromotion()
+	w.checkPendingPromotions(primary, replicas)
 	if !w.promotionsSettled() || !w.tokenCurrent() {
 		return
 	}
@@ -206,7 +208,7 @@
 	w.releaseStaleFences(primary, replicas)
 	w.updateRecord(ctx)
 	stuck := w.writesStuck(primary, replicas)
-	if countFailed(replicas) == 0 && !w.overloadDetector.Overloaded() && w.unreceivedPosition == (group.Position{}) {
+	if countFailed(replicas) == 0 && !w.overloadDetector.Overloaded() && !w.stuckWrites.Waiting() {
 		w.lastHealthyProbe = primary.sentAt
 	}
 	switch {
@@ -290,30 +292,19 @@
 }
 
 // writesStuck reports whether the replicas have not received what the primary wrote for longer than
-// stuckWriteTimeout. The primary then waits for their acknowledgement, and so do its callers.
+// a group.StuckWriteDetector allows. The primary then waits for their acknowledgement, and so do its callers.
 func (w *groupMonitor) writesStuck(primary controlResult, replicas []controlResult) bool {
-	var highest group.Position
+	var received []group.Position
 	for _, r := range replicas {
 		if isMemberFailure(r.err) {
 			// It is alive but too busy to report its position.
 			return false
 		}
-		if r.err == nil && r.status.Received.Compare(highest) > 0 {
-			highest = r.status.Received
+		if r.err == nil {
+			received = append(received, r.status.Received)
 		}
 	}
-	now := w.host.now()
-	if len(replicas) == 0 {
-		return false
-	}
-	if w.unreceivedPosition == (group.Position{}) || highest.Compare(w.unreceivedPosition) >= 0 {
-		w.unreceivedPosition, w.unreceivedSince = group.Position{}, now
-		if primary.status.Received.Compare(highest) > 0 {
-			w.unreceivedPosition = primary.status.Received
-		}
-		return false
-	}
-	return now.Sub(w.unreceivedSince) > stuckWriteTimeout
+	return len(replicas) > 0 && w.stuckWrites.Observe(primary.status.Received, received, w.host.now())
 }
 
 // canReplacePrimary reports whether another member can do better than a primary that answers but whose
--- a/internal/gateway/lease_grants.go
+++ b/internal/gateway/lease_grants.go
@@ -121,7 +121,10 @@
 	}
 	// Leases that the previous coordinator granted may still be valid if it was an earlier process of this
 	// host, or lost its entry early.
-	if !pause.For(ctx, w.predecessorLeasesEnd().Sub(w.host.now())) {
+	w.mu.Lock()
+	end := w.predecessor.LeasesEnd()
+	w.mu.Unlock()
+	if !pause.For(ctx, end.Sub(w.host.now())) {
 		return false
 	}
 	w.group.metrics.leaseRevocation(w.group.name, w.host.now().Sub(started))
--- a/internal/gateway/primary_check.go
+++ b/internal/gateway/primary_check.go
@@ -106,19 +106,6 @@
 	return g.primaryTerm
 }
 
-// unrefuted reports whether at least one other member answered and none contradicted that the primary leads. A lost
-// packet may then have failed the check, and the next check may pass.
-func (p *primaryCheck) unrefuted() bool {
-	anyAnswered := false
-	for _, a := range p.answers {
-		if a.Leads || a.Answered && a.Term > p.term {
-			return false
-		}
-		anyAnswered = anyAnswered || a.Answered
-	}
-	return anyAnswered
-}
-
 // checkWithBackoff returns the last failed check of the member until its backoff is over, and a shared check from
 // then on. This bounds the load that many concurrent statements put on the members.
 func (g *Group) checkWithBackoff(id string) *primaryCheck {
@@ -168,7 +155,7 @@
 	} else {
 		g.unverifiedSince = earlierTime(g.unverifiedSince, p.started)
 		g.checkBackoff = min(max(2*g.checkBackoff, minCheckBackoff), maxCheckBackoff)
-		if p.unrefuted() {
+		if leadership.Unrefuted(p.term, p.answers) {
 			g.checkBackoff = minCheckBackoff
 		}
 		g.failedCheck, g.nextCheckAt = p, g.now().Add(g.checkBackoff)
--- a/internal/gateway/promotion.go
+++ b/internal/gateway/promotion.go
@@ -53,7 +53,8 @@
 			w.clearPendingPromotion()
 			// Writes that only the old primary had are lost, so a position that no replica had received does not
 			// count against the new primary.
-			w.silentRounds, w.unreceivedPosition = 0, group.Position{}
+			w.silentRounds = 0
+			w.stuckWrites.Reset()
 			w.group.renewFloor(c)
 			return requested
 		}
@@ -124,7 +125,7 @@
 // role was lost since the round began so that nothing was requested. An unanswered request counts as made.
 func (w *groupMonitor) requestPromotion(ctx context.Context, id string) bool {
 	w.mu.Lock()
-	if !w.held || !w.acquiredAt.Equal(w.roundAcquiredAt) {
+	if !w.held || !w.predecessor.AcquiredAt.Equal(w.roundAcquiredAt) {
 		// The role was lost since the round began, and may have been acquired again: leases may be valid that this round
 		// has not waited for.
 		w.mu.Unlock()
--- a/internal/gateway/promotion_state.go
+++ b/internal/gateway/promotion_state.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 
 	"pearlatch/core/kv"
+	"pearlatch/core/leadership"
+	"pearlatch/internal/pause"
 )
 
 // renewToken rewrites the role's entry to get a higher fencing token, either for a decision that invalidates a pending
@@ -69,8 +72,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.raisedToken = max(d.raisedToken, token)
-	if d.tokenRaisedAt.IsZero() {
-		d.tokenRaisedAt = d.host.now()
+	if d.predecessor.TokenRaisedAt.IsZero() {
+		d.predecessor.TokenRaisedAt = d.host.now()
 	}
 }
 
@@ -81,3 +84,45 @@
 	defer d.mu.Unlock()
 	return !d.host.settings.PromotionTokens || d.raisedToken == d.token || d.exemptToken == d.token
 }
+
+// settledAt returns when no unrecorded promotion of an earlier coordinator can take effect any more.
+func (d *coordinator) settledAt() (time.Time, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.predecessor.SettledAt()
+}
+
+// maxOwnEntryDelay bounds the wait for the role's own entry. Hosts watch the store every 100 ms at most, and pass changes
+// on within about 60 ms.
+const maxOwnEntryDelay = 250 * time.Millisecond
+
+// awaitOwnEntry waits until the host has seen the store up to the role's entry, as checkPendingPromotions requires. Without
+// the wait, the proof would come a probeInterval later.
+func (w *groupMonitor) awaitOwnEntry(ctx context.Context) {
+	w.mu.Lock()
+	token := w.token
+	w.mu.Unlock()
+	for until := w.host.now().Add(maxOwnEntryDelay); kv.Revision(w.host.knownRevision.Load()) < token && !w.promotionsSettled(); {
+		if !pause.For(ctx, idleConnPollInterval) || w.host.now().After(until) {
+			return
+		}
+	}
+}
+
+// checkPendingPromotions notes whether the answers prove that no promotion of an earlier coordinator is pending. The host
+// must have seen the store up to the role's entry, so that it knows which members restarted before it acquired the role.
+func (w *groupMonitor) checkPendingPromotions(primary controlResult, replicas []controlResult) {
+	runs, last := w.group.runs(), w.host.knownRevision.Load()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	end, known := w.predecessor.PromotionsEnd()
+	if !known || w.predecessor.NothingPending || !w.predecessor.RecordCertain || w.recordRevision == 0 || kv.Revision(last) < w.token {
+		return
+	}
+	for _, a := range append(replicas[:len(replicas):len(replicas)], primary) {
+		if a.sentAt.Before(end) || a.relayedBy != "" {
+			return
+		}
+	}
+	w.predecessor.NothingPending = leadership.NoPromotionPending(w.record.Record, runs, primary.member.ID, primary.status.Term, toProbeResults(replicas))
+}
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -113,12 +113,13 @@
 	d.startQuotaGranting(r.PortionHolders, i.formerGranters)
 	d.mu.Lock()
 	if !d.recordInherited { // afterwards this host knows the pending promotion better than the store
-		d.recordInherited, d.predecessorHandedBack = true, i.certain && (found.HandedBack || found.Holder == "")
-		if i.certain && found.Holder == "" && !d.reclaimed {
+		d.recordInherited, d.predecessor.RecordCertain = true, i.certain
+		d.predecessor.HandedBack = i.certain && (found.HandedBack || found.Holder == "")
+		if i.certain && found.Holder == "" && !d.predecessor.SameHost {
 			// A coordinator requests no promotion before it has written a record.
 			d.exemptToken = d.token
 		}
-		d.reclaimed = d.reclaimed && i.certain && found.Holder == d.host.settings.Host
+		d.predecessor.SameHost = d.predecessor.SameHost && i.certain && found.Holder == d.host.settings.Host
 		d.pendingMember, d.pendingToken, d.pendingAt = found.PendingPromotion, 0, d.host.now()
 	}
 	d.mu.Unlock()
--- a/internal/gateway/record_test.go
+++ b/internal/gateway/record_test.go
@@ -25,7 +25,7 @@
 		time.Sleep(time.Second)
 		s.updateMember("a", func(m *fakeMember) { m.silent = true })
 		stop1()
-		time.Sleep(coordinatorLeaseTTL + acceptedPromotionDelay + 3*time.Second)
+		time.Sleep(coordinatorLeaseTTL + leadership.PromotionDelay + 3*time.Second)
 		if got := s.primaryID(); got != "b" {
 			t.Errorf("%q leads, want b", got)
 		}
--- /dev/null
+++ b/internal/gateway/restart_test.go
@@ -0,0 +1,109 @@
+package gateway
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pearlatch/core/freshness"
+)
+
+// killAll ends all hosts as a loss of power does: they hand nothing back, and their entries and store leases stay.
+func (f *fakeFleet) killAll() {
+	f.site.setDown(true)
+	f.mu.Lock()
+	stops := f.stops
+	f.stops = map[string]func(){}
+	f.mu.Unlock()
+	ended := make(chan struct{})
+	for _, stop := range stops {
+		go func() {
+			stop()
+			ended <- struct{}{}
+		}()
+	}
+	for range stops {
+		<-ended
+	}
+	f.site.setDown(false)
+}
+
+// withRestart runs a fleet of three hosts, ends all of them at once, and calls test after it has started them again under
+// their IDs. prepare is called before the start.
+func withRestart(t *testing.T, prepare func(s *fakeSite), test func(s *fakeSite, f *fakeFleet)) {
+	t.Helper()
+	synctest.Test(t, func(*testing.T) {
+		s := newFakeSite("a", "b", "c")
+		s.setIncarnation(7)
+		f := newFakeFleet(s, 3, 20, freshness.Latest{})
+		time.Sleep(4 * time.Second)
+		for _, h := range f.all() {
+			exec(h, Write{})
+		}
+		time.Sleep(time.Second)
+		f.killAll()
+		prepare(s)
+		for i := range 3 {
+			f.start(i, freshness.Latest{})
+		}
+		test(s, f)
+		f.stopAll()
+	})
+}
+
+// awaitLease lets callers of all hosts ask for the primary until a host has a lease on the member, and returns how long
+// that took, or the timeout.
+func (f *fakeFleet) awaitLease(member string, timeout time.Duration) time.Duration {
+	started := time.Now()
+	for time.Since(started) < timeout {
+		for _, h := range f.all() {
+			if g := h.group(testGroup); g != nil {
+				g.notePrimaryNeeded()
+				if g.hasLease(member, time.Now()) {
+					return time.Since(started)
+				}
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return timeout
+}
+
+// Guards against leases that come late after a loss of all hosts: coordinators waited for 1.2 s for promotions that
+// processes which had ended might have requested, and leases came 1.4 to 2.2 s after the start.
+func TestLeasesAreGrantedSoonAfterRestartOfAllHosts(t *testing.T) {
+	withRestart(t, func(*fakeSite) {}, func(_ *fakeSite, f *fakeFleet) {
+		if took := f.awaitLease("a", 3*time.Second); took > 500*time.Millisecond {
+			t.Errorf("the first lease was granted after %s", took)
+		}
+	})
+}
+
+// The store did not answer the coordinator, which requested a promotion without recording it, and all hosts ended while
+// the platform carried it out. A lease on the old primary that outlasts the promotion would allow stale reads. The
+// promotion was a switchover, so only one replica has a fence.
+func TestAcceptedPromotionDelaysLeasesAfterRestartOfAllHosts(t *testing.T) {
+	start := func(s *fakeSite) {
+		s.updateMember("c", func(m *fakeMember) { m.fenced = 2 })
+		time.AfterFunc(800*time.Millisecond, func() { s.makePrimary(s.member("b")) })
+	}
+	withRestart(t, start, func(s *fakeSite, f *fakeFleet) {
+		if took := f.awaitLease("a", 3*time.Second); took < 3*time.Second {
+			t.Errorf("a lease on the old primary was granted after %s, and %q was promoted", took, s.primaryID())
+		}
+	})
+}
+
+// As above, but the replica that held the fence has restarted and lost it. Its entry shows that.
+func TestRestartOfFencedReplicaDelaysLeasesAfterRestartOfAllHosts(t *testing.T) {
+	start := func(s *fakeSite) {
+		s.updateMember("c", func(m *fakeMember) { m.incarnation++ })
+		s.writeMemberEntry("c", "ready")
+		time.AfterFunc(800*time.Millisecond, func() { s.makePrimary(s.member("b")) })
+	}
+	withRestart(t, start, func(s *fakeSite, f *fakeFleet) {
+		if took := f.awaitLease("a", 3*time.Second); took < 3*time.Second {
+			t.Errorf("a lease on the old primary was granted after %s, and %q was promoted", took, s.primaryID())
+		}
+	})
+}
