Share slots fairly among accounts while statements wait

Statements waited in one list in the order of arrival, so that an account with many statements delayed those of all others, and each event of a group copied the list and looked for a connection for each of its statements.

core/admission.FairQueue orders statements by rank, then by the slot time that their account has used in proportion to its quota, then by arrival or newest first as before. A rank that has had no service for 3 s gets one statement ahead of the others. core/pool uses it and keeps connections only; it stops looking once no connection can be used or opened. It also measures the slot time that was idle while statements waited, not yet reported. Slot time is charged from the assignment of a connection to the end of its statement; later statements of a transaction are not charged.

--- a/core/admission/rate_meter.go
+++ b/core/admission/rate_meter.go
@@ -34,7 +34,7 @@
 // advance accounts for the time up to now.
 func (m *RateMeter) advance(now time.Time) {
 	if now.Sub(m.at) > rateWindow {
-		*m = RateMeter{slotStart: now, at: now, active: m.active}
+		m.Reset(now)
 		return
 	}
 	for m.at.Before(now) {
@@ -54,6 +54,11 @@
 	}
 }
 
+// Reset forgets what was measured.
+func (m *RateMeter) Reset(now time.Time) {
+	*m = RateMeter{slotStart: now, at: now, active: m.active}
+}
+
 // SetActive sets whether time counts from now on.
 func (m *RateMeter) SetActive(active bool, now time.Time) {
 	m.advance(now)
--- a/core/pool/doc.go
+++ b/core/pool/doc.go
@@ -1,6 +1,6 @@
 // Package pool decides which connection to a member of a database group a
-// statement gets, which connections are opened and closed, and in which order
-// statements wait.
+// statement gets, and which connections are opened and closed. The order in which
+// statements wait is that of core/admission.
 //
 // A connection belongs to the client account for which it was opened. Members
 // accept few connections, far fewer than the number of accounts times the
--- a/core/pool/member.go
+++ b/core/pool/member.go
@@ -14,8 +14,10 @@
 	member  *Member
 	// lastUsed is when the connection was last taken or released.
 	lastUsed time.Time
-	// running is true while a statement runs on the connection or is about to.
+	// running is true while a statement runs on the connection or is about to,
+	// since takenAt.
 	running bool
+	takenAt time.Time
 }
 
 // Member returns the member to which the connection leads.
@@ -116,11 +118,3 @@
 	m.idle = slices.Delete(m.idle, i, i+1)
 	return c
 }
-
-// clearRunning records that no statement runs on the connection.
-func (c *Conn) clearRunning() {
-	if c.running {
-		c.running = false
-		c.member.running--
-	}
-}
--- a/core/pool/open.go
+++ b/core/pool/open.go
@@ -22,36 +22,40 @@
 
 // openForWaiters opens connections for waiting statements, in the order in
 // which they are served.
-func (p *Pool) openForWaiters(waiters []*Waiter, now time.Time) {
+func (p *Pool) openForWaiters(now time.Time) {
 	opening := map[string]int{} // by account
 	for _, m := range p.sorted {
-		m.burst.grow(now, len(waiters) > 0 && len(m.idle) == 0 && m.connCount >= p.MaxConns(m))
+		m.burst.grow(now, p.queue.Len() > 0 && len(m.idle) == 0 && m.connCount >= p.MaxConns(m))
 		for account, n := range m.opening {
 			opening[account] += n
 		}
 	}
-	waiting := map[string]bool{}
-	for _, w := range waiters {
-		waiting[w.Request.Account] = true
-	}
-	for _, w := range waiters {
-		if opening[w.Request.Account] > 0 {
-			opening[w.Request.Account]--
+	for e := range p.queue.All(now) {
+		if !slices.ContainsFunc(p.sorted, func(m *Member) bool { return m.openingCount() < maxOpening && p.mayOpen(m, now) }) {
+			return
+		}
+		r := e.Value.Request
+		if opening[r.Account] > 0 {
+			opening[r.Account]--
 			continue
 		}
-		if m := p.openTarget(w.Request, waiting, now); m != nil {
-			p.openOrReplace(m, w.Request.Account, waiting)
+		if m := p.openTarget(r, now); m != nil {
+			p.openOrReplace(m, r.Account)
 		}
 	}
 }
 
+// mayOpen reports whether another connection to the member may be opened now.
+func (p *Pool) mayOpen(m *Member, now time.Time) bool {
+	return p.canOpen(m) && !now.Before(m.openBlockedUntil) && m.running+m.openingCount() <= max(1, m.slots)
+}
+
 // openTarget returns the member on which another connection would serve the
 // request soonest, or nil.
-func (p *Pool) openTarget(r ConnRequest, waiting map[string]bool, now time.Time) *Member {
+func (p *Pool) openTarget(r ConnRequest, now time.Time) *Member {
 	m := p.cheapest(r, now, func(m *Member) bool {
 		// If the account has an idle connection, the statement waits for the window.
-		return m.idleIndex(r.Account) < 0 && p.canOpen(m, waiting) && !now.Before(m.openBlockedUntil) &&
-			m.running+m.openingCount() <= max(1, m.slots)
+		return m.idleIndex(r.Account) < 0 && p.mayOpen(m, now)
 	})
 	if m == nil || m.openingCount() >= maxOpening {
 		return nil
@@ -61,21 +65,21 @@
 
 // canOpen reports whether a connection to the member may be opened, possibly in
 // place of an idle connection of an account without waiting statements.
-func (p *Pool) canOpen(m *Member, waiting map[string]bool) bool {
-	return m.connCount+m.openingCount() < p.MaxConns(m) || m.connCount+m.openingCount() <= p.MaxConns(m) && victim(m, waiting) >= 0
+func (p *Pool) canOpen(m *Member) bool {
+	return m.connCount+m.openingCount() < p.MaxConns(m) || m.connCount+m.openingCount() <= p.MaxConns(m) && p.victim(m) >= 0
 }
 
 // victim returns the index of the least recently used idle connection among
 // accounts without waiting statements, or -1.
-func victim(m *Member, waiting map[string]bool) int {
-	return slices.IndexFunc(m.idle, func(c *Conn) bool { return !waiting[c.Account] })
+func (p *Pool) victim(m *Member) int {
+	return slices.IndexFunc(m.idle, func(c *Conn) bool { return !p.queue.Waits(c.Account) })
 }
 
 // openOrReplace opens a connection, and first closes an idle one if there is no
 // room.
-func (p *Pool) openOrReplace(m *Member, account string, waiting map[string]bool) {
+func (p *Pool) openOrReplace(m *Member, account string) {
 	if m.connCount+m.openingCount() >= p.MaxConns(m) {
-		if i := victim(m, waiting); i >= 0 {
+		if i := p.victim(m); i >= 0 {
 			p.closeConn(m.removeIdle(i))
 			m.connCount--
 		}
@@ -119,7 +123,7 @@
 	if !m.window.Allows(m.running, now) {
 		return false
 	}
-	return m.idleIndex(account) >= 0 || p.canOpen(m, nil) && !now.Before(m.openBlockedUntil)
+	return m.idleIndex(account) >= 0 || p.canOpen(m) && !now.Before(m.openBlockedUntil)
 }
 
 // openingEnded records that a connection of the account is no longer being opened.
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -39,10 +39,13 @@
 	// IDs.
 	members map[string]*Member
 	sorted  []*Member
-	// waiters are ordered by rank, then by arrival.
-	waiters []*Waiter
-	// drain measures how many of them are served per second.
-	drain admission.RateMeter
+	// queue holds the waiting statements.
+	queue admission.FairQueue[*Waiter]
+	// idleSlots is how many slots were idle for waiting statements as of
+	// idleSince, and idleSlotTime the total since it was last fetched.
+	idleSlots    int
+	idleSince    time.Time
+	idleSlotTime time.Duration
 	// actions are those that the owner has not fetched yet.
 	actions []Action
 }
@@ -112,7 +115,7 @@
 		if p.view.Alive(c) {
 			best.inUse++
 			best.running++
-			c.running = true
+			c.running, c.takenAt = true, now
 			return c
 		}
 		best.connCount--
@@ -167,7 +170,7 @@
 func (p *Pool) Release(c *Conn, now time.Time) {
 	m := c.member
 	m.inUse--
-	c.clearRunning()
+	p.clearRunning(c, now)
 	c.lastUsed = now
 	if m.removed || !p.view.KeepsIdle(m.id, now) {
 		m.connCount--
@@ -179,32 +182,22 @@
 
 // MarkIdleInTransaction records that a transaction holds the connection between
 // two statements.
-func (p *Pool) MarkIdleInTransaction(c *Conn) { c.clearRunning() }
+func (p *Pool) MarkIdleInTransaction(c *Conn, now time.Time) { p.clearRunning(c, now) }
 
 // Discard closes a connection that is in use, instead of releasing it.
-func (p *Pool) Discard(c *Conn) {
+func (p *Pool) Discard(c *Conn, now time.Time) {
 	c.member.inUse--
-	c.clearRunning()
+	p.clearRunning(c, now)
 	c.member.connCount--
 	p.closeConn(c)
 }
 
-// Dispatch assigns idle connections to waiting statements and opens more
-// connections where it may. If primaryLost is true, forwardable statements are
-// forwarded to another host.
-func (p *Pool) Dispatch(now time.Time, primaryLost bool) {
-	var unserved []*Waiter
-	for _, w := range p.servingOrder(now) {
-		c := (*Conn)(nil)
-		if !primaryLost || !w.Request.Forwardable {
-			if c = p.takeIdle(w.Request, now); c == nil {
-				unserved = append(unserved, w)
-				continue
-			}
-		}
-		p.actions = append(p.actions, Assign{w, c})
-		p.drain.Record(now)
-		p.Dequeue(w, now)
+// clearRunning records that no statement runs on the connection, and charges
+// the account for the slot time that was used.
+func (p *Pool) clearRunning(c *Conn, now time.Time) {
+	if c.running {
+		c.running = false
+		c.member.running--
+		p.queue.Charge(c.Account, now.Sub(c.takenAt))
 	}
-	p.openForWaiters(unserved, now)
 }
--- a/core/pool/queue.go
+++ b/core/pool/queue.go
@@ -1,61 +1,100 @@
 package pool
 
 import (
-	"slices"
-	"sort"
 	"time"
+
+	"pearlatch/core/admission"
 )
 
-// Enqueue adds a statement to the queue. An Assign action of a later call hands
-// it a connection.
+// Waiter is a statement that waits for a connection.
+type Waiter struct {
+	Request ConnRequest
+	entry   *admission.Entry[*Waiter]
+}
+
+// class returns the class of the statement in the queue.
+func (r ConnRequest) class() admission.Class {
+	if r.PrimaryOnly {
+		return admission.PrimaryOnly
+	}
+	return admission.AnyMember
+}
+
+// Enqueue adds a statement to the queue. An Assign or Refuse action of a later
+// call says what becomes of it.
 func (p *Pool) Enqueue(r ConnRequest, now time.Time) *Waiter {
-	w := &Waiter{r}
-	p.drain.SetActive(true, now)
-	i := sort.Search(len(p.waiters), func(i int) bool {
-		o := p.waiters[i].Request
-		if o.Rank != r.Rank {
-			return o.Rank > r.Rank
-		}
-		return o.ArrivedAt.After(r.ArrivedAt)
-	})
-	p.waiters = slices.Insert(p.waiters, i, w)
+	w := &Waiter{Request: r}
+	w.entry = p.queue.Push(w, admission.Request{
+		Account: r.Account, Weight: r.Weight, Rank: r.Rank, Class: r.class(), ArrivedAt: r.ArrivedAt, WaitUntil: r.Deadline,
+	}, now)
 	return w
 }
 
-// Dequeue removes a statement from the queue, because it was served or has
-// stopped waiting.
-func (p *Pool) Dequeue(w *Waiter, now time.Time) {
-	p.waiters = slices.DeleteFunc(p.waiters, func(o *Waiter) bool { return o == w })
-	p.drain.SetActive(len(p.waiters) > 0, now)
+// Dequeue removes a statement that has stopped waiting from the queue.
+func (p *Pool) Dequeue(w *Waiter, now time.Time) { p.queue.Remove(w.entry, now) }
+
+// Waiting returns the number of waiting statements.
+func (p *Pool) Waiting() int { return p.queue.Len() }
+
+// Backlog returns how many waiting statements are served before a request that
+// arrives now, and how many of them are served per second, or zero if that is
+// unknown.
+func (p *Pool) Backlog(r ConnRequest, now time.Time) (ahead int, rate float64) {
+	return p.queue.Ahead(r.Rank, r.class()), p.queue.Rate(r.class(), now)
 }
 
-// DrainRate returns how many waiting statements are served per second, or zero if that is unknown.
-func (p *Pool) DrainRate(now time.Time) float64 { return p.drain.Rate(now) }
+// Dispatch assigns idle connections to waiting statements, and opens more
+// connections where it may. If primaryLost is true, forwardable statements are
+// forwarded to another host.
+func (p *Pool) Dispatch(now time.Time, primaryLost bool) {
+	p.measureIdleSlots(now)
+	p.assignIdle(now, primaryLost)
+	p.openForWaiters(now)
+	p.countIdleSlots(now)
+}
 
-// Waiting returns the number of waiting statements.
-func (p *Pool) Waiting() int { return len(p.waiters) }
-
-// lifoThreshold is how long the oldest statement of a rank may have waited
-// before newer ones are served first. While statements arrive faster than they
-// are served, serving the oldest first would make all of them wait until most
-// miss their deadlines. If the newest are served first, those that are served
-// meet theirs. The threshold is half of 100 ms, the shortest latency objective.
-const lifoThreshold = 50 * time.Millisecond
-
-// servingOrder returns the waiters in the order in which they are served: by
-// rank, then by arrival. Within a rank whose oldest statement has waited longer
-// than lifoThreshold, the order of arrival is reversed.
-func (p *Pool) servingOrder(now time.Time) []*Waiter {
-	out := slices.Clone(p.waiters)
-	for from := 0; from < len(out); {
-		to := from + 1
-		for to < len(out) && out[to].Request.Rank == out[from].Request.Rank {
-			to++
+// assignIdle assigns idle connections to waiting statements.
+func (p *Pool) assignIdle(now time.Time, primaryLost bool) {
+	var assigned []*Waiter
+	usable := p.hasUsableIdle(now)
+	for e := range p.queue.All(now) {
+		if !usable && !primaryLost {
+			break
+		}
+		w := e.Value
+		c := (*Conn)(nil)
+		if !primaryLost || !w.Request.Forwardable {
+			if !usable {
+				continue
+			}
+			if c = p.takeIdle(w.Request, now); c == nil {
+				continue
+			}
+			usable = p.hasUsableIdle(now)
+		}
+		p.actions = append(p.actions, Assign{w, c})
+		assigned = append(assigned, w)
+	}
+	for _, w := range assigned {
+		p.queue.Served(w.entry, now)
+	}
+}
+
+// hasUsableIdle reports whether an idle connection of an account with waiting
+// statements may be used.
+func (p *Pool) hasUsableIdle(now time.Time) bool {
+	if p.queue.Len() == 0 {
+		return false
+	}
+	for _, m := range p.sorted {
+		if !m.window.Allows(m.running, now) {
+			continue
 		}
-		if now.Sub(out[from].Request.ArrivedAt) > lifoThreshold {
-			slices.Reverse(out[from:to])
+		for _, c := range m.idle {
+			if p.queue.Waits(c.Account) {
+				return true
+			}
 		}
-		from = to
 	}
-	return out
+	return false
 }
--- a/core/pool/request.go
+++ b/core/pool/request.go
@@ -11,6 +11,9 @@
 	// Account is the client account of the statement, or empty where clients
 	// have no accounts.
 	Account string
+	// Weight is the share of the account in the slots while statements wait.
+	// Zero counts as one.
+	Weight float64
 	// PrimaryOnly is true if the statement must run on the primary. Forwardable
 	// is true if another host may run the statement if this one can't reach the
 	// primary.
@@ -30,9 +33,6 @@
 	Deadline time.Time
 }
 
-// Waiter is a statement that waits for a connection.
-type Waiter struct{ Request ConnRequest }
-
 // MemberInfo is what the host knows of a member's location, role and health.
 type MemberInfo struct {
 	// SameZone is true if the member is in the host's availability zone.
--- a/core/pool/trim.go
+++ b/core/pool/trim.go
@@ -39,7 +39,7 @@
 // Opening one occupies a slot of the member for as long as two or three
 // statements, which does no harm then.
 func (p *Pool) openSpare(m *Member, now time.Time, warm int) {
-	if len(p.waiters) > 0 || m.openingCount() > 0 || m.connCount >= warm || !p.view.CanServe(m.id, ConnRequest{}, now) || now.Before(m.openBlockedUntil) {
+	if p.queue.Len() > 0 || m.openingCount() > 0 || m.connCount >= warm || !p.view.CanServe(m.id, ConnRequest{}, now) || now.Before(m.openBlockedUntil) {
 		return
 	}
 	p.startOpen(m, "")
--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -218,7 +218,7 @@
 func (g *Group) markIdleInTransaction(p *pooledConn) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.pool.MarkIdleInTransaction(p.poolConn)
+	g.pool.MarkIdleInTransaction(p.poolConn, g.now())
 	g.dispatch()
 }
 
@@ -241,7 +241,7 @@
 func (g *Group) discard(p *pooledConn, err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.pool.Discard(p.poolConn)
+	g.pool.Discard(p.poolConn, g.now())
 	if err != nil {
 		g.markSuspect(p.member, g.now(), err)
 	}
--- a/internal/gateway/operation.go
+++ b/internal/gateway/operation.go
@@ -37,7 +37,9 @@
 		return operation{}, err
 	}
 	g := target.group
-	op := operation{group: g, route: target.route, writes: writes, need: pool.ConnRequest{Account: target.account.Name, Rank: target.route.Priority, ArrivedAt: arrived}}
+	op := operation{group: g, route: target.route, writes: writes, need: pool.ConnRequest{
+		Account: target.account.Name, Weight: s.host.accountWeight(target.account.Name), Rank: target.route.Priority, ArrivedAt: arrived,
+	}}
 	if s.origin == nil && s.host.shouldForward(g) {
 		op.shouldForward = true
 		return op, nil
--- a/internal/gateway/outage.go
+++ b/internal/gateway/outage.go
@@ -86,9 +86,10 @@
 	defer g.mu.Unlock()
 	now := g.now()
 	remaining := op.need.ArrivedAt.Add(op.route.Timeout).Sub(now)
+	ahead, rate := g.pool.Backlog(op.need, now)
 	return retryAfter(g.calendar.Book(now, admission.Booking{
 		Rank: op.need.Rank, Earliest: earliest, Latest: admission.LatestRetry(remaining, op.route.LatencyTarget, 0),
-		Backlog: g.pool.Waiting(), Rate: g.pool.DrainRate(now), Random: rand.Float64(),
+		Backlog: ahead, Rate: rate, Random: rand.Float64(),
 	}))
 }
 
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -103,6 +103,24 @@
 	}
 }
 
+// unlimitedWeight is the weight of an account without a quota: that of the largest quotas in use, since it must not get
+// less than accounts that are limited.
+const unlimitedWeight = 500
+
+// accountWeight returns the share of an account in the members' slots while statements wait, which is its quota. It is
+// zero where callers have no accounts.
+func (h *Host) accountWeight(name string) float64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if name == "" || h.config == nil || h.config.Accounts == nil {
+		return 0
+	}
+	if a := h.config.Accounts.Account(name); a != nil && !a.Quota.Unlimited() {
+		return a.Quota.Rate
+	}
+	return unlimitedWeight
+}
+
 // takeQuota charges an operation to the account's quota, and may wait for the granter until the given time. It
 // returns an OverQuota failure if the quota is exhausted.
 func (h *Host) takeQuota(ctx context.Context, a *account.Account, until time.Time) *Failure {
