Refuse statements that can't be served in time

Where more statements arrive than are served, most were refused only at the end of their wait bound, 0.35 of the route's timeout, so that their callers had no time left for other attempts.

FairQueue measures the rate at which waiting statements are served, apart for those that may run on any member and those that need the primary, and names those that can't be served before they stop waiting. core/pool refuses them with the new action Refuse if the members that may run them have no free slot, and the gateway passes the refusal on with a time from the calendar. It applies to routes with a latency target. The first 50 ms of work, statements that no member may serve now, and those of a class that has had no service for some intervals are never refused early.

In an overload the two classes of an account are now served in turns, by slot time used. Without overload the order is that of arrival as before.

Metrics early_refusals_total and idle_slot_microseconds_total; a log line statements_refused_early per group and 10 s.

--- a/core/admission/fair_queue.go
+++ b/core/admission/fair_queue.go
@@ -44,7 +44,7 @@
 	// Rank is 0 for statements that are served first.
 	Rank  int
 	Class Class
-	// ArrivedAt is when the statement arrived, and WaitUntil when it stops waiting.
+	// ArrivedAt is when the statement arrived, and WaitUntil when it stops waiting, or zero if it is never hopeless.
 	ArrivedAt, WaitUntil time.Time
 }
 
@@ -61,7 +61,8 @@
 
 // FairQueue holds the statements of a group that wait for a connection. It serves them by rank, within a rank in
 // proportion to the weights of their accounts by slot time used (start-time fair queuing), and within an account by
-// arrival, or newest first while statements wait for longer than lifoThreshold. The zero value is empty and ready for
+// arrival. Once an account's oldest statement of a class has waited for longer than lifoThreshold, its classes are
+// served in turns by slot time used, and that class newest first. The zero value is empty and ready for
 // use. It is not safe for concurrent use.
 type FairQueue[T any] struct {
 	// ranks are in the order of service.
@@ -83,6 +84,9 @@
 	// tag is the slot time used divided by the weight, in seconds. Accounts with lower tags are served first.
 	tag, weight float64
 	waiting     int
+	// classTags is the slot time used by class. In an overload, the class with the lower one is served first. Without
+	// that, many statements that any member may run would take the slots of the primary from those that need it.
+	classTags [classCount]float64
 }
 
 // Len returns the number of waiting statements.
@@ -140,16 +144,19 @@
 	}
 	q.virtualTime = max(q.virtualTime, e.flow.account.tag)
 	k := e.flow.rank
-	if k.waitingSince = now; len(k.flows) == 1 && len(e.flow.entries) == 1 {
+	if k.waitingSince = now; len(k.flows) == 1 && e.flow.len() == 1 {
 		k.waitingSince = time.Time{}
 	}
+	if e.flow.newestFirst(e.Request.Class, now) {
+		e.expectedWait = 0 // predicted for another order
+	}
 	q.drains[e.Request.Class].served(now, e.expectedWait, e.expectedAt)
 	q.Remove(e, now)
 }
 
-// Charge records slot time that statements of the account have used, whether or not they waited. An account's use
+// Charge records slot time that a statement of the account has used, whether or not they waited. An account's use
 // while no statement waits does not count against it later.
-func (q *FairQueue[T]) Charge(name string, used time.Duration) {
+func (q *FairQueue[T]) Charge(name string, c Class, used time.Duration) {
 	if q.meanCost == 0 {
 		q.meanCost = used
 	}
@@ -162,6 +169,7 @@
 		a.tag = max(a.tag, q.virtualTime)
 	}
 	a.tag += used.Seconds() / a.weight
+	a.classTags[c] += used.Seconds()
 	for _, k := range q.ranks {
 		k.fix(name)
 	}
@@ -177,7 +185,7 @@
 			}
 		}
 		for _, k := range q.ranks {
-			for e := range k.all(now, q.cost()) {
+			for e := range k.all(q.order(now)) {
 				if !slices.Contains(starved, e) && !yield(e) {
 					return
 				}
@@ -193,7 +201,7 @@
 		if len(k.flows) == 0 || now.Sub(k.waitingSince) <= starvationLimit {
 			continue
 		}
-		for e := range k.all(now, q.cost()) {
+		for e := range k.all(q.order(now)) {
 			out = append(out, e)
 			break
 		}
@@ -201,6 +209,17 @@
 	return out
 }
 
+// order returns the order of service. Classes are served in turns as soon as the oldest statement has waited for longer
+// than lifoThreshold, or statements have waited for minOverload: a queue from which hopeless statements are refused is
+// short also in an overload.
+func (q *FairQueue[T]) order(now time.Time) serviceOrder {
+	overloaded := true
+	for i := range q.drains {
+		overloaded = overloaded && q.drains[i].waiting > 0 && q.drains[i].overload(now) > minOverload
+	}
+	return serviceOrder{now: now, cost: q.cost(), overloaded: overloaded}
+}
+
 // cost returns the expected slot time of a statement, in seconds.
 func (q *FairQueue[T]) cost() float64 {
 	if q.meanCost <= 0 {
--- a/core/admission/fair_queue_test.go
+++ b/core/admission/fair_queue_test.go
@@ -57,7 +57,7 @@
 	for range 500 {
 		for e := range q.All(now) {
 			q.Served(e, now)
-			q.Charge(e.Value, cost[e.Value])
+			q.Charge(e.Value, AnyMember, cost[e.Value])
 			used[e.Value] += cost[e.Value]
 			break
 		}
@@ -80,7 +80,7 @@
 	for i := range 400 {
 		account := fmt.Sprint("a", random.IntN(40))
 		q.Push(account, Request{Account: account, Weight: float64(1 + random.IntN(4)), ArrivedAt: testStart.Add(time.Duration(i))}, testStart)
-		q.Charge(account, time.Duration(random.IntN(30))*ms)
+		q.Charge(account, AnyMember, time.Duration(random.IntN(30))*ms)
 	}
 	tags := map[string]float64{}
 	for name, a := range q.accounts {
@@ -159,7 +159,7 @@
 		push(i)
 		for e := range q.All(now) {
 			q.Served(e, now)
-			q.Charge(e.Request.Account, 10*ms)
+			q.Charge(e.Request.Account, AnyMember, 10*ms)
 			break
 		}
 	}
--- a/core/admission/flow.go
+++ b/core/admission/flow.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"cmp"
 	"container/heap"
 	"iter"
 	"slices"
@@ -26,23 +25,26 @@
 type flow[T any] struct {
 	rank    *rank[T]
 	account *account
-	// entries are ordered by arrival.
-	entries []*Entry[T]
+	// entries holds the statements by class, in the order of arrival.
+	entries [classCount][]*Entry[T]
 	// index is the position in rank.flows.
 	index int
 }
 
-// newestFirst reports whether newer statements are served before older ones.
-func (f *flow[T]) newestFirst(now time.Time) bool {
-	return now.Sub(f.entries[0].Request.ArrivedAt) > lifoThreshold
+// oldest returns when the oldest statement arrived.
+func (f *flow[T]) oldest() time.Time {
+	var at time.Time
+	for _, list := range f.entries {
+		if len(list) > 0 && (at.IsZero() || list[0].Request.ArrivedAt.Before(at)) {
+			at = list[0].Request.ArrivedAt
+		}
+	}
+	return at
 }
 
-// at returns the statement that is served after n others of the flow.
-func (f *flow[T]) at(n int, newestFirst bool) *Entry[T] {
-	if newestFirst {
-		n = len(f.entries) - 1 - n
-	}
-	return f.entries[n]
+// newestFirst reports whether newer statements of the class are served before older ones.
+func (f *flow[T]) newestFirst(c Class, now time.Time) bool {
+	return len(f.entries[c]) > 0 && now.Sub(f.entries[c][0].Request.ArrivedAt) > lifoThreshold
 }
 
 // add adds a statement of the account.
@@ -53,9 +55,10 @@
 		k.byAccount[e.Request.Account] = f
 	}
 	e.flow = f
-	i := sort.Search(len(f.entries), func(i int) bool { return f.entries[i].Request.ArrivedAt.After(e.Request.ArrivedAt) })
-	f.entries = slices.Insert(f.entries, i, e)
-	if len(f.entries) == 1 {
+	list := &f.entries[e.Request.Class]
+	i := sort.Search(len(*list), func(i int) bool { return (*list)[i].Request.ArrivedAt.After(e.Request.ArrivedAt) })
+	*list = slices.Insert(*list, i, e)
+	if f.len() == 1 {
 		heap.Push(&k.flows, f)
 	} else if i == 0 {
 		heap.Fix(&k.flows, f.index)
@@ -66,12 +69,13 @@
 func (k *rank[T]) remove(e *Entry[T]) {
 	f := e.flow
 	e.flow = nil
-	i := sort.Search(len(f.entries), func(i int) bool { return !f.entries[i].Request.ArrivedAt.Before(e.Request.ArrivedAt) })
-	for f.entries[i] != e {
+	list := f.entries[e.Request.Class]
+	i := sort.Search(len(list), func(i int) bool { return !list[i].Request.ArrivedAt.Before(e.Request.ArrivedAt) })
+	for list[i] != e {
 		i++
 	}
-	f.entries = slices.Delete(f.entries, i, i+1)
-	if len(f.entries) == 0 {
+	f.entries[e.Request.Class] = slices.Delete(list, i, i+1)
+	if f.len() == 0 {
 		heap.Remove(&k.flows, f.index)
 		delete(k.byAccount, e.Request.Account)
 	} else if i == 0 {
@@ -79,6 +83,9 @@
 	}
 }
 
+// len returns the number of statements.
+func (f *flow[T]) len() int { return len(f.entries[AnyMember]) + len(f.entries[PrimaryOnly]) }
+
 // fix restores the order after the account's tag has changed.
 func (k *rank[T]) fix(account string) {
 	if f := k.byAccount[account]; f != nil {
@@ -99,34 +106,28 @@
 	k.arrivals[c].SetActive(k.waiting[c] > 0, now)
 }
 
-// all returns the statements in the order of service, on the assumption that each uses cost seconds of slot time.
-func (k *rank[T]) all(now time.Time, cost float64) iter.Seq[*Entry[T]] {
+// all returns the statements in the order of service.
+func (k *rank[T]) all(o serviceOrder) iter.Seq[*Entry[T]] {
 	return func(yield func(*Entry[T]) bool) {
-		if len(k.flows) == 1 {
-			f := k.flows[0]
-			newestFirst := f.newestFirst(now)
-			for n := range f.entries {
-				if !yield(f.at(n, newestFirst)) {
-					return
-				}
-			}
-			return
-		}
 		// A flow further down in the heap is only considered once its parent is, so that the first statements are found
 		// without a look at every account.
 		var next cursorHeap[T]
-		next.consider(k.flows, 0, now)
+		next.consider(k.flows, 0, o)
 		for len(next) > 0 {
 			c := &next[0]
-			if !yield(c.flow.at(c.served, c.newestFirst)) {
+			first, index := c.left == c.flow.len(), c.flow.index
+			if !yield(c.next(o)) {
 				return
 			}
-			if c.served == 0 {
-				i := c.flow.index
-				next.consider(k.flows, 2*i+1, now)
-				next.consider(k.flows, 2*i+2, now)
+			if c.left == 0 {
+				heap.Pop(&next)
+			} else {
+				heap.Fix(&next, 0)
+			}
+			if first {
+				next.consider(k.flows, 2*index+1, o)
+				next.consider(k.flows, 2*index+2, o)
 			}
-			next.advance(cost)
 		}
 	}
 }
@@ -136,7 +137,7 @@
 
 func (h flowHeap[T]) Len() int { return len(h) }
 func (h flowHeap[T]) Less(i, j int) bool {
-	return compareTags(h[i].account.tag, h[j].account.tag, h[i], h[j]) < 0
+	return before(h[i].account.tag, h[j].account.tag, h[i], h[j])
 }
 func (h flowHeap[T]) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
@@ -159,58 +160,10 @@
 	return f
 }
 
-// compareTags compares flows by tag, then by their oldest statements.
-func compareTags[T any](a, b float64, f, g *flow[T]) int {
-	if c := cmp.Compare(a, b); c != 0 {
-		return c
-	}
-	return f.entries[0].Request.ArrivedAt.Compare(g.entries[0].Request.ArrivedAt)
-}
-
-// cursor is the position in a flow up to which its statements were listed.
-type cursor[T any] struct {
-	flow *flow[T]
-	// tag is the tag of the account once the served statements have been served.
-	tag         float64
-	served      int
-	newestFirst bool
-}
-
-// cursorHeap is a heap of cursors, the one with the statement to be served next first.
-type cursorHeap[T any] []cursor[T]
-
-func (h cursorHeap[T]) Len() int { return len(h) }
-func (h cursorHeap[T]) Less(i, j int) bool {
-	return compareTags(h[i].tag, h[j].tag, h[i].flow, h[j].flow) < 0
-}
-func (h cursorHeap[T]) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-
-// Push implements heap.Interface.
-func (h *cursorHeap[T]) Push(x any) { *h = append(*h, x.(cursor[T])) }
-
-// Pop implements heap.Interface.
-func (h *cursorHeap[T]) Pop() any {
-	last := len(*h) - 1
-	c := (*h)[last]
-	*h = (*h)[:last]
-	return c
-}
-
-// consider adds the flow with the given index, if there is one.
-func (h *cursorHeap[T]) consider(flows flowHeap[T], index int, now time.Time) {
-	if index < len(flows) {
-		f := flows[index]
-		heap.Push(h, cursor[T]{flow: f, tag: f.account.tag, newestFirst: f.newestFirst(now)})
-	}
-}
-
-// advance moves the first cursor past a statement that takes cost seconds of slot time.
-func (h *cursorHeap[T]) advance(cost float64) {
-	c := &(*h)[0]
-	if c.served++; c.served == len(c.flow.entries) {
-		heap.Pop(h)
-		return
+// before reports whether flow f is served before g: the one with the lower tag, or that with the oldest statement.
+func before[T any](fTag, gTag float64, f, g *flow[T]) bool {
+	if fTag != gTag {
+		return fTag < gTag
 	}
-	c.tag += cost / c.flow.account.weight
-	heap.Fix(h, 0)
+	return f.oldest().Before(g.oldest())
 }
--- a/core/pool/idle_slots.go
+++ b/core/pool/idle_slots.go
@@ -12,6 +12,23 @@
 	return max(0, min(m.window.Limit(), max(1, m.slots))-busy)
 }
 
+// isSaturated reports whether members may run the request, but none of them has
+// a free slot and a connection to use it that exists, is being opened or may be
+// opened.
+func (p *Pool) isSaturated(r ConnRequest, now time.Time) bool {
+	candidates := 0
+	for _, m := range p.sorted {
+		if !p.view.CanServe(m.id, r, now) {
+			continue
+		}
+		candidates++
+		if m.freeSlots(now) > 0 && (m.openingCount() > 0 || m.idleIndex(r.Account) >= 0 || p.canOpen(m) && !now.Before(m.openBlockedUntil)) {
+			return false
+		}
+	}
+	return candidates > 0
+}
+
 // measureIdleSlots adds the slot time since the last dispatch during which
 // slots were idle although statements waited.
 func (p *Pool) measureIdleSlots(now time.Time) {
--- a/core/pool/member.go
+++ b/core/pool/member.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"pearlatch/core/admission"
 	"pearlatch/core/placement"
 )
 
@@ -14,10 +15,11 @@
 	member  *Member
 	// lastUsed is when the connection was last taken or released.
 	lastUsed time.Time
-	// running is true while a statement runs on the connection or is about to,
-	// since takenAt.
+	// running is true while a statement of the class runs on the connection or is
+	// about to, since takenAt.
 	running bool
 	takenAt time.Time
+	class   admission.Class
 }
 
 // Member returns the member to which the connection leads.
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -115,7 +115,7 @@
 		if p.view.Alive(c) {
 			best.inUse++
 			best.running++
-			c.running, c.takenAt = true, now
+			c.running, c.takenAt, c.class = true, now, r.class()
 			return c
 		}
 		best.connCount--
@@ -198,6 +198,6 @@
 	if c.running {
 		c.running = false
 		c.member.running--
-		p.queue.Charge(c.Account, now.Sub(c.takenAt))
+		p.queue.Charge(c.Account, c.class, now.Sub(c.takenAt))
 	}
 }
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -14,12 +14,14 @@
 	mayExceedShare bool
 	dead           map[*Conn]bool
 	lagging        map[string]bool
+	// primaryGone is true while p does not answer.
+	primaryGone bool
 }
 
 var _ View = (*fakeView)(nil)
 
 func (v *fakeView) CanServe(id string, r ConnRequest, _ time.Time) bool {
-	return r.PrimaryOnly && id == "p" || !r.PrimaryOnly && !v.lagging[id]
+	return !(v.primaryGone && id == "p") && (r.PrimaryOnly && id == "p" || !r.PrimaryOnly && !v.lagging[id])
 }
 func (v *fakeView) Info(id string, _ time.Time) MemberInfo {
 	return MemberInfo{SameZone: true, IsPrimary: id == "p"}
--- a/core/pool/queue.go
+++ b/core/pool/queue.go
@@ -20,12 +20,21 @@
 	return admission.AnyMember
 }
 
+// waitUntil returns when the statement stops waiting, or zero if it is not to be
+// refused before.
+func (r ConnRequest) waitUntil() time.Time {
+	if r.RefuseEarly {
+		return r.Deadline
+	}
+	return time.Time{}
+}
+
 // Enqueue adds a statement to the queue. An Assign or Refuse action of a later
 // call says what becomes of it.
 func (p *Pool) Enqueue(r ConnRequest, now time.Time) *Waiter {
 	w := &Waiter{Request: r}
 	w.entry = p.queue.Push(w, admission.Request{
-		Account: r.Account, Weight: r.Weight, Rank: r.Rank, Class: r.class(), ArrivedAt: r.ArrivedAt, WaitUntil: r.Deadline,
+		Account: r.Account, Weight: r.Weight, Rank: r.Rank, Class: r.class(), ArrivedAt: r.ArrivedAt, WaitUntil: r.waitUntil(),
 	}, now)
 	return w
 }
@@ -44,12 +53,13 @@
 }
 
 // Dispatch assigns idle connections to waiting statements, and opens more
-// connections where it may. If primaryLost is true, forwardable statements are
-// forwarded to another host.
+// connections where it may. It refuses statements that can't be served in time.
+// If primaryLost is true, forwardable statements are forwarded to another host.
 func (p *Pool) Dispatch(now time.Time, primaryLost bool) {
 	p.measureIdleSlots(now)
 	p.assignIdle(now, primaryLost)
 	p.openForWaiters(now)
+	p.refuseHopeless(now)
 	p.countIdleSlots(now)
 }
 
@@ -80,6 +90,18 @@
 	}
 }
 
+// refuseHopeless refuses the statements that can't be served in time. While no
+// member may serve a statement, as when the primary is being replaced, the rate
+// at which others were served does not apply to it.
+func (p *Pool) refuseHopeless(now time.Time) {
+	for _, e := range p.queue.Hopeless(now) {
+		if p.isSaturated(e.Value.Request, now) {
+			p.queue.Remove(e, now)
+			p.actions = append(p.actions, Refuse{e.Value})
+		}
+	}
+}
+
 // hasUsableIdle reports whether an idle connection of an account with waiting
 // statements may be used.
 func (p *Pool) hasUsableIdle(now time.Time) bool {
--- a/core/pool/request.go
+++ b/core/pool/request.go
@@ -31,6 +31,9 @@
 	ArrivedAt time.Time
 	// Deadline is when the statement stops waiting.
 	Deadline time.Time
+	// RefuseEarly is true if the statement is refused as soon as it can't be
+	// expected to be served by its deadline.
+	RefuseEarly bool
 }
 
 // MemberInfo is what the host knows of a member's location, role and health.
@@ -63,7 +66,7 @@
 }
 
 // Action is an instruction to the owner of a Pool. Its implementations are
-// Assign, Open and Close.
+// Assign, Refuse, Open and Close.
 type Action interface{ isAction() }
 
 type (
@@ -73,6 +76,8 @@
 		Waiter *Waiter
 		Conn   *Conn
 	}
+	// Refuse refuses a waiting statement, since too many others are ahead of it.
+	Refuse struct{ Waiter *Waiter }
 	// Open opens a connection to a member for an account. The owner answers
 	// with Pool.Opened, Pool.OpenFailed or Pool.OpenAbandoned.
 	Open struct{ Member, Account string }
@@ -81,5 +86,6 @@
 )
 
 func (Assign) isAction() {}
+func (Refuse) isAction() {}
 func (Open) isAction()   {}
 func (Close) isAction()  {}
--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -36,11 +36,14 @@
 	errNoConnection = errors.New("no connection became available in time")
 	// errReroute means that this host can't reach the primary but another host may.
 	errReroute = errors.New("the primary is unreachable from this host")
+	// errOverloaded means that more statements wait than are served in time.
+	errOverloaded = errors.New("more statements wait than can be served in time")
 )
 
 // acquireConn returns a connection for the request. It waits for one until the deadline of the request or
-// until ctx ends, and then returns errNoConnection. It returns errReroute if the statement is to be
-// forwarded to a host that may reach the primary.
+// until ctx ends, and then returns errNoConnection. It returns errOverloaded as soon as no connection can
+// be expected in time, and errReroute if the statement is to be forwarded to a host that may reach the
+// primary.
 func (g *Group) acquireConn(ctx context.Context, r pool.ConnRequest) (*pooledConn, error) {
 	g.mu.Lock()
 	if r.Forwardable && g.primaryUnreachableLocked() {
@@ -64,8 +67,8 @@
 	queued := g.now()
 	defer func() { g.metrics.connWait(g.name, g.now().Sub(queued)) }()
 	select {
-	case p := <-assigned:
-		return connOrReroute(p)
+	case a := <-assigned:
+		return a.conn, a.err
 	case <-timer.C:
 	case <-ctx.Done():
 	}
@@ -74,26 +77,30 @@
 	g.pool.Dequeue(w, g.now())
 	delete(g.waiting, w)
 	select {
-	case p := <-assigned: // assigned just before the wait was canceled
-		return connOrReroute(p)
+	case a := <-assigned: // assigned just before the wait was canceled
+		return a.conn, a.err
 	default:
 	}
 	g.loads.Left(loadKind(r), false)
 	return nil, errNoConnection
 }
 
-// connOrReroute returns p, or errReroute if p is nil.
-func connOrReroute(p *pooledConn) (*pooledConn, error) {
-	if p == nil {
-		return nil, errReroute
-	}
-	return p, nil
+// assignment is what a waiting statement gets: a connection, or errReroute or errOverloaded.
+type assignment struct {
+	conn *pooledConn
+	err  error
+}
+
+// assign ends the wait of a statement. g.mu must be held.
+func (g *Group) assign(w *pool.Waiter, a assignment) {
+	g.waiting[w] <- a
+	delete(g.waiting, w)
+	g.loads.Left(loadKind(w.Request), a.conn != nil)
 }
 
-// enqueue adds a request to the waiting ones. The channel receives its connection, or nil if the
-// statement is to be rerouted. g.mu must be held.
-func (g *Group) enqueue(r pool.ConnRequest) (*pool.Waiter, <-chan *pooledConn) {
-	assigned := make(chan *pooledConn, 1)
+// enqueue adds a request to the waiting ones. g.mu must be held.
+func (g *Group) enqueue(r pool.ConnRequest) (*pool.Waiter, <-chan assignment) {
+	assigned := make(chan assignment, 1)
 	w := g.pool.Enqueue(r, g.now())
 	g.waiting[w] = assigned
 	g.loads.Enqueued(loadKind(r))
@@ -122,6 +129,9 @@
 func (g *Group) dispatch() {
 	g.pool.Dispatch(g.now(), g.primaryUnreachableLocked())
 	g.applyPoolActions()
+	if idle := g.pool.TakeIdleSlotTime(); idle > 0 {
+		g.metrics.idleSlots(g.name, idle)
+	}
 }
 
 // applyPoolActions carries out the actions that the pool has decided on. g.mu must be held.
@@ -129,9 +139,14 @@
 	for _, action := range g.pool.DrainActions() {
 		switch action := action.(type) {
 		case pool.Assign:
-			g.waiting[action.Waiter] <- g.conns[action.Conn]
-			delete(g.waiting, action.Waiter)
-			g.loads.Left(loadKind(action.Waiter.Request), action.Conn != nil)
+			a := assignment{conn: g.conns[action.Conn]}
+			if action.Conn == nil {
+				a.err = errReroute
+			}
+			g.assign(action.Waiter, a)
+		case pool.Refuse:
+			g.assign(action.Waiter, assignment{err: errOverloaded})
+			g.noteRefusedEarly(action.Waiter.Request)
 		case pool.Open:
 			m := g.members[action.Member]
 			go g.dial(m, m.Member, action.Account)
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -53,7 +53,7 @@
 			continue
 		}
 		if err != nil {
-			return busyReply(op)
+			return Reply{Failure: op.noConnection(Busy, err)}
 		}
 		reply, next := s.attempt(r, &op, p)
 		if next == nil {
--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -55,7 +55,7 @@
 	// waiting the channels on which waiting statements receive theirs.
 	pool    *pool.Pool
 	conns   map[*pool.Conn]*pooledConn
-	waiting map[*pool.Waiter]chan *pooledConn
+	waiting map[*pool.Waiter]chan assignment
 	// recheckScheduled is true while the periodic check of waiting statements is scheduled.
 	recheckScheduled bool
 	// primaryID is the ID of the member believed to be the primary, or empty. noPrimarySince is since
@@ -95,6 +95,8 @@
 	outageForecast  outage.Estimator
 	// calendar assigns retry times to refused callers.
 	calendar admission.Calendar
+	// refusalLoggedAt is when a statement that was refused early was last logged.
+	refusalLoggedAt time.Time
 	// pendingWrites counts writes without an answer, and noAckSince is since when none of them has
 	// been acknowledged, or zero. replicaLaggedAt is when a replica was last seen to lag far behind,
 	// and lastQueuedAt when a statement last had to wait.
@@ -145,7 +147,7 @@
 		now: h.now, metrics: h.metrics, knownRevision: &h.knownRevision, maxDrain: h.settings.MemberDrain - drainMargin,
 		members: map[string]*member{}, maxConnections: 1, hostCount: 1, controlConns: map[string]*controlConn{},
 		probeSignal: make(chan struct{}, 1), leaseSignal: make(chan struct{}, 1),
-		conns: map[*pool.Conn]*pooledConn{}, waiting: map[*pool.Waiter]chan *pooledConn{},
+		conns: map[*pool.Conn]*pooledConn{}, waiting: map[*pool.Waiter]chan assignment{},
 	}
 	g.pool = pool.New(poolView{g})
 	g.loads = loads.New(name, h.fleet, h.now, g.logger, h.metrics.registry)
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -50,6 +50,16 @@
 	m.observe(fmt.Sprintf("connection_wait_microseconds{group=%q}", group), took)
 }
 
+// earlyRefusal counts a statement that was refused because it could not be served in time.
+func (m hostMetrics) earlyRefusal(group string) {
+	m.count(fmt.Sprintf("early_refusals_total{group=%q}", group), 1)
+}
+
+// idleSlots adds slot time during which slots were idle while statements waited that they could run.
+func (m hostMetrics) idleSlots(group string, total time.Duration) {
+	m.count(fmt.Sprintf("idle_slot_microseconds_total{group=%q}", group), total.Microseconds())
+}
+
 // memberCall records a statement that a member answered and how long the answer took.
 func (m hostMetrics) memberCall(group, member string, isPrimary bool, took time.Duration) {
 	role := "replica"
--- a/internal/gateway/operation.go
+++ b/internal/gateway/operation.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/pkg/errors"
+
 	"pearlatch/core/freshness"
 	"pearlatch/core/group"
 	"pearlatch/core/pool"
@@ -39,6 +41,7 @@
 	g := target.group
 	op := operation{group: g, route: target.route, writes: writes, need: pool.ConnRequest{
 		Account: target.account.Name, Weight: s.host.accountWeight(target.account.Name), Rank: target.route.Priority, ArrivedAt: arrived,
+		RefuseEarly: target.route.LatencyTarget > 0,
 	}}
 	if s.origin == nil && s.host.shouldForward(g) {
 		op.shouldForward = true
@@ -134,11 +137,18 @@
 	return started.Add(wait)
 }
 
-func busyReply(op operation) Reply {
-	if op.need.PrimaryOnly {
-		return Reply{Failure: op.refusal(Busy, "no connection to the primary in time")}
+func busyReply(op operation) Reply { return Reply{Failure: op.noConnection(Busy, errNoConnection)} }
+
+// noConnection returns the refusal of an operation for which acquireConn has returned err.
+func (op *operation) noConnection(code Code, err error) *Failure {
+	reason := "no connection in time"
+	switch {
+	case errors.Is(err, errOverloaded):
+		reason = err.Error()
+	case op.need.PrimaryOnly:
+		reason = "no connection to the primary in time"
 	}
-	return Reply{Failure: op.refusal(Busy, "no connection in time")}
+	return op.refusal(code, reason)
 }
 
 // outageRefusal returns a failure with the code if the operation needs the primary and the outage
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -1,6 +1,11 @@
 package gateway
 
-import "pearlatch/core/group"
+import (
+	"time"
+
+	"pearlatch/core/group"
+	"pearlatch/core/pool"
+)
 
 // detectOverload reports whether the primary is overloaded and to be replaced in a switchover. The load that it observes
 // includes the statements that have had to wait since its last call.
@@ -26,3 +31,19 @@
 	defer g.mu.Unlock()
 	return g.waitCount
 }
+
+// earlyRefusalLogInterval is the minimum time between two log lines about statements that were refused early: one for
+// each overload of a few seconds.
+const earlyRefusalLogInterval = 10 * time.Second
+
+// noteRefusedEarly counts a statement that was refused since it could not be served in time. g.mu must be held.
+func (g *Group) noteRefusedEarly(r pool.ConnRequest) {
+	g.metrics.earlyRefusal(g.name)
+	now := g.now()
+	if now.Sub(g.refusalLoggedAt) < earlyRefusalLogInterval {
+		return
+	}
+	g.refusalLoggedAt = now
+	_, rate := g.pool.Backlog(r, now)
+	g.log("statements_refused_early", "waiting", g.pool.Waiting(), "primary_only", r.PrimaryOnly, "served_per_second", int(rate))
+}
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -140,7 +140,7 @@
 			return err
 		}
 		if err != nil {
-			return op.refusal(Aborted, "no connection in time")
+			return op.noConnection(Aborted, err)
 		}
 		next := s.beginOnConn(p)
 		if next == nil {
