--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -65,7 +65,7 @@
 	timer := time.NewTimer(r.Deadline.Sub(g.now()))
 	defer timer.Stop()
 	queued := g.now()
-	defer func() { g.metrics.connWait(g.name, g.now().Sub(queued)) }()
+	defer func() { g.metrics.ConnWait(g.name, g.now().Sub(queued)) }()
 	select {
 	case a := <-assigned:
 		return a.conn, a.err
@@ -130,7 +130,7 @@
 	g.pool.Dispatch(g.now(), g.primaryUnreachableLocked())
 	g.applyPoolActions()
 	if idle := g.pool.TakeIdleSlotTime(); idle > 0 {
-		g.metrics.idleSlots(g.name, idle)
+		g.metrics.IdleSlots(g.name, idle)
 	}
 }
 
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -62,7 +62,7 @@
 		if !op.group.now().Before(op.waitUntil()) {
 			return next.finalReply(op)
 		}
-		s.host.metrics.retry(op.group.name, next.reason())
+		s.host.metrics.Retry(op.group.name, next.reason())
 		next.sleep(ctx)
 	}
 }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -215,7 +215,7 @@
 		}
 		return nil, errNotRun
 	}
-	h.metrics.sentForward(r.Group, "answered")
+	h.metrics.SentForward(r.Group, "answered")
 	if g := h.existingGroup(r.Group); g != nil {
 		reply.Load.Kind = r.loadKind()
 		g.loads.Record(server.ID, reply.Process, reply.LoadSequence, reply.Load)
@@ -348,7 +348,7 @@
 func (h *Host) logForward(s *Session, r *PeerRequest, server, outcome string, err error) {
 	h.log("forward", "request", r.Request.ID, "database", s.database, "group", r.Group, "peer", server,
 		"outcome", outcome, "age_ms", r.Age.Milliseconds(), "err", err)
-	h.metrics.sentForward(r.Group, "failed")
+	h.metrics.SentForward(r.Group, "failed")
 }
 
 // forwardInTransaction forwards a statement or the commit of a transaction. The first one also
--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -18,6 +18,7 @@
 	"pearlatch/core/outage"
 	"pearlatch/core/pool"
 	"pearlatch/core/serving"
+	"pearlatch/internal/hostmetrics"
 	"pearlatch/internal/loads"
 )
 
@@ -29,7 +30,7 @@
 	dialer  Dialer
 	logger  log.Logger
 	now     func() time.Time
-	metrics hostMetrics
+	metrics hostmetrics.Recorder
 	// loads says to which hosts statements are forwarded if other hosts serve the group.
 	loads *loads.Group
 	// maxDrain is how long a primary that is leaving may still get new work.
@@ -150,7 +151,7 @@
 		conns: map[*pool.Conn]*pooledConn{}, waiting: map[*pool.Waiter]chan assignment{},
 	}
 	g.pool = pool.New(poolView{g})
-	g.loads = loads.New(name, h.fleet, h.now, g.logger, h.metrics.registry)
+	g.loads = loads.New(name, h.fleet, h.now, g.logger, h.metrics.Registry)
 	return g
 }
 
@@ -478,7 +479,7 @@
 	defer g.mu.Unlock()
 	m.statementAnsweredAt, m.silentSince = g.now(), time.Time{}
 	m.poolMember.ObserveLatency(m.statementAnsweredAt.Sub(sentAt))
-	g.metrics.memberCall(g.name, m.ID, m.ID == g.primaryID, m.statementAnsweredAt.Sub(sentAt))
+	g.metrics.MemberCall(g.name, m.ID, m.ID == g.primaryID, m.statementAnsweredAt.Sub(sentAt))
 }
 
 // heardSince reports whether the member has answered a statement after the given time.
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -21,6 +21,7 @@
 	"pearlatch/core/recall"
 	"pearlatch/internal/fleet"
 	"pearlatch/internal/follow"
+	"pearlatch/internal/hostmetrics"
 	"pearlatch/internal/pause"
 	"pearlatch/internal/quotas"
 )
@@ -88,7 +89,7 @@
 	ports    Ports
 	logger   log.Logger
 	now      func() time.Time
-	metrics  hostMetrics
+	metrics  hostmetrics.Recorder
 
 	mu     sync.Mutex
 	config *Config
@@ -146,7 +147,7 @@
 
 // NewHost returns a host that is not running yet. now reads a clock that continues while the machine is suspended.
 func NewHost(s Settings, p Ports, logger log.Logger, now func() time.Time) *Host {
-	m := hostMetrics{p.Metrics}
+	m := hostmetrics.Recorder{Registry: p.Metrics}
 	p.Store = instrumentedStore{store: p.Store, metrics: m, now: now}
 	h := &Host{
 		started: now(), metrics: m, settings: s, ports: p, logger: log.With(logger, "host", s.Host), now: now,
@@ -309,16 +310,16 @@
 // RefreshMetrics updates the gauges.
 func (h *Host) RefreshMetrics() {
 	s := h.Snapshot()
-	h.metrics.set("sessions", s.Sessions)
-	h.metrics.set("config_version", s.ConfigVersion)
+	h.metrics.Set("sessions", s.Sessions)
+	h.metrics.Set("config_version", s.ConfigVersion)
 	for _, g := range s.Groups {
-		h.metrics.set(fmt.Sprintf("waiting{group=%q}", g.Name), int64(g.Waiting))
-		h.metrics.set(fmt.Sprintf("sample_age_milliseconds{group=%q}", g.Name), g.SampleAge.Milliseconds())
+		h.metrics.Set(fmt.Sprintf("waiting{group=%q}", g.Name), int64(g.Waiting))
+		h.metrics.Set(fmt.Sprintf("sample_age_milliseconds{group=%q}", g.Name), g.SampleAge.Milliseconds())
 		for _, m := range g.Members {
 			label := fmt.Sprintf("{group=%q,member=%q}", g.Name, m.ID)
-			h.metrics.set("connections"+label, int64(m.Connections))
-			h.metrics.set("connection_share"+label, int64(g.Share))
-			h.metrics.set("window"+label, int64(m.Window))
+			h.metrics.Set("connections"+label, int64(m.Connections))
+			h.metrics.Set("connection_share"+label, int64(g.Share))
+			h.metrics.Set("window"+label, int64(m.Window))
 		}
 	}
 }
@@ -345,7 +346,7 @@
 // logRefused logs and counts a caller that gets no session, with the age of the store view on which the decision is based.
 func (h *Host) logRefused(database string, f *Failure) {
 	h.log("caller_refused", "database", database, "code", f.Code, "config_version", h.configVersion(), "news_age_ms", h.storeView.Age().Milliseconds())
-	h.metrics.count(fmt.Sprintf("callers_refused_total{code=%q}", f.Code), 1)
+	h.metrics.Count(fmt.Sprintf("callers_refused_total{code=%q}", f.Code), 1)
 }
 
 // logDeclined logs a forwarded statement that this host did not run because it cannot reach the primary.
--- a/internal/gateway/instrumented_store.go
+++ b/internal/gateway/instrumented_store.go
@@ -8,12 +8,13 @@
 
 	"pearlatch/core/kv"
 	"pearlatch/internal/follow"
+	"pearlatch/internal/hostmetrics"
 )
 
 // instrumentedStore records the count, result and duration of the calls to a store.
 type instrumentedStore struct {
 	store   Store
-	metrics hostMetrics
+	metrics hostmetrics.Recorder
 	now     func() time.Time
 }
 
@@ -33,7 +34,7 @@
 	default:
 		result = "failed"
 	}
-	s.metrics.storeCall(kind, result, s.now().Sub(started))
+	s.metrics.StoreCall(kind, result, s.now().Sub(started))
 }
 
 // List implements Store.
--- a/internal/gateway/lease_grants.go
+++ b/internal/gateway/lease_grants.go
@@ -124,7 +124,7 @@
 	if !pause.For(ctx, w.predecessorLeasesEnd().Sub(w.host.now())) {
 		return false
 	}
-	w.group.metrics.leaseRevocation(w.group.name, w.host.now().Sub(started))
+	w.group.metrics.LeaseRevocation(w.group.name, w.host.now().Sub(started))
 	return w.mayPromote()
 }
 
--- a/internal/gateway/local_replica.go
+++ b/internal/gateway/local_replica.go
@@ -58,9 +58,9 @@
 	}
 	reply, next := s.attempt(r, &local, p)
 	if next != nil {
-		s.host.metrics.localRead(op.group.name, next.reason())
+		s.host.metrics.LocalRead(op.group.name, next.reason())
 		return Reply{}, false
 	}
-	s.host.metrics.localRead(op.group.name, "served")
+	s.host.metrics.LocalRead(op.group.name, "served")
 	return reply, true
 }
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -38,7 +38,7 @@
 
 // noteRefusedEarly counts a statement that was refused since it could not be served in time. g.mu must be held.
 func (g *Group) noteRefusedEarly(r pool.ConnRequest) {
-	g.metrics.earlyRefusal(g.name)
+	g.metrics.EarlyRefusal(g.name)
 	now := g.now()
 	if now.Sub(g.refusalLoggedAt) < earlyRefusalLogInterval {
 		return
--- a/internal/gateway/promotion.go
+++ b/internal/gateway/promotion.go
@@ -48,7 +48,7 @@
 			w.recordPrimaryAnswer(answer)
 			w.demotePredecessor(id, answer.status.Term)
 			w.primary = answer.member
-			w.group.metrics.promotion(w.group.name, "led", w.host.now().Sub(started))
+			w.group.metrics.Promotion(w.group.name, "led", w.host.now().Sub(started))
 			w.log("promoted", "member", id, "took_ms", w.host.now().Sub(started).Milliseconds())
 			w.clearPendingPromotion()
 			// Writes that only the old primary had are lost, so a position that no replica had received does not
@@ -58,7 +58,7 @@
 			return requested
 		}
 	}
-	w.group.metrics.promotion(w.group.name, "open", w.host.now().Sub(started))
+	w.group.metrics.Promotion(w.group.name, "open", w.host.now().Sub(started))
 	w.log("promotion_open", "member", id)
 	return requested
 }
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -163,10 +163,10 @@
 		return // no member was involved
 	}
 	if s.origin != nil {
-		s.host.metrics.receivedForward(s.origin.group.name, outcome)
+		s.host.metrics.ReceivedForward(s.origin.group.name, outcome)
 		return
 	}
-	s.host.metrics.statement(s.database, outcome, s.host.now().Sub(arrived))
+	s.host.metrics.Statement(s.database, outcome, s.host.now().Sub(arrived))
 }
 
 func failureReply(c Code, detail string) Reply {
