--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -110,9 +110,12 @@
 // accountWeight returns the share of an account in the members' slots while statements wait, which is its quota. It is
 // zero where callers have no accounts.
 func (h *Host) accountWeight(name string) float64 {
+	if name == "" {
+		return 0
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if name == "" || h.config == nil || h.config.Accounts == nil {
+	if h.config == nil || h.config.Accounts == nil {
 		return 0
 	}
 	if a := h.config.Accounts.Account(name); a != nil && !a.Quota.Unlimited() {
