Examine long queues less often, and stop looking for room at the caller's last time

Hopeless examined the whole queue every 5 ms: with 10,000 waiting statements that took 1.9 ms each time without accounts and 15 ms with 10,000 accounts. The interval now grows by 20 us per waiting statement, and the rates of arrivals are calculated once per rank. Calendar stops at the latest time that is of use.

--- a/core/admission/calendar.go
+++ b/core/admission/calendar.go
@@ -101,6 +101,9 @@
 	queued := float64(b.Backlog)
 	for slot = c.first; slot < c.first+calendarSlots-1; slot++ {
 		begin := c.origin.Add(time.Duration(slot) * slotWidth).Sub(now)
+		if begin > b.Latest {
+			break
+		}
 		if begin+slotWidth > b.Earliest {
 			queued = max(0, queued-capacity)
 		}
--- a/core/admission/prediction.go
+++ b/core/admission/prediction.go
@@ -15,9 +15,10 @@
 	// reservedWork is how much work is never refused on a prediction. It keeps slots busy while no new statements
 	// arrive, and is as long as an account's statements wait before newer ones overtake them.
 	reservedWork = lifoThreshold
-	// checkInterval is the minimum time between two examinations of the queue, each of which costs up to a microsecond
-	// per ten statements.
-	checkInterval = 5 * time.Millisecond
+	// checkInterval is the minimum time between two examinations of the queue, and checkIntervalPerEntry the same per
+	// waiting statement, each of which costs 0.1 us, or 1.4 us with as many accounts as statements.
+	checkInterval         = 5 * time.Millisecond
+	checkIntervalPerEntry = 20 * time.Microsecond
 	// minDrainShare is the share of the drain rate that is left at least for statements that others overtake, since the
 	// overload may end at any moment.
 	minDrainShare = 0.05
@@ -135,39 +136,93 @@
 	if now.Before(q.nextCheck) || !q.mayBeHopeless(now) {
 		return nil
 	}
-	q.nextCheck = now.Add(checkInterval)
-	var ahead [classCount]int
+	q.nextCheck = now.Add(max(checkInterval, time.Duration(q.count)*checkIntervalPerEntry))
+	f := newForecast(q, now)
 	var out []*Entry[T]
 	for e := range q.All(now) {
-		c := e.Request.Class
-		d, rate := &q.drains[c], q.drains[c].rate(now)
-		if rate == 0 || e.Request.WaitUntil.IsZero() || timeToServe(ahead[c], rate) <= reservedWork {
-			ahead[c]++
-			continue
-		}
-		newestFirst := e.flow.newestFirst(c, now)
-		left := max(rate*minDrainShare, rate-q.overtaking(e.flow.rank, c, newestFirst, now))
-		wait := timeToServe(ahead[c], left)
-		if d.correction > 0 && !newestFirst {
-			wait = time.Duration(d.correction * float64(wait))
-		}
-		if now.Add(wait).After(e.Request.WaitUntil) {
+		if f.isHopeless(e) {
 			out = append(out, e)
-			continue
-		}
-		ahead[c]++
-		if e.expectedWait == 0 && !newestFirst && wait > minPredictedWait {
-			e.expectedWait, e.expectedAt = wait, now
 		}
 	}
 	for _, e := range out {
 		c := e.Request.Class
-		q.drains[c].busyUntil = now.Add(time.Duration(emptiedEarly * float64(timeToServe(ahead[c], q.drains[c].rate(now)))))
+		q.drains[c].busyUntil = now.Add(time.Duration(emptiedEarly * float64(timeToServe(f.ahead[c], f.rates[c]))))
 	}
 	slices.Reverse(out)
 	return out
 }
 
+// forecast predicts the waits of the statements of a queue, which are passed to it in the order of service.
+type forecast[T any] struct {
+	queue *FairQueue[T]
+	now   time.Time
+	// rates are the drain rates, and ahead counts the statements that are expected to be served.
+	rates [classCount]float64
+	ahead [classCount]int
+	// rank is the rank of the last statement. inOrder and overtaken are the rates at which statements of the rank are
+	// served if they are served by arrival and newest first.
+	rank               *rank[T]
+	inOrder, overtaken [classCount]float64
+}
+
+func newForecast[T any](q *FairQueue[T], now time.Time) *forecast[T] {
+	f := &forecast[T]{queue: q, now: now}
+	for c := range classCount {
+		f.rates[c] = q.drains[c].rate(now)
+	}
+	return f
+}
+
+// isHopeless reports whether the statement can't be served before it stops waiting.
+func (f *forecast[T]) isHopeless(e *Entry[T]) bool {
+	c := e.Request.Class
+	if f.rates[c] == 0 || e.Request.WaitUntil.IsZero() || timeToServe(f.ahead[c], f.rates[c]) <= reservedWork {
+		f.ahead[c]++
+		return false
+	}
+	if f.rank != e.flow.rank {
+		f.enterRank(e.flow.rank)
+	}
+	newestFirst := e.flow.newestFirst(c, f.now)
+	wait := timeToServe(f.ahead[c], f.inOrder[c])
+	if newestFirst {
+		wait = timeToServe(f.ahead[c], f.overtaken[c])
+	} else if correction := f.queue.drains[c].correction; correction > 0 {
+		wait = time.Duration(correction * float64(wait))
+	}
+	if f.now.Add(wait).After(e.Request.WaitUntil) {
+		return true
+	}
+	f.ahead[c]++
+	if e.expectedWait == 0 && !newestFirst && wait > minPredictedWait {
+		e.expectedWait, e.expectedAt = wait, f.now
+	}
+	return false
+}
+
+// enterRank calculates the rates that are left for the statements of a rank, after those that arrive later and are served
+// before them.
+func (f *forecast[T]) enterRank(entered *rank[T]) {
+	f.rank = entered
+	for c := range classCount {
+		f.inOrder[c], f.overtaken[c] = f.rates[c], f.rates[c]
+		if f.queue.drains[c].overload(f.now) < minOverload {
+			continue
+		}
+		for _, k := range f.queue.ranks {
+			arrivals := k.arrivals[c].Rate(f.now)
+			if k.number < entered.number {
+				f.inOrder[c] -= arrivals
+			}
+			if k.number <= entered.number {
+				f.overtaken[c] -= arrivals
+			}
+		}
+		f.inOrder[c] = max(f.inOrder[c], f.rates[c]*minDrainShare)
+		f.overtaken[c] = max(f.overtaken[c], f.rates[c]*minDrainShare)
+	}
+}
+
 // mayBeHopeless reports whether a class has more work than is never refused.
 func (q *FairQueue[T]) mayBeHopeless(now time.Time) bool {
 	for i := range q.drains {
@@ -178,17 +233,3 @@
 	}
 	return false
 }
-
-// overtaking returns how many statements arrive per second that are served before those of the rank that wait.
-func (q *FairQueue[T]) overtaking(before *rank[T], c Class, newestFirst bool, now time.Time) float64 {
-	sum := 0.0
-	if q.drains[c].overload(now) < minOverload {
-		return 0
-	}
-	for _, k := range q.ranks {
-		if k.number < before.number || k == before && newestFirst {
-			sum += k.arrivals[c].Rate(now)
-		}
-	}
-	return sum
-}
