--- a/core/pool/request.go
+++ b/core/pool/request.go
@@ -11,6 +11,9 @@
 	// Account is the client account of the statement, or empty where clients
 	// have no accounts.
 	Account string
+	// Weight is the share of the account in the slots while statements wait.
+	// Zero counts as one.
+	Weight float64
 	// PrimaryOnly is true if the statement must run on the primary. Forwardable
 	// is true if another host may run the statement if this one can't reach the
 	// primary.
@@ -28,11 +31,11 @@
 	ArrivedAt time.Time
 	// Deadline is when the statement stops waiting.
 	Deadline time.Time
+	// RefuseEarly is true if the statement is refused as soon as it can't be
+	// expected to be served by its deadline.
+	RefuseEarly bool
 }
 
-// Waiter is a statement that waits for a connection.
-type Waiter struct{ Request ConnRequest }
-
 // MemberInfo is what the host knows of a member's location, role and health.
 type MemberInfo struct {
 	// SameZone is true if the member is in the host's availability zone.
@@ -63,7 +66,7 @@
 }
 
 // Action is an instruction to the owner of a Pool. Its implementations are
-// Assign, Open and Close.
+// Assign, Refuse, Open and Close.
 type Action interface{ isAction() }
 
 type (
@@ -73,6 +76,8 @@
 		Waiter *Waiter
 		Conn   *Conn
 	}
+	// Refuse refuses a waiting statement, since too many others are ahead of it.
+	Refuse struct{ Waiter *Waiter }
 	// Open opens a connection to a member for an account. The owner answers
 	// with Pool.Opened, Pool.OpenFailed or Pool.OpenAbandoned.
 	Open struct{ Member, Account string }
@@ -81,5 +86,6 @@
 )
 
 func (Assign) isAction() {}
+func (Refuse) isAction() {}
 func (Open) isAction()   {}
 func (Close) isAction()  {}
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -53,7 +53,7 @@
 			continue
 		}
 		if err != nil {
-			return busyReply(op)
+			return Reply{Failure: op.noConnection(Busy, err)}
 		}
 		reply, next := s.attempt(r, &op, p)
 		if next == nil {
@@ -62,7 +62,7 @@
 		if !op.group.now().Before(op.waitUntil()) {
 			return next.finalReply(op)
 		}
-		s.host.metrics.retry(op.group.name, next.reason())
+		s.host.metrics.Retry(op.group.name, next.reason())
 		next.sleep(ctx)
 	}
 }
@@ -102,10 +102,13 @@
 }
 
 func (r *retry) finalReply(op operation) Reply {
-	if r.failure != nil {
-		return Reply{Failure: r.failure}
+	switch {
+	case r.failure == nil:
+		return busyReply(op)
+	case r.failure.Code.NotRun():
+		return Reply{Failure: op.refusal(r.failure.Code, r.failure.Detail)}
 	}
-	return busyReply(op)
+	return Reply{Failure: r.failure}
 }
 
 // attempt runs a statement once on the connection. It returns a reply, or why the statement is to
--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-kit/log"
 
+	"pearlatch/core/admission"
 	"pearlatch/core/freshness"
 	"pearlatch/core/group"
 	"pearlatch/core/kv"
@@ -17,6 +18,7 @@
 	"pearlatch/core/outage"
 	"pearlatch/core/pool"
 	"pearlatch/core/serving"
+	"pearlatch/internal/hostmetrics"
 	"pearlatch/internal/loads"
 )
 
@@ -28,7 +30,7 @@
 	dialer  Dialer
 	logger  log.Logger
 	now     func() time.Time
-	metrics hostMetrics
+	metrics hostmetrics.Recorder
 	// loads says to which hosts statements are forwarded if other hosts serve the group.
 	loads *loads.Group
 	// maxDrain is how long a primary that is leaving may still get new work.
@@ -54,7 +56,7 @@
 	// waiting the channels on which waiting statements receive theirs.
 	pool    *pool.Pool
 	conns   map[*pool.Conn]*pooledConn
-	waiting map[*pool.Waiter]chan *pooledConn
+	waiting map[*pool.Waiter]chan assignment
 	// recheckScheduled is true while the periodic check of waiting statements is scheduled.
 	recheckScheduled bool
 	// primaryID is the ID of the member believed to be the primary, or empty. noPrimarySince is since
@@ -92,6 +94,10 @@
 	// estimates the length of the primary's outages.
 	unverifiedSince time.Time
 	outageForecast  outage.Estimator
+	// calendar assigns retry times to refused callers.
+	calendar admission.Calendar
+	// refusalLoggedAt is when a statement that was refused early was last logged.
+	refusalLoggedAt time.Time
 	// pendingWrites counts writes without an answer, and noAckSince is since when none of them has
 	// been acknowledged, or zero. replicaLaggedAt is when a replica was last seen to lag far behind,
 	// and lastQueuedAt when a statement last had to wait.
@@ -142,10 +148,10 @@
 		now: h.now, metrics: h.metrics, knownRevision: &h.knownRevision, maxDrain: h.settings.MemberDrain - drainMargin,
 		members: map[string]*member{}, maxConnections: 1, hostCount: 1, controlConns: map[string]*controlConn{},
 		probeSignal: make(chan struct{}, 1), leaseSignal: make(chan struct{}, 1),
-		conns: map[*pool.Conn]*pooledConn{}, waiting: map[*pool.Waiter]chan *pooledConn{},
+		conns: map[*pool.Conn]*pooledConn{}, waiting: map[*pool.Waiter]chan assignment{},
 	}
 	g.pool = pool.New(poolView{g})
-	g.loads = loads.New(name, h.fleet, h.now, g.logger, h.metrics.registry)
+	g.loads = loads.New(name, h.fleet, h.now, g.logger, h.metrics.Registry)
 	return g
 }
 
@@ -473,7 +479,7 @@
 	defer g.mu.Unlock()
 	m.statementAnsweredAt, m.silentSince = g.now(), time.Time{}
 	m.poolMember.ObserveLatency(m.statementAnsweredAt.Sub(sentAt))
-	g.metrics.memberCall(g.name, m.ID, m.ID == g.primaryID, m.statementAnsweredAt.Sub(sentAt))
+	g.metrics.MemberCall(g.name, m.ID, m.ID == g.primaryID, m.statementAnsweredAt.Sub(sentAt))
 }
 
 // heardSince reports whether the member has answered a statement after the given time.
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -13,6 +13,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"pearlatch/core/account"
+	"pearlatch/core/admission"
 	"pearlatch/core/kv"
 	"pearlatch/core/leadership"
 	"pearlatch/core/membership"
@@ -20,6 +21,7 @@
 	"pearlatch/core/recall"
 	"pearlatch/internal/fleet"
 	"pearlatch/internal/follow"
+	"pearlatch/internal/hostmetrics"
 	"pearlatch/internal/pause"
 	"pearlatch/internal/quotas"
 )
@@ -87,10 +89,12 @@
 	ports    Ports
 	logger   log.Logger
 	now      func() time.Time
-	metrics  hostMetrics
+	metrics  hostmetrics.Recorder
 
 	mu     sync.Mutex
 	config *Config
+	// calendar assigns retry times to callers that are refused for lack of a configuration.
+	calendar admission.Calendar
 	// maxStaleness holds, by group, the smallest maximum age among the group's routes.
 	maxStaleness map[string]time.Duration
 	// groups holds the Groups that this host keeps, by name. groupCreated receives a value when one is created.
@@ -143,7 +147,7 @@
 
 // NewHost returns a host that is not running yet. now reads a clock that continues while the machine is suspended.
 func NewHost(s Settings, p Ports, logger log.Logger, now func() time.Time) *Host {
-	m := hostMetrics{p.Metrics}
+	m := hostmetrics.Recorder{Registry: p.Metrics}
 	p.Store = instrumentedStore{store: p.Store, metrics: m, now: now}
 	h := &Host{
 		started: now(), metrics: m, settings: s, ports: p, logger: log.With(logger, "host", s.Host), now: now,
@@ -257,7 +261,9 @@
 // routeAndAccount returns the route of a database and the caller's account. h.mu must be held.
 func (h *Host) routeAndAccount(database string, c account.Credentials) (Route, *account.Account, *Failure) {
 	if h.config == nil {
-		return Route{}, nil, &Failure{Busy, "no configuration yet, " + retryAfter(0)}
+		now := h.now()
+		b := admission.Booking{Earliest: now.Sub(h.started), Latest: maxConfigRetry, Random: rand.Float64()}
+		return Route{}, nil, &Failure{Busy, "no configuration yet, " + retryAfter(h.calendar.Book(now, b))}
 	}
 	r, ok := h.config.Routes[database]
 	if !ok {
@@ -270,6 +276,10 @@
 	return r, a, nil
 }
 
+// maxConfigRetry bounds the time after which a caller retries while there is no configuration, and its timeout is not
+// known. Three attempts then fit into 800 ms, the shortest timeout in use.
+const maxConfigRetry = 300 * time.Millisecond
+
 // authorize returns a failure if the caller may not use the database.
 func (h *Host) authorize(database string, c account.Credentials) *Failure {
 	h.mu.Lock()
@@ -300,16 +310,16 @@
 // RefreshMetrics updates the gauges.
 func (h *Host) RefreshMetrics() {
 	s := h.Snapshot()
-	h.metrics.set("sessions", s.Sessions)
-	h.metrics.set("config_version", s.ConfigVersion)
+	h.metrics.Set("sessions", s.Sessions)
+	h.metrics.Set("config_version", s.ConfigVersion)
 	for _, g := range s.Groups {
-		h.metrics.set(fmt.Sprintf("waiting{group=%q}", g.Name), int64(g.Waiting))
-		h.metrics.set(fmt.Sprintf("sample_age_milliseconds{group=%q}", g.Name), g.SampleAge.Milliseconds())
+		h.metrics.Set(fmt.Sprintf("waiting{group=%q}", g.Name), int64(g.Waiting))
+		h.metrics.Set(fmt.Sprintf("sample_age_milliseconds{group=%q}", g.Name), g.SampleAge.Milliseconds())
 		for _, m := range g.Members {
 			label := fmt.Sprintf("{group=%q,member=%q}", g.Name, m.ID)
-			h.metrics.set("connections"+label, int64(m.Connections))
-			h.metrics.set("connection_share"+label, int64(g.Share))
-			h.metrics.set("window"+label, int64(m.Window))
+			h.metrics.Set("connections"+label, int64(m.Connections))
+			h.metrics.Set("connection_share"+label, int64(g.Share))
+			h.metrics.Set("window"+label, int64(m.Window))
 		}
 	}
 }
@@ -336,7 +346,7 @@
 // logRefused logs and counts a caller that gets no session, with the age of the store view on which the decision is based.
 func (h *Host) logRefused(database string, f *Failure) {
 	h.log("caller_refused", "database", database, "code", f.Code, "config_version", h.configVersion(), "news_age_ms", h.storeView.Age().Milliseconds())
-	h.metrics.count(fmt.Sprintf("callers_refused_total{code=%q}", f.Code), 1)
+	h.metrics.Count(fmt.Sprintf("callers_refused_total{code=%q}", f.Code), 1)
 }
 
 // logDeclined logs a forwarded statement that this host did not run because it cannot reach the primary.
--- a/internal/gateway/operation.go
+++ b/internal/gateway/operation.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/pkg/errors"
+
 	"pearlatch/core/freshness"
 	"pearlatch/core/group"
 	"pearlatch/core/pool"
@@ -37,7 +39,10 @@
 		return operation{}, err
 	}
 	g := target.group
-	op := operation{group: g, route: target.route, writes: writes, need: pool.ConnRequest{Account: target.account.Name, Rank: target.route.Priority, ArrivedAt: arrived}}
+	op := operation{group: g, route: target.route, writes: writes, need: pool.ConnRequest{
+		Account: target.account.Name, Weight: s.host.accountWeight(target.account.Name), Rank: target.route.Priority, ArrivedAt: arrived,
+		RefuseEarly: target.route.LatencyTarget > 0,
+	}}
 	if s.origin == nil && s.host.shouldForward(g) {
 		op.shouldForward = true
 		return op, nil
@@ -132,12 +137,18 @@
 	return started.Add(wait)
 }
 
-func busyReply(op operation) Reply {
-	if !op.need.PrimaryOnly {
-		return failureReply(Busy, "no connection in time, "+retryAfter(0))
+func busyReply(op operation) Reply { return Reply{Failure: op.noConnection(Busy, errNoConnection)} }
+
+// noConnection returns the refusal of an operation for which acquireConn has returned err.
+func (op *operation) noConnection(code Code, err error) *Failure {
+	reason := "no connection in time"
+	switch {
+	case errors.Is(err, errOverloaded):
+		reason = err.Error()
+	case op.need.PrimaryOnly:
+		reason = "no connection to the primary in time"
 	}
-	remaining, _ := op.group.outageOutlasts(op.deadline)
-	return failureReply(Busy, "no connection to the primary in time, "+retryAfter(remaining))
+	return op.refusal(code, reason)
 }
 
 // outageRefusal returns a failure with the code if the operation needs the primary and the outage
@@ -147,8 +158,8 @@
 		return nil
 	}
 	op.group.notePrimaryNeeded()
-	if remaining, ok := op.group.outageOutlasts(op.deadline); ok {
-		return outageFailure(code, remaining)
+	if _, ok := op.group.outageOutlasts(op.deadline); ok {
+		return op.refusal(code, "the primary is not expected back in time")
 	}
 	return nil
 }
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
 
 	"pearlatch/core/account"
+	"pearlatch/core/admission"
 	"pearlatch/core/leadership"
 	"pearlatch/internal/fleet"
 	"pearlatch/internal/quotas"
@@ -101,6 +103,27 @@
 	}
 }
 
+// unlimitedWeight is the weight of an account without a quota: that of the largest quotas in use, since it must not get
+// less than accounts that are limited.
+const unlimitedWeight = 500
+
+// accountWeight returns the share of an account in the members' slots while statements wait, which is its quota. It is
+// zero where callers have no accounts.
+func (h *Host) accountWeight(name string) float64 {
+	if name == "" {
+		return 0
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.config == nil || h.config.Accounts == nil {
+		return 0
+	}
+	if a := h.config.Accounts.Account(name); a != nil && !a.Quota.Unlimited() {
+		return a.Quota.Rate
+	}
+	return unlimitedWeight
+}
+
 // takeQuota charges an operation to the account's quota, and may wait for the granter until the given time. It
 // returns an OverQuota failure if the quota is exhausted.
 func (h *Host) takeQuota(ctx context.Context, a *account.Account, until time.Time) *Failure {
@@ -108,6 +131,6 @@
 	if ok {
 		return nil
 	}
-	detail := fmt.Sprintf("account %s is beyond its quota of %g operations per second, %s", a.Name, a.Quota.Rate, retryAfter(after))
+	detail := fmt.Sprintf("account %s is beyond its quota of %g operations per second, %s", a.Name, a.Quota.Rate, retryAfter(admission.Spread(after, rand.Float64())))
 	return &Failure{OverQuota, detail}
 }
