Hosts show what waits and what was refused by quotas, by group and account

Refusals by load and for lack of a primary are not counted yet: they are decided in several places, which the admission part merges into one.

--- a/cmd/pearlatch/main.go
+++ b/cmd/pearlatch/main.go
@@ -32,7 +32,7 @@
 	p.LongDescription = longDescription
 	addCommand(p, "serve", "Run a host", "Runs a host until SIGTERM or SIGINT, which drain it: no request in flight is cut.", &serveCommand{})
 	addCommand(p, "check", "Check a settings file or a configuration document", "Reports every mistake found, with line, field and reason. Exit code 2 if there is one.", &checkCommand{})
-	addCommand(p, "dump", "Show the state of a running host", "Prints the state of the host whose operator address is given, as JSON.", &dumpCommand{})
+	addCommand(p, "dump", "Show the state of a running host", "Prints the state of the host whose operator address is given, as JSON, or its load as a table. For pearlatch gateway the address is that of its metrics.", &dumpCommand{})
 	addCommand(p, "drain", "Drain a running host", "Orders the host whose operator address is given to shut down gracefully.", &drainCommand{})
 	addCommand(p, "gateway", "Run a host on the platform of the users", "Runs a host whose members acknowledge writes themselves, until SIGTERM. The settings file may also be named by PEARLATCH_SETTINGS.", &gatewayCommand{})
 	addConfigCommands(p)
--- a/cmd/pearlatch/remote.go
+++ b/cmd/pearlatch/remote.go
@@ -20,9 +20,10 @@
 	Addr string `positional-arg-name:"HOST:PORT" required:"true"`
 }
 
-// dumpCommand prints the state of a host as JSON.
+// dumpCommand prints the state of a host as JSON, or its load as a table.
 type dumpCommand struct {
 	tlsOptions
+	Load bool `long:"load" description:"only what waits and what was refused, as a table (hosts that run pearlatch gateway)"`
 	Args addrArgs `positional-args:"true"`
 }
 
@@ -37,6 +38,11 @@
 		return err
 	}
 	var out bytes.Buffer
+	if c.Load {
+		table, err := operator.FormatLoad(raw)
+		fmt.Print(table)
+		return err
+	}
 	if err := json.Indent(&out, raw, "", "  "); err != nil {
 		return errors.Wrap(err, "dump")
 	}
--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -61,6 +61,7 @@
 	}
 	timer := time.NewTimer(r.Deadline.Sub(g.now()))
 	defer timer.Stop()
+	defer g.usage.Done(g.usage.Wait(r.Account))
 	queued := g.now()
 	defer func() { g.metrics.connWait(g.name, g.now().Sub(queued)) }()
 	select {
--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -18,6 +18,7 @@
 	"pearlatch/core/pool"
 	"pearlatch/core/serving"
 	"pearlatch/internal/loads"
+	"pearlatch/internal/usage"
 )
 
 // Group is a host's view of a database group: its members, the connections to them and what is known
@@ -29,6 +30,8 @@
 	logger  log.Logger
 	now     func() time.Time
 	metrics hostMetrics
+	// usage counts what waits and what is refused on this host.
+	usage *usage.Table
 	// loads says to which hosts statements are forwarded if other hosts serve the group.
 	loads *loads.Group
 	// maxDrain is how long a primary that is leaving may still get new work.
@@ -139,7 +142,7 @@
 func newGroup(name string, h *Host) *Group {
 	g := &Group{
 		name: name, zone: h.settings.Zone, dialer: h.ports.Dialer, logger: log.With(h.logger, "group", name),
-		now: h.now, metrics: h.metrics, knownRevision: &h.knownRevision, maxDrain: h.settings.MemberDrain - drainMargin,
+		now: h.now, metrics: h.metrics, usage: &h.usage, knownRevision: &h.knownRevision, maxDrain: h.settings.MemberDrain - drainMargin,
 		members: map[string]*member{}, maxConnections: 1, hostCount: 1, controlConns: map[string]*controlConn{},
 		probeSignal: make(chan struct{}, 1), leaseSignal: make(chan struct{}, 1),
 		conns: map[*pool.Conn]*pooledConn{}, waiting: map[*pool.Waiter]chan *pooledConn{},
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -22,6 +22,7 @@
 	"pearlatch/internal/follow"
 	"pearlatch/internal/pause"
 	"pearlatch/internal/quotas"
+	"pearlatch/internal/usage"
 )
 
 // Settings are the startup settings of a host.
@@ -88,6 +89,7 @@
 	logger   log.Logger
 	now      func() time.Time
 	metrics  hostMetrics
+	usage    usage.Table
 
 	mu     sync.Mutex
 	config *Config
@@ -302,8 +304,11 @@
 	s := h.Snapshot()
 	h.metrics.set("sessions", s.Sessions)
 	h.metrics.set("config_version", s.ConfigVersion)
+	h.usage.Publish(h.ports.Metrics, h.now())
 	for _, g := range s.Groups {
 		h.metrics.set(fmt.Sprintf("waiting{group=%q}", g.Name), int64(g.Waiting))
+		h.metrics.set(fmt.Sprintf("expected_wait_milliseconds{group=%q}", g.Name), g.ExpectedWait.Milliseconds())
+		h.metrics.set(fmt.Sprintf("drain_per_second{group=%q}", g.Name), int64(g.DrainRate))
 		h.metrics.set(fmt.Sprintf("sample_age_milliseconds{group=%q}", g.Name), g.SampleAge.Milliseconds())
 		for _, m := range g.Members {
 			label := fmt.Sprintf("{group=%q,member=%q}", g.Name, m.ID)
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -6,6 +6,7 @@
 
 	"pearlatch/core/account"
 	"pearlatch/core/group"
+	"pearlatch/internal/usage"
 )
 
 // Session is the session of a caller. It is used by one goroutine at a time.
@@ -134,7 +135,7 @@
 // transaction, or a statement outside one. Operations of another host's callers were
 // charged there.
 func (s *Session) chargeQuota(ctx context.Context, r Request, arrived time.Time) *Failure {
-	if s.origin != nil || s.state != Idle {
+	if s.state != Idle {
 		return nil
 	}
 	switch r.Statement.(type) {
@@ -146,7 +147,14 @@
 	if f != nil {
 		return f
 	}
-	return s.host.takeQuota(ctx, target.account, arrived.Add(target.route.Timeout))
+	s.host.usage.Begun(target.account.Name, arrived)
+	if s.origin != nil {
+		return nil
+	}
+	if f = s.host.takeQuota(ctx, target.account, arrived.Add(target.route.Timeout)); f != nil {
+		s.host.usage.Refused(target.group.name, target.account.Name, usage.Quota)
+	}
+	return f
 }
 
 // recordOutcome counts a statement that was answered, and logs it if it failed.
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -2,11 +2,14 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
 	"pearlatch/core/group"
 	"pearlatch/core/kv"
+	"pearlatch/core/load"
+	"pearlatch/internal/usage"
 )
 
 // HostState is a snapshot of what a host knows, with the age of that knowledge.
@@ -20,6 +23,9 @@
 	// StoreRevision is the store's revision of the newest change seen.
 	StoreRevision kv.Revision
 	Groups        []GroupState
+	// Accounts are the largest accounts, and OtherAccounts is the sum of all others.
+	Accounts      []usage.AccountUsage
+	OtherAccounts usage.AccountUsage
 }
 
 // GroupState is what a host knows of a group.
@@ -30,6 +36,12 @@
 	Term    group.Term
 	// Waiting is how many statements wait for a connection.
 	Waiting int
+	// DrainRate is how many waiting statements are served per second, and ExpectedWait how long a statement that arrives
+	// now waits. Both are zero if they are not known.
+	DrainRate    float64
+	ExpectedWait time.Duration
+	// Refused counts the operations that this host has refused.
+	Refused usage.Refusals
 	// SampleAge is the age of the newest known position of the primary's log, or negative if none is known.
 	SampleAge time.Duration
 	// Share is the host's share of each member's connections.
@@ -63,6 +75,7 @@
 		out.ConfigVersion = h.config.Version
 	}
 	h.mu.Unlock()
+	out.Accounts, out.OtherAccounts = h.usage.Accounts(h.now())
 	for _, g := range h.allGroups() {
 		out.Groups = append(out.Groups, g.snapshot())
 	}
@@ -74,8 +87,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
+	report, _ := g.loads.Report(load.Kind{Rank: math.MaxInt}, g.pool.Waiting()) // of the least important statements
 	out := GroupState{
 		Name: g.name, Primary: g.primaryID, Term: g.primaryTerm, Waiting: g.pool.Waiting(),
+		DrainRate: report.Rate, ExpectedWait: report.Delay, Refused: g.usage.GroupRefusals(g.name),
 		SampleAge: elapsedSince(now, g.samples.LatestTime()), Share: g.share(),
 	}
 	for _, m := range g.sortedMembers {
--- a/io/operator/gateway.go
+++ b/io/operator/gateway.go
@@ -1,12 +1,14 @@
 package operator
 
 import (
+	"math"
 	"net/http"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 
 	"pearlatch/internal/gateway"
+	"pearlatch/internal/usage"
 )
 
 // The JSON form of the state of a gateway host. Ages are in milliseconds; a
@@ -22,15 +24,27 @@
 		StoreRevision int64       `json:"store_revision"`
 		StoreEpoch    int64       `json:"store_epoch"`
 		Groups        []groupDump `json:"groups"`
+		// Accounts are the largest accounts. Others is the sum of all others.
+		Accounts []accountDump `json:"accounts"`
+		Others   accountDump   `json:"other_accounts"`
+	}
+	accountDump struct {
+		Name    string           `json:"account,omitempty"`
+		Waiting int              `json:"waiting"`
+		Refused map[string]int64 `json:"refused"`
 	}
 	groupDump struct {
-		Name        string       `json:"group"`
-		Primary     string       `json:"primary"`
-		Term        uint64       `json:"term"`
-		Waiting     int          `json:"waiting"`
-		SampleAgeMS int64        `json:"sample_age_ms"`
-		Share       int          `json:"share"`
-		Members     []memberDump `json:"members"`
+		Name    string `json:"group"`
+		Primary string `json:"primary"`
+		Term    uint64 `json:"term"`
+		Waiting int    `json:"waiting"`
+		// DrainPerSecond and ExpectedWaitMS are zero if they are not known.
+		DrainPerSecond float64          `json:"drain_per_second"`
+		ExpectedWaitMS int64            `json:"expected_wait_ms"`
+		Refused        map[string]int64 `json:"refused"`
+		SampleAgeMS    int64            `json:"sample_age_ms"`
+		Share          int              `json:"share"`
+		Members        []memberDump     `json:"members"`
 	}
 	memberDump struct {
 		ID             string `json:"member"`
@@ -72,7 +86,8 @@
 	}
 	for _, g := range s.Groups {
 		d := groupDump{
-			Name: g.Name, Primary: g.Primary, Term: uint64(g.Term), Waiting: g.Waiting,
+			Name: g.Name, Primary: g.Primary, Term: uint64(g.Term), Waiting: g.Waiting, DrainPerSecond: math.Round(10*g.DrainRate) / 10,
+			ExpectedWaitMS: g.ExpectedWait.Milliseconds(), Refused: newRefusalsDump(g.Refused),
 			SampleAgeMS: ageMS(g.SampleAge), Share: g.Share,
 		}
 		for _, m := range g.Members {
@@ -84,6 +99,22 @@
 		}
 		out.Groups = append(out.Groups, d)
 	}
+	for _, a := range s.Accounts {
+		out.Accounts = append(out.Accounts, newAccountDump(a))
+	}
+	out.Others = newAccountDump(s.OtherAccounts)
+	return out
+}
+
+func newAccountDump(a usage.AccountUsage) accountDump {
+	return accountDump{a.Name, a.Waiting, newRefusalsDump(a.Refused)}
+}
+
+func newRefusalsDump(r usage.Refusals) map[string]int64 {
+	out := map[string]int64{}
+	for c, n := range r {
+		out[usage.Cause(c).String()] = n
+	}
 	return out
 }
 
