pearlatch check checks the platform's configuration

Operators raise and lower quotas in the document that the platform keeps under op/config. pearlatch check took it for a configuration of pearlatch serve and reported wrong mistakes; it names those of the document's own fields now, as a host would. cmd/pearlatch/remote.go was not gofmt-clean in the commit before.

--- a/cmd/pearlatch/check.go
+++ b/cmd/pearlatch/check.go
@@ -30,6 +30,9 @@
 	case isGatewaySettings(text):
 		kind = "settings of a gateway"
 		_, err = platform.ParseSettings(text)
+	case isPlatformConfig(text):
+		kind = "configuration of gateways"
+		_, err = platform.Decoder{}.Config(text)
 	case isHostSettings(text):
 		kind = "settings"
 		_, err = host.ParseSettings(text)
@@ -50,6 +53,13 @@
 	return yamlmap.Parse(text, &ignored).Has("promotions")
 }
 
+// isPlatformConfig reports whether text holds a configuration that the platform
+// gives to gateways, in JSON. It lists services.
+func isPlatformConfig(text []byte) bool {
+	var ignored yamlmap.Mistakes
+	return yamlmap.Parse(text, &ignored).Has("services")
+}
+
 // isHostSettings reports whether text holds the settings of a host rather than a
 // configuration document, which has a version.
 func isHostSettings(text []byte) bool {
--- a/cmd/pearlatch/remote.go
+++ b/cmd/pearlatch/remote.go
@@ -23,7 +23,7 @@
 // dumpCommand prints the state of a host as JSON, or its load as a table.
 type dumpCommand struct {
 	tlsOptions
-	Load bool `long:"load" description:"only what waits and what was refused, as a table (hosts that run pearlatch gateway)"`
+	Load bool     `long:"load" description:"only what waits and what was refused, as a table (hosts that run pearlatch gateway)"`
 	Args addrArgs `positional-args:"true"`
 }
 
