--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -24,6 +24,7 @@
 	"pearlatch/internal/hostmetrics"
 	"pearlatch/internal/pause"
 	"pearlatch/internal/quotas"
+	"pearlatch/internal/usage"
 )
 
 // Settings are the startup settings of a host.
@@ -90,6 +91,7 @@
 	logger   log.Logger
 	now      func() time.Time
 	metrics  hostmetrics.Recorder
+	usage    usage.Table
 
 	mu     sync.Mutex
 	config *Config
@@ -312,8 +314,11 @@
 	s := h.Snapshot()
 	h.metrics.Set("sessions", s.Sessions)
 	h.metrics.Set("config_version", s.ConfigVersion)
+	h.usage.Publish(h.ports.Metrics, h.now())
 	for _, g := range s.Groups {
 		h.metrics.Set(fmt.Sprintf("waiting{group=%q}", g.Name), int64(g.Waiting))
+		h.metrics.Set(fmt.Sprintf("expected_wait_milliseconds{group=%q}", g.Name), g.ExpectedWait.Milliseconds())
+		h.metrics.Set(fmt.Sprintf("drain_per_second{group=%q}", g.Name), int64(g.DrainRate))
 		h.metrics.Set(fmt.Sprintf("sample_age_milliseconds{group=%q}", g.Name), g.SampleAge.Milliseconds())
 		for _, m := range g.Members {
 			label := fmt.Sprintf("{group=%q,member=%q}", g.Name, m.ID)
--- a/internal/gateway/record_test.go
+++ b/internal/gateway/record_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"pearlatch/core/freshness"
+	"pearlatch/core/leadership"
 )
 
 // The primary stops answering, and the coordinator stops before it has replaced it. The next coordinator has never reached
