Quotas: an old failure of the granter no longer refuses the first operations

A host that knew no granter when it started, or whose last account had gone while the granter failed, kept the time of that failure. A failure counts only while it is repeated within 500 ms.

--- a/core/quota/limiter.go
+++ b/core/quota/limiter.go
@@ -44,8 +44,8 @@
 	requestedAt               time.Time
 	// activeAt is when the host's portions become active.
 	activeAt time.Time
-	// failingSince is when the granter stopped responding, or zero.
-	failingSince time.Time
+	// failingSince is when the granter stopped responding, or zero. failedAt is when it last failed to respond.
+	failingSince, failedAt time.Time
 	// partial is true if the granter did not know what all hosts hold when it last responded.
 	partial bool
 	// waiting holds the accounts with waiting operations, and reserved those of which the host holds reserves.
--- a/core/quota/limiter_test.go
+++ b/core/quota/limiter_test.go
@@ -152,3 +152,24 @@
 		}
 	}
 }
+
+// A host knew no granter when it started, and had no accounts to serve until later. If the failure of long ago counted,
+// the first operations would be refused although the granter is there.
+func TestOldFailureOfTheGranterDoesNotCount(t *testing.T) {
+	l := NewLimiter()
+	l.RecordNoGranter(t0)
+	at := t0.Add(2 * time.Second)
+	if d, _ := l.Begin("a", quota40, at, at.Add(time.Second)); d != Wait {
+		t.Errorf("decision %v, want to wait for the granter", d)
+	}
+	// It declines the first request until it has recorded the host.
+	l.RecordNoGranter(at)
+	if d, _ := l.Begin("a", quota40, at, at.Add(time.Second)); d != Wait {
+		t.Errorf("decision %v after a failure just now, want to wait for the granter", d)
+	}
+	at = at.Add(granterLossTimeout + ms)
+	l.RecordNoGranter(at)
+	if d, _ := l.Begin("a", quota40, at, at.Add(time.Second)); d != Refused {
+		t.Errorf("decision %v, want a refusal while the granter still fails", d)
+	}
+}
--- a/core/quota/reserve.go
+++ b/core/quota/reserve.go
@@ -39,9 +39,20 @@
 
 // RecordNoGranter records that the host knows no granter.
 func (l *Limiter) RecordNoGranter(now time.Time) {
-	if l.failingSince.IsZero() {
+	if l.failingSince.IsZero() || now.Sub(l.failedAt) > failureTTL {
 		l.failingSince = now
 	}
+	l.failedAt = now
+}
+
+// failureTTL is how long after its last failure the granter counts as failing. It exceeds several of the driver's maintenance
+// intervals, in each of which a failing granter is tried again while there are accounts to serve.
+const failureTTL = 500 * time.Millisecond
+
+// granterLost reports whether the granter has failed to respond for so long that operations no longer wait for it. A
+// failure that was not repeated does not count: with no accounts to serve, the granter has not been tried since.
+func (l *Limiter) granterLost(now time.Time) bool {
+	return !l.failingSince.IsZero() && now.Sub(l.failingSince) > granterLossTimeout && now.Sub(l.failedAt) <= failureTTL
 }
 
 // FailingSince returns when the granter stopped responding, or zero.
--- a/core/quota/waiting.go
+++ b/core/quota/waiting.go
@@ -50,7 +50,7 @@
 // mayBeServed reports whether an operation for which some reserve holders were asked may get a token from the granter or
 // another holder.
 func (l *Limiter) mayBeServed(a *localAccount, holdersAsked int, now time.Time) bool {
-	granter := !now.Before(a.refusedUntil) && (l.failingSince.IsZero() || now.Sub(l.failingSince) <= granterLossTimeout)
+	granter := !now.Before(a.refusedUntil) && !l.granterLost(now)
 	return granter || l.holdersMayServe(a, now) && holdersAsked < l.holders.MaxAsks()
 }
 
