--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -260,6 +260,8 @@
 		{"above the share", burstIdleTimeout, 2, 8, 0, 2},
 		{"many hosts", shareIdleTimeout, 3, ManyHosts + 1, 0, 3},
 		{"kept warm", shareIdleTimeout, 3, 8, 2, 2},
+		{"accounts of other hosts' callers", shareIdleTimeout, 4, 3, 1, 3},
+		{"more than three quarters of the share", shareIdleTimeout, 3, 3, 1, 2},
 	} {
 		h := newHarness(t, 3, "r")
 		var all []*Conn
@@ -278,3 +280,17 @@
 		}
 	}
 }
+
+// A spare connection belongs to no account. Where callers have accounts it would only take up a slot while it is opened.
+func TestSpareConnsOnlyWithoutAccounts(t *testing.T) {
+	for account, want := range map[string]int{"": 2, "bakery": 1} {
+		h := newHarness(t, 8, "r")
+		c, _ := h.acquire(readRequest(account))
+		h.pool.Release(c, h.now)
+		h.pool.Trim(h.now, 3, func(*Member) int { return 2 })
+		h.runActions()
+		if got := c.Member().Load().ConnCount; got != want {
+			t.Errorf("account %q: %d connections, want %d", account, got, want)
+		}
+	}
+}
