Coordinator roles are acquired side by side, and conflicts delay no others

Cause: a transaction of up to eight roles conflicted as a whole, and the roles were then acquired one after the other, as were batches and the records read and written by themselves. A host that took over its earlier process's role with an old view of the record tried again only with the next poll.

Change: roles of an earlier process of this host, which no other host claims, have transactions of their own; batches, single roles after a conflict and records run side by side, eight calls at once. A conflict over such a role leads to a second attempt without the record at once. The schedule of attempts (rank, backoff) is core/leadership.ClaimSchedule.

Kept: the backoff of 200 ms and more after other conflicts, since the view is then old and another host holds the role; the delay by rank; the lease that must not be about to end.

--- a/core/leadership/claim_test.go
+++ b/core/leadership/claim_test.go
@@ -36,3 +36,20 @@
 		}
 	}
 }
+
+// A host that receives no updates regards a role as vacant that another host holds. It must not call the store with each
+// check.
+func TestFailedClaimsAreRareAndRetried(t *testing.T) {
+	var s ClaimSchedule
+	now, claims := time.Unix(100, 0), 0
+	for range 100 {
+		if s.Due(now, 0, 0) {
+			claims++
+			s.Fail(now)
+		}
+		now = now.Add(100 * time.Millisecond)
+	}
+	if claims < 4 || claims > 8 {
+		t.Errorf("%d claims in 10 s", claims)
+	}
+}
--- a/internal/gateway/acquire.go
+++ b/internal/gateway/acquire.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -23,23 +24,40 @@
 	transaction kv.Transaction
 }
 
-// acquireCoordinators acquires roles, up to acquireBatchSize in one call to the store.
-func (h *Host) acquireCoordinators(ctx context.Context, due []*coordinator) {
-	for batch := range slices.Chunk(due, acquireBatchSize) {
-		h.acquireBatch(ctx, batch)
+// acquireCoordinators acquires roles that an earlier process of this host held, and vacant ones, up to acquireBatchSize in
+// one call to the store and up to acquireBatchSize calls at once. Only vacant roles are claimed by several hosts. They
+// are in batches of their own, so that their conflicts do not delay the others.
+func (h *Host) acquireCoordinators(ctx context.Context, reclaimed, vacant []*coordinator) {
+	if len(reclaimed)+len(vacant) == 0 {
+		return
 	}
-}
-
-// acquireBatch acquires roles with one call to the store. If that conflicts, it acquires each role by itself, so that one
-// that is already taken does not delay the others.
-func (h *Host) acquireBatch(ctx context.Context, due []*coordinator) {
 	lease, renewed, err := h.coordinatorLease.ensure(ctx)
 	if err != nil {
-		for _, d := range due {
+		for _, d := range slices.Concat(reclaimed, vacant) {
 			d.acquireFailed(err, false)
 		}
 		return
 	}
+	batches := slices.Collect(slices.Chunk(reclaimed, acquireBatchSize))
+	batches = slices.AppendSeq(batches, slices.Chunk(vacant, acquireBatchSize))
+	forEach(batches, func(batch []*coordinator) { h.acquireBatch(ctx, batch, lease, renewed) })
+}
+
+// forEach calls f for all items, for up to acquireBatchSize at once.
+func forEach[T any](items []T, f func(T)) {
+	for some := range slices.Chunk(items, acquireBatchSize) {
+		var wait sync.WaitGroup
+		for _, i := range some {
+			wait.Go(func() { f(i) })
+		}
+		wait.Wait()
+	}
+}
+
+// acquireBatch acquires roles with one call to the store. If that conflicts, it acquires each role by itself, so that one
+// that is already taken does not delay the others. A conflict over a role of an earlier process of this host shows that
+// the view of the record is old, since no other host claims the role: it is acquired without the record at once.
+func (h *Host) acquireBatch(ctx context.Context, due []*coordinator, lease int64, renewed time.Time) {
 	var merged kv.Transaction
 	var acquisitions []acquisition
 	for _, d := range due {
@@ -52,14 +70,14 @@
 	revision, err := h.ports.Store.Commit(call, merged)
 	switch {
 	case err == nil:
-		for _, a := range acquisitions {
-			a.coordinator.completeAcquisition(ctx, a, revision, lease, renewed)
-		}
+		forEach(acquisitions, func(a acquisition) { a.coordinator.completeAcquisition(ctx, a, revision, lease, renewed) })
 		return
 	case errors.Is(err, ErrConflict) && len(due) > 1:
-		for _, d := range due {
-			h.acquireBatch(ctx, []*coordinator{d})
-		}
+		forEach(due, func(d *coordinator) { h.acquireBatch(ctx, []*coordinator{d}, lease, renewed) })
+		return
+	case errors.Is(err, ErrConflict) && acquisitions[0].entryRevision != 0 && !due[0].recordSeparately:
+		due[0].recordSeparately = true
+		h.acquireBatch(ctx, due, lease, renewed)
 		return
 	case errors.Is(err, ErrNoLease):
 		h.coordinatorLease.forget(lease)
@@ -108,7 +126,8 @@
 	d.writeUncertain, d.exemptToken = false, 0
 	d.recordInherited, d.pendingMember, d.recordRevision, d.primaryStatus, d.grants, d.resigning = false, "", 0, primaryStatus{}, leadership.Grants{}, false
 	d.mu.Unlock()
-	d.vacantSince, d.acquireBackoff, d.recordSeparately = time.Time{}, 0, false
+	d.claims.Reset()
+	d.recordSeparately = false
 	d.log("duty_taken", "token", int64(revision))
 	d.group.clearAllReplacements()
 	if a.inherited != nil && a.inherited.record.Epoch == revision.Epoch() {
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -25,11 +25,6 @@
 	// coordinatorPollInterval is the interval at which a host checks for vacant roles. It is short because after a
 	// restart of all hosts nobody grants leases until the roles are acquired again.
 	coordinatorPollInterval = 100 * time.Millisecond
-	// minAcquireBackoff and maxAcquireBackoff bound the backoff after a failed attempt to acquire a role. Without
-	// it, a host that received no updates tried ten times a second to acquire a role that another host already had,
-	// with three store calls each time.
-	minAcquireBackoff = 200 * time.Millisecond
-	maxAcquireBackoff = 3200 * time.Millisecond
 	// acquireBatchSize is how many roles are acquired in one transaction. A transaction has at most 32 entries, and
 	// each role needs two preconditions and two writes.
 	acquireBatchSize = 8
@@ -71,10 +66,8 @@
 	lastWokenAt time.Time
 	// resigning is true once the host has begun to hand the role back and waits for its leases to end.
 	resigning bool
-	// vacantSince is when the role was first seen without a holder, or zero. After a failed attempt to acquire it,
-	// the next attempt starts no sooner than nextAcquireAt, which is acquireBackoff later.
-	vacantSince, nextAcquireAt time.Time
-	acquireBackoff             time.Duration
+	// claims decides when the host tries to acquire the role.
+	claims leadership.ClaimSchedule
 	// recordSeparately is true if the record is to be read and written after the role is acquired rather than in
 	// the same transaction.
 	recordSeparately bool
@@ -100,13 +93,15 @@
 	var wait sync.WaitGroup
 	defer wait.Wait()
 	for h.awaitCoordinatorPoll(ctx) {
-		var due []*coordinator
+		due := map[leadership.RoleStep][]*coordinator{}
 		for _, g := range h.allGroups() {
-			if d := h.ensureGroupStarted(ctx, g, wait.Go); d != nil && d.step(ctx) {
-				due = append(due, d)
+			if d := h.ensureGroupStarted(ctx, g, wait.Go); d != nil {
+				step := d.step(ctx)
+				due[step] = append(due[step], d)
 			}
 		}
-		h.acquireCoordinators(ctx, due)
+		h.acquireCoordinators(ctx, due[leadership.ReclaimRole], due[leadership.ClaimRole])
+		forEach(due[leadership.InheritRecord], func(d *coordinator) { d.tryInheritRecord(ctx) })
 		h.dropUnusedGroups()
 	}
 	for _, d := range h.heldCoordinators() {
@@ -137,11 +132,10 @@
 	return true
 }
 
-// step takes the next action that the state of the role calls for, and reports whether the role is to be acquired.
-func (d *coordinator) step(ctx context.Context) (acquire bool) {
-	now := d.host.now()
+// step takes the next action, but returns InheritRecord, ReclaimRole or ClaimRole, which call the store, without taking it.
+func (d *coordinator) step(ctx context.Context) leadership.RoleStep {
 	state, holder := d.state()
-	switch state.Next() {
+	switch next := state.Next(); next {
 	case leadership.LoseToRestore:
 		d.loseRole(reasonStoreRestored)
 	case leadership.LoseToHolder:
@@ -150,16 +144,16 @@
 		d.loseRole("entry removed")
 	case leadership.HandBackRole:
 		d.resign(ctx)
-	case leadership.InheritRecord:
-		d.tryInheritRecord(ctx)
-	case leadership.ReclaimRole:
-		return true
+	case leadership.InheritRecord, leadership.ReclaimRole:
+		return next
 	case leadership.ForgetVacancy:
-		d.vacantSince, d.acquireBackoff = time.Time{}, 0
+		d.claims.Reset()
 	case leadership.ClaimRole:
-		return d.mayAcquire(now)
+		if d.claims.Due(d.host.now(), d.host.fleet.CoordinatorRank(d.group.name), d.host.storeView.Lag()) {
+			return next
+		}
 	}
-	return false
+	return leadership.KeepRole
 }
 
 // state returns the known state of the role and the host that its entry names.
@@ -178,17 +172,6 @@
 	}, holder
 }
 
-// mayAcquire reports whether the role has been vacant for as long as higher-ranked hosts are given to acquire it, and no
-// backoff is running. The first call for a vacant role sets vacantSince and returns false.
-func (d *coordinator) mayAcquire(now time.Time) bool {
-	if d.vacantSince.IsZero() {
-		d.vacantSince = now
-		return false
-	}
-	wait := leadership.ClaimDelay(d.host.fleet.CoordinatorRank(d.group.name), d.host.storeView.Lag())
-	return now.Sub(d.vacantSince) >= wait && !now.Before(d.nextAcquireAt)
-}
-
 // isCandidate reports whether the host is among the highest-ranked hosts, which acquire a group's vacant role first.
 func (h *Host) isCandidate(name string) bool {
 	return h.ports.Peers == nil || h.fleet.IsCandidate(name)
@@ -229,9 +212,8 @@
 	d.mu.Lock()
 	d.writeUncertain = d.writeUncertain || sent && !errors.Is(err, ErrConflict)
 	d.mu.Unlock()
-	d.vacantSince, d.recordSeparately = d.host.now(), true
-	d.acquireBackoff = min(max(2*d.acquireBackoff, minAcquireBackoff), maxAcquireBackoff)
-	d.nextAcquireAt = d.vacantSince.Add(d.acquireBackoff)
+	d.recordSeparately = true
+	d.claims.Fail(d.host.now())
 }
 
 // errEntryLost means that the role's entry no longer belongs to this host.
--- a/internal/gateway/restart_test.go
+++ b/internal/gateway/restart_test.go
@@ -107,3 +107,66 @@
 		}
 	})
 }
+
+// Guards against a role that an earlier process of the host held and that is acquired only with the next poll, because the
+// host's view of the record was old.
+func TestOldRecordDelaysNoReclaim(t *testing.T) {
+	const storeDelay = 50 * time.Millisecond
+	withRestart(t, func(s *fakeSite) { s.storeDelay = storeDelay }, func(s *fakeSite, f *fakeFleet) {
+		holder := func() *Host {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			for _, h := range f.all() {
+				if string(s.items["own/duty/"+testGroup].Value) == h.settings.Host {
+					return h
+				}
+			}
+			return nil
+		}()
+		waitFor(t, func() bool { return holder.knownRevision.Load() != 0 })
+		s.mu.Lock()
+		record := holder.recordKey(testGroup)
+		s.putLocked(record, s.items[record].Value, 0)
+		s.mu.Unlock()
+		// One call for the lease and two for the entry.
+		if took := waitFor(t, func() bool { return f.coordinatorHost() == holder }); took > 3*storeDelay+20*time.Millisecond {
+			t.Errorf("the role was acquired after %s", took)
+		}
+	})
+}
+
+// Guards against conflicts over vacant roles that delay roles of an earlier process of this host, which no other host
+// claims, and against calls for single roles that follow one after the other.
+func TestConflictsDelayNoOtherRoles(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeSite("a", "b", "c")
+		s.storeDelay = 50 * time.Millisecond
+		h, stop := startHost(s, "h1", freshness.Latest{})
+		time.Sleep(3 * time.Second)
+		stop()
+		coordinators := func(prefix string, n int) []*coordinator {
+			var out []*coordinator
+			for i := range n {
+				g := newGroup(prefix+string(rune('0'+i)), h)
+				out = append(out, &coordinator{host: h, group: g})
+			}
+			return out
+		}
+		free, taken := coordinators("free", 7), coordinators("taken", 7)
+		for _, d := range taken {
+			s.put(h.coordinatorKey(d.group.name), []byte("h2"), 0)
+		}
+		started := time.Now()
+		h.acquireCoordinators(t.Context(), free, taken)
+		// One call for the lease, one for each batch, and one for the roles that are taken.
+		if took := time.Since(started); took > 4*s.storeDelay {
+			t.Errorf("acquiring took %s", took)
+		}
+		for _, d := range free {
+			if !d.isHeld() {
+				t.Errorf("the role of %s was not acquired", d.group.name)
+			}
+		}
+		time.Sleep(10 * time.Second)
+	})
+}
