Keep the retry times of each class apart

Statements that any member may run and those that need the primary are served at different rates. With one calendar for both, callers of the slower class took the room of the other.

--- a/core/admission/calendar.go
+++ b/core/admission/calendar.go
@@ -65,6 +65,9 @@
 	rate float64
 }
 
+// Calendars holds a Calendar for each class, since statements of different classes are served at different rates.
+type Calendars [classCount]Calendar
+
 // Book returns the time after which the caller is to retry. It is the first time at which the statements that wait and
 // the callers of the same and of higher ranks that return by then will have been served.
 func (c *Calendar) Book(now time.Time, b Booking) time.Duration {
--- a/core/pool/overload_test.go
+++ b/core/pool/overload_test.go
@@ -27,7 +27,7 @@
 	// The primary runs nothing between downFrom and downTo, which the host notices after 300 ms.
 	downFrom, downTo time.Duration
 
-	calendar admission.Calendar
+	calendars admission.Calendars
 	// durations is separate from random, so that the same statements take the same time with and without prediction.
 	random, durations *rand.Rand
 	at                time.Duration
@@ -173,7 +173,7 @@
 	}
 	ahead, rate := g.pool.Backlog(w.Request, g.now)
 	latest := admission.LatestRetry(callerTimeout-waited, 200*ms, 0)
-	a.next = g.at + g.calendar.Book(g.now, admission.Booking{Latest: latest, Backlog: ahead, Rate: rate, Random: g.random.Float64()})
+	a.next = g.at + g.calendars[w.Request.Class()].Book(g.now, admission.Booking{Latest: latest, Backlog: ahead, Rate: rate, Random: g.random.Float64()})
 	if a.count < 3 && a.next-a.began < callerTimeout {
 		g.retrying = append(g.retrying, a)
 	}
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -115,7 +115,7 @@
 		if p.view.Alive(c) {
 			best.inUse++
 			best.running++
-			c.running, c.takenAt, c.class = true, now, r.class()
+			c.running, c.takenAt, c.class = true, now, r.Class()
 			return c
 		}
 		best.connCount--
--- a/core/pool/queue.go
+++ b/core/pool/queue.go
@@ -12,8 +12,8 @@
 	entry   *admission.Entry[*Waiter]
 }
 
-// class returns the class of the statement in the queue.
-func (r ConnRequest) class() admission.Class {
+// Class returns the class of the statement in the queue.
+func (r ConnRequest) Class() admission.Class {
 	if r.PrimaryOnly {
 		return admission.PrimaryOnly
 	}
@@ -34,7 +34,7 @@
 func (p *Pool) Enqueue(r ConnRequest, now time.Time) *Waiter {
 	w := &Waiter{Request: r}
 	w.entry = p.queue.Push(w, admission.Request{
-		Account: r.Account, Weight: r.Weight, Rank: r.Rank, Class: r.class(), ArrivedAt: r.ArrivedAt, WaitUntil: r.waitUntil(),
+		Account: r.Account, Weight: r.Weight, Rank: r.Rank, Class: r.Class(), ArrivedAt: r.ArrivedAt, WaitUntil: r.waitUntil(),
 	}, now)
 	return w
 }
@@ -49,7 +49,7 @@
 // arrives now, and how many of them are served per second, or zero if that is
 // unknown.
 func (p *Pool) Backlog(r ConnRequest, now time.Time) (ahead int, rate float64) {
-	return p.queue.Ahead(r.Rank, r.class()), p.queue.Rate(r.class(), now)
+	return p.queue.Ahead(r.Rank, r.Class()), p.queue.Rate(r.Class(), now)
 }
 
 // Dispatch assigns idle connections to waiting statements, and opens more
--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -97,8 +97,8 @@
 	// estimates the length of the primary's outages.
 	unverifiedSince time.Time
 	outageForecast  outage.Estimator
-	// calendar assigns retry times to refused callers.
-	calendar admission.Calendar
+	// calendars assign retry times to refused callers.
+	calendars admission.Calendars
 	// refusalLoggedAt is when a statement that was refused early was last logged.
 	refusalLoggedAt time.Time
 	// pendingWrites counts writes without an answer, and noAckSince is since when none of them has
--- a/internal/gateway/outage.go
+++ b/internal/gateway/outage.go
@@ -87,7 +87,7 @@
 	now := g.now()
 	remaining := op.need.ArrivedAt.Add(op.route.Timeout).Sub(now)
 	ahead, rate := g.pool.Backlog(op.need, now)
-	return retryAfter(g.calendar.Book(now, admission.Booking{
+	return retryAfter(g.calendars[op.need.Class()].Book(now, admission.Booking{
 		Rank: op.need.Rank, Earliest: earliest, Latest: admission.LatestRetry(remaining, op.route.LatencyTarget, 0),
 		Backlog: ahead, Rate: rate, Random: rand.Float64(),
 	}))
