Charge accounts for the connections that are opened for their statements

Opening a connection occupies a slot of the member for as long as a statement. With 80 accounts (Zipf exponent 1.2), the order by slot time used changed accounts more often than the order of arrival, and opened more connections.

--- a/core/pool/member.go
+++ b/core/pool/member.go
@@ -39,6 +39,10 @@
 	connCount int
 	// opening is the number of connections that are being opened, by account.
 	opening map[string]int
+	// openedFor is the waiting statement for which the last connection is being
+	// opened, since openedForSince, or zero if none is.
+	openedFor      ConnRequest
+	openedForSince time.Time
 	// inUse is the number of connections in use, and running how many of them
 	// run a statement or are about to.
 	inUse, running int
--- a/core/pool/open.go
+++ b/core/pool/open.go
@@ -41,6 +41,7 @@
 		}
 		if m := p.openTarget(r, now); m != nil {
 			p.openOrReplace(m, r.Account)
+			m.openedFor, m.openedForSince = r, now
 		}
 	}
 }
@@ -133,10 +134,15 @@
 	}
 }
 
-// Opened adds a connection that was opened, as an idle one. If the member was
-// removed, it returns nil and the caller must close the connection.
+// Opened adds a connection that was opened, as an idle one. If a statement waits
+// for it, its account is charged for the slot time. If the member was removed,
+// Opened returns nil and the caller must close the connection.
 func (p *Pool) Opened(m *Member, account string, now time.Time) *Conn {
 	m.openingEnded(account)
+	if !m.openedForSince.IsZero() && m.openedFor.Account == account {
+		p.queue.Charge(account, m.openedFor.Class(), now.Sub(m.openedForSince))
+		m.openedForSince = time.Time{}
+	}
 	if m.removed {
 		return nil
 	}
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -298,3 +298,25 @@
 	actions, _ := h.runActions()
 	h.wantActions(actions, "assign bakery")
 }
+
+// Guards against an account that takes slots to open connections without being charged for them.
+func TestOpeningIsCharged(t *testing.T) {
+	h := newHarness(t, 4, "r")
+	hotel, _ := h.acquire(readRequest("hotel"))
+	bakery, _ := h.acquire(readRequest("bakery"))
+	h.pool.Release(bakery, h.now)
+	h.pool.members["r"].RecordOverload(h.now, 1) // one statement at once from now on
+	for _, account := range []string{"chain", "bakery"} {
+		r := readRequest(account)
+		r.ArrivedAt = h.now
+		h.pool.Enqueue(r, h.now)
+		h.pool.Dispatch(h.now, false)
+		h.now = h.now.Add(12 * time.Millisecond)
+	}
+	h.pool.DrainActions() // opens a connection for chain
+	h.pool.Opened(h.pool.members["r"], "chain", h.now)
+	h.pool.Release(hotel, h.now)
+	h.pool.Dispatch(h.now, false)
+	actions, _ := h.runActions()
+	h.wantActions(actions, "assign bakery")
+}
