Refusals by load and for lack of a primary are counted, gauges come from the state

A session keeps the refusal that its host has decided on last, with its cause: the quota, no primary if the operation needs the primary and that is silent, unknown or unconfirmed, and load otherwise. The refusal is counted, and its cause written to the line statement_failed, only if it is what the caller gets. Refusals of other hosts, which are passed on, are counted by those, so the sum over all hosts counts each refusal once. Transactions that are rolled back since a connection or host was lost are no refusals and are not counted.

The gauges are set by io/operator from the host's state, and those of groups, members and accounts that are gone are removed; before, gauges of replaced members stayed for good. Host.RefreshMetrics and usage's own Publish are gone.

--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -393,7 +393,7 @@
 		s.tx, s.state = nil, Idle
 		return failureReply(InDoubt, "host "+server.ID+" was lost with the commit")
 	}
-	return s.failTransaction(Reply{Failure: t.op.refusal(Aborted, "host "+server.ID+" was lost")})
+	return s.failTransaction(Reply{Failure: t.op.notRun(Aborted, "host "+server.ID+" was lost")})
 }
 
 // applyRemoteReply updates the session from another host's reply to a statement of a transaction.
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -309,26 +309,6 @@
 	_ = h.logger.Log(append([]any{"event", event}, fields...)...)
 }
 
-// RefreshMetrics updates the gauges.
-func (h *Host) RefreshMetrics() {
-	s := h.Snapshot()
-	h.metrics.Set("sessions", s.Sessions)
-	h.metrics.Set("config_version", s.ConfigVersion)
-	h.usage.Publish(h.ports.Metrics, h.now())
-	for _, g := range s.Groups {
-		h.metrics.Set(fmt.Sprintf("waiting{group=%q}", g.Name), int64(g.Waiting))
-		h.metrics.Set(fmt.Sprintf("expected_wait_milliseconds{group=%q}", g.Name), g.ExpectedWait.Milliseconds())
-		h.metrics.Set(fmt.Sprintf("drain_per_second{group=%q}", g.Name), int64(g.DrainRate))
-		h.metrics.Set(fmt.Sprintf("sample_age_milliseconds{group=%q}", g.Name), g.SampleAge.Milliseconds())
-		for _, m := range g.Members {
-			label := fmt.Sprintf("{group=%q,member=%q}", g.Name, m.ID)
-			h.metrics.Set("connections"+label, int64(m.Connections))
-			h.metrics.Set("connection_share"+label, int64(g.Share))
-			h.metrics.Set("window"+label, int64(m.Window))
-		}
-	}
-}
-
 // logFailure logs a failed statement with the state that explains the failure: the configuration's version, the assumed
 // primary, the time since it was last confirmed as primary, and the number of statements that wait for a connection of
 // the group.
@@ -341,6 +321,9 @@
 	if target, err := s.route(); err == nil {
 		fields = append(fields, "account", target.account.Name, "group", target.group.name)
 		fields = append(fields, target.group.logFields()...)
+		if cause, ok := s.countRefusal(target, f); ok {
+			fields = append(fields, "cause", cause)
+		}
 	}
 	if s.origin != nil {
 		fields = append(fields, "for", s.origin.from)
--- a/internal/gateway/operation.go
+++ b/internal/gateway/operation.go
@@ -29,6 +29,8 @@
 	// toHome is true if this host serves the group but is not the home server of the account. The
 	// operation is then forwarded only to the home server, and runs here if that does not take it.
 	toHome bool
+	// decision is that of the session.
+	decision *decision
 }
 
 // planOperation returns the operation for a request, with its requirements. For a transaction,
@@ -39,7 +41,7 @@
 		return operation{}, err
 	}
 	g := target.group
-	op := operation{group: g, route: target.route, writes: writes, need: pool.ConnRequest{
+	op := operation{group: g, route: target.route, writes: writes, decision: &s.decision, need: pool.ConnRequest{
 		Account: target.account.Name, Weight: s.host.accountWeight(target.account.Name), Rank: target.route.Priority, ArrivedAt: arrived,
 		RefuseEarly: target.route.LatencyTarget > 0,
 	}}
--- a/internal/gateway/outage.go
+++ b/internal/gateway/outage.go
@@ -71,8 +71,8 @@
 	g.unverifiedSince = time.Time{}
 }
 
-// refusal returns the refusal of an operation that has not run, with the time after which its caller is to retry.
-func (op *operation) refusal(code Code, reason string) *Failure {
+// notRun returns the failure of an operation of which no effect is kept, with the time after which its caller is to retry.
+func (op *operation) notRun(code Code, reason string) *Failure {
 	var outage time.Duration
 	if op.need.PrimaryOnly {
 		outage, _ = op.group.outageOutlasts(op.deadline)
--- a/internal/gateway/serving.go
+++ b/internal/gateway/serving.go
@@ -51,7 +51,7 @@
 		return nil
 	}
 	// The caller needs at least half of its time for later attempts.
-	return &Failure{code, "no connection in time on any host that serves the group, " + op.group.bookRetry(op, comeBack)}
+	return op.decide(&Failure{code, "no connection in time on any host that serves the group, " + op.group.bookRetry(op, comeBack)})
 }
 
 // loadKind returns the kind of a request for a connection.
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -22,6 +22,7 @@
 	tx       *transaction
 	// lastWrite is the position of the session's last write.
 	lastWrite group.Position
+	decision  decision
 	// lastRequestID is the identifier of the latest request.
 	lastRequestID string
 	// origin is set if the caller is connected to another host. It replaces this host's
@@ -151,9 +152,8 @@
 	if s.origin != nil {
 		return nil
 	}
-	if f = s.host.takeQuota(ctx, target.account, arrived.Add(target.route.Timeout)); f != nil {
-		s.host.usage.Refused(target.group.name, target.account.Name, usage.Quota)
-	}
+	f = s.host.takeQuota(ctx, target.account, arrived.Add(target.route.Timeout))
+	s.decision = decision{f, usage.Quota}
 	return f
 }
 
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -209,7 +209,7 @@
 			op.need.Avoid = p.member.ID
 			return Reply{}, &retry{}
 		}
-		return s.failTransaction(Reply{Failure: op.refusal(Aborted, "the connection to "+p.member.ID+" failed")}), nil
+		return s.failTransaction(Reply{Failure: op.notRun(Aborted, "the connection to "+p.member.ID+" failed")}), nil
 	}
 	g.noteAnswer(p.member, sentAt)
 	reply := replies[len(replies)-1]
@@ -285,7 +285,7 @@
 			g.discard(p, err)
 			s.host.logAttempt(s, r, op, p.member.ID, "broken", err)
 			if !t.sentWrite {
-				return Reply{Failure: op.refusal(Aborted, "the connection failed; nothing was written")}
+				return Reply{Failure: op.notRun(Aborted, "the connection failed; nothing was written")}
 			}
 			return failureReply(InDoubt, "the connection to "+p.member.ID+" failed after the commit was sent")
 		}
--- a/internal/hostmetrics/recorder.go
+++ b/internal/hostmetrics/recorder.go
@@ -32,13 +32,6 @@
 	h.(metrics.Histogram).Update(d.Microseconds())
 }
 
-// Set sets a gauge.
-func (m Recorder) Set(name string, v int64) {
-	if m.Registry != nil {
-		metrics.GetOrRegisterGauge(name, m.Registry).Update(v)
-	}
-}
-
 // Statement records the outcome and duration of a caller's statement.
 func (m Recorder) Statement(route, outcome string, took time.Duration) {
 	m.Count(fmt.Sprintf("statements_total{route=%q,outcome=%q}", route, outcome), 1)
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -99,10 +99,7 @@
 // listen opens the host's listeners and starts to serve them.
 func (g *gatewayProcess) listen(ctx context.Context, h *gateway.Host, accept *platform.CallerServer) error {
 	s := g.settings
-	refresh := func() {
-		h.RefreshMetrics()
-		updateDroppedMetrics(g.registry, g.lines)
-	}
+	refresh := func() { updateDroppedMetrics(g.registry, g.lines) }
 	listeners := []struct {
 		name  string
 		addr  netip.AddrPort
--- a/internal/usage/table.go
+++ b/internal/usage/table.go
@@ -36,8 +36,6 @@
 	groups map[string]*Refusals
 	// periodEnd is when the current period for the sizes of accounts ends.
 	periodEnd time.Time
-	// published holds the names of the metrics that Publish has set.
-	published map[string]bool
 }
 
 // Account counts the operations of an account. Table.mu guards it.
@@ -179,11 +177,6 @@
 func (t *Table) Accounts(now time.Time) (largest []AccountUsage, others AccountUsage) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.usage(now)
-}
-
-// usage is Accounts. t.mu must be held.
-func (t *Table) usage(now time.Time) (largest []AccountUsage, others AccountUsage) {
 	t.startPeriod(now)
 	sorted := slices.SortedFunc(maps.Values(t.accounts), func(a, b *Account) int {
 		return cmp.Or(cmp.Compare(b.size(), a.size()), strings.Compare(a.name, b.name))
--- a/internal/usage/table_test.go
+++ b/internal/usage/table_test.go
@@ -5,8 +5,6 @@
 	"strings"
 	"testing"
 	"time"
-
-	"github.com/rcrowley/go-metrics"
 )
 
 var start = time.Unix(1000, 0)
@@ -84,28 +82,6 @@
 	}
 }
 
-// Metrics of accounts that are no longer among the largest must end, or their number would grow with the accounts.
-func TestMetricsStayBounded(t *testing.T) {
-	var table Table
-	r := metrics.NewRegistry()
-	table.Refused("g", "", Load)
-	for minute := range 5 {
-		now := start.Add(time.Duration(minute) * 2 * sizePeriod)
-		for i := range 20 {
-			table.Begun(fmt.Sprint("a", minute, "-", i), now)
-		}
-		table.Publish(r, now)
-	}
-	n, found := 0, false
-	r.Each(func(name string, m any) {
-		n++
-		found = found || name == `refused_total{group="g",cause="load"}` && m.(metrics.Gauge).Value() == 1
-	})
-	if want := causeCount + (listedAccounts+1)*(1+causeCount); n != want || !found {
-		t.Errorf("%d metrics, want %d; the refusal by load is among them: %t", n, want, found)
-	}
-}
-
 func BenchmarkRefused(b *testing.B) {
 	for _, accounts := range []int{1, 80, 10_000} {
 		names := make([]string, accounts)
--- a/io/operator/gateway.go
+++ b/io/operator/gateway.go
@@ -64,12 +64,15 @@
 )
 
 // GatewayHandler serves the metrics of a gateway host, in the Prometheus text
-// format, and its state, as JSON. It calls refresh before it writes the metrics.
+// format, and its state, as JSON. It calls refresh before it writes the metrics,
+// and derives the gauges from the state.
 // refresh and state are called from several goroutines.
 func GatewayHandler(r metrics.Registry, refresh func(), state func() gateway.HostState) http.Handler {
 	mux := http.NewServeMux()
+	gauges := &gauges{registry: r}
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		refresh()
+		gauges.update(state())
 		w.Header().Set("Content-Type", "text/plain; version=0.0.4")
 		if err := WritePrometheus(w, r); err != nil {
 			http.Error(w, err.Error(), http.StatusInternalServerError)
--- a/io/operator/load_table.go
+++ b/io/operator/load_table.go
@@ -31,7 +31,7 @@
 		writeLoadRow(b, g.Name, fmt.Sprint(g.Waiting), fmt.Sprint(g.ExpectedWaitMS), fmt.Sprintf("%.1f", g.DrainPerSecond), causeCounts(g.Refused))
 	}
 	writeLoadRow(b, "account", "waiting", "", "", causeTitles())
-	s.Others.Name = "(others)"
+	s.Others.Name = otherAccounts
 	for _, a := range append(s.Accounts, s.Others) {
 		writeLoadRow(b, a.Name, fmt.Sprint(a.Waiting), "", "", causeCounts(a.Refused))
 	}
