Quotas: holders stay available while the granter changes; tests of an outage

A test with 20 hosts in virtual time showed why operations were still refused after the loss of the granter: the granter's own host held a reserve that was lost with it, a holder without a portion used up one of two requests, stored tokens of small accounts were fractions, and an operation that waited for a holder's next token never asked for it. The granter's host therefore holds no reserve, such holders don't count, reserves store whole tokens (0.45 of the burst instead of 0.35), and an operation asks again when the token is due. Reserves are not suspended while the granter lacks reports.

A new granter queries all hosts at once instead of at the next maintenance round, queries a host that sends a request without a pause, and repeats queries at least every 400 ms instead of 1.6 s while it lacks reports.

The entries of TestRemovalsAreDetected for two safeguards of reserves detected nothing; the tests now check the sum of portions after each request, and the time of activation also for holders.

--- a/core/quota/granter.go
+++ b/core/quota/granter.go
@@ -141,9 +141,6 @@
 // FormerGranters returns the hosts that may still believe that they are the granter, sorted.
 func (g *Granter) FormerGranters() []string { return slices.Sorted(maps.Keys(g.formerGranters)) }
 
-// RemoveHost removes a host that holds nothing and that no successor needs to know of.
-func (g *Granter) RemoveHost(id string) { delete(g.hosts, id) }
-
 // UnreportedHosts returns the hosts that have not reported their holdings, sorted.
 func (g *Granter) UnreportedHosts() []string {
 	var out []string
@@ -244,8 +241,8 @@
 	}
 	known := g.HoldingsKnown(now)
 	// An earlier granter may still count the host's portions as suspended, and distribute the tokens that they leave
-	// unused.
-	suspend := known || now.Sub(h.reportedAt) >= assumeActiveAfter
+	// unused. A reserve holder serves the callers of other hosts until all holdings are known.
+	suspend := known || now.Sub(h.reportedAt) >= assumeActiveAfter && !req.FrequentKeepalives
 	h.heardAt, h.lastRequest, h.suspendSent, h.suspendSentAt = now, req.ID, suspend, now
 	out := Response{Suspended: suspend, Partial: !known, Grants: make([]Grant, len(req.Accounts))}
 	h.suspension = assumeActiveAfter
--- a/core/quota/granter_test.go
+++ b/core/quota/granter_test.go
@@ -133,21 +133,35 @@
 // request, so its portion becomes active earlier than it would after the second one. The granter must not count the
 // portion as suspended for longer.
 func TestSuspensionIsCountedFromTheConfirmedRequest(t *testing.T) {
-	g := newTestGranter(noTolerance, "h1", "h2")
-	grant := requestAccount(t, g, "h1", t0, AccountRequest{Demand: 20})
-	first := requestID
-	requestID++
-	confirmation := Request{ID: requestID, LastAnswered: first, FencingToken: 5}
-	if _, ok := g.HandleRequest("h1", "h1.1", confirmation, t0.Add(assumeActiveAfter-100*ms)); !ok {
-		t.Fatal("no response")
-	}
-	for _, c := range []struct {
-		after time.Duration
-		want  float64
-	}{{assumeActiveAfter - ms, 0}, {assumeActiveAfter, grant.Rate}} {
-		requestAccount(t, g, "h2", t0.Add(c.after), AccountRequest{Waiting: 1})
-		if got := g.pools["a"].totals.activeRate; math.Abs(got-c.want) > 0.001 || grant.Rate < 1 {
-			t.Errorf("%s after the first request a rate of %.1f/s counts as active, want %.1f", c.after, got, c.want)
+	for _, reserves := range []bool{false, true} {
+		g := newTestGranter(noTolerance, "h1", "h2")
+		l := NewLimiter()
+		l.Follow(5)
+		for range 80 {
+			l.Begin("a", quota40, t0, t0)
+		}
+		if reserves {
+			l.SetReserve("a", quota40, ReserveFraction(3), t0)
+		}
+		req, _ := l.NextRequest(t0)
+		response, _ := g.HandleRequest("h1", "h1.1", req, t0)
+		if !l.HandleResponse(req.ID, 5, response, t0) {
+			t.Fatal("no response")
+		}
+		// At the time counted by the granter, the latest response that the host accepts may still be in transit.
+		end := l.activeAt.Add(-ResponseTimeout - maxClockDrift)
+		confirmation := Request{ID: req.ID + 1, LastAnswered: req.ID, FencingToken: 5, FrequentKeepalives: reserves}
+		if _, ok := g.HandleRequest("h1", "h1.1", confirmation, end.Add(-100*ms)); !ok {
+			t.Fatal("no response")
+		}
+		for _, c := range []struct {
+			at     time.Time
+			active bool
+		}{{end.Add(-ms), false}, {end, true}} {
+			requestAccount(t, g, "h2", c.at, AccountRequest{Waiting: 1})
+			if got := g.pools["a"].totals.activeRate; got > 0 != c.active || response.Grants[0].Rate < 1 {
+				t.Errorf("%s after the first request a rate of %.1f/s counts as active, reserves: %v", c.at.Sub(t0), got, reserves)
+			}
 		}
 	}
 }
--- a/core/quota/limiter.go
+++ b/core/quota/limiter.go
@@ -69,17 +69,14 @@
 	// granter or a reserve holder expects to have one.
 	refusedUntil time.Time
 	expected     waiting.Expectation
-	spread       waiting.Spread
 	// unserved is true if the granter had too few tokens while it did not know what all hosts hold.
 	unserved bool
 	// reserve is the fraction of the quota that the host wants to hold for the callers of all hosts. given holds what
 	// other hosts were told about the tokens that this host lacked.
 	reserve float64
 	given   waiting.Schedule
-	// holderRefusals is the number of reserve holders that had no token, one after the other. holdersRefusedUntil is the
-	// time until which no holder is asked again.
-	holderRefusals      int
-	holdersRefusedUntil time.Time
+	// refusals are those of reserve holders.
+	refusals reserve.Refusals
 }
 
 // NewLimiter returns a limiter without tokens.
@@ -223,10 +220,11 @@
 		}
 		a.queue.AddTokens(g.Tokens)
 		a.bucket.applyGrant(g, l.requestedAt, now, l.activeAt)
-		a.refusedUntil, a.expected, a.unserved = time.Time{}, waiting.Expectation{}, g.RetryAfter > 0 && l.partial
+		a.expected.Clear()
+		a.refusedUntil, a.unserved = time.Time{}, g.RetryAfter > 0 && l.partial
 		if g.RetryAfter > 0 {
 			a.refusedUntil = now.Add(min(g.RetryAfter, maxRefusalTTL))
-			a.expected.Expect(g.RetryAfter, g.Interval, now)
+			a.expected.Expect(g.RetryAfter, g.Interval, "", now)
 		}
 	}
 	if activeAt.After(l.activeAt) {
--- a/core/quota/reserve.go
+++ b/core/quota/reserve.go
@@ -60,7 +60,7 @@
 
 // holdersMayServe reports whether a reserve holder may have a token of the account while the granter has none.
 func (l *Limiter) holdersMayServe(a *localAccount, now time.Time) bool {
-	return l.holdersNeeded(a, now) && !now.Before(a.holdersRefusedUntil)
+	return l.holdersNeeded(a, now) && !a.refusals.Paused(now)
 }
 
 // holdersNeeded reports whether the granter fails to respond, is late, or had no token of the account while it did not
@@ -91,7 +91,7 @@
 		if !l.holdersMayServe(a, now) {
 			continue
 		}
-		if n := a.queue.Ask(l.holders.MaxAsks()); n > 0 {
+		if n := a.queue.Ask(l.holders.MaxAsks(), l.holders.MaxTries()); n > 0 {
 			demands = append(demands, reserve.Demand{Account: name, Waiting: n})
 		}
 	}
@@ -112,7 +112,13 @@
 	if !l.holders.Accept(id, now, ResponseTimeout) {
 		return 0
 	}
-	enough := true
+	omitted := l.holders.Omitted(reply)
+	for _, name := range omitted {
+		if a := l.accounts[name]; a != nil {
+			a.queue.DiscountAsk()
+		}
+	}
+	enough := len(omitted) == 0
 	for _, g := range reply.Grants {
 		a := l.accounts[g.Account]
 		if a == nil {
@@ -121,12 +127,12 @@
 		tokens += g.Tokens
 		a.queue.AddTokens(g.Tokens)
 		if g.RetryAfter <= 0 {
-			a.holderRefusals = 0
+			a.refusals.Reset()
 			continue
 		}
 		enough = false
-		a.expected.Expect(g.RetryAfter, g.Interval, now)
-		l.countHolderRefusal(a, min(g.RetryAfter, maxRefusalTTL), now)
+		a.expected.Expect(g.RetryAfter, g.Interval, l.holders.Last(), now)
+		a.refusals.Add(&l.holders, min(g.RetryAfter, maxRefusalTTL), now)
 	}
 	if !enough {
 		l.holders.Advance()
@@ -134,14 +140,6 @@
 	return tokens
 }
 
-// countHolderRefusal counts a holder that had too few tokens or did not reply. Once these are as many as are asked for one
-// operation, no holder is asked again for the given time.
-func (l *Limiter) countHolderRefusal(a *localAccount, pause time.Duration, now time.Time) {
-	if a.holderRefusals++; a.holderRefusals >= l.holders.MaxAsks() {
-		a.holderRefusals, a.holdersRefusedUntil = 0, now.Add(pause)
-	}
-}
-
 // AbandonReserve records that a request to a reserve holder failed, or that the holder declined it.
 func (l *Limiter) AbandonReserve(id uint64, now time.Time) {
 	demands, ok := l.holders.Abandon(id)
@@ -150,7 +148,7 @@
 	}
 	for _, d := range demands {
 		if a := l.accounts[d.Account]; a != nil {
-			l.countHolderRefusal(a, reserve.FailurePause, now)
+			a.refusals.Add(&l.holders, reserve.FailurePause, now)
 		}
 	}
 }
@@ -168,6 +166,9 @@
 			continue
 		}
 		a := l.account(d.Account, q, now)
+		if a.bucket.refill(now, l.activeAt); a.bucket.portion.Rate <= 0 {
+			continue // another holder may have a portion
+		}
 		g := reserve.Grant{Account: d.Account}
 		for g.Tokens < d.Waiting && a.bucket.take(now, l.activeAt) {
 			g.Tokens++
--- a/core/quota/reserve_test.go
+++ b/core/quota/reserve_test.go
@@ -164,6 +164,9 @@
 			}
 			grant := requestAccount(t, g, host, t0.Add(time.Duration(i)*time.Second), q)
 			serials[host], rates[host] = grant.Serial, grant.Rate
+			if sum := g.pools["a"].totals.rate; sum > portionRateFraction*quota40.Rate+0.001 {
+				t.Fatalf("round %d: portions of %.1f/s together after the request of %s", i, sum, host)
+			}
 		}
 	}
 	reserves, others := rates["r1"]+rates["r2"]+rates["r3"]+rates["r4"], rates["h1"]+rates["h2"]
--- a/core/quota/token_pool.go
+++ b/core/quota/token_pool.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math"
 	"time"
 
 	"pearlatch/core/account"
@@ -22,10 +23,10 @@
 	portionHeadroom = 1.15
 	// reserveRateFraction bounds the sum of the reserves' rates, and reserveCapFraction that of their capacities. Half of a
 	// quota nearly covers a usual day's callers. The other portions share the rest of portionRateFraction and
-	// portionCapFraction. Hosts of the previous version, which may succeed this granter, rely on these two fractions. Much of
-	// the capacity is left to other portions, since hosts store tokens there to request fewer.
+	// portionCapFraction. Hosts of the previous version, which may succeed this granter, rely on these two fractions. Most of
+	// the capacity is for reserves: their stored tokens serve callers until the reserves become active.
 	reserveRateFraction = 0.5
-	reserveCapFraction  = 0.35
+	reserveCapFraction  = 0.45
 	// reserveCapDuration is the time for which a reserve holder may store its reserve's tokens, at most: until its portion
 	// becomes active after the loss of the granter.
 	reserveCapDuration = reserveActivateAfter
@@ -266,8 +267,9 @@
 func (t *tokenPool) nextReserve(p *hostPortions, left Portion) Portion {
 	share := p.reserve / max(reserveRateFraction, t.totals.reserve)
 	out := Portion{Rate: min(share*reserveRateFraction*t.quota.Rate, left.Rate)}
-	// A small burst yields less than one token for each of the holders, so the first ones hold one token each.
-	out.Cap = min(max(minCap, min(minCap+out.Rate*reserveCapDuration.Seconds(), share*reserveCapFraction*t.quota.Burst)), left.Cap)
+	// A holder gives whole tokens. A small burst yields less than one for each holder, so the first ones hold one each.
+	tokens := math.Round(min(minCap+out.Rate*reserveCapDuration.Seconds(), share*reserveCapFraction*t.quota.Burst))
+	out.Cap = min(max(minCap, tokens), left.Cap)
 	return out.useful()
 }
 
--- a/core/quota/waiting.go
+++ b/core/quota/waiting.go
@@ -21,13 +21,8 @@
 	Refused
 )
 
-const (
-	// granterLossTimeout is how long a granter may fail to respond before operations stop waiting for it.
-	granterLossTimeout = 300 * time.Millisecond
-	// unknownRetryAfter is the time after which to retry while nothing is known about the next token: the granter is
-	// asked again after a pause of this length.
-	unknownRetryAfter = 25 * time.Millisecond
-)
+// granterLossTimeout is how long a granter may fail to respond before operations stop waiting for it.
+const granterLossTimeout = 300 * time.Millisecond
 
 // Begin counts a new operation of an account in the demand and takes a token for it. With Wait the operation may wait,
 // see AddWaiter; until is the time until which it can. With Refused it returns the time after which to retry.
@@ -38,51 +33,30 @@
 	if ahead == 0 && a.bucket.take(now, l.activeAt) {
 		return Admitted, 0
 	}
-	if l.mayBeServed(a, 0, now) {
+	if a.queue.Len() == 0 {
+		a.refusals.Reset()
+	}
+	if l.granterMayServe(a, now) || l.holdersMayServe(a, now) {
 		return Wait, 0
 	}
-	if after, known := l.expectedAfter(a, ahead+a.expected.Told, now); known && !now.Add(after).After(until) {
+	if after, known := a.expected.AfterTold(ahead, l.supply(a, now), now); known && !now.Add(after).After(until) {
 		return Wait, after
 	}
-	return Refused, l.refuse(a, ahead, now)
+	return Refused, a.expected.Refuse(ahead, l.supply(a, now), now)
 }
 
-// mayBeServed reports whether an operation for which some reserve holders were asked may get a token from the granter or
-// another holder.
-func (l *Limiter) mayBeServed(a *localAccount, holdersAsked int, now time.Time) bool {
-	granter := !now.Before(a.refusedUntil) && !l.granterLost(now)
-	return granter || l.holdersMayServe(a, now) && holdersAsked < l.holders.MaxAsks()
+// granterMayServe reports whether the granter may have a token of the account.
+func (l *Limiter) granterMayServe(a *localAccount, now time.Time) bool {
+	return !now.Before(a.refusedUntil) && !l.granterLost(now)
 }
 
-// expectedAfter returns the time until the token after the given number of earlier ones is expected, or false if that is
-// not known.
-func (l *Limiter) expectedAfter(a *localAccount, earlier int, now time.Time) (time.Duration, bool) {
-	after, known := a.expected.After(earlier, now)
+// supply returns what the host's own portion of the account yields next.
+func (l *Limiter) supply(a *localAccount, now time.Time) waiting.Supply {
 	next, ok := a.bucket.nextTokenIn(now, l.activeAt)
 	if !ok {
-		return after, known
-	}
-	if rate := a.bucket.portion.Rate; rate > 0 {
-		next += time.Duration(float64(earlier) / rate * float64(time.Second))
-	}
-	if !known || next < after {
-		return next, true
+		return waiting.Supply{}
 	}
-	return after, true
-}
-
-// refuse returns the time after which a refused operation is to be retried: when the token after those for the given
-// number of waiting operations, and for all that were told a time before, is expected.
-func (l *Limiter) refuse(a *localAccount, ahead int, now time.Time) time.Duration {
-	after, known := l.expectedAfter(a, ahead+a.expected.Told, now)
-	a.expected.Told++
-	switch {
-	case !known:
-		return unknownRetryAfter
-	case after > waiting.MaxRetryAfter:
-		return a.spread.Next()
-	}
-	return max(after, waiting.MinRetryAfter)
+	return waiting.Supply{Next: next, Rate: a.bucket.portion.Rate}
 }
 
 // AddWaiter counts an operation that waits for a token, after those that already wait. The account must have been passed
@@ -106,15 +80,25 @@
 	}
 	ahead := a.queue.Ahead(ticket)
 	if now.Before(until) {
-		if l.mayBeServed(a, a.queue.Asked(ticket), now) {
+		if l.granterMayServe(a, now) || l.holdersMayServe(a, now) && a.queue.MayAsk(ticket, l.holders.MaxAsks(), l.holders.MaxTries()) {
 			return Wait, l.nextDecision(a, now)
 		}
-		if after, known := l.expectedAfter(a, ahead, now); known && !now.Add(after).After(until) {
+		if l.holders.Awaits(name) {
+			return Wait, 0
+		}
+		if a.expected.Holder != "" && a.expected.Due(now) {
+			l.holders.Prefer(a.expected.Holder)
+			a.expected.Clear()
+			a.refusals.Retry()
+			a.queue.AllowAsk(ticket)
+			return Wait, waiting.MinRetryAfter
+		}
+		if after, known := a.expected.After(ahead, l.supply(a, now), now); known && !now.Add(after).After(until) {
 			return Wait, max(after, a.refusedUntil.Sub(now), waiting.MinRetryAfter)
 		}
 	}
 	l.RemoveWaiter(name, ticket)
-	return Refused, l.refuse(a, ahead, now)
+	return Refused, a.expected.Refuse(ahead, l.supply(a, now), now)
 }
 
 // nextDecision returns the time until waiting operations are to be decided on again if nothing happens before, or zero.
--- a/core/quota/waiting/schedule.go
+++ b/core/quota/waiting/schedule.go
@@ -36,6 +36,9 @@
 	return after, interval
 }
 
+// Wait returns the time until the first token that is not assigned.
+func (s *Schedule) Wait(now time.Time) time.Duration { return max(0, s.bookedUntil.Sub(now)) }
+
 // Spread returns retry times for operations for which no token is expected within MaxRetryAfter: between half of it and
 // all of it, evenly spread by multiples of the golden ratio. The zero value is ready for use.
 type Spread struct{ count uint32 }
@@ -46,28 +49,3 @@
 	_, fraction := math.Modf(float64(s.count) * math.Phi)
 	return MaxRetryAfter/2 + time.Duration(fraction*float64(MaxRetryAfter/2))
 }
-
-// Expectation says when an account's next tokens are expected. The zero value means that this is not known.
-type Expectation struct {
-	// at is when the first token is expected, and interval the time between the following ones.
-	at       time.Time
-	interval time.Duration
-	// Told is the number of refused operations that were told a time.
-	Told int
-}
-
-// After returns the time until the token after the given number of earlier ones is expected, or false if that is not
-// known.
-func (e *Expectation) After(earlier int, now time.Time) (time.Duration, bool) {
-	if e.at.IsZero() {
-		return 0, false
-	}
-	return max(0, e.at.Sub(now)) + time.Duration(earlier)*e.interval, true
-}
-
-// Expect records that the next token is expected after a time, unless an earlier one is already expected.
-func (e *Expectation) Expect(after, interval time.Duration, now time.Time) {
-	if at := now.Add(after); e.at.Before(now) || at.Before(e.at) {
-		*e = Expectation{at: at, interval: interval}
-	}
-}
--- a/internal/quotas/enforcer.go
+++ b/internal/quotas/enforcer.go
@@ -39,10 +39,19 @@
 	shards     map[string]*shard
 	// shardNameOf holds the shards of accounts, as far as they are known.
 	shardNameOf map[string]string
-	// reserves tracks of which accounts this host is to hold reserves.
+	// reservesStale is true if reserves is to start again.
+	reservesStale bool
+
 	reserves reserveScan
 }
 
+// holdersVersion identifies what the reserve holders of a shard and the order in which they are asked depend on.
+type holdersVersion struct {
+	known   bool
+	fleet   uint64
+	granter string
+}
+
 // shard is the host's state of one shard: what it holds and, if it is the granter, what it has granted.
 type shard struct {
 	name string
@@ -53,8 +62,8 @@
 	requestPending bool
 	// No request is sent before nextRequestAt.
 	nextRequestAt time.Time
-	// holdersVersion is the fleet's version for which the reserve holders were last set, or zero.
-	holdersVersion uint64
+	// holdersVersion is that for which the reserve holders were last set.
+	holdersVersion holdersVersion
 	// reserveLoggedAt is when a request to a reserve holder was last logged. reserveAsks counts these requests, and
 	// reserveTokens the tokens received, since the granter stopped responding.
 	reserveLoggedAt            time.Time
@@ -90,7 +99,7 @@
 	if !slices.Equal(names, e.shardNames) {
 		clear(e.shardNameOf)
 	}
-	e.accounts, e.shardNames, e.reserves.stale = accounts, names, true
+	e.accounts, e.shardNames, e.reservesStale = accounts, names, true
 }
 
 // shardForAccount returns the shard of an account, or nil if there are no shards.
--- a/internal/quotas/granting.go
+++ b/internal/quotas/granting.go
@@ -19,6 +19,7 @@
 	s.SetGranter(g)
 	s.reports = map[string]*reportState{}
 	s.nextRequestAt = time.Time{}
+	e.requestReports(s)
 	e.log("granter_begins", "shard", name, "token", token, "may_hold", len(mayHold), "before", len(formerGranters))
 }
 
@@ -104,6 +105,9 @@
 	case !g.KnowsHost(host):
 		e.recordGrantee(s, g, host)
 	case !g.HasReported(host, process):
+		if state := s.reports[host]; state != nil {
+			state.nextAt = now // the host has just shown that it answers
+		}
 		e.requestReport(s, g, host)
 	}
 	return quota.Response{}, false
@@ -200,6 +204,10 @@
 	case e.fleet.IsProcessEnded(err):
 		g.RecordExit(host, now)
 	}
-	t.backoff = min(max(2*t.backoff, initialReportBackoff), maxReportBackoff)
+	limit := maxReportBackoff
+	if !g.HoldingsKnown(now) {
+		limit = neededReportBackoff
+	}
+	t.backoff = min(max(2*t.backoff, initialReportBackoff), limit)
 	t.nextAt = now.Add(t.backoff)
 }
--- a/internal/quotas/messages.go
+++ b/internal/quotas/messages.go
@@ -62,10 +62,13 @@
 	Granter(shard string) (host string, token int64, ok bool)
 	// Peer returns the connection to a host and its address.
 	Peer(host string) (Peers, netip.AddrPort, error)
-	// ReserveHolders returns the hosts that hold reserves of a shard's accounts. They may change when Version does.
-	// IsCandidate returns false if this host is certainly not one of them; it costs less than ReserveHolders.
-	ReserveHolders(shard string) []string
+	// ReserveCandidates returns the hosts that may hold reserves of a shard's accounts, one more than reserve.MaxHolders
+	// if there are as many. IsCandidate returns false if this host is certainly not one of them; it costs less.
+	ReserveCandidates(shard string) []string
 	IsCandidate(shard string) bool
+	// IsSuspect reports whether a host did not answer lately.
+	IsSuspect(host string) bool
+	// Version changes when the results of these three methods may.
 	Version() uint64
 	// IsProcessEnded reports whether an error proves that a host's process has ended.
 	IsProcessEnded(err error) bool
@@ -97,9 +100,11 @@
 	recordTimeout    = time.Second
 	recordRetryDelay = 100 * time.Millisecond
 	// initialReportBackoff is the pause between two report requests to a host, and doubles up to maxReportBackoff
-	// while the host doesn't report.
+	// while the host doesn't report. While its report is needed to distribute the whole quota, the pause doubles up to
+	// neededReportBackoff: after a loss of all hosts, the last one to start delays all callers by this time.
 	initialReportBackoff = 100 * time.Millisecond
 	maxReportBackoff     = 1600 * time.Millisecond
+	neededReportBackoff  = 400 * time.Millisecond
 	// quietHostTimeout is how long a host that holds a portion may be silent before it is asked for a report, to find
 	// out whether it still runs.
 	quietHostTimeout = 2500 * time.Millisecond
--- a/internal/quotas/requests.go
+++ b/internal/quotas/requests.go
@@ -15,11 +15,14 @@
 	}
 	host, token, ok := e.fleet.Granter(s.name)
 	if !ok {
-		s.RecordNoGranter(now)
-		e.updateHolders(s)
+		e.recordLoss(s, now, "cause", "no granter is known")
 		return
 	}
 	s.Follow(token)
+	if host != e.settings.Host && e.fleet.IsSuspect(host) {
+		// Operations ask reserve holders without waiting for the granter.
+		e.recordLoss(s, now, "token", token, "cause", "its host does not answer other requests")
+	}
 	req, ok := s.NextRequest(now)
 	if !ok {
 		return
@@ -68,11 +71,8 @@
 		s.notify()
 		return
 	}
+	e.recordLoss(s, now, "token", req.FencingToken, "declined", response.Declined, "err", err)
 	s.Abandon(req.ID, now)
-	e.updateHolders(s)
-	if failingSince.IsZero() {
-		e.log("granter_lost", "shard", s.name, "token", req.FencingToken, "declined", response.Declined, "err", err)
-	}
 	s.nextRequestAt = now.Add(requestRetryDelay)
 	time.AfterFunc(requestRetryDelay, func() {
 		s.mu.Lock()
@@ -81,6 +81,15 @@
 	})
 }
 
+// recordLoss records that the granter does not respond. s.mu must be held.
+func (e *Enforcer) recordLoss(s *shard, now time.Time, details ...any) {
+	if s.FailingSince().IsZero() {
+		e.log("granter_lost", append([]any{"shard", s.name}, details...)...)
+	}
+	s.RecordNoGranter(now)
+	e.updateHolders(s)
+}
+
 // HandleReportRequest answers a granter that requests a report of this host's holdings.
 func (e *Enforcer) HandleReportRequest(r ReportRequest) ReportResponse {
 	s := e.shardByName(r.Shard)
--- a/internal/quotas/reserves.go
+++ b/internal/quotas/reserves.go
@@ -1,6 +1,7 @@
 package quotas
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
@@ -14,93 +15,118 @@
 )
 
 // reserveScan is the state of the search for the accounts of which this host is to hold reserves. It is repeated when the
-// accounts, the shards or the list of hosts change, and does a bounded part of its work in each maintenance round.
+// accounts, the shards, the list of hosts or a granter change, and does a bounded part of its work in each maintenance
+// round. Only Run uses it.
 type reserveScan struct {
-	// stale is true if the search is to start again. version is the fleet's version for which it started.
-	stale   bool
+	accounts *account.Directory
+	// version is the fleet's version for which the search started.
 	version uint64
 	// left holds the names of the accounts that are still to be looked at.
 	left []string
-	// fractions holds, by shard, the fraction of the quotas that this host holds. counts holds the number of accounts.
+	// granters holds the granters of the shards for which this host may hold reserves, and fractions the fractions of the
+	// quotas that it holds. counts holds the number of accounts.
+	granters  map[string]string
 	fractions map[string]float64
 	counts    map[string]int
-	// found holds the accounts found by this search, and reserved all of which reserves are requested, with their shards.
+	// found holds the accounts found by this search, or is nil once it has ended. reserved holds those of which reserves
+	// are requested. Both hold the accounts' shards.
 	found, reserved map[string]string
 }
 
-// reserveChange is a change of the fraction of an account's quota that this host holds for others.
-type reserveChange struct {
-	shard    *shard
-	name     string
-	quota    account.Quota
-	fraction float64
-}
-
 // assignReserves makes this host request reserves of the accounts for which it is a reserve holder.
 func (e *Enforcer) assignReserves() {
-	for _, c := range e.reserveChanges() {
-		c.shard.mu.Lock()
-		c.shard.SetReserve(c.name, c.quota, c.fraction, e.now())
-		c.shard.mu.Unlock()
-	}
-}
-
-// reserveChanges returns the changes found in one round of the search.
-func (e *Enforcer) reserveChanges() []reserveChange {
-	e.mu.Lock()
-	defer e.mu.Unlock()
 	r := &e.reserves
-	if version := e.fleet.Version(); r.stale || version != r.version {
-		*r = reserveScan{version: version, fractions: map[string]float64{}, counts: map[string]int{}, found: map[string]string{}, reserved: r.reserved}
-		if e.accounts != nil {
-			r.left = e.accounts.Names()
+	e.mu.Lock()
+	stale := e.reservesStale
+	e.reservesStale, r.accounts = false, e.accounts
+	e.mu.Unlock()
+	if version := e.fleet.Version(); stale || version != r.version || e.granterChanged() {
+		*r = reserveScan{
+			accounts: r.accounts, version: version, reserved: r.reserved, found: map[string]string{},
+			granters: map[string]string{}, fractions: map[string]float64{}, counts: map[string]int{},
+		}
+		if r.accounts != nil {
+			r.left = r.accounts.Names()
 		}
-	} else if r.found == nil {
-		return nil
 	}
-	var out []reserveChange
+	if r.found == nil {
+		return
+	}
 	for budget := reserveScanHashes; len(r.left) > 0 && budget > 0; r.left = r.left[1:] {
-		name := r.left[0]
-		if budget--; e.shardNameOf[name] == "" {
-			budget -= len(e.shardNames)
-		}
-		q := e.accounts.Account(name).Quota
-		if shard, fraction := e.reserveOf(name, q); fraction > 0 {
-			r.found[name] = shard
-			out = append(out, reserveChange{e.getOrCreateShard(shard), name, q, fraction})
-		}
+		budget -= e.assignReserve(r.left[0], r.accounts.Account(r.left[0]).Quota)
 	}
 	if len(r.left) > 0 {
-		return out
+		return
 	}
 	for name, shard := range r.reserved {
 		if r.found[name] != shard {
-			out = append(out, reserveChange{shard: e.getOrCreateShard(shard), name: name})
+			e.setReserve(shard, name, account.Quota{}, 0)
 		}
 	}
 	r.reserved, r.found = r.found, nil
-	return out
 }
 
-// reserveOf returns an account's shard and the fraction of its quota that this host is to hold for others. e.mu must be
-// held.
-func (e *Enforcer) reserveOf(name string, q account.Quota) (shard string, fraction float64) {
-	shard, r := e.shardName(name), &e.reserves
+// granterChanged reports whether the granter of a shard for which this host may hold reserves has changed.
+func (e *Enforcer) granterChanged() bool {
+	for shard, granter := range e.reserves.granters {
+		if id, _, _ := e.fleet.Granter(shard); id != granter {
+			return true
+		}
+	}
+	return false
+}
+
+// assignReserve makes this host request a reserve of one account if it is a reserve holder. It returns the number of
+// hashes that it computed, at least one.
+func (e *Enforcer) assignReserve(name string, q account.Quota) (hashes int) {
+	shard, hashes := e.shardNameAndCost(name)
+	r := &e.reserves
 	if shard == "" || q.Unlimited() || r.counts[shard] >= maxReserveAccounts {
-		return shard, 0
+		return hashes
 	}
 	fraction, known := r.fractions[shard]
 	if !known {
-		// A single host has no others to serve.
 		if e.fleet.IsCandidate(shard) {
-			if ids := e.fleet.ReserveHolders(shard); len(ids) > 1 && slices.Contains(ids, e.settings.Host) {
+			r.granters[shard], _, _ = e.fleet.Granter(shard)
+			// A single host has no others to serve.
+			if ids := e.reserveHolders(shard); len(ids) > 1 && slices.Contains(ids, e.settings.Host) {
 				fraction = quota.ReserveFraction(len(ids))
 			}
 		}
 		r.fractions[shard] = fraction
 	}
-	r.counts[shard]++
-	return shard, fraction
+	if fraction > 0 {
+		r.counts[shard]++
+		r.found[name] = shard
+		e.setReserve(shard, name, q, fraction)
+	}
+	return hashes
+}
+
+// shardNameAndCost returns the name of an account's shard and the number of hashes needed for it, at least one.
+func (e *Enforcer) shardNameAndCost(name string) (shard string, hashes int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.shardNameOf[name] == "" {
+		hashes = len(e.shardNames)
+	}
+	return e.shardName(name), 1 + hashes
+}
+
+// reserveHolders returns the hosts that hold reserves of a shard: the first ranked ones but for the granter, with which a
+// reserve would be lost.
+func (e *Enforcer) reserveHolders(shard string) []string {
+	granter, _, _ := e.fleet.Granter(shard)
+	out := slices.DeleteFunc(e.fleet.ReserveCandidates(shard), func(id string) bool { return id == granter })
+	return out[:min(len(out), reserve.MaxHolders)]
+}
+
+// setReserve sets the fraction of an account's quota that this host holds for others.
+func (e *Enforcer) setReserve(shard, name string, q account.Quota, fraction float64) {
+	s := e.shardByName(shard)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.SetReserve(name, q, fraction, e.now())
 }
 
 // requestReserve sends a request to a reserve holder of a shard, if one is due and none is in progress. s.mu must be held.
@@ -123,22 +149,31 @@
 }
 
 // updateHolders sets the reserve holders of a shard if they may have changed. The order depends on this host's ID, so that
-// hosts spread over the holders. s.mu must be held.
+// hosts spread over the holders. Hosts that did not answer lately come last. s.mu must be held.
 func (e *Enforcer) updateHolders(s *shard) {
-	version := e.fleet.Version() + 1 // zero means that the holders were never set
+	version := holdersVersion{fleet: e.fleet.Version(), known: true}
+	version.granter, _, _ = e.fleet.Granter(s.name)
 	if s.holdersVersion == version {
 		return
 	}
 	s.holdersVersion = version
-	holders := slices.Clone(e.fleet.ReserveHolders(s.name))
-	holders = slices.DeleteFunc(holders, func(id string) bool { return id == e.settings.Host })
+	holders := slices.DeleteFunc(e.reserveHolders(s.name), func(id string) bool { return id == e.settings.Host })
 	if n := len(holders); n > 0 {
 		first := int(xxhash.Sum64String(e.settings.Host) % uint64(n))
 		holders = slices.Concat(holders[first:], holders[:first])
 	}
+	slices.SortStableFunc(holders, func(a, b string) int { return cmp.Compare(e.suspicion(a), e.suspicion(b)) })
 	s.SetReserveHolders(holders)
 }
 
+// suspicion returns 1 for a host that did not answer lately, and 0 for all others.
+func (e *Enforcer) suspicion(host string) int {
+	if e.fleet.IsSuspect(host) {
+		return 1
+	}
+	return 0
+}
+
 func (e *Enforcer) requestReserveFrom(s *shard, holder string, req reserve.Request) {
 	ctx, cancel := context.WithTimeout(context.Background(), reserve.Timeout)
 	defer cancel()
