Quotas: keepalives of reserve holders within the limits of messages

A keepalive and its reply take 172 bytes. At the design size a host holds reserves of 6.8 shards on average, and keepalives every 250 ms would take 7.8 KB/s in both directions, as holder and as granter. A host with reserves of more than three shards therefore sends one keepalive in 250 ms to all of them together, and states the interval in its requests (keepalive_us). The granter derives from it when portions become active. Computed: 1.3 KB/s at the design size, and 1.7 KB/s for the renewal of 27 reserves every 5 s.

--- a/core/quota/bench_test.go
+++ b/core/quota/bench_test.go
@@ -6,12 +6,13 @@
 	"time"
 
 	"pearlatch/core/account"
+	"pearlatch/core/quota/reserve"
 )
 
 // Measures a granter's response to a request for one account. Before the pool kept sums over the portions, each
 // response iterated over all hosts that hold one.
 func BenchmarkHandleRequest(b *testing.B) {
-	for _, size := range []struct{ hosts, accounts int }{{10, 100}, {85, 100}, {85, 10_000}, {1078, 100}, {1078, 10_000}} {
+	for _, size := range []struct{ hosts, accounts int }{{10, 100}, {75, 100}, {75, 10_000}, {1100, 100}, {1100, 10_000}} {
 		b.Run(fmt.Sprintf("%d_hosts_%d_accounts", size.hosts, size.accounts), func(b *testing.B) {
 			ids := make([]string, size.hosts)
 			for i := range ids {
@@ -34,6 +35,37 @@
 	}
 }
 
+// Measures a reserve holder's reply to a request for one token of one account, and its own requests to the granter, which
+// each new request looks for.
+func BenchmarkReserveHolder(b *testing.B) {
+	for _, accounts := range []int{10, 128} {
+		s := NewShard()
+		s.Follow(5)
+		q := account.Quota{Rate: 1e7, Burst: 1e7}
+		for i := range accounts {
+			s.SetReserve(fmt.Sprint("a", i), q, ReserveFraction(3), t0)
+		}
+		req, _ := s.NextRequest(t0)
+		grants := make([]Grant, len(req.Accounts))
+		for i, each := range req.Accounts {
+			grants[i] = Grant{Account: each.Account, Serial: 1, Rate: 1e9, Cap: 1e9, TTL: PortionTTL, Prefetched: 1e9}
+		}
+		s.HandleResponse(req.ID, 5, Response{Grants: grants}, t0)
+		b.Run(fmt.Sprintf("give_%d_accounts", accounts), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				s.Give(reserve.Request{Accounts: []reserve.Demand{{Account: "a1", Waiting: 1}}}, func(string) (account.Quota, bool) { return q, true }, t0)
+			}
+		})
+		b.Run(fmt.Sprintf("request_%d_accounts", accounts), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				s.NextRequest(t0)
+			}
+		})
+	}
+}
+
 // Measures the admission of an operation with a token that its host already holds.
 func BenchmarkBegin(b *testing.B) {
 	for _, accounts := range []int{100, 10_000} {
--- a/core/quota/granter.go
+++ b/core/quota/granter.go
@@ -242,13 +242,10 @@
 	known := g.HoldingsKnown(now)
 	// An earlier granter may still count the host's portions as suspended, and distribute the tokens that they leave
 	// unused. A reserve holder serves the callers of other hosts until all holdings are known.
-	suspend := known || now.Sub(h.reportedAt) >= assumeActiveAfter && !req.FrequentKeepalives
+	suspend := known || now.Sub(h.reportedAt) >= assumeActiveAfter && req.KeepaliveInterval == 0
 	h.heardAt, h.lastRequest, h.suspendSent, h.suspendSentAt = now, req.ID, suspend, now
 	out := Response{Suspended: suspend, Partial: !known, Grants: make([]Grant, len(req.Accounts))}
-	h.suspension = assumeActiveAfter
-	if req.FrequentKeepalives {
-		h.suspension, out.ActivateAfter = reserveAssumeActiveAfter, reserveActivateAfter
-	}
+	out.ActivateAfter, h.suspension = suspension(req.KeepaliveInterval)
 	for i, a := range req.Accounts {
 		h.accounts[a.Account] = true
 		out.Grants[i] = g.handleAccount(id, h, a, known, now)
--- a/core/quota/granter_test.go
+++ b/core/quota/granter_test.go
@@ -133,7 +133,8 @@
 // request, so its portion becomes active earlier than it would after the second one. The granter must not count the
 // portion as suspended for longer.
 func TestSuspensionIsCountedFromTheConfirmedRequest(t *testing.T) {
-	for _, reserves := range []bool{false, true} {
+	for _, interval := range []time.Duration{0, ReserveKeepaliveInterval, time.Second} {
+		reserves := interval > 0
 		g := newTestGranter(noTolerance, "h1", "h2")
 		l := NewLimiter()
 		l.Follow(5)
@@ -142,6 +143,7 @@
 		}
 		if reserves {
 			l.SetReserve("a", quota40, ReserveFraction(3), t0)
+			l.SetKeepaliveInterval(interval)
 		}
 		req, _ := l.NextRequest(t0)
 		response, _ := g.HandleRequest("h1", "h1.1", req, t0)
@@ -150,7 +152,7 @@
 		}
 		// At the time counted by the granter, the latest response that the host accepts may still be in transit.
 		end := l.activeAt.Add(-ResponseTimeout - maxClockDrift)
-		confirmation := Request{ID: req.ID + 1, LastAnswered: req.ID, FencingToken: 5, FrequentKeepalives: reserves}
+		confirmation := Request{ID: req.ID + 1, LastAnswered: req.ID, FencingToken: 5, KeepaliveInterval: req.KeepaliveInterval}
 		if _, ok := g.HandleRequest("h1", "h1.1", confirmation, end.Add(-100*ms)); !ok {
 			t.Fatal("no response")
 		}
--- a/core/quota/limiter.go
+++ b/core/quota/limiter.go
@@ -51,7 +51,9 @@
 	// waiting holds the accounts with waiting operations, and reserved those of which the host holds reserves.
 	waiting  map[string]*localAccount
 	reserved map[string]bool
-	holders  reserve.Client
+	// keepalive is the time between two keepalives while the host holds reserves.
+	keepalive time.Duration
+	holders   reserve.Client
 }
 
 // localAccount is a host's state of one account.
@@ -145,16 +147,13 @@
 			out = append(out, a.request(name, now))
 		}
 	}
-	interval := keepaliveInterval
-	if l.HoldsReserves() {
-		interval = reserveKeepaliveInterval
-	}
+	interval := cmp.Or(l.reserveKeepalive(), keepaliveInterval)
 	if len(out) == 0 && (!holds || now.Sub(l.requestedAt) < interval) {
 		return Request{}, false
 	}
 	l.lastRequest++
 	l.pending, l.requestedAt = true, now
-	return Request{l.lastRequest, l.lastAnswered, l.fencingToken, l.HoldsReserves(), out}, true
+	return Request{l.lastRequest, l.lastAnswered, l.fencingToken, l.reserveKeepalive(), out}, true
 }
 
 // RequestDue reports whether a request for the account is due.
@@ -172,7 +171,7 @@
 	case d >= prefetchMinRate && a.bucket.tokens < 1 && held.Cap >= minCap && !now.Before(a.refusedUntil):
 		return since >= prefetchInterval
 	case a.reserve > 0 && held.Rate > 0 && a.bucket.tokens < held.Cap/2:
-		return since >= reserveKeepaliveInterval
+		return since >= ReserveKeepaliveInterval
 	case a.reserve > 0 && held.Rate == 0 && (held.Serial == 0 || l.partial):
 		return since >= adaptInterval
 	case a.reserve > 0:
--- a/core/quota/messages.go
+++ b/core/quota/messages.go
@@ -21,8 +21,8 @@
 	LastAnswered uint64
 	// FencingToken is that of the granter that the host follows.
 	FencingToken int64
-	// FrequentKeepalives is true if the host sends requests at least every reserveKeepaliveInterval.
-	FrequentKeepalives bool
+	// KeepaliveInterval is the longest time between two requests of a host that holds reserves. Other hosts send zero.
+	KeepaliveInterval time.Duration
 	// Accounts may be empty. Such a request only shows that the host reaches the granter.
 	Accounts []AccountRequest
 }
--- a/core/quota/reserve.go
+++ b/core/quota/reserve.go
@@ -7,9 +7,21 @@
 	"pearlatch/core/quota/reserve"
 )
 
-// reserveKeepaliveInterval replaces keepaliveInterval at a host that holds reserves, so that its portions become active
-// earlier after the loss of the granter.
-const reserveKeepaliveInterval = 250 * time.Millisecond
+// ReserveKeepaliveInterval is the least time between two keepalives of a host that holds reserves. It replaces
+// keepaliveInterval, so that the host's portions become active earlier after the loss of the granter.
+const ReserveKeepaliveInterval = 250 * time.Millisecond
+
+// SetKeepaliveInterval sets the time between two keepalives while the host holds reserves. A host with reserves of many
+// shards sends fewer for each. It is at least ReserveKeepaliveInterval.
+func (l *Limiter) SetKeepaliveInterval(d time.Duration) { l.keepalive = d }
+
+// reserveKeepalive returns the time between two keepalives, or zero if the host holds no reserves.
+func (l *Limiter) reserveKeepalive() time.Duration {
+	if !l.HoldsReserves() {
+		return 0
+	}
+	return max(l.keepalive, ReserveKeepaliveInterval)
+}
 
 // ReserveFraction returns the fraction of each quota that one of the given number of reserve holders wants to hold.
 func ReserveFraction(holders int) float64 {
--- a/core/quota/reserve_test.go
+++ b/core/quota/reserve_test.go
@@ -132,7 +132,7 @@
 	s.SetReserve("a", quota40, ReserveFraction(3), t0)
 	at := t0
 	for range 4 { // the portion, and tokens to store
-		at = at.Add(reserveKeepaliveInterval)
+		at = at.Add(ReserveKeepaliveInterval)
 		if req, ok := s.NextRequest(at); ok {
 			response, _ := g.HandleRequest("r1", "r1.1", req, at)
 			s.HandleResponse(req.ID, 5, response, at)
@@ -145,7 +145,7 @@
 	if got := give(5, at); got.Tokens != 0 || got.RetryAfter <= 0 {
 		t.Errorf("gave %+v after all tokens were given", got)
 	}
-	at = at.Add(reserveActivateAfter + time.Second)
+	at = at.Add(2 * time.Second)
 	if got := give(100, at); got.Tokens != int(portion.Cap) {
 		t.Errorf("gave %+v a second after the reserve of %+v became active", got, portion)
 	}
--- a/core/quota/token_pool.go
+++ b/core/quota/token_pool.go
@@ -29,7 +29,7 @@
 	reserveCapFraction  = 0.45
 	// reserveCapDuration is the time for which a reserve holder may store its reserve's tokens, at most: until its portion
 	// becomes active after the loss of the granter.
-	reserveCapDuration = reserveActivateAfter
+	reserveCapDuration = time.Second
 	// capDuration is the time for which a host may store its portion's tokens, and minCap the least capacity of a
 	// portion.
 	capDuration = 600 * time.Millisecond
--- a/core/quota/tolerance.go
+++ b/core/quota/tolerance.go
@@ -19,14 +19,20 @@
 	// The granter learns of the arrival of a response with the next request, so assumeActiveAfter exceeds two
 	// keepaliveIntervals.
 	assumeActiveAfter = 1100 * time.Millisecond
-	// reserveActivateAfter and reserveAssumeActiveAfter replace them for hosts that send a request every
-	// reserveKeepaliveInterval, which with the driver's maintenance interval is up to 300 ms.
-	reserveActivateAfter     = 950 * time.Millisecond
-	reserveAssumeActiveAfter = 650 * time.Millisecond
 	// ResponseTimeout is how long after a request its response may be accepted.
 	ResponseTimeout = activateAfter - assumeActiveAfter - maxClockDrift
 )
 
+// suspension returns the times that replace activateAfter and assumeActiveAfter for a host that sends a request at least
+// every interval. The driver sends it up to 50 ms later. Zero stands for keepaliveInterval.
+func suspension(interval time.Duration) (activate, assume time.Duration) {
+	if interval <= 0 {
+		return activateAfter, assumeActiveAfter
+	}
+	assume = 2*(max(interval, ReserveKeepaliveInterval)+50*time.Millisecond) + maxClockDrift
+	return assume + ResponseTimeout + maxClockDrift, assume
+}
+
 // Tolerance is how far an account may exceed its quota in any Window, since hosts can't know each other's state at every
 // moment: up to (rate x Window + burst) x (1 + Share) + Operations. With the zero Tolerance nothing is exceeded.
 type Tolerance struct {
--- a/internal/quotas/messages.go
+++ b/internal/quotas/messages.go
@@ -91,6 +91,10 @@
 	// maxReserveAccounts is the largest number of a shard's accounts of which this host holds reserves. Their renewal
 	// takes about 100 bytes for each account every 5 s.
 	maxReserveAccounts = 128
+	// maxFrequentShards is the largest number of shards for which a host that holds reserves sends keepalives every
+	// quota.ReserveKeepaliveInterval. With more shards it sends one to all of them together in this interval. A keepalive
+	// and its reply take 172 bytes.
+	maxFrequentShards = 3
 	// reserveScanHashes bounds the work of one maintenance round for finding the shards of accounts, to a few milliseconds.
 	reserveScanHashes = 100_000
 	// maintenanceInterval is how often each shard is checked for portions to renew and hosts to query.
--- a/internal/quotas/reserves.go
+++ b/internal/quotas/reserves.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/rcrowley/go-metrics"
@@ -64,6 +65,26 @@
 		}
 	}
 	r.reserved, r.found = r.found, nil
+	e.setKeepaliveIntervals()
+}
+
+// setKeepaliveIntervals sets the keepalive interval of all shards of which this host holds reserves.
+func (e *Enforcer) setKeepaliveIntervals() {
+	shards := map[string]bool{}
+	for _, shard := range e.reserves.reserved {
+		shards[shard] = true
+	}
+	interval := quota.ReserveKeepaliveInterval
+	if len(shards) > maxFrequentShards {
+		// Since keepalives are sent in maintenance rounds, the interval ends between two of them.
+		interval += (interval * time.Duration(len(shards)-1)).Round(maintenanceInterval)
+	}
+	for name := range shards {
+		s := e.shardByName(name)
+		s.mu.Lock()
+		s.SetKeepaliveInterval(interval)
+		s.mu.Unlock()
+	}
 }
 
 // granterChanged reports whether the granter of a shard for which this host may hold reserves has changed.
--- a/io/peer/gateway_codec_test.go
+++ b/io/peer/gateway_codec_test.go
@@ -63,7 +63,7 @@
 			{Account: "a1", Tokens: 1, RetryAfter: 30 * time.Millisecond, Interval: 20 * time.Millisecond},
 		}},
 		"quota_request": &quotaRequest{Shard: "lessons", Host: "h1", Process: "h1-2a", Request: quota.Request{
-			ID: 7, LastAnswered: 6, FencingToken: 40, FrequentKeepalives: true,
+			ID: 7, LastAnswered: 6, FencingToken: 40, KeepaliveInterval: 250 * time.Millisecond,
 			Accounts: []quota.AccountRequest{{Account: "a1", HeldSerial: 3, Tokens: 1.5, Returned: 1, Demand: 2.5, Waiting: 1, Prefetch: 0.5, Reserve: 0.25}},
 		}},
 		"quota_reply": &quotaReply{Response: quota.Response{
--- a/io/peer/quota_messages.go
+++ b/io/peer/quota_messages.go
@@ -70,7 +70,7 @@
 	w.uint("id", m.Request.ID)
 	w.uint("heard", m.Request.LastAnswered)
 	w.uint("token", uint64(m.Request.FencingToken))
-	w.bool("frequent", m.Request.FrequentKeepalives)
+	w.duration("keepalive_us", m.Request.KeepaliveInterval)
 	list := make([]accountRequestMessage, len(m.Request.Accounts))
 	for i, q := range m.Request.Accounts {
 		list[i] = accountRequestMessage(q)
@@ -92,8 +92,8 @@
 		return r.uint(&m.Request.LastAnswered)
 	case "token":
 		return readUint(r, &m.Request.FencingToken)
-	case "frequent":
-		return r.bool(&m.Request.FrequentKeepalives)
+	case "keepalive_us":
+		return r.duration(&m.Request.KeepaliveInterval)
 	case "questions":
 		var list []accountRequestMessage
 		readList(r, &list)
