--- a/core/quota/doc.go
+++ b/core/quota/doc.go
@@ -7,6 +7,10 @@
 // while its host reaches the granter: all tokens then come from the granter. When the host can't reach the granter, its
 // portion becomes active. A granter counts the portions of hosts that it can't reach until they have certainly expired.
 //
+// Most hosts have too little demand of an account for a portion, and would refuse its callers while the granter is
+// silent, new or declining. So a few hosts, the reserve holders, hold reserves: portions for the callers of all hosts. They
+// give single tokens from their own buckets to hosts that the granter does not serve; see Limiter.Give.
+//
 // The granter is the host that holds the coordinator role of a group under a lease of the platform's store, see package
 // leadership. A new granter does not know what its predecessor granted, so it queries all hosts that may hold a portion.
 // Its followers are the hosts that have reported to it and accept tokens only from it. What unreported hosts may hold
