--- a/core/quota/limiter.go
+++ b/core/quota/limiter.go
@@ -51,7 +51,9 @@
 	// waiting holds the accounts with waiting operations, and reserved those of which the host holds reserves.
 	waiting  map[string]*localAccount
 	reserved map[string]bool
-	holders  reserve.Client
+	// keepalive is the time between two keepalives while the host holds reserves.
+	keepalive time.Duration
+	holders   reserve.Client
 }
 
 // localAccount is a host's state of one account.
@@ -69,17 +71,14 @@
 	// granter or a reserve holder expects to have one.
 	refusedUntil time.Time
 	expected     waiting.Expectation
-	spread       waiting.Spread
 	// unserved is true if the granter had too few tokens while it did not know what all hosts hold.
 	unserved bool
 	// reserve is the fraction of the quota that the host wants to hold for the callers of all hosts. given holds what
 	// other hosts were told about the tokens that this host lacked.
 	reserve float64
 	given   waiting.Schedule
-	// holderRefusals is the number of reserve holders that had no token, one after the other. holdersRefusedUntil is the
-	// time until which no holder is asked again.
-	holderRefusals      int
-	holdersRefusedUntil time.Time
+	// refusals are those of reserve holders.
+	refusals reserve.Refusals
 }
 
 // NewLimiter returns a limiter without tokens.
@@ -148,16 +147,13 @@
 			out = append(out, a.request(name, now))
 		}
 	}
-	interval := keepaliveInterval
-	if l.HoldsReserves() {
-		interval = reserveKeepaliveInterval
-	}
+	interval := cmp.Or(l.reserveKeepalive(), keepaliveInterval)
 	if len(out) == 0 && (!holds || now.Sub(l.requestedAt) < interval) {
 		return Request{}, false
 	}
 	l.lastRequest++
 	l.pending, l.requestedAt = true, now
-	return Request{l.lastRequest, l.lastAnswered, l.fencingToken, l.HoldsReserves(), out}, true
+	return Request{l.lastRequest, l.lastAnswered, l.fencingToken, l.reserveKeepalive(), out}, true
 }
 
 // RequestDue reports whether a request for the account is due.
@@ -175,7 +171,7 @@
 	case d >= prefetchMinRate && a.bucket.tokens < 1 && held.Cap >= minCap && !now.Before(a.refusedUntil):
 		return since >= prefetchInterval
 	case a.reserve > 0 && held.Rate > 0 && a.bucket.tokens < held.Cap/2:
-		return since >= reserveKeepaliveInterval
+		return since >= ReserveKeepaliveInterval
 	case a.reserve > 0 && held.Rate == 0 && (held.Serial == 0 || l.partial):
 		return since >= adaptInterval
 	case a.reserve > 0:
@@ -223,10 +219,11 @@
 		}
 		a.queue.AddTokens(g.Tokens)
 		a.bucket.applyGrant(g, l.requestedAt, now, l.activeAt)
-		a.refusedUntil, a.expected, a.unserved = time.Time{}, waiting.Expectation{}, g.RetryAfter > 0 && l.partial
+		a.expected.Clear()
+		a.refusedUntil, a.unserved = time.Time{}, g.RetryAfter > 0 && l.partial
 		if g.RetryAfter > 0 {
 			a.refusedUntil = now.Add(min(g.RetryAfter, maxRefusalTTL))
-			a.expected.Expect(g.RetryAfter, g.Interval, now)
+			a.expected.Expect(g.RetryAfter, g.Interval, "", now)
 		}
 	}
 	if activeAt.After(l.activeAt) {
--- a/core/quota/reserve.go
+++ b/core/quota/reserve.go
@@ -7,9 +7,21 @@
 	"pearlatch/core/quota/reserve"
 )
 
-// reserveKeepaliveInterval replaces keepaliveInterval at a host that holds reserves, so that its portions become active
-// earlier after the loss of the granter.
-const reserveKeepaliveInterval = 250 * time.Millisecond
+// ReserveKeepaliveInterval is the least time between two keepalives of a host that holds reserves. It replaces
+// keepaliveInterval, so that the host's portions become active earlier after the loss of the granter.
+const ReserveKeepaliveInterval = 250 * time.Millisecond
+
+// SetKeepaliveInterval sets the time between two keepalives while the host holds reserves. A host with reserves of many
+// shards sends fewer for each. It is at least ReserveKeepaliveInterval.
+func (l *Limiter) SetKeepaliveInterval(d time.Duration) { l.keepalive = d }
+
+// reserveKeepalive returns the time between two keepalives, or zero if the host holds no reserves.
+func (l *Limiter) reserveKeepalive() time.Duration {
+	if !l.HoldsReserves() {
+		return 0
+	}
+	return max(l.keepalive, ReserveKeepaliveInterval)
+}
 
 // ReserveFraction returns the fraction of each quota that one of the given number of reserve holders wants to hold.
 func ReserveFraction(holders int) float64 {
@@ -60,7 +72,7 @@
 
 // holdersMayServe reports whether a reserve holder may have a token of the account while the granter has none.
 func (l *Limiter) holdersMayServe(a *localAccount, now time.Time) bool {
-	return l.holdersNeeded(a, now) && !now.Before(a.holdersRefusedUntil)
+	return l.holdersNeeded(a, now) && !a.refusals.Paused(now)
 }
 
 // holdersNeeded reports whether the granter fails to respond, is late, or had no token of the account while it did not
@@ -91,7 +103,7 @@
 		if !l.holdersMayServe(a, now) {
 			continue
 		}
-		if n := a.queue.Ask(l.holders.MaxAsks()); n > 0 {
+		if n := a.queue.Ask(l.holders.MaxAsks(), l.holders.MaxTries()); n > 0 {
 			demands = append(demands, reserve.Demand{Account: name, Waiting: n})
 		}
 	}
@@ -112,7 +124,13 @@
 	if !l.holders.Accept(id, now, ResponseTimeout) {
 		return 0
 	}
-	enough := true
+	omitted := l.holders.Omitted(reply)
+	for _, name := range omitted {
+		if a := l.accounts[name]; a != nil {
+			a.queue.DiscountAsk()
+		}
+	}
+	enough := len(omitted) == 0
 	for _, g := range reply.Grants {
 		a := l.accounts[g.Account]
 		if a == nil {
@@ -121,12 +139,12 @@
 		tokens += g.Tokens
 		a.queue.AddTokens(g.Tokens)
 		if g.RetryAfter <= 0 {
-			a.holderRefusals = 0
+			a.refusals.Reset()
 			continue
 		}
 		enough = false
-		a.expected.Expect(g.RetryAfter, g.Interval, now)
-		l.countHolderRefusal(a, min(g.RetryAfter, maxRefusalTTL), now)
+		a.expected.Expect(g.RetryAfter, g.Interval, l.holders.Last(), now)
+		a.refusals.Add(&l.holders, min(g.RetryAfter, maxRefusalTTL), now)
 	}
 	if !enough {
 		l.holders.Advance()
@@ -134,14 +152,6 @@
 	return tokens
 }
 
-// countHolderRefusal counts a holder that had too few tokens or did not reply. Once these are as many as are asked for one
-// operation, no holder is asked again for the given time.
-func (l *Limiter) countHolderRefusal(a *localAccount, pause time.Duration, now time.Time) {
-	if a.holderRefusals++; a.holderRefusals >= l.holders.MaxAsks() {
-		a.holderRefusals, a.holdersRefusedUntil = 0, now.Add(pause)
-	}
-}
-
 // AbandonReserve records that a request to a reserve holder failed, or that the holder declined it.
 func (l *Limiter) AbandonReserve(id uint64, now time.Time) {
 	demands, ok := l.holders.Abandon(id)
@@ -150,7 +160,7 @@
 	}
 	for _, d := range demands {
 		if a := l.accounts[d.Account]; a != nil {
-			l.countHolderRefusal(a, reserve.FailurePause, now)
+			a.refusals.Add(&l.holders, reserve.FailurePause, now)
 		}
 	}
 }
@@ -168,6 +178,9 @@
 			continue
 		}
 		a := l.account(d.Account, q, now)
+		if a.bucket.refill(now, l.activeAt); a.bucket.portion.Rate <= 0 {
+			continue // another holder may have a portion
+		}
 		g := reserve.Grant{Account: d.Account}
 		for g.Tokens < d.Waiting && a.bucket.take(now, l.activeAt) {
 			g.Tokens++
