Relieve an overloaded primary also of replicas that fail, flap or are gone

Cause: the coordinator handed an overloaded primary over only while every replica answered its probe and reported a lag. One replica that lagged and one that did not answer, refused, reset or flapped left the primary with all reads. While replicas failed, rounds of probes could come 3 s apart, and a round with a silent replica takes 300 ms more. A replica that did not answer made the switchover wait for a catch-up that can't succeed, and nobody led while leases were awaited.

Change: group.OverloadDetector gets what callers' statements and probes show of each replica. One that failed within the last second, or refused statements because it lags by more than the routes accept, counts as unusable; one that is merely too busy does not. The new causes count only while statements wait and a steady member could lead. Ten seconds between two switchovers (eight before, no test bound it), also when another coordinator decided the last one, and four after one that was abandoned before an order. None if the interruption that is expected (the average of those seen, else 1.2 s) exceeds the rest of the overload (from the lengths seen, 3 s before any). Rounds start 350 ms apart while the primary is overloaded, and none is skipped while statements wait and a replica can't be used. Leases, which were given back side by side before, end before an old primary is demoted, and the catch-up is skipped where it would be in vain. The choice of the target, the watch for hanging writes and the schedule of checks are in core now.

Measured (synctest, both slots of the primary busy, one replica lags): a promotion is requested 0.59 to 0.61 s after the other one refuses, resets or flaps, 1.19 s after it stops answering (decided after 0.89 s; 0.3 s are the attempt to fence it), never before. Tried and dropped: a round as soon as a statement waits (no earlier in any case); leases recalled beside the catch-up, which leaves reads without leases each time a target is behind; no attempt to fence a silent replica, since that makes the demotion certain.

--- a/core/group/successor.go
+++ b/core/group/successor.go
@@ -53,6 +53,25 @@
 	return replicas[best], true
 }
 
+// SwitchoverTarget returns the replica to which a primary that still serves
+// hands over, or false if there is none: the one with the longest log of those
+// that answered and are not leaving. It must then catch up with the primary. A
+// replica that is not steady is chosen only if no other is left.
+func SwitchoverTarget(replicas []Standby, steady func(member string) bool) (Standby, bool) {
+	var best Standby
+	for _, r := range replicas {
+		if !r.Answered || r.Leaving {
+			continue
+		}
+		worse := best.Member != "" && (steady(best.Member) && !steady(r.Member) ||
+			steady(best.Member) == steady(r.Member) && r.Received.Compare(best.Received) <= 0)
+		if !worse {
+			best = r
+		}
+	}
+	return best, best.Member != ""
+}
+
 // preferred reports whether a is chosen over b: it has the higher position, or
 // an equal one and the lower identifier.
 func preferred(a, b Standby) bool {
--- a/core/leadership/proof.go
+++ b/core/leadership/proof.go
@@ -37,9 +37,9 @@
 	return anyAnswered
 }
 
-// Unrefuted reports whether at least one other member answered and none contradicted that a member is the primary in
+// unrefuted reports whether at least one other member answered and none contradicted that a member is the primary in
 // the term. A lost packet may then be why PrimaryConfirmed returned false, and new probes may confirm the primary.
-func Unrefuted(term group.Term, results []ProbeResult) bool {
+func unrefuted(term group.Term, results []ProbeResult) bool {
 	anyAnswered := false
 	for _, r := range results {
 		if r.Leads || r.Answered && r.Term > term {
--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -79,18 +79,19 @@
 	writeLease leadership.Lease
 	// leaseRevokedAt is when the coordinator last revoked a lease. Leases requested before that are
 	// void.
-	leaseRevokedAt  time.Time
+	leaseRevokedAt time.Time
+	// switchoverAt is when the coordinator last revoked a lease for a switchover.
+	switchoverAt    time.Time
 	leaseSignal     chan struct{}
 	primaryNeededAt time.Time
 	// check is the primary check in progress, or nil. passedCheck is the last one that confirmed the
 	// primary.
 	check       *primaryCheck
 	passedCheck primaryCheck
-	// failedCheck is the last primary check if it was inconclusive, or nil. The next check starts no
-	// earlier than nextCheckAt, which is checkBackoff later.
-	failedCheck  *primaryCheck
-	nextCheckAt  time.Time
-	checkBackoff time.Duration
+	// failedCheck is the last primary check if it was inconclusive, or nil. checks decides when the
+	// next one may start.
+	failedCheck *primaryCheck
+	checks      leadership.CheckSchedule
 	// sampleSource is the member that returned the newest sample.
 	sampleSource string
 	// unverifiedSince is since when the primary could not be confirmed, or zero. outageForecast
@@ -101,14 +102,12 @@
 	calendars admission.Calendars
 	// refusalLoggedAt is when a statement that was refused early was last logged.
 	refusalLoggedAt time.Time
-	// pendingWrites counts writes without an answer, and noAckSince is since when none of them has
-	// been acknowledged, or zero. replicaLaggedAt is when a replica was last seen to lag far behind,
-	// and lastQueuedAt when a statement last had to wait.
-	pendingWrites   int
-	noAckSince      time.Time
+	// acks shows whether writes hang. replicaLaggedAt is when a replica was last seen to lag far
+	// behind, and lastQueuedAt when a statement last had to wait.
+	acks            group.AckWatch
 	replicaLaggedAt time.Time
 	lastQueuedAt    time.Time
-	// waitCount counts the statements that had to wait for a connection.
+	// waitCount counts the statements that had to wait for a connection since the last call of primaryLoad.
 	waitCount int
 	// peerHealthyAt is when another serving host last reported the group healthy, and peerAskedAt when
 	// one last requested a lease or a position.
@@ -426,13 +425,6 @@
 	return m.statementAnsweredAt, !m.statementAnsweredAt.IsZero()
 }
 
-// maxReadStaleness returns the shortest maximum age among the group's routes, or zero.
-func (g *Group) maxReadStaleness() time.Duration {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.maxStaleness
-}
-
 // positionCovering returns the position that a member must hold to have everything acknowledged before
 // the given time, or false if no sample covers it. It also notes that the primary is needed, and
 // requests a lease if it was not needed recently.
@@ -463,6 +455,9 @@
 	if now.Sub(since) > g.maxStaleness/2 {
 		g.replicaLaggedAt = now // far enough behind that the primary may soon be overloaded
 	}
+	if now.Sub(since) > g.maxStaleness {
+		m.behindAt = now
+	}
 	m.lagUntil = now.Add(pause)
 }
 
--- a/internal/gateway/group_monitor.go
+++ b/internal/gateway/group_monitor.go
@@ -7,6 +7,7 @@
 
 	"pearlatch/core/group"
 	"pearlatch/core/leadership"
+	"pearlatch/core/outage"
 )
 
 const (
@@ -46,10 +47,12 @@
 	// silentRounds counts rounds without an answer from the primary.
 	silentRounds int
 	stuckWrites  group.StuckWriteDetector
-	// overloadDetector detects an overloaded primary. lastWaitCount is how many statements had waited
-	// for a connection by the previous round.
+	// overloadDetector detects an overloaded primary.
 	overloadDetector group.OverloadDetector
-	lastWaitCount    int
+	// interruptions estimates how long a switchover interrupts service. roundStartedAt is when the last
+	// round started.
+	interruptions  outage.Estimator
+	roundStartedAt time.Time
 	// lastHealthyProbe is when all members were last probed without finding a fault, or zero.
 	lastHealthyProbe time.Time
 	// After a failed attempt, the fencing token is raised at the platform no sooner than at
@@ -80,6 +83,10 @@
 	var due <-chan time.Time
 	if w.group.isCoordinated() || w.isHeld() {
 		pause := probeInterval
+		if w.overloadDetector.Overloaded() {
+			// Rounds in which replicas don't answer take up to controlTimeout.
+			pause = max(probeInterval-w.host.now().Sub(w.roundStartedAt), silentProbeInterval)
+		}
 		if w.silentRounds > 0 && w.silentRounds < maxSilentRounds {
 			pause = silentProbeInterval
 		} else if at, known := w.settledAt(); known {
@@ -105,6 +112,7 @@
 // runRound probes all members and acts on the answers.
 func (w *groupMonitor) runRound(ctx context.Context) {
 	started := w.host.now()
+	w.roundStartedAt = started
 	if w.canSkipProbe(started) {
 		return
 	}
@@ -215,7 +223,10 @@
 	case w.primary.Leaving || w.group.primaryMissingFor() > missingMemberGrace:
 		w.switchOver(ctx, primary, replicas)
 	case w.detectOverload(primary, replicas):
-		w.switchOver(ctx, primary, replicas)
+		if !w.switchOver(ctx, primary, replicas) {
+			w.overloadDetector.Abandon(w.host.now())
+			w.group.forgetSwitchover()
+		}
 	case stuck && canReplacePrimary(replicas):
 		w.log("primary_cut_off", "member", w.primary.ID, "position", primary.status.Received, "answers", formatResults(replicas))
 		w.failover(ctx, w.host.now(), answers)
--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -22,8 +22,8 @@
 	// suspicionReportPeriod is for how long after the primary failed to answer a host the coordinator
 	// is told of it. Within that time the next statements show more.
 	suspicionReportPeriod = time.Second
-	// lagHealthWindow is for how long the group is not healthy after a replica lagged far behind while
-	// statements waited, since the primary may be overloaded.
+	// lagHealthWindow is for how long the group is not healthy after a replica lagged far behind or
+	// could not be used while statements waited, since the primary may be overloaded.
 	lagHealthWindow = time.Second
 )
 
@@ -37,7 +37,7 @@
 	if m := g.members[g.primaryID]; m == nil || !m.silentSince.IsZero() || len(g.missingMembers()) > 0 {
 		return false
 	}
-	return g.locallyHealthy(now) || now.Sub(g.peerHealthyAt) < leaseRenewInterval+probeInterval
+	return g.locallyHealthy(now) || !g.lacksReplicas(now) && now.Sub(g.peerHealthyAt) < leaseRenewInterval+probeInterval
 }
 
 // notePeerReport records another serving host's view of the group. If the primary fails to answer that
@@ -84,11 +84,10 @@
 		return false
 	case now.Sub(m.statementAnsweredAt) > probeInterval:
 		return false
-	case !g.noAckSince.IsZero() && now.Sub(g.noAckSince) > hangingWriteTimeout:
+	case g.acks.Hanging(now, hangingWriteTimeout):
 		return false
 	}
-	overloaded := now.Sub(g.replicaLaggedAt) <= lagHealthWindow && now.Sub(g.lastQueuedAt) <= lagHealthWindow
-	return len(g.missingMembers()) == 0 && !overloaded
+	return len(g.missingMembers()) == 0 && !g.lacksReplicas(now)
 }
 
 // isIdle reports whether no statement has needed the primary recently, on this host or on one that
@@ -110,19 +109,11 @@
 func (g *Group) beginWrite() func(acknowledged bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.pendingWrites++; g.pendingWrites == 1 {
-		g.noAckSince = g.now()
-	}
+	g.acks.Begin(g.now())
 	return func(acknowledged bool) {
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		g.pendingWrites--
-		switch {
-		case g.pendingWrites == 0:
-			g.noAckSince = time.Time{}
-		case acknowledged:
-			g.noAckSince = g.now()
-		}
+		g.acks.End(g.now(), acknowledged)
 	}
 }
 
--- a/internal/gateway/lease_client.go
+++ b/internal/gateway/lease_client.go
@@ -240,6 +240,7 @@
 	// once this call is answered, so applyLease must ignore it.
 	g.leaseRevokedAt = g.now()
 	if planned {
+		g.switchoverAt = g.leaseRevokedAt
 		g.lease = g.lease.Downgraded()
 		return
 	}
--- a/internal/gateway/primary.go
+++ b/internal/gateway/primary.go
@@ -240,6 +240,12 @@
 	return errors.As(err, &f) && f.Code == Busy
 }
 
+// isOccupied reports whether a member answered that its queue is full or that it has no connection left: it serves others.
+func isOccupied(err error) bool {
+	var f *Failure
+	return errors.As(err, &f) && (f.Code == Busy || f.Code == TooManyConnections)
+}
+
 // isMemberFailure reports whether the error is a failure that the member itself answered with.
 func isMemberFailure(err error) bool {
 	var f *Failure
--- a/internal/gateway/primary_check.go
+++ b/internal/gateway/primary_check.go
@@ -110,7 +110,7 @@
 // then on. This bounds the load that many concurrent statements put on the members.
 func (g *Group) checkWithBackoff(id string) *primaryCheck {
 	g.mu.Lock()
-	failed, due := g.failedCheck, !g.now().Before(g.nextCheckAt)
+	failed, due := g.failedCheck, g.checks.Due(g.now())
 	g.mu.Unlock()
 	if failed != nil && failed.primary == id && !due {
 		return failed
@@ -149,27 +149,18 @@
 	g.check = nil
 	failing := g.failedCheck != nil
 	if p.passed {
-		g.passedCheck, g.failedCheck, g.checkBackoff = *p, nil, 0
+		g.passedCheck, g.failedCheck = *p, nil
+		g.checks.Pass()
 		g.primaryTerm = max(g.primaryTerm, p.term)
 		g.noteOutageEnd()
 	} else {
 		g.unverifiedSince = earlierTime(g.unverifiedSince, p.started)
-		g.checkBackoff = min(max(2*g.checkBackoff, minCheckBackoff), maxCheckBackoff)
-		if leadership.Unrefuted(p.term, p.answers) {
-			g.checkBackoff = minCheckBackoff
-		}
-		g.failedCheck, g.nextCheckAt = p, g.now().Add(g.checkBackoff)
+		g.failedCheck = p
+		g.checks.Fail(g.now(), p.term, p.answers)
 	}
 	return p.passed == failing
 }
 
-// minCheckBackoff and maxCheckBackoff bound the exponential backoff after a failed check, from a round trip within a
-// region to half of the time in which a lost primary is detected.
-const (
-	minCheckBackoff = 10 * time.Millisecond
-	maxCheckBackoff = 320 * time.Millisecond
-)
-
 // toProbeResults converts the answers for package leadership.
 func toProbeResults(in []controlResult) []leadership.ProbeResult {
 	out := make([]leadership.ProbeResult, len(in))
--- a/internal/gateway/switchover.go
+++ b/internal/gateway/switchover.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"time"
 
 	"pearlatch/core/group"
 	"pearlatch/internal/pause"
@@ -9,13 +11,15 @@
 
 // switchOver replaces a primary that still serves, but is leaving, missing from the store or overloaded. The primary continues
 // to serve meanwhile. All replicas but the switchover target are fenced, so that every later write is acknowledged by the
-// target.
-func (w *groupMonitor) switchOver(ctx context.Context, primary controlResult, replicas []controlResult) {
+// target. It returns false if it requested no promotion.
+func (w *groupMonitor) switchOver(ctx context.Context, primary controlResult, replicas []controlResult) bool {
 	started := w.host.now()
-	target, ok := switchoverTarget(replicas)
+	steady := func(id string) bool { return w.overloadDetector.Steady(id, started) }
+	standby, _ := group.SwitchoverTarget(w.successorCandidates(replicas), steady)
+	target, ok := w.group.lookupMember(standby.Member)
 	if !ok {
 		w.log("no_heir", "answers", formatResults(replicas))
-		return
+		return false
 	}
 	term := highestTerm(replicas) + 1
 	var others []Member
@@ -25,35 +29,38 @@
 		}
 	}
 	fenced := w.group.controlAll(others, Fence{Term: term}, controlTimeout)
-	ready := w.hasReceived(target, primary.status.Received) && w.awaitCatchUp(ctx, target, nil, fenced)
-	if !ready && !w.demoteForSwitchover(ctx, term, target, fenced) {
-		w.log("heir_behind", "member", target.ID, "answers", formatResults(fenced))
+	ready := w.allKnown(fenced) && w.hasReceived(target, primary.status.Received) && w.awaitCatchUp(ctx, target, nil, fenced)
+	// The primary is demoted once the leases have ended, so that it serves until then.
+	demote := !ready && countFailed(fenced) > 0
+	if (ready || demote) && !w.revokeLeases(ctx, true) {
 		w.group.controlAll(others, Release{}, controlTimeout)
-		return
+		return false
 	}
-	if !w.revokeLeases(ctx, true) {
+	revoked := w.host.now()
+	if !ready && !(demote && w.demoteForSwitchover(ctx, term, target, fenced)) {
+		w.log("heir_behind", "member", target.ID, "answers", formatResults(fenced))
 		w.group.controlAll(others, Release{}, controlTimeout)
-		return
+		return false
 	}
 	w.log("successor", "member", target.ID, "term", term, "planned", true)
 	if !w.promote(ctx, target.ID, successorChoice{listedAt: started, received: logEndOf(target.ID, replicas)}) {
 		w.group.controlAll(others, Release{}, controlTimeout)
+		return false
 	}
+	w.interruptions.Observe(w.host.now().Sub(revoked))
+	return true
 }
 
-// switchoverTarget returns the replica that is to replace the primary: of those that answered and are not leaving,
-// the one with the longest log.
-func switchoverTarget(replicas []controlResult) (Member, bool) {
-	var best controlResult
-	for _, r := range replicas {
-		if r.err != nil || r.member.Leaving {
-			continue
-		}
-		if best.member.ID == "" || r.status.Received.Compare(best.status.Received) > 0 {
-			best = r
-		}
-	}
-	return best.member, best.member.ID != ""
+// forgetSwitchover records that a switchover was abandoned.
+func (g *Group) forgetSwitchover() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.switchoverAt = time.Time{}
+}
+
+// allKnown reports whether each fenced replica has answered or need not: awaitCatchUp waits in vain otherwise.
+func (w *groupMonitor) allKnown(fenced []controlResult) bool {
+	return !slices.ContainsFunc(w.successorCandidates(fenced), func(r group.Standby) bool { return !r.Answered })
 }
 
 // hasReceived reports whether the target has received the log up to a recent position of the primary. A target that receives
@@ -93,9 +100,6 @@
 // acknowledged. It reports whether the target has received everything that the demoted primary holds. If it has not, the
 // old primary is promoted again.
 func (w *groupMonitor) demoteForSwitchover(ctx context.Context, term group.Term, target Member, fenced []controlResult) bool {
-	if countFailed(fenced) == 0 {
-		return false
-	}
 	s, err := w.group.control(w.primary, Demote{Term: term}, controlTimeout)
 	if err != nil || s.IsPrimary {
 		return false
