Control connections in a package of their own; a test that callers don't wait for a lease

The question was whether the first connections and the check of the primary can go on beside the lease after a restart. They do already: the first statement signals the lease client, starts the check, and opens a connection meanwhile. Opening more than one connection ahead was weighed and left out: it saves one opening, and each occupies a slot of a member.

--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -18,6 +18,7 @@
 	"pearlatch/core/outage"
 	"pearlatch/core/pool"
 	"pearlatch/core/serving"
+	"pearlatch/internal/controlconn"
 	"pearlatch/internal/hostmetrics"
 	"pearlatch/internal/loads"
 	"pearlatch/internal/usage"
@@ -115,7 +116,7 @@
 	// searching is true while the host asks the members which of them is the primary. controlConns
 	// holds the connections for control commands, by member.
 	searching    bool
-	controlConns map[string]*controlConn
+	controlConns map[string]*controlconn.Slot[Conn]
 	// coordinated is true while this host is the group's coordinator.
 	coordinated bool
 	// departedAt is when a member was last dropped, restarted or found without its log. That member may
@@ -148,7 +149,7 @@
 	g := &Group{
 		name: name, zone: h.settings.Zone, dialer: h.ports.Dialer, logger: log.With(h.logger, "group", name),
 		now: h.now, metrics: h.metrics, usage: &h.usage, knownRevision: &h.knownRevision, maxDrain: h.settings.MemberDrain - drainMargin,
-		members: map[string]*member{}, maxConnections: 1, hostCount: 1, controlConns: map[string]*controlConn{},
+		members: map[string]*member{}, maxConnections: 1, hostCount: 1, controlConns: map[string]*controlconn.Slot[Conn]{},
 		probeSignal: make(chan struct{}, 1), leaseSignal: make(chan struct{}, 1),
 		conns: map[*pool.Conn]*pooledConn{}, waiting: map[*pool.Waiter]chan assignment{},
 	}
--- a/internal/gateway/primary.go
+++ b/internal/gateway/primary.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"pearlatch/core/group"
+	"pearlatch/internal/controlconn"
 	"pearlatch/internal/pause"
 )
 
@@ -22,16 +24,6 @@
 	maxSearchRounds = 40
 )
 
-// controlConn is a connection to a member for control commands, opened on first use.
-type controlConn struct {
-	// sem holds a token while the connection is not in use. Unlike the wait for a mutex,
-	// the wait for the token ends with the caller's timeout.
-	sem  chan struct{}
-	conn Conn
-	// lastUsed is when the last control command ended.
-	lastUsed time.Time
-}
-
 // controlConnIdleTimeout is how long an idle control connection is kept. A coordinator probes members every
 // probeInterval. All other hosts probe them only while no primary is known, and their control connections would
 // occupy connections that serve callers.
@@ -57,25 +49,10 @@
 func (g *Group) closeIdleControlConns() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := g.now()
 	if g.coordinated {
 		return
 	}
-	for id, c := range g.controlConns {
-		select {
-		case <-c.sem:
-		default:
-			continue // in use
-		}
-		if now.Sub(c.lastUsed) < controlConnIdleTimeout {
-			c.sem <- struct{}{}
-			continue
-		}
-		delete(g.controlConns, id)
-		if c.conn != nil {
-			go c.close(g, Member{ID: id})
-		}
-	}
+	maps.DeleteFunc(g.controlConns, func(_ string, c *controlconn.Slot[Conn]) bool { return c.CloseIdle(controlConnIdleTimeout) })
 }
 
 // control sends a control command to the member and records the status that it answers with. Probes may use a
@@ -177,37 +154,14 @@
 	g.mu.Lock()
 	c := g.controlConns[m.ID]
 	if c == nil {
-		c = &controlConn{sem: make(chan struct{}, 1), lastUsed: g.now()}
-		c.sem <- struct{}{}
+		failed := func(err error) { g.log("member_close", "member", m.ID, "err", err) }
+		c = controlconn.NewSlot[Conn](controlconn.Ports{Keep: isMemberFailure, Failed: failed, Now: g.now})
 		g.controlConns[m.ID] = c
 	}
 	g.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
-	select {
-	case <-c.sem:
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-	defer func() {
-		c.lastUsed = g.now()
-		c.sem <- struct{}{}
-	}()
-	if c.conn != nil && !c.conn.Alive() {
-		c.close(g, m)
-	}
-	if c.conn == nil {
-		conn, err := g.dialer.Dial(ctx, m, hostAccount)
-		if err != nil {
-			return err
-		}
-		c.conn = conn
-	}
-	err := do(c.conn)
-	if err != nil && !isMemberFailure(err) {
-		c.close(g, m)
-	}
-	return err
+	return c.Use(ctx, func(ctx context.Context) (Conn, error) { return g.dialer.Dial(ctx, m, hostAccount) }, do)
 }
 
 // recordStatus records the status that the member answered to a control command.
@@ -252,13 +206,6 @@
 	return errors.As(err, &f)
 }
 
-func (c *controlConn) close(g *Group, m Member) {
-	if err := c.conn.Close(); err != nil {
-		g.log("member_close", "member", m.ID, "err", err)
-	}
-	c.conn = nil
-}
-
 // controlResult is a member's answer to a control command.
 type controlResult struct {
 	member Member
--- a/internal/gateway/restart_test.go
+++ b/internal/gateway/restart_test.go
@@ -170,3 +170,21 @@
 		time.Sleep(10 * time.Second)
 	})
 }
+
+// Connections to the primary are opened and the other members are asked whether it leads while no lease can be granted yet:
+// the members don't report their restarts, so that a promotion may be pending. The callers of a restarted host must not wait
+// for the lease.
+func TestCallersAreServedBeforeTheLease(t *testing.T) {
+	withRestart(t, func(s *fakeSite) { s.setIncarnation(0) }, func(_ *fakeSite, f *fakeFleet) {
+		started := time.Now()
+		for _, h := range f.all() {
+			awaitWrite(t, h, time.Second)
+			if h.group(testGroup).hasLease("a", time.Now()) {
+				t.Error("the host has a lease, which this test is not about")
+			}
+		}
+		if took := time.Since(started); took > 150*time.Millisecond {
+			t.Errorf("a write succeeded on each host after %s", took)
+		}
+	})
+}
