--- a/internal/gateway/promotion_state.go
+++ b/internal/gateway/promotion_state.go
@@ -116,7 +116,8 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	end, known := w.predecessor.PromotionsEnd()
-	if !known || w.predecessor.NothingPending || !w.predecessor.RecordCertain || w.recordRevision == 0 || kv.Revision(last) < w.token {
+	settled, _ := w.predecessor.SettledAt()
+	if !known || !settled.After(w.host.now()) || !w.predecessor.RecordCertain || w.recordRevision == 0 || kv.Revision(last) < w.token {
 		return
 	}
 	for _, a := range append(replicas[:len(replicas):len(replicas)], primary) {
@@ -125,4 +126,7 @@
 		}
 	}
 	w.predecessor.NothingPending = leadership.NoPromotionPending(w.record.Record, runs, primary.member.ID, primary.status.Term, toProbeResults(replicas))
+	if w.predecessor.NothingPending {
+		w.log("no_promotion_pending", "member", primary.member.ID, "term", primary.status.Term, "saved_ms", settled.Sub(w.host.now()).Milliseconds())
+	}
 }
