Relieve a primary that is too busy for probes

Cause: a primary whose queue refuses probes while it answers callers counted as alive, and the round ended there, so that its load was never examined: the more it was overloaded, the less it was relieved.

Change: such a round counts it as saturated, with the position that it returned with its last statement. The switchover has the same conditions as after a probe (token, settled and pending promotions) and a lease on that primary. An abandoned switchover no longer counts as the last one.

--- a/core/group/overload.go
+++ b/core/group/overload.go
@@ -84,6 +84,8 @@
 type OverloadDetector struct {
 	overloadedRounds int
 	switchedAt       time.Time
+	// abandonedAt is when the last switchover was abandoned, or zero.
+	abandonedAt time.Time
 	// overloadedSince is when the present overload was first seen, or zero, and
 	// lengths estimates the length of overloads.
 	overloadedSince time.Time
@@ -104,7 +106,8 @@
 		d.overloadedSince = now
 	}
 	d.overloadedRounds++
-	recent := now.Sub(d.switchedAt) < minSwitchoverInterval || now.Sub(l.LastSwitchover) < minSwitchoverInterval
+	recent := now.Sub(d.switchedAt) < minSwitchoverInterval ||
+		l.LastSwitchover.After(d.abandonedAt) && now.Sub(l.LastSwitchover) < minSwitchoverInterval
 	if d.overloadedRounds < minOverloadedRounds || recent || l.Interruption > d.remaining(now) {
 		return false
 	}
@@ -115,7 +118,7 @@
 // Abandon records that the switchover was abandoned before a promotion was
 // requested.
 func (d *OverloadDetector) Abandon(now time.Time) {
-	d.switchedAt = now.Add(abandonedRetryDelay - minSwitchoverInterval)
+	d.switchedAt, d.abandonedAt = now.Add(abandonedRetryDelay-minSwitchoverInterval), now
 }
 
 // noteFailures records which replicas failed, and forgets those that are gone.
--- a/core/group/overload_test.go
+++ b/core/group/overload_test.go
@@ -133,7 +133,7 @@
 	}
 	relieved(&abandoned, load(time.Second, time.Time{}), start, 2)
 	abandoned.Abandon(start)
-	if got := relieved(&abandoned, load(time.Second, time.Time{}), start, 20); got < abandonedRetryDelay || got > abandonedRetryDelay+time.Second {
+	if got := relieved(&abandoned, load(time.Second, start), start, 20); got < abandonedRetryDelay || got > abandonedRetryDelay+time.Second {
 		t.Errorf("tried again %s after an abandoned switchover", got)
 	}
 }
--- a/internal/gateway/fakeconn_test.go
+++ b/internal/gateway/fakeconn_test.go
@@ -88,7 +88,7 @@
 	c.site.mu.Lock()
 	defer c.site.mu.Unlock()
 	m := c.m
-	if m.full {
+	if _, isProbe := o.(Probe); m.full || m.refusesProbes && isProbe {
 		return Status{}, &Failure{Busy, m.id}
 	}
 	switch o := o.(type) {
--- a/internal/gateway/fakesite_test.go
+++ b/internal/gateway/fakesite_test.go
@@ -50,6 +50,7 @@
 	written         int  // how often it wrote its store entry
 	lagging         bool // applies nothing
 	full            bool // its queue is full
+	refusesProbes   bool // its queue is too full for probes
 	demoted         int  // how often it was demoted
 	claimsPrimary   bool // reports itself as primary although it was replaced
 	running         int
--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -481,12 +481,15 @@
 	g.metrics.MemberCall(g.name, m.ID, m.ID == g.primaryID, m.statementAnsweredAt.Sub(sentAt))
 }
 
-// heardSince reports whether the member has answered a statement after the given time.
-func (g *Group) heardSince(id string, since time.Time) bool {
+// heardSince reports whether the member has answered a statement after the given time, and the last known position that it
+// has applied.
+func (g *Group) heardSince(id string, since time.Time) (applied group.Position, heard bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	m := g.members[id]
-	return m != nil && m.statementAnsweredAt.After(since)
+	if m := g.members[id]; m != nil && m.statementAnsweredAt.After(since) {
+		return m.applied, true
+	}
+	return group.Position{}, false
 }
 
 // hasEnded reports whether the process of a member that does not answer has certainly ended: the
--- a/internal/gateway/group_monitor.go
+++ b/internal/gateway/group_monitor.go
@@ -127,10 +127,11 @@
 	if w.primary.ID == "" {
 		w.primary = w.group.primaryToWatch()
 	}
-	if w.group.heardSince(w.primary.ID, started) {
+	if position, heard := w.group.heardSince(w.primary.ID, started); heard {
 		// The primary answers statements, and its queue is too full for probes.
 		w.silentRounds = 0
 		w.notePrimaryAlive(started)
+		w.relieveOccupiedPrimary(ctx, position, answers)
 		return
 	}
 	silent := silentRoundsOf(w.primary, answers)
@@ -223,10 +224,7 @@
 	case w.primary.Leaving || w.group.primaryMissingFor() > missingMemberGrace:
 		w.switchOver(ctx, primary, replicas)
 	case w.detectOverload(primary, replicas):
-		if !w.switchOver(ctx, primary, replicas) {
-			w.overloadDetector.Abandon(w.host.now())
-			w.group.forgetSwitchover()
-		}
+		w.relieve(ctx, primary, replicas)
 	case stuck && canReplacePrimary(replicas):
 		w.log("primary_cut_off", "member", w.primary.ID, "position", primary.status.Received, "answers", formatResults(replicas))
 		w.failover(ctx, w.host.now(), answers)
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	"pearlatch/core/group"
@@ -24,6 +25,26 @@
 	return true
 }
 
+// relieve replaces an overloaded primary.
+func (w *groupMonitor) relieve(ctx context.Context, primary controlResult, replicas []controlResult) {
+	if !w.switchOver(ctx, primary, replicas) {
+		w.overloadDetector.Abandon(w.host.now())
+	}
+}
+
+// relieveOccupiedPrimary replaces an overloaded primary that is too busy for probes but has answered statements in this
+// round, the last one with the position.
+func (w *groupMonitor) relieveOccupiedPrimary(ctx context.Context, position group.Position, answers []controlResult) {
+	primary, replicas := splitPrimary(w.primary.ID, answers)
+	if !isOccupied(primary.err) || position == (group.Position{}) || w.leasedPrimary() != w.primary.ID || w.pendingPromotion() != "" || !w.promotionsSettled() || !w.tokenCurrent() {
+		return
+	}
+	primary.status.Running, primary.status.Received = primary.member.Slots, position
+	if w.detectOverload(primary, replicas) {
+		w.relieve(ctx, primary, replicas)
+	}
+}
+
 // primaryLoad returns the load that this host's statements show: how far they can use the replicas that answered as given,
 // and how many statements have had to wait since the last call.
 func (g *Group) primaryLoad(replicas []controlResult) group.PrimaryLoad {
--- a/internal/gateway/overload_test.go
+++ b/internal/gateway/overload_test.go
@@ -77,6 +77,17 @@
 	wantNoLostWrites(t, s)
 }
 
+// The primary's queue is so full that it refuses probes, while it answers callers. Its load was never examined then, so that
+// it was not relieved as long as the burst lasted.
+func TestPrimaryTooBusyForProbesIsRelieved(t *testing.T) {
+	withHost(t, freshness.MaxAge{Age: time.Second}, func(s *fakeSite, h *Host) {
+		wantRelief(t, s, h, func(s *fakeSite) {
+			s.updateMember("a", func(m *fakeMember) { m.refusesProbes = true })
+			s.updateMember("c", func(m *fakeMember) { m.crashed = true })
+		})
+	})
+}
+
 // A replica that serves reads is reason enough to keep the primary, whatever the other one does.
 func TestPrimaryIsKeptWhileAReplicaServes(t *testing.T) {
 	withHost(t, freshness.MaxAge{Age: time.Second}, func(s *fakeSite, h *Host) {
--- a/internal/gateway/switchover.go
+++ b/internal/gateway/switchover.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"time"
 
 	"pearlatch/core/group"
 	"pearlatch/internal/pause"
@@ -51,13 +50,6 @@
 	return true
 }
 
-// forgetSwitchover records that a switchover was abandoned.
-func (g *Group) forgetSwitchover() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.switchoverAt = time.Time{}
-}
-
 // allKnown reports whether each fenced replica has answered or need not: awaitCatchUp waits in vain otherwise.
 func (w *groupMonitor) allKnown(fenced []controlResult) bool {
 	return !slices.ContainsFunc(w.successorCandidates(fenced), func(r group.Standby) bool { return !r.Answered })
