Leases right after a restart also where members don't report their runs

Change: members without runs are accepted where the coordinator before was a process of this host, as after a restart of all hosts: that process ended before this one started, so that hardly any time is left in which a replica could have restarted after the order. All replicas must also hold the record's floor, which shows a log that was lost. Where another host takes the role over, the wait remains without runs.

What remains is in the design page: a replica that restarts with its log within 1.2 s of an order that could not be recorded, both replicas after a failover, while all hosts end as well.

--- a/internal/gateway/primary_check.go
+++ b/internal/gateway/primary_check.go
@@ -166,7 +166,7 @@
 	out := make([]leadership.ProbeResult, len(in))
 	for i, a := range in {
 		out[i] = leadership.ProbeResult{Member: a.member.ID, Answered: a.err == nil, ProcessEnded: connRefused(a.err),
-			Leads: a.status.IsPrimary, Term: a.status.Term, FenceTerm: a.status.Fenced}
+			Leads: a.status.IsPrimary, Term: a.status.Term, FenceTerm: a.status.Fenced, Received: a.status.Received}
 	}
 	return out
 }
--- a/internal/gateway/promotion_state.go
+++ b/internal/gateway/promotion_state.go
@@ -125,7 +125,7 @@
 			return
 		}
 	}
-	w.predecessor.NothingPending = leadership.NoPromotionPending(w.record.Record, runs, primary.member.ID, primary.status.Term, toProbeResults(replicas))
+	w.predecessor.NothingPending = leadership.NoPromotionPending(w.record.Record, w.predecessor.SameHost, runs, primary.member.ID, primary.status.Term, toProbeResults(replicas))
 	if w.predecessor.NothingPending {
 		w.log("no_promotion_pending", "member", primary.member.ID, "term", primary.status.Term, "saved_ms", settled.Sub(w.host.now()).Milliseconds())
 	}
