Quotas: an old failure of the granter doesn't make hosts ask reserve holders

A holder now counts only if there are any. A failure that is older no longer makes hosts ask holders either.

--- a/core/quota/limiter.go
+++ b/core/quota/limiter.go
@@ -44,8 +44,7 @@
 	requestedAt               time.Time
 	// activeAt is when the host's portions become active.
 	activeAt time.Time
-	// failingSince is when the granter stopped responding, or zero. failedAt is when it last failed to respond.
-	failingSince, failedAt time.Time
+	failure  reserve.Failure
 	// partial is true if the granter did not know what all hosts hold when it last responded.
 	partial bool
 	// waiting holds the accounts with waiting operations, and reserved those of which the host holds reserves.
@@ -137,7 +136,7 @@
 func (l *Limiter) NextRequest(now time.Time) (Request, bool) {
 	var out []AccountRequest
 	// A granter that stopped responding is tried again also without portions, since operations wait no longer for it.
-	holds := !l.failingSince.IsZero() && len(l.accounts) > 0
+	holds := !l.failure.Since().IsZero() && len(l.accounts) > 0
 	for _, name := range slices.Sorted(maps.Keys(l.accounts)) {
 		a := l.accounts[name]
 		a.bucket.refill(now, l.activeAt)
@@ -207,7 +206,8 @@
 	if !l.pending || id != l.lastRequest || fencingToken != l.fencingToken || now.Sub(l.requestedAt) > ResponseTimeout {
 		return false
 	}
-	l.pending, l.lastAnswered, l.failingSince, l.partial = false, id, time.Time{}, resp.Partial || !resp.Suspended
+	l.failure.Clear()
+	l.pending, l.lastAnswered, l.partial = false, id, resp.Partial || !resp.Suspended
 	activeAt := l.activeAt
 	if resp.Suspended {
 		activeAt = l.requestedAt.Add(cmp.Or(resp.ActivateAfter, activateAfter))
--- a/core/quota/limiter_test.go
+++ b/core/quota/limiter_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"pearlatch/core/quota/demand"
+	"pearlatch/core/quota/reserve"
 )
 
 // A response arrives after the host has sent another request, when the granter already counts it as lost. If the host
@@ -167,7 +168,7 @@
 	if d, _ := l.Begin("a", quota40, at, at.Add(time.Second)); d != Wait {
 		t.Errorf("decision %v after a failure just now, want to wait for the granter", d)
 	}
-	at = at.Add(granterLossTimeout + ms)
+	at = at.Add(reserve.GranterLossTimeout + ms)
 	l.RecordNoGranter(at)
 	if d, _ := l.Begin("a", quota40, at, at.Add(time.Second)); d != Refused {
 		t.Errorf("decision %v, want a refusal while the granter still fails", d)
--- a/core/quota/reserve.go
+++ b/core/quota/reserve.go
@@ -49,37 +49,22 @@
 // HoldsReserves reports whether the host requests reserves.
 func (l *Limiter) HoldsReserves() bool { return len(l.reserved) > 0 }
 
-// RecordNoGranter records that the host knows no granter.
-func (l *Limiter) RecordNoGranter(now time.Time) {
-	if l.failingSince.IsZero() || now.Sub(l.failedAt) > failureTTL {
-		l.failingSince = now
-	}
-	l.failedAt = now
-}
-
-// failureTTL is how long after its last failure the granter counts as failing. It exceeds several of the driver's maintenance
-// intervals, in each of which a failing granter is tried again while there are accounts to serve.
-const failureTTL = 500 * time.Millisecond
-
-// granterLost reports whether the granter has failed to respond for so long that operations no longer wait for it. A
-// failure that was not repeated does not count: with no accounts to serve, the granter has not been tried since.
-func (l *Limiter) granterLost(now time.Time) bool {
-	return !l.failingSince.IsZero() && now.Sub(l.failingSince) > granterLossTimeout && now.Sub(l.failedAt) <= failureTTL
-}
+// RecordNoGranter records that the granter does not respond, or that the host knows none.
+func (l *Limiter) RecordNoGranter(now time.Time) { l.failure.Record(now) }
 
 // FailingSince returns when the granter stopped responding, or zero.
-func (l *Limiter) FailingSince() time.Time { return l.failingSince }
+func (l *Limiter) FailingSince() time.Time { return l.failure.Since() }
 
 // holdersMayServe reports whether a reserve holder may have a token of the account while the granter has none.
 func (l *Limiter) holdersMayServe(a *localAccount, now time.Time) bool {
-	return l.holdersNeeded(a, now) && !a.refusals.Paused(now)
+	return l.holders.MaxAsks() > 0 && l.holdersNeeded(a, now) && !a.refusals.Paused(now)
 }
 
 // holdersNeeded reports whether the granter fails to respond, is late, or had no token of the account while it did not
 // know what all hosts hold.
 func (l *Limiter) holdersNeeded(a *localAccount, now time.Time) bool {
 	late := l.pending && now.Sub(l.requestedAt) >= reserve.HedgeDelay
-	return late || !l.failingSince.IsZero() || a.unserved
+	return late || l.failure.Lasts(now) || a.unserved
 }
 
 // HoldersNeeded reports whether waiting operations of any account need reserve holders.
--- a/core/quota/reserve_test.go
+++ b/core/quota/reserve_test.go
@@ -51,7 +51,7 @@
 // which a holder expects a token. Operations that follow at once ask nobody, and are told later times.
 func TestTwoHoldersAreAskedForAnOperation(t *testing.T) {
 	l, ticket := newTestClient()
-	now := t0.Add(granterLossTimeout + ms)
+	now := t0.Add(reserve.GranterLossTimeout + ms)
 	var asked []string
 	for {
 		holder, req, ok := l.NextReserveRequest(now)
--- a/core/quota/waiting.go
+++ b/core/quota/waiting.go
@@ -21,9 +21,6 @@
 	Refused
 )
 
-// granterLossTimeout is how long a granter may fail to respond before operations stop waiting for it.
-const granterLossTimeout = 300 * time.Millisecond
-
 // Begin counts a new operation of an account in the demand and takes a token for it. With Wait the operation may wait,
 // see AddWaiter; until is the time until which it can. With Refused it returns the time after which to retry.
 func (l *Limiter) Begin(name string, q account.Quota, now, until time.Time) (Decision, time.Duration) {
@@ -47,7 +44,7 @@
 
 // granterMayServe reports whether the granter may have a token of the account.
 func (l *Limiter) granterMayServe(a *localAccount, now time.Time) bool {
-	return !now.Before(a.refusedUntil) && !l.granterLost(now)
+	return !now.Before(a.refusedUntil) && !l.failure.GranterLost(now)
 }
 
 // supply returns what the host's own portion of the account yields next.
