--- a/core/load/affinity.go
+++ b/core/load/affinity.go
@@ -7,10 +7,12 @@
 const typicalServers = 8
 
 // AppendAffinity appends to dst the indices of the servers in the order in which they serve an
-// account of a group: the home server first, then the ones that replace it. The order of two
-// servers depends only on the group, the account and their IDs. All entry hosts therefore agree on
-// it, whatever their zone, and a server that joins or leaves moves only the accounts that it gains
-// or loses.
+// account of a group: the home server first, then the ones that replace it. Nearer servers come
+// first, so that the statements stay in their zone while it has a server: with one home server for
+// the callers of all zones, the bytes between zones doubled, and connections that are kept open
+// saved most of what it saves. The order of two servers at the same distance depends only on the
+// group, the account and their IDs. All entry hosts of a zone therefore agree on it, and a server
+// that joins or leaves moves only the accounts that it gains or loses.
 //
 // See Thaler and Ravishankar, "Using Name-Based Mappings to Increase Hit Rates", IEEE/ACM
 // Transactions on Networking 6(1), 1998.
@@ -26,7 +28,10 @@
 		dst = append(dst, i)
 		for j := len(dst) - 1; j > first; j-- {
 			a, b := dst[j-1], dst[j]
-			if scores[a] > scores[b] || scores[a] == scores[b] && servers[a].ID <= servers[b].ID {
+			if servers[a].Way < servers[b].Way {
+				break
+			}
+			if servers[a].Way == servers[b].Way && (scores[a] > scores[b] || scores[a] == scores[b] && servers[a].ID <= servers[b].ID) {
 				break
 			}
 			dst[j-1], dst[j] = b, a
