Quotas: tokens of a slow reserve holder are used

A request to a holder ended after 75 ms, and tokens that arrived later were lost although the holder had spent them; hosts with a fraction of a core answer that late under load. The reply is now accepted up to 250 ms after the request, as the granter's is, and another holder is asked after 75 ms.

--- a/core/quota/reserve.go
+++ b/core/quota/reserve.go
@@ -80,7 +80,7 @@
 // NextReserveRequest returns the request to send to a reserve holder now, or false if none is due. It covers all waiting
 // operations for which another holder may be asked.
 func (l *Limiter) NextReserveRequest(now time.Time) (holder string, req reserve.Request, ok bool) {
-	if !l.holders.Idle() {
+	if holder, ok = l.holders.Next(now); !ok {
 		return "", reserve.Request{}, false
 	}
 	var demands []reserve.Demand
@@ -95,21 +95,21 @@
 	if len(demands) == 0 {
 		return "", reserve.Request{}, false
 	}
-	holder, req = l.holders.Start(demands, now)
-	return holder, req, true
+	return holder, l.holders.Start(holder, demands, now), true
 }
 
 // HandleReserveReply applies the reply of a reserve holder. It returns the number of tokens received. Nothing changes if
-// the request is not the last one or if the reply is later than ResponseTimeout.
+// the request is not in progress or if the reply is later than ResponseTimeout.
 func (l *Limiter) HandleReserveReply(id uint64, reply reserve.Reply, now time.Time) (tokens int) {
 	if reply.Declined {
 		l.AbandonReserve(id, now)
 		return 0
 	}
-	if !l.holders.Accept(id, now, ResponseTimeout) {
+	holder, demands, ok := l.holders.Accept(id, now, ResponseTimeout)
+	if !ok {
 		return 0
 	}
-	omitted := l.holders.Omitted(reply)
+	omitted := reserve.Omitted(demands, reply)
 	for _, name := range omitted {
 		if a := l.accounts[name]; a != nil {
 			a.queue.DiscountAsk()
@@ -128,11 +128,11 @@
 			continue
 		}
 		enough = false
-		a.expected.Expect(g.RetryAfter, g.Interval, l.holders.Last(), now)
+		a.expected.Expect(g.RetryAfter, g.Interval, holder, now)
 		a.refusals.Add(&l.holders, min(g.RetryAfter, maxRefusalTTL), now)
 	}
 	if !enough {
-		l.holders.Advance()
+		l.holders.Avoid(holder)
 	}
 	return tokens
 }
--- a/core/quota/reserve/client.go
+++ b/core/quota/reserve/client.go
@@ -12,8 +12,9 @@
 	// maxAsks is the number of holders that are asked for a token for one operation. One of three holders may be lost
 	// together with the granter.
 	maxAsks = 2
-	// Timeout bounds a request to a holder. It allows for a slow holder within a region, and two of these requests fit
-	// into the time for which an operation waits.
+	// Timeout is how long a request to a holder may be unanswered before another holder is asked. It allows for a holder
+	// that is slow within a region, and two such requests fit into the time for which an operation waits. The tokens of
+	// a later reply are used, since they are lost otherwise.
 	Timeout = 75 * time.Millisecond
 	// HedgeDelay is how long a request to the granter may be unanswered before holders are asked. A granter that responds
 	// at all usually does so in a few milliseconds.
@@ -46,16 +47,22 @@
 // Paused reports whether no holder is to be asked now.
 func (r *Refusals) Paused(now time.Time) bool { return now.Before(r.until) }
 
-// Client is a host's state as a client of the holders: whom it asks next, and the request in progress. There is one at a
-// time, for all waiting operations. The zero value has no holders.
+// Client is a host's state as a client of the holders: whom it asks next, and the requests in progress. There is one at a
+// time, for all waiting operations, and another one to another holder while that one is late. The zero value has no
+// holders.
 type Client struct {
 	holders []string
 	// next is the index of the holder to ask next.
 	next int
-	// last is the last request, sent to asked at sentAt. pending is true while its reply is awaited.
-	last    Request
-	asked   string
-	pending bool
+	// lastID is the ID of the last request. asks holds the requests in progress by ID.
+	lastID uint64
+	asks   map[uint64]ask
+}
+
+// ask is a request in progress.
+type ask struct {
+	holder  string
+	demands []Demand
 	sentAt  time.Time
 }
 
@@ -72,55 +79,60 @@
 // MaxTries returns how many hosts may be asked for one operation, including those that turn out to hold no portion.
 func (c *Client) MaxTries() int { return len(c.holders) }
 
-// Idle reports whether a request may be sent: there are holders, and none of them is to reply.
-func (c *Client) Idle() bool { return !c.pending && len(c.holders) > 0 }
-
-// Start returns the request to send now and the holder to send it to. The client must be idle.
-func (c *Client) Start(demands []Demand, now time.Time) (holder string, req Request) {
-	slices.SortFunc(demands, func(a, b Demand) int { return cmp.Compare(a.Account, b.Account) })
-	c.last, c.pending, c.sentAt = Request{c.last.ID + 1, demands}, true, now
-	c.asked = c.holders[c.next%len(c.holders)]
-	return c.asked, c.last
+// Next returns the holder to which a request may be sent now, or false if there is none, or if one is to reply.
+func (c *Client) Next(now time.Time) (holder string, ok bool) {
+	late := map[string]bool{}
+	for _, a := range c.asks {
+		if now.Sub(a.sentAt) < Timeout {
+			return "", false
+		}
+		late[a.holder] = true
+	}
+	for i := range c.holders {
+		if h := c.holders[(c.next+i)%len(c.holders)]; !late[h] {
+			return h, true
+		}
+	}
+	return "", false
 }
 
-// Accept ends the wait for a reply. It returns false if the request is not the one in progress, or if the reply is later
-// than the timeout: the tokens are then not to be used.
-func (c *Client) Accept(id uint64, now time.Time, timeout time.Duration) bool {
-	if !c.pending || id != c.last.ID || now.Sub(c.sentAt) > timeout {
-		return false
+// Start returns the request to send now to the holder that Next returned.
+func (c *Client) Start(holder string, demands []Demand, now time.Time) Request {
+	slices.SortFunc(demands, func(a, b Demand) int { return cmp.Compare(a.Account, b.Account) })
+	if c.asks == nil {
+		c.asks = map[uint64]ask{}
 	}
-	c.pending = false
-	return true
+	c.lastID++
+	c.asks[c.lastID] = ask{holder, demands, now}
+	return Request{c.lastID, demands}
 }
 
-// Abandon ends the wait for a reply that will not come. It returns false if the request is not the one in progress.
-func (c *Client) Abandon(id uint64) ([]Demand, bool) {
-	if !c.pending || id != c.last.ID {
-		return nil, false
-	}
-	c.pending = false
-	c.Advance()
-	return c.last.Accounts, true
+// Accept ends a request to which a holder replied. It returns false if the request is not in progress, or if the reply is
+// later than the timeout: the tokens are then not to be used.
+func (c *Client) Accept(id uint64, now time.Time, timeout time.Duration) (holder string, demands []Demand, ok bool) {
+	a, ok := c.asks[id]
+	delete(c.asks, id)
+	return a.holder, a.demands, ok && now.Sub(a.sentAt) <= timeout
 }
 
-// Omitted returns the accounts of the last request that are not in the reply, since the holder has no portion of them.
-func (c *Client) Omitted(reply Reply) (accounts []string) {
-	for _, d := range c.last.Accounts {
-		if !slices.ContainsFunc(reply.Grants, func(g Grant) bool { return g.Account == d.Account }) {
-			accounts = append(accounts, d.Account)
-		}
-	}
-	return accounts
+// Abandon ends a request that failed. It returns false if the request is not in progress.
+func (c *Client) Abandon(id uint64) ([]Demand, bool) {
+	a, ok := c.asks[id]
+	delete(c.asks, id)
+	c.Avoid(a.holder)
+	return a.demands, ok
 }
 
 // Awaits reports whether the reply to a request for the account is awaited.
 func (c *Client) Awaits(account string) bool {
-	return c.pending && slices.ContainsFunc(c.last.Accounts, func(d Demand) bool { return d.Account == account })
+	for _, a := range c.asks {
+		if slices.ContainsFunc(a.demands, func(d Demand) bool { return d.Account == account }) {
+			return true
+		}
+	}
+	return false
 }
 
-// Last returns the holder that was asked last.
-func (c *Client) Last() string { return c.asked }
-
 // Prefer makes the next request go to the given holder, if it still is one.
 func (c *Client) Prefer(holder string) {
 	if i := slices.Index(c.holders, holder); i >= 0 {
@@ -128,9 +140,19 @@
 	}
 }
 
-// Advance makes the next request go to the next holder, since this one has too few tokens or does not answer.
-func (c *Client) Advance() {
-	if len(c.holders) > 0 {
-		c.next = (c.next + 1) % len(c.holders)
+// Avoid makes the next request go to the holder after the given one, since that has too few tokens or does not answer.
+func (c *Client) Avoid(holder string) {
+	if i := slices.Index(c.holders, holder); i >= 0 {
+		c.next = (i + 1) % len(c.holders)
+	}
+}
+
+// Omitted returns the accounts of a request that are not in the reply, since the holder has no portion of them.
+func Omitted(demands []Demand, reply Reply) (accounts []string) {
+	for _, d := range demands {
+		if !slices.ContainsFunc(reply.Grants, func(g Grant) bool { return g.Account == d.Account }) {
+			accounts = append(accounts, d.Account)
+		}
 	}
+	return accounts
 }
--- a/internal/quotas/reserves.go
+++ b/internal/quotas/reserves.go
@@ -196,8 +196,14 @@
 }
 
 func (e *Enforcer) requestReserveFrom(s *shard, holder string, req reserve.Request) {
-	ctx, cancel := context.WithTimeout(context.Background(), reserve.Timeout)
+	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 	defer cancel()
+	late := time.AfterFunc(reserve.Timeout, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		e.requestReserve(s) // asks another holder meanwhile
+	})
+	defer late.Stop()
 	var reply reserve.Reply
 	peer, addr, err := e.fleet.Peer(holder)
 	if err == nil {
