Quotas: a holder's late reply ends the request

A reply later than ResponseTimeout was ignored, but the request stayed pending. A host that was paused while it waited for a holder asked none of the shard's holders again until it was restarted, and its operations waited for nothing.

A late reply now counts as a failed request.

--- a/core/quota/reserve.go
+++ b/core/quota/reserve.go
@@ -100,13 +100,14 @@
 }
 
 // HandleReserveReply applies the reply of a reserve holder. It returns the number of tokens received. Nothing changes if
-// the request is not the last one or if the reply is later than ResponseTimeout.
+// the request is not the last one. A reply later than ResponseTimeout ends the request without tokens.
 func (l *Limiter) HandleReserveReply(id uint64, reply reserve.Reply, now time.Time) (tokens int) {
 	if reply.Declined {
 		l.AbandonReserve(id, now)
 		return 0
 	}
 	if !l.holders.Accept(id, now, ResponseTimeout) {
+		l.AbandonReserve(id, now)
 		return 0
 	}
 	omitted := l.holders.Omitted(reply)
--- a/core/quota/reserve_test.go
+++ b/core/quota/reserve_test.go
@@ -47,6 +47,18 @@
 	}
 }
 
+// Guards against a host that is paused while it waits for a holder's reply and never asks a holder again: the reply is too
+// late, but it ends the request.
+func TestLateReserveReplyEndsTheRequest(t *testing.T) {
+	l, _ := newTestClient()
+	first, req, _ := l.NextReserveRequest(t0)
+	late := t0.Add(ResponseTimeout + ms)
+	l.HandleReserveReply(req.ID, reserve.Reply{Grants: []reserve.Grant{{Account: "a", Tokens: 1}}}, late)
+	if second, _, ok := l.NextReserveRequest(late); !ok || second == first {
+		t.Errorf("asked %q after a late reply of %q: %v", second, first, ok)
+	}
+}
+
 // The granter is silent and no holder has tokens. An operation asks two holders and is then refused, with the time at
 // which a holder expects a token. Operations that follow at once ask nobody, and are told later times.
 func TestTwoHoldersAreAskedForAnOperation(t *testing.T) {
