core/pool: a failed opening is not charged later

Member.openedForSince was kept when an opening failed. The next connection that was opened for the same account for another reason, such as to a preferred member, was charged for all the time since, seconds or minutes. The account was then served last until no statement waited, and the mean cost of a statement was wrong.

TestFailedOpeningIsNotChargedLater fails without the change. go test -race ./core/pool passes.

--- a/core/pool/open.go
+++ b/core/pool/open.go
@@ -154,6 +154,9 @@
 
 // openingEnded records that a connection of the account is no longer being opened.
 func (m *Member) openingEnded(account string) {
+	if m.openedFor.Account == account {
+		m.openedForSince = time.Time{}
+	}
 	if m.opening[account]--; m.opening[account] <= 0 {
 		delete(m.opening, account)
 	}
@@ -163,11 +166,10 @@
 // for it, its account is charged for the slot time. If the member was removed,
 // Opened returns nil and the caller must close the connection.
 func (p *Pool) Opened(m *Member, account string, now time.Time) *Conn {
-	m.openingEnded(account)
 	if !m.openedForSince.IsZero() && m.openedFor.Account == account {
 		p.queue.Charge(account, m.openedFor.Class(), now.Sub(m.openedForSince))
-		m.openedForSince = time.Time{}
 	}
+	m.openingEnded(account)
 	if m.removed {
 		return nil
 	}
--- a/core/pool/pool_test.go
+++ b/core/pool/pool_test.go
@@ -336,3 +336,32 @@
 	actions, _ := h.runActions()
 	h.wantActions(actions, "assign bakery")
 }
+
+// Guards against an account that is charged for the time since an opening that failed long ago, when another connection of
+// it is opened. It would be served last until no statement waits.
+func TestFailedOpeningIsNotChargedLater(t *testing.T) {
+	h := newHarness(t, 4, "r")
+	m := h.pool.members["r"]
+	hotel, _ := h.acquire(readRequest("hotel"))
+	bakery, _ := h.acquire(readRequest("bakery"))
+	h.pool.Release(bakery, h.now)
+	w := h.pool.Enqueue(readRequest("chain"), h.now)
+	h.pool.Dispatch(h.now, false)
+	h.pool.DrainActions() // opens a connection for chain
+	h.pool.OpenFailed(m, "chain", true, h.now)
+	h.pool.Dequeue(w, h.now)
+	h.now = h.now.Add(time.Minute)
+	m.RecordOverload(h.now, 1) // one statement at once from now on
+	for _, account := range []string{"chain", "bakery"} {
+		r := readRequest(account)
+		r.ArrivedAt = h.now
+		h.pool.Enqueue(r, h.now)
+		h.now = h.now.Add(10 * time.Millisecond)
+	}
+	h.pool.BeginOpen(m, "chain")
+	h.pool.Opened(m, "chain", h.now)
+	h.pool.Release(hotel, h.now)
+	h.pool.Dispatch(h.now, false)
+	actions, _ := h.runActions()
+	h.wantActions(actions, "assign chain")
+}
