Switchover: the fence's term exceeds the primary's

A planned switchover fenced the other replicas in the term after the highest one that the replicas knew. While they have received nothing since the primary was promoted, that is the primary's own term, and such a fence is ignored by members, by releaseStaleFences and by leadership.NoPromotionPending: another replica than the target could acknowledge writes that the promotion drops, and the next coordinator could conclude that no promotion is pending. A demotion in that term has no effect either. The term now also exceeds the highest one seen, as in a failover.

TestSwitchoverFencesAboveThePrimarysTerm fails without the change (fence of term 2, primary in term 2). go test -race ./internal/gateway passes.

--- a/internal/gateway/overload_test.go
+++ b/internal/gateway/overload_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pearlatch/core/freshness"
+	"pearlatch/core/group"
 )
 
 // loadPrimary keeps eight readers busy for the duration, while writes continue.
@@ -98,3 +99,22 @@
 		}
 	})
 }
+
+// Guards against a switchover without an effective fence: the replicas have received nothing since the primary was promoted,
+// and still know the term before. A fence of the primary's own term stops no replica from receiving from it.
+func TestSwitchoverFencesAboveThePrimarysTerm(t *testing.T) {
+	withHost(t, freshness.Latest{}, func(s *fakeSite, h *Host) {
+		exec(h, Write{})
+		s.updateMember("a", func(m *fakeMember) { m.term = 2 })
+		s.writeMemberEntry("a", "draining")
+		var fence group.Term
+		for started := time.Now(); s.primaryID() == "a" && time.Since(started) < 3*time.Second; time.Sleep(time.Millisecond) {
+			for _, id := range []string{"b", "c"} {
+				s.updateMember(id, func(m *fakeMember) { fence = max(fence, m.fenced) })
+			}
+		}
+		if fence <= 2 {
+			t.Errorf("the highest fence during the switchover was that of term %d, and the primary had term 2", fence)
+		}
+	})
+}
--- a/internal/gateway/switchover.go
+++ b/internal/gateway/switchover.go
@@ -20,7 +20,8 @@
 		w.log("no_heir", "answers", formatResults(replicas))
 		return false
 	}
-	term := highestTerm(replicas) + 1
+	// The replicas may not have heard of the primary's term yet, and a fence of that term has no effect.
+	term := max(highestTerm(replicas), w.group.highestSeenTerm()) + 1
 	var others []Member
 	for _, r := range replicas {
 		if r.member.ID != target.ID {
