Leadership: earlier coordinators' promotions end with the raised token only

A coordinator whose predecessor was an earlier process of its host took the start of its own process for the end of all unrecorded promotion requests. That process may have ended before the platform saw its token, while the coordinator before it, which did not reach the store, still requested promotions: with host X cut off from the store, the role acquired by h, h restarted at once, and h's first attempt to raise the token lost, the members showed that nothing was pending before X fenced them, and the next round released X's fences and granted a lease while X's promotion took effect.

The end is now the time at which the platform saw the token in each case. The expected time of one case of TestPredecessorSettles becomes later, since the earlier one was the fault; three cases are new.

--- a/core/leadership/predecessor.go
+++ b/core/leadership/predecessor.go
@@ -25,15 +25,13 @@
 }
 
 // PromotionsEnd returns until when an earlier coordinator may have requested promotions without recording them: the
-// time at which the platform saw this host's token, the start of this process if the earlier coordinator was a process
-// of the same host, or the zero time if it had handed the role back. It returns false while the platform has not seen
-// this host's token.
+// time at which the platform saw this host's token, or the zero time if the previous coordinator had handed the role
+// back. It returns false while the platform has not seen this host's token. That the previous coordinator was a process
+// of this host, which has ended, does not suffice: it may have ended before the platform saw its token, while the
+// coordinator before it still requested promotions.
 func (p Predecessor) PromotionsEnd() (time.Time, bool) {
-	switch {
-	case p.HandedBack:
+	if p.HandedBack {
 		return time.Time{}, true
-	case p.SameHost:
-		return p.ProcessStarted, true
 	}
 	return p.TokenRaisedAt, !p.TokenRaisedAt.IsZero()
 }
--- a/core/leadership/predecessor_test.go
+++ b/core/leadership/predecessor_test.go
@@ -23,7 +23,12 @@
 		{"token not raised, members asked", Predecessor{NothingPending: true}, time.Time{}, false},
 		{"token raised", Predecessor{TokenRaisedAt: raised}, raised.Add(PromotionDelay), true},
 		{"token raised, members asked", Predecessor{TokenRaisedAt: raised, NothingPending: true}, raised, true},
-		{"earlier process of this host", Predecessor{SameHost: true, ProcessStarted: start, TokenRaisedAt: raised}, start.Add(PromotionDelay), true},
+		// The earlier process may have ended before the platform saw its token, while the coordinator before it still requested
+		// promotions.
+		{"earlier process of this host", Predecessor{SameHost: true, ProcessStarted: start, TokenRaisedAt: raised}, raised.Add(PromotionDelay), true},
+		{"earlier process of this host, members asked", Predecessor{SameHost: true, ProcessStarted: start, TokenRaisedAt: raised, NothingPending: true}, raised, true},
+		{"earlier process of this host, token not raised", Predecessor{SameHost: true, ProcessStarted: start}, time.Time{}, false},
+		{"role handed back", Predecessor{HandedBack: true}, time.Time{}.Add(PromotionDelay), true},
 	} {
 		if got, known := c.p.SettledAt(); !got.Equal(c.want) || known != c.known {
 			t.Errorf("%s: settled at %v, %t; want %v, %t", c.name, got, known, c.want, c.known)
