Leadership: a recorded promotion is not overwritten

Recording the hosts that may hold portions of quotas reads the record, and writes it in another goroutine than the group's monitor. If the monitor recorded a promotion in between, the write used the revision of the new record and the contents of the old one: the promotion was removed from the store, and the next coordinator granted leases on the old primary although the promotion could still take effect. NoPromotionPending relies on this entry as well.

A record is now written only over the one from which it was derived. A promotion that meets another write is recorded again; other writers try again later, as after any failure.

--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -127,17 +127,21 @@
 	d.log("record_inherited", "before", found.Holder, "term", r.Term, "floor", r.Floor, "ordered", found.PendingPromotion, "written", found.Revision, "certain", i.certain)
 }
 
-// saveRecord writes the record. After an error it is unknown whether the record was written, so that it must be read and
+// saveRecord writes the record over the one of r.Revision, from which it was derived. It returns errRecordChanged if another
+// one was written meanwhile. After any other error it is unknown whether the record was written, so that it must be read and
 // inherited again.
-func (d *coordinator) saveRecord(ctx context.Context, r leadership.Record) error {
+func (d *coordinator) saveRecord(ctx context.Context, r leadership.StoredRecord) error {
 	return d.saveRecordWith(ctx, r, kv.Transaction{})
 }
 
 // saveRecordWith is like saveRecord, but commits further changes in the same transaction.
-func (d *coordinator) saveRecordWith(ctx context.Context, r leadership.Record, extra kv.Transaction) error {
+func (d *coordinator) saveRecordWith(ctx context.Context, r leadership.StoredRecord, extra kv.Transaction) error {
 	d.mu.Lock()
 	revision, last := d.recordRevision, d.record.Record
 	d.mu.Unlock()
+	if r.Revision != revision {
+		return errRecordChanged
+	}
 	call, cancel := context.WithTimeout(ctx, recordWriteTimeout)
 	defer cancel()
 	r.Holder = d.host.settings.Host
@@ -147,7 +151,7 @@
 	if r.QuotaGranters = d.quotaGranters(last); r.HandedBack {
 		r.QuotaGranters = withoutID(r.QuotaGranters, r.Holder)
 	}
-	err := d.writeRecord(call, r, revision, extra)
+	err := d.writeRecord(call, r.Record, revision, extra)
 	if err != nil {
 		d.mu.Lock()
 		d.recordRevision = 0
@@ -187,10 +191,10 @@
 }
 
 // currentRecord returns the record as this host last wrote it, or false if it is not certain that the store holds it.
-func (d *coordinator) currentRecord() (leadership.Record, bool) {
+func (d *coordinator) currentRecord() (leadership.StoredRecord, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.record.Record, d.recordRevision != 0
+	return d.record, d.recordRevision != 0
 }
 
 // handBack removes the role's entry, so that another host need not wait for it to expire. If no promotion is pending, it
@@ -226,11 +230,11 @@
 		return
 	}
 	r, known := w.group.successorRequirements()
-	r.PortionHolders, r.QuotaGranters = old.PortionHolders, w.quotaGranters(old)
+	r.PortionHolders, r.QuotaGranters = old.PortionHolders, w.quotaGranters(old.Record)
 	if !known || old.PendingPromotion == "" && old.Term == r.Term && old.SameMembers(r.Members) && len(r.QuotaGranters) == len(old.QuotaGranters) {
 		return
 	}
-	if err := w.saveRecord(ctx, r); err != nil {
+	if err := w.saveRecord(ctx, leadership.StoredRecord{Record: r, Revision: old.Revision}); err != nil {
 		w.log("record_not_written", "err", err)
 	}
 }
@@ -246,9 +250,15 @@
 		return nil
 	}
 	r.PendingPromotion, r.Term = id, max(r.Term, w.group.highestSeenTerm())
-	return w.saveRecord(ctx, r)
+	if err := w.saveRecord(ctx, r); !errors.Is(err, errRecordChanged) {
+		return err
+	}
+	return w.recordPromotion(ctx, id)
 }
 
+// errRecordChanged means that this host has written the record since it was read.
+var errRecordChanged = errors.New("the leadership record has changed")
+
 // errRecordUnknown means that it is not known what record the store holds: that of the previous coordinator was not
 // inherited yet, or a write had an unknown outcome.
 var errRecordUnknown = errors.New("the stored leadership record is not known")
--- a/internal/gateway/record_test.go
+++ b/internal/gateway/record_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -8,6 +9,7 @@
 
 	"pearlatch/core/freshness"
 	"pearlatch/core/leadership"
+	"pearlatch/internal/recordcodec"
 )
 
 // The primary stops answering, and the coordinator stops before it has replaced it. The next coordinator has never reached
@@ -108,3 +110,31 @@
 		})
 	}
 }
+
+// Guards against a recorded promotion that is overwritten: a write of the record for another reason, such as a host that may
+// get quotas, began from the record before. The next coordinator would not know of the promotion.
+func TestRecordedPromotionIsNotOverwritten(t *testing.T) {
+	withHost(t, freshness.Latest{}, func(s *fakeSite, h *Host) {
+		exec(h, Write{})
+		time.Sleep(time.Second)
+		h.mu.Lock()
+		w := &groupMonitor{coordinator: h.coordinators[testGroup]}
+		h.mu.Unlock()
+		before, ok := w.currentRecord()
+		if !ok {
+			t.Fatal("the record is not known")
+		}
+		if err := w.recordPromotion(context.Background(), "b"); err != nil {
+			t.Fatal(err)
+		}
+		if err := w.saveRecord(context.Background(), before); err == nil {
+			t.Error("a record that was changed meanwhile was written")
+		}
+		s.mu.Lock()
+		value := s.items[h.recordKey(testGroup)].Value
+		s.mu.Unlock()
+		if r, err := recordcodec.Decode(value); err != nil || r.PendingPromotion != "b" {
+			t.Errorf("the recorded promotion is %q, %v", r.PendingPromotion, err)
+		}
+	})
+}
