--- a/core/quota/reserve.go
+++ b/core/quota/reserve.go
@@ -99,7 +99,7 @@
 }
 
 // HandleReserveReply applies the reply of a reserve holder. It returns the number of tokens received. Nothing changes if
-// the request is not in progress or if the reply is later than ResponseTimeout.
+// the request is not in progress. A reply later than ResponseTimeout ends the request without tokens.
 func (l *Limiter) HandleReserveReply(id uint64, reply reserve.Reply, now time.Time) (tokens int) {
 	if reply.Declined {
 		l.AbandonReserve(id, now)
@@ -107,6 +107,7 @@
 	}
 	holder, demands, ok := l.holders.Accept(id, now, ResponseTimeout)
 	if !ok {
+		l.holders.Avoid(holder)
 		return 0
 	}
 	omitted := reserve.Omitted(demands, reply)
