Quotas: the share of portions is a setting

Change: portion_share under quota (0.6 to 0.95, default 0.6) is what the host grants as portions; reserves get 0.1 less of the rate and 0.15 less of the capacity. Requests for reserves are unchanged: all holders together request 0.5, which stands for all reserves.

--- a/core/leadership/inherit.go
+++ b/core/leadership/inherit.go
@@ -45,3 +45,8 @@
 	slices.Sort(out)
 	return slices.Compact(out)
 }
+
+// Without returns a copy of hosts without one of them.
+func Without(hosts []string, host string) []string {
+	return slices.DeleteFunc(slices.Clone(hosts), func(each string) bool { return each == host })
+}
--- a/core/quota/granter.go
+++ b/core/quota/granter.go
@@ -7,6 +7,7 @@
 
 	"pearlatch/core/account"
 	"pearlatch/core/leadership"
+	"pearlatch/core/quota/share"
 	"pearlatch/core/quota/waiting"
 )
 
@@ -17,6 +18,7 @@
 	// with a token in this range are for this granter.
 	firstFencingToken, fencingToken int64
 	tolerance                       Tolerance
+	share                           share.Portions
 	startedAt                       time.Time
 	// soleUntil is the time before which no successor can have started. endsAt is when this granter stops answering
 	// requests.
@@ -81,6 +83,10 @@
 	return g
 }
 
+// SetPortionShare sets the fraction of each quota that the granter grants as portions. It must precede all requests and
+// reports.
+func (g *Granter) SetPortionShare(p share.Portions) { g.share = p }
+
 // scopeAt returns what this granter may distribute at a time. A former granter may have lost its role without knowing
 // it, so it is assumed to continue until it has reported, or for as long as it can rely on the role.
 func (g *Granter) scopeAt(now time.Time) distributionScope {
@@ -349,7 +355,7 @@
 			at = now
 		}
 		initial := g.tolerance.initialTokens()
-		pool = &tokenPool{quota: g.tolerance.distributable(q), updatedAt: at, tokens: initial, initialTokens: initial, unreportedCount: g.unreportedCount, portions: map[string]*hostPortions{}}
+		pool = &tokenPool{share: g.share, quota: g.tolerance.distributable(q), updatedAt: at, tokens: initial, initialTokens: initial, unreportedCount: g.unreportedCount, portions: map[string]*hostPortions{}}
 		g.pools[name] = pool
 	}
 	return pool
--- a/core/quota/messages.go
+++ b/core/quota/messages.go
@@ -43,8 +43,8 @@
 	// to store for later operations.
 	Waiting  int
 	Prefetch float64
-	// Reserve is the fraction of the quota that the host wants to hold for the callers of all hosts, or zero. See
-	// ReserveFraction.
+	// Reserve is the part of the reserves that the host wants to hold for the callers of all hosts, in units in which all
+	// reserves are share.Requested, or zero. See ReserveFraction.
 	Reserve float64
 }
 
--- a/core/quota/reserve.go
+++ b/core/quota/reserve.go
@@ -5,6 +5,7 @@
 
 	"pearlatch/core/account"
 	"pearlatch/core/quota/reserve"
+	"pearlatch/core/quota/share"
 )
 
 // ReserveKeepaliveInterval is the least time between two keepalives of a host that holds reserves. It replaces
@@ -23,12 +24,13 @@
 	return max(l.keepalive, ReserveKeepaliveInterval)
 }
 
-// ReserveFraction returns the fraction of each quota that one of the given number of reserve holders wants to hold.
+// ReserveFraction returns the fraction of each quota that one of the given number of reserve holders requests, see
+// share.Requested.
 func ReserveFraction(holders int) float64 {
 	if holders <= 0 {
 		return 0
 	}
-	return reserveRateFraction / float64(holders)
+	return share.Requested / float64(holders)
 }
 
 // SetReserveHolders sets the hosts that may be asked for tokens, in the order in which this host asks them.
--- a/core/quota/token_pool.go
+++ b/core/quota/token_pool.go
@@ -5,28 +5,14 @@
 	"time"
 
 	"pearlatch/core/account"
+	"pearlatch/core/quota/share"
 	"pearlatch/core/quota/waiting"
 )
 
 const (
-	// portionRateFraction bounds the sum of all portions' rates, and portionCapFraction that of their capacities, as
-	// fractions of an account's quota. The rest serves hosts whose callers have just arrived, and lets a new granter
-	// serve the callers of hosts that have lost their portions at once. Quotas are about twice what their accounts
-	// ask for on most days, so either part covers about a usual day's callers.
-	portionRateFraction = 0.6
-	portionCapFraction  = 0.6
-	// perHostFraction bounds the rate and the capacity of a single host's portion. The portion of a host that is lost
-	// without a report is unavailable to callers until it must have expired.
-	perHostFraction = portionRateFraction / 2
 	// portionHeadroom is the ratio of a host's portion to its demand, where the quota allows it. Demand is an average,
 	// so a portion must exceed it.
 	portionHeadroom = 1.15
-	// reserveRateFraction bounds the sum of the reserves' rates, and reserveCapFraction that of their capacities. Half of a
-	// quota nearly covers a usual day's callers. The other portions share the rest of portionRateFraction and
-	// portionCapFraction. Hosts of the previous version, which may succeed this granter, rely on these two fractions. Most of
-	// the capacity is for reserves: their stored tokens serve callers until the reserves become active.
-	reserveRateFraction = 0.5
-	reserveCapFraction  = 0.45
 	// reserveCapDuration is the time for which a reserve holder may store its reserve's tokens, at most: until its portion
 	// becomes active after the loss of the granter.
 	reserveCapDuration = time.Second
@@ -43,6 +29,8 @@
 type tokenPool struct {
 	// quota is what all hosts may use together: the account's quota and most of the tolerance.
 	quota account.Quota
+	// share bounds the sum of the portions that this granter grants.
+	share share.Portions
 	// tokens is the number of tokens that were left at updatedAt.
 	tokens    float64
 	updatedAt time.Time
@@ -63,7 +51,7 @@
 
 // portionTotals holds sums over the portions of a pool. activeRate is the rate of the active portions and rate that of all
 // portions. stored bounds the tokens that hosts may store now, and caps those that they could store if all portions were
-// active. reserve is the fraction of the quota that hosts want to hold as reserves. otherRate, otherCaps and demand concern
+// active. reserve is what hosts want to hold as reserves, see AccountRequest. otherRate, otherCaps and demand concern
 // the portions that are not reserves; demand is that of the hosts' callers.
 type portionTotals struct{ activeRate, rate, stored, caps, reserve, otherRate, otherCaps, demand float64 }
 
@@ -93,8 +81,7 @@
 	tokens float64
 	// expiresAt is when both portions have certainly expired.
 	expiresAt time.Time
-	// demand is in operations per second. reserve is the fraction of the quota that the host wants to hold for the callers
-	// of all hosts.
+	// demand is in operations per second. reserve is what the host wants to hold as a reserve, see AccountRequest.
 	demand, reserve float64
 }
 
@@ -105,7 +92,7 @@
 // applyRequest records what the host holds according to its request. Tokens that were granted but are not in the request
 // were lost with a response, and so was the portion in the same response.
 func (p *hostPortions) applyRequest(req AccountRequest) {
-	p.demand, p.reserve = req.Demand, max(0, min(req.Reserve, reserveRateFraction))
+	p.demand, p.reserve = req.Demand, max(0, min(req.Reserve, share.Requested))
 	switch req.HeldSerial {
 	case p.offered.Serial:
 		p.held = p.offered
@@ -180,23 +167,24 @@
 	if scope == scopeFollowers {
 		return max(0, t.totals.rate-t.totals.activeRate)
 	}
-	return max(0, t.quota.Rate-t.totals.activeRate-t.unreportedMax(scope, portionRateFraction, t.quota.Rate, t.totals.rate))
+	return max(0, t.quota.Rate-t.totals.activeRate-t.unreportedMax(scope, t.quota.Rate, t.totals.rate))
 }
 
 // unreportedMax returns how much of quota, a rate or a burst, unreported hosts may hold. reported is how much of it the
-// known portions hold. All hosts together hold at most the given fraction of quota, and each at most perHostFraction.
-func (t *tokenPool) unreportedMax(scope distributionScope, fraction, quota, reported float64) float64 {
+// known portions hold. All hosts together hold at most share.MaxPortions of quota, since earlier granters may have had any setting,
+// and each at most share.PerHost.
+func (t *tokenPool) unreportedMax(scope distributionScope, quota, reported float64) float64 {
 	if scope == scopeEntire {
 		return 0
 	}
-	return max(0, min(fraction*quota-reported, float64(t.unreportedCount)*perHostFraction*quota))
+	return max(0, min(share.MaxPortions.Fraction()*quota-reported, float64(t.unreportedCount)*share.PerHost*quota))
 }
 
 // clampTokens drops tokens beyond the account's burst, less the tokens that hosts may store.
 func (t *tokenPool) clampTokens(scope distributionScope) {
 	maxTokens := t.totals.caps
 	if scope != scopeFollowers {
-		maxTokens = t.quota.Burst - t.unreportedMax(scope, portionCapFraction, t.quota.Burst, t.totals.caps)
+		maxTokens = t.quota.Burst - t.unreportedMax(scope, t.quota.Burst, t.totals.caps)
 	}
 	maxTokens -= t.totals.stored
 	t.tokens = min(t.tokens, max(t.initialTokens, maxTokens))
@@ -241,15 +229,15 @@
 	}
 	// What all portions together leave of their fractions of the quota.
 	left := Portion{
-		Rate: min(portionRateFraction*t.quota.Rate-(t.totals.rate-p.rate()), perHostFraction*t.quota.Rate),
-		Cap:  min(portionCapFraction*t.quota.Burst-(t.totals.caps-p.cap()), perHostFraction*t.quota.Burst),
+		Rate: min(t.share.Fraction()*t.quota.Rate-(t.totals.rate-p.rate()), share.PerHost*t.quota.Rate),
+		Cap:  min(t.share.Fraction()*t.quota.Burst-(t.totals.caps-p.cap()), share.PerHost*t.quota.Burst),
 	}
 	if p.reserve > 0 {
 		return t.nextReserve(p, left)
 	}
-	reserved := min(t.totals.reserve, reserveRateFraction)
-	rateLimit := (portionRateFraction - reserved) * t.quota.Rate
-	capLimit := (portionCapFraction - reserved/reserveRateFraction*reserveCapFraction) * t.quota.Burst
+	reserved := min(1, t.totals.reserve/share.Requested)
+	rateLimit := (t.share.Fraction() - reserved*t.share.ReserveRate()) * t.quota.Rate
+	capLimit := (t.share.Fraction() - reserved*t.share.ReserveCap()) * t.quota.Burst
 	scale := portionHeadroom
 	if t.totals.demand*scale > rateLimit {
 		scale = rateLimit / t.totals.demand
@@ -265,10 +253,10 @@
 // nextReserve returns the reserve to offer to a host. left is what other portions leave. The reserves share their limits
 // in proportion to what the hosts want.
 func (t *tokenPool) nextReserve(p *hostPortions, left Portion) Portion {
-	share := p.reserve / max(reserveRateFraction, t.totals.reserve)
-	out := Portion{Rate: min(share*reserveRateFraction*t.quota.Rate, left.Rate)}
+	part := p.reserve / max(share.Requested, t.totals.reserve)
+	out := Portion{Rate: min(part*t.share.ReserveRate()*t.quota.Rate, left.Rate)}
 	// A holder gives whole tokens. A small burst yields less than one for each holder, so the first ones hold one each.
-	tokens := math.Round(min(minCap+out.Rate*reserveCapDuration.Seconds(), share*reserveCapFraction*t.quota.Burst))
+	tokens := math.Round(min(minCap+out.Rate*reserveCapDuration.Seconds(), part*t.share.ReserveCap()*t.quota.Burst))
 	out.Cap = min(max(minCap, tokens), left.Cap)
 	return out.useful()
 }
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -18,6 +18,7 @@
 	"pearlatch/core/leadership"
 	"pearlatch/core/membership"
 	"pearlatch/core/quota"
+	"pearlatch/core/quota/share"
 	"pearlatch/core/recall"
 	"pearlatch/internal/fleet"
 	"pearlatch/internal/follow"
@@ -41,8 +42,10 @@
 	PromotionTokens bool
 	// MinLeaseTTL is the shortest TTL of a lease that the store grants.
 	MinLeaseTTL time.Duration
-	// QuotaTolerance limits how far an account may exceed its quota while hosts disagree.
+	// QuotaTolerance limits how far an account may exceed its quota while hosts disagree, and PortionShare how much of it
+	// this host grants as portions.
 	QuotaTolerance quota.Tolerance
+	PortionShare   share.Portions
 	// Peer is the host's address for other hosts. Without one, the host serves only its own callers.
 	Peer netip.AddrPort
 	// Seeds are addresses of other hosts. Some of these hosts may no longer exist.
@@ -164,7 +167,7 @@
 		Store: p.Store, Peers: p.Peers, Apply: h.applyChanges, Log: h.log,
 	}, h.fleet, h.storeView, now)
 	h.quotaGranterEntries, h.formerRecords = map[string]kv.Item{}, map[string]leadership.StoredRecord{}
-	h.quotas = quotas.New(quotas.Settings{Host: s.Host, Process: h.processID, Tolerance: s.QuotaTolerance, Metrics: p.Metrics}, quotaFleet{h.fleet, h}, logger, now)
+	h.quotas = quotas.New(quotas.Settings{Host: s.Host, Process: h.processID, Tolerance: s.QuotaTolerance, PortionShare: s.PortionShare, Metrics: p.Metrics}, quotaFleet{h.fleet, h}, logger, now)
 	return h
 }
 
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"time"
 
 	"pearlatch/core/account"
@@ -87,11 +86,6 @@
 	return leadership.Union(before, d.host.settings.Host)
 }
 
-// withoutID returns a copy of ids without id.
-func withoutID(ids []string, id string) []string {
-	return slices.DeleteFunc(slices.Clone(ids), func(each string) bool { return each == id })
-}
-
 // startQuotaGranting makes this host the granter of the group's accounts once it knows which hosts may hold portions
 // or be granters, and if it is the granter already, makes sure that a successor knows of them as well.
 func (d *coordinator) startQuotaGranting(grantees, granters []string) {
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -145,7 +145,7 @@
 		r.PortionHolders = last.PortionHolders
 	}
 	if r.QuotaGranters = d.quotaGranters(last); r.HandedBack {
-		r.QuotaGranters = withoutID(r.QuotaGranters, r.Holder)
+		r.QuotaGranters = leadership.Without(r.QuotaGranters, r.Holder)
 	}
 	err := d.writeRecord(call, r, revision, extra)
 	if err != nil {
--- a/internal/quotas/enforcer.go
+++ b/internal/quotas/enforcer.go
@@ -12,6 +12,7 @@
 
 	"pearlatch/core/account"
 	"pearlatch/core/quota"
+	"pearlatch/core/quota/share"
 )
 
 // Settings configure an Enforcer.
@@ -19,6 +20,8 @@
 	// Host and Process identify this host and its process.
 	Host, Process string
 	Tolerance     quota.Tolerance
+	// PortionShare is the fraction of each quota that this host grants as portions when it is the granter.
+	PortionShare share.Portions
 	// Metrics receives the Enforcer's metrics. With nil nothing is recorded.
 	Metrics metrics.Registry
 }
--- a/internal/quotas/granting.go
+++ b/internal/quotas/granting.go
@@ -15,6 +15,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	g := quota.NewGranter(token, e.settings.Tolerance, e.now(), mayHold, formerGranters)
+	g.SetPortionShare(e.settings.PortionShare)
 	g.Extend(renewedAt)
 	s.SetGranter(g)
 	s.reports = map[string]*reportState{}
