Quotas: a successor of the granter knows which hosts may hold reserves

Cause: a new granter that misses the report of one host which is gone without a trace kept back 0.3 of each quota for 13 s, whichever host it was.

Change: the leadership record names the hosts that may hold reserves (reserve_holders, in the same write as grantees). The granter offers reserves only to these and limits all other portions to 0.1 of the rate and 0.15 of the burst together. A successor keeps back 0.3 for an unreported host of the list, and 0.1 for all others together. A record without the field, or one that a restore of the store may have outdated, means any host; a granter names the holders 13 s after it began to limit other portions. core/quota/holder decides this.

Portions of accounts without reserves were up to 0.6 together, and are now 0.1 once the holders are named.

All writes of the record now take the holders from the last written record under the same lock as its revision. Before, a write prepared before RecordGrantee could replace its list by an older one, and RecordGrantee a pending promotion.

--- a/core/leadership/inherit.go
+++ b/core/leadership/inherit.go
@@ -25,16 +25,20 @@
 // still be executed.
 //
 // certain is false if another host may have held the role after the record was written, and its writes were lost
-// in the restore. HandedBack is then false, whatever the record says.
+// in the restore. HandedBack is then false and ReserveHolders nil, whatever the record says.
 func Inherit(stored, remembered StoredRecord, claimEpoch kv.Epoch) (out StoredRecord, certain bool) {
 	out = stored
 	if stored.Revision.Epoch() < claimEpoch && remembered.Revision > stored.Revision {
 		out = remembered
 		out.PortionHolders = Union(stored.PortionHolders, remembered.PortionHolders...)
+		if out.ReserveHolders = nil; stored.ReserveHolders != nil && remembered.ReserveHolders != nil {
+			out.ReserveHolders = Union(stored.ReserveHolders, remembered.ReserveHolders...)
+		}
 		out.QuotaGranters = Union(stored.QuotaGranters, remembered.QuotaGranters...)
 	}
 	if certain = out.Revision.Epoch() == claimEpoch; !certain {
-		out.HandedBack = false
+		// The lost writes may have granted a reserve to any host.
+		out.HandedBack, out.ReserveHolders = false, nil
 	}
 	return out, certain
 }
--- a/core/leadership/inherit_test.go
+++ b/core/leadership/inherit_test.go
@@ -34,3 +34,27 @@
 		}
 	}
 }
+
+// Guards against a new granter that gives away what a host with a reserve may still hold: lists of reserve holders are
+// joined, and if a list is missing or its successor may be lost, any host may hold a reserve.
+func TestInheritReserveHolders(t *testing.T) {
+	record := func(epoch kv.Epoch, number int64, holders ...string) StoredRecord {
+		return NewStoredRecord(Record{Holder: "h", Epoch: epoch, ReserveHolders: holders}, kv.NewRevision(epoch, number))
+	}
+	for _, c := range []struct {
+		name               string
+		stored, remembered StoredRecord
+		claimEpoch         kv.Epoch
+		want               []string
+	}{
+		{"recorded in this epoch", record(1, 30, "a"), StoredRecord{}, 1, []string{"a"}},
+		{"written by the previous version", record(1, 30), StoredRecord{}, 1, nil},
+		{"remembered from this epoch", record(0, 30, "a"), record(1, 37, "b"), 1, []string{"a", "b"}},
+		{"remembered, and the stored list is missing", record(0, 30), record(1, 37, "b"), 1, nil},
+		{"the store was restored from an older copy", record(0, 30, "a"), record(0, 37, "b"), 1, nil},
+	} {
+		if got, _ := Inherit(c.stored, c.remembered, c.claimEpoch); !slices.Equal(got.ReserveHolders, c.want) {
+			t.Errorf("%s: %v, want %v", c.name, got.ReserveHolders, c.want)
+		}
+	}
+}
--- a/core/leadership/record.go
+++ b/core/leadership/record.go
@@ -38,6 +38,9 @@
 	// PortionHolders are the hosts that may hold portions of accounts' quotas from this coordinator or earlier
 	// ones.
 	PortionHolders []string
+	// ReserveHolders are those PortionHolders that may hold reserves, which are larger than other portions. A coordinator
+	// writes a host here before it grants it a reserve. Nil means that any of the PortionHolders may hold one.
+	ReserveHolders []string
 	// QuotaGranters are those PortionHolders that may regard themselves as the granter of these quotas.
 	QuotaGranters []string
 }
--- a/core/quota/bench_test.go
+++ b/core/quota/bench_test.go
@@ -18,7 +18,7 @@
 			for i := range ids {
 				ids[i] = fmt.Sprint("h", i)
 			}
-			g := newTestGranter(Tolerance{5 * time.Second, 0.1, 20}, ids...)
+			g := newTestGranter(Tolerance{Window: 5 * time.Second, Share: 0.1, Operations: 20}, ids...)
 			q := account.Quota{Rate: 100, Burst: 100}
 			now := t0.Add(time.Second)
 			req := Request{FencingToken: 5, Accounts: make([]AccountRequest, 1)}
--- a/core/quota/faults_test.go
+++ b/core/quota/faults_test.go
@@ -36,6 +36,22 @@
 		s.logf("%s gets %.2f operations per step", h.id, h.loadPerStep)
 	},
 	func(s *simulation, _ *simHost) { s.chooseReserveHolders() },
+	func(s *simulation, h *simHost) {
+		for _, each := range s.hosts {
+			if each.gone {
+				return
+			}
+		}
+		h.gone = true
+		s.logf("%s is gone for good", h.id)
+	},
+	func(s *simulation, h *simHost) {
+		if s.random.IntN(4) == 0 {
+			s.logf("a host of the previous version rewrites the record, or the store is restored")
+			s.recordedHolders = nil
+		}
+		s.transferRole(h)
+	},
 	func(s *simulation, h *simHost) { s.transferRole(h) },
 	func(s *simulation, h *simHost) { s.splitNetwork(h) },
 	func(s *simulation, _ *simHost) {
--- a/core/quota/granter.go
+++ b/core/quota/granter.go
@@ -7,6 +7,7 @@
 
 	"pearlatch/core/account"
 	"pearlatch/core/leadership"
+	"pearlatch/core/quota/holder"
 	"pearlatch/core/quota/share"
 	"pearlatch/core/quota/waiting"
 )
@@ -30,11 +31,13 @@
 	scopeSince time.Time
 	// hosts holds all hosts that may hold portions or were granters before.
 	hosts map[string]*host
-	// unreportedCount is the number of hosts that have not reported their holdings. allReportedAt is when the last
-	// of them did, or zero.
-	unreportedCount int
-	allReportedAt   time.Time
-	pools           map[string]*tokenPool
+	// unreported counts the hosts that have not reported their holdings. allReportedAt is when the last of them did, or
+	// zero.
+	unreported    holder.Unreported
+	allReportedAt time.Time
+	pools         map[string]*tokenPool
+	// reserves holds the hosts that may hold reserves.
+	reserves *holder.Registry
 	// suspended holds the hosts whose portions count as suspended.
 	suspended map[string]*host
 }
@@ -46,6 +49,8 @@
 	// unreported is true until the host reports what it holds from earlier granters, or its process has certainly
 	// ended.
 	unreported bool
+	// mayHoldReserve is true if the host may hold reserves from earlier granters.
+	mayHoldReserve bool
 	// reportedAt is when the process first reported. heardAt is when it last reported or sent a request.
 	reportedAt, heardAt time.Time
 	// lastRequest is the ID of the host's last request. suspendSent is true if the response to it, sent at
@@ -75,7 +80,8 @@
 	for _, id := range slices.Concat(mayHold, formerGranters) {
 		g.hosts[id] = &host{unreported: true, active: true, accounts: map[string]bool{}}
 	}
-	if g.unreportedCount = len(g.hosts); g.unreportedCount == 0 {
+	g.SetReserveHolders(nil)
+	if len(g.hosts) == 0 {
 		g.allReportedAt = now
 	}
 	g.Extend(now)
@@ -191,13 +197,13 @@
 		return
 	}
 	h.unreported = false
-	if g.unreportedCount--; g.unreportedCount == 0 {
+	if g.unreported.Add(h.mayHoldReserve, -1); g.unreported == (holder.Unreported{}) {
 		g.allReportedAt = now
 	}
 	g.updateScope(now)
 	for _, pool := range g.pools {
 		pool.refill(now, g.scope)
-		pool.unreportedCount = g.unreportedCount
+		pool.unreported = g.unreported
 	}
 }
 
@@ -288,11 +294,13 @@
 // handleAccount answers a host's request for one account. known is true if the holdings of all hosts are known.
 func (g *Granter) handleAccount(id string, h *host, req AccountRequest, known bool, now time.Time) Grant {
 	pool := g.pool(req.Account, req.Quota, now)
-	pool.quota = g.tolerance.distributable(req.Quota)
+	pool.quota = g.tolerance.Distributable(req.Quota)
 	pool.refill(now, g.scope)
 	if known {
 		pool.prune(now)
 	}
+	req.Reserve = g.reserves.Request(id, req.Reserve, known, now)
+	pool.othersLimited = g.reserves.Limited()
 	p := hostPortions{}
 	if existing := pool.portions[id]; existing != nil {
 		p = *existing
@@ -302,6 +310,9 @@
 	pool.tokens += float64(req.Returned)
 	pool.setPortions(id, p)
 	out := g.renewPortion(pool, &p, req, known, now)
+	if req.Reserve > 0 {
+		g.reserves.Offer(id, p.expiresAt)
+	}
 	pool.setPortions(id, p)
 	pool.clampTokens(g.scope)
 	out.Tokens, out.Prefetched = pool.takeTokens(req.Waiting, min(req.Prefetch, p.offered.Cap-req.Tokens))
@@ -354,8 +365,8 @@
 		if g.scope == scopeFollowers {
 			at = now
 		}
-		initial := g.tolerance.initialTokens()
-		pool = &tokenPool{share: g.share, quota: g.tolerance.distributable(q), updatedAt: at, tokens: initial, initialTokens: initial, unreportedCount: g.unreportedCount, portions: map[string]*hostPortions{}}
+		initial := g.tolerance.InitialTokens()
+		pool = &tokenPool{share: g.share, quota: g.tolerance.Distributable(q), updatedAt: at, tokens: initial, initialTokens: initial, unreported: g.unreported, portions: map[string]*hostPortions{}}
 		g.pools[name] = pool
 	}
 	return pool
--- a/core/quota/removal_test.go
+++ b/core/quota/removal_test.go
@@ -30,7 +30,7 @@
 		{"portions expire at the host", "bucket.go", "if !now.Before(b.expiresAt) {", "if false {"},
 		{"a portion counts until the host is known to hold a smaller one", "token_pool.go", "return max(p.held.Rate, p.offered.Rate)", "return p.offered.Rate"},
 		{"tokens that hosts may store are not in the pool", "token_pool.go", "maxTokens -= t.totals.stored", ""},
-		{"a granter starts with few tokens", "granter.go", "initial := g.tolerance.initialTokens()", "initial := q.Burst"},
+		{"a granter starts with few tokens", "granter.go", "initial := g.tolerance.InitialTokens()", "initial := q.Burst"},
 		{"a new portion starts empty", "bucket.go", "b.tokens = min(g.Cap, b.tokens+g.Prefetched)", "b.tokens = g.Cap"},
 		{"a process that has not reported gets nothing", "granter.go", "h.unreported || h.process != process ||", ""},
 		{"portions of unreachable hosts still count", "token_pool.go", "if !now.Before(p.expiresAt) {", "if p != nil {"},
@@ -47,6 +47,8 @@
 		{"a reserve counts as active before it may yield tokens", "granter.go", "out.ActivateAfter, h.suspension = suspension(req.KeepaliveInterval)", "out.ActivateAfter, _ = suspension(req.KeepaliveInterval)\n\th.suspension = assumeActiveAfter"},
 		{"active portions count", "token_pool.go", "t.quota.Rate-t.totals.activeRate-t.unreportedMax", "t.quota.Rate-t.unreportedMax"},
 		{"unreported hosts may hold portions of the largest setting", "token_pool.go", "share.MaxPortions.Fraction()*quota-reported", "t.share.Fraction()*quota-reported"},
+		{"a host that is not recorded gets no reserve", "granter.go", "req.Reserve = g.reserves.Request(id, req.Reserve, known, now)", ""},
+		{"portions of hosts that are not recorded are limited", "token_pool.go", "if t.othersLimited {", "if false {"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			out, err := testWithReplacement(t, c.file, c.from, c.to)
--- a/core/quota/simulation_test.go
+++ b/core/quota/simulation_test.go
@@ -25,6 +25,8 @@
 	// recorded in the store for its successor.
 	latestToken             int64
 	mayHold, formerGranters []string
+	// recordedHolders are the hosts that may hold reserves according to the record. Any may if it is nil.
+	recordedHolders []string
 	// lossRate is the fraction of messages that are lost, and delayRate the fraction of the others that are delayed.
 	lossRate, delayRate float64
 	// delayed holds the messages that are not delivered yet.
@@ -36,6 +38,8 @@
 	trace   []string
 	// reserveHolders are the hosts that hold reserves.
 	reserveHolders []*simHost
+	// listed is the number of times that a granter recorded the hosts that may hold reserves.
+	listed int
 	// given is the number of operations that began with a token of a reserve holder.
 	given int
 	// faults are the kinds of faults that this seed injects.
@@ -55,6 +59,8 @@
 	shard   *Shard
 	// up is true while the process runs. unresponsive is true while the machine responds to nobody.
 	up, unresponsive bool
+	// gone is true if the host never responds again.
+	gone bool
 	// partition is the network partition that the host is in.
 	partition int
 	// granterHost is the host that this host takes for the granter, and granterToken that host's fencing token.
@@ -94,6 +100,9 @@
 		s.faults = append(s.faults, allFaults[i])
 	}
 	s.chooseReserveHolders()
+	if seed%4 > 0 {
+		s.recordedHolders = []string{} // a record of this version, before there are reserves
+	}
 	s.acquireRole(s.hosts[0])
 	return s
 }
@@ -108,6 +117,7 @@
 	s.logf("%s acquires the role with fencing token %d", h.id, s.latestToken)
 	h.fencingToken, h.renewedAt = s.latestToken, s.now
 	h.shard.SetGranter(NewGranter(s.latestToken, s.tolerance, s.now, s.mayHold, s.formerGranters))
+	h.shard.Granter().SetReserveHolders(s.recordedHolders)
 	if len(s.shares) > 0 {
 		h.shard.Granter().SetPortionShare(s.shares[int(s.latestToken)%len(s.shares)])
 	}
@@ -188,6 +198,9 @@
 // their granters.
 func (s *simulation) advance() {
 	s.now = s.now.Add(stepDuration)
+	for _, h := range s.hosts {
+		h.unresponsive = h.unresponsive || h.gone
+	}
 	s.announceGranter()
 	s.announceReserveHolders()
 	s.deliver()
@@ -211,6 +224,9 @@
 		granter.Extend(s.now)
 		s.formerGranters = append(granter.FormerGranters(), g.id)
 	}
+	if granter.ReserveHolders().Due(s.now) {
+		s.recordReserveHolders(g)
+	}
 	for _, h := range s.hosts {
 		if !granter.needsReport(h.id, h.processName(), s.now) {
 			continue
@@ -227,6 +243,20 @@
 	}
 }
 
+// recordReserveHolders records the hosts that may hold reserves. The write of a host that does not reach the store, or no
+// longer has the role, fails. Others fail at times, or succeed without the host's knowledge.
+func (s *simulation) recordReserveHolders(g *simHost) {
+	ids := g.shard.Granter().ReserveHolders().Prepare(s.now)
+	if g.fencingToken != s.latestToken || g.storeUnreachable || !s.delivered() {
+		return
+	}
+	s.recordedHolders = ids
+	if s.delivered() {
+		g.shard.Granter().ReserveHolders().Recorded(ids)
+		s.listed++
+	}
+}
+
 // needsReport reports whether the granter must query the host: it has not reported, it has not been heard from for a
 // second, or it runs another process.
 func (g *Granter) needsReport(id, process string, now time.Time) bool {
--- a/core/quota/token_pool.go
+++ b/core/quota/token_pool.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"pearlatch/core/account"
+	"pearlatch/core/quota/holder"
 	"pearlatch/core/quota/share"
 	"pearlatch/core/quota/waiting"
 )
@@ -36,8 +37,10 @@
 	updatedAt time.Time
 	// initialTokens is the number of tokens that a granter starts with.
 	initialTokens float64
-	// unreportedCount is the number of hosts that have not reported their holdings to the granter.
-	unreportedCount int
+	// unreported counts the hosts that have not reported their holdings to the granter.
+	unreported holder.Unreported
+	// othersLimited is true if portions that are not reserves are limited whether or not there are reserves.
+	othersLimited bool
 	// portions holds, by host ID, what hosts may hold.
 	portions map[string]*hostPortions
 	// totals is the sum over portions.
@@ -167,24 +170,24 @@
 	if scope == scopeFollowers {
 		return max(0, t.totals.rate-t.totals.activeRate)
 	}
-	return max(0, t.quota.Rate-t.totals.activeRate-t.unreportedMax(scope, t.quota.Rate, t.totals.rate))
+	return max(0, t.quota.Rate-t.totals.activeRate-t.unreportedMax(scope, share.OtherRate, t.quota.Rate, t.totals.rate))
 }
 
 // unreportedMax returns how much of quota, a rate or a burst, unreported hosts may hold. reported is how much of it the
 // known portions hold. All hosts together hold at most share.MaxPortions of quota, since earlier granters may have had any setting,
-// and each at most share.PerHost.
-func (t *tokenPool) unreportedMax(scope distributionScope, quota, reported float64) float64 {
+// each at most share.PerHost, and those that can't hold reserves at most the fraction others.
+func (t *tokenPool) unreportedMax(scope distributionScope, others, quota, reported float64) float64 {
 	if scope == scopeEntire {
 		return 0
 	}
-	return max(0, min(share.MaxPortions.Fraction()*quota-reported, float64(t.unreportedCount)*share.PerHost*quota))
+	return max(0, min(share.MaxPortions.Fraction()*quota-reported, t.unreported.Max(others)*quota))
 }
 
 // clampTokens drops tokens beyond the account's burst, less the tokens that hosts may store.
 func (t *tokenPool) clampTokens(scope distributionScope) {
 	maxTokens := t.totals.caps
 	if scope != scopeFollowers {
-		maxTokens = t.quota.Burst - t.unreportedMax(scope, t.quota.Burst, t.totals.caps)
+		maxTokens = t.quota.Burst - t.unreportedMax(scope, share.OtherCap, t.quota.Burst, t.totals.caps)
 	}
 	maxTokens -= t.totals.stored
 	t.tokens = min(t.tokens, max(t.initialTokens, maxTokens))
@@ -236,6 +239,9 @@
 		return t.nextReserve(p, left)
 	}
 	reserved := min(1, t.totals.reserve/share.Requested)
+	if t.othersLimited {
+		reserved = 1
+	}
 	rateLimit := (t.share.Fraction() - reserved*t.share.ReserveRate()) * t.quota.Rate
 	capLimit := (t.share.Fraction() - reserved*t.share.ReserveCap()) * t.quota.Burst
 	scale := portionHeadroom
--- a/core/quota/window_test.go
+++ b/core/quota/window_test.go
@@ -21,26 +21,27 @@
 		quota     account.Quota
 		tolerance Tolerance
 	}{
-		{"a small account", account.Quota{Rate: 6, Burst: 6}, Tolerance{5 * time.Second, 0.1, 20}},
-		{"a large account", account.Quota{Rate: 180, Burst: 180}, Tolerance{5 * time.Second, 0.1, 20}},
-		{"a small burst", account.Quota{Rate: 60, Burst: 1}, Tolerance{5 * time.Second, 0.1, 20}},
+		{"a small account", account.Quota{Rate: 6, Burst: 6}, Tolerance{Window: 5 * time.Second, Share: 0.1, Operations: 20}},
+		{"a large account", account.Quota{Rate: 180, Burst: 180}, Tolerance{Window: 5 * time.Second, Share: 0.1, Operations: 20}},
+		{"a small burst", account.Quota{Rate: 60, Burst: 1}, Tolerance{Window: 5 * time.Second, Share: 0.1, Operations: 20}},
 		{"without tolerance", account.Quota{Rate: 40, Burst: 40}, Tolerance{Window: 5 * time.Second}},
 	} {
 		for _, shares := range [][]share.Portions{{share.MinPortions}, {share.MaxPortions}, {share.MinPortions, share.MaxPortions}} {
 			t.Run(fmt.Sprint(c.name, " with shares ", shares), func(t *testing.T) {
 				t.Parallel()
-				maxRatio, given := 0.0, 0
+				maxRatio, given, listed := 0.0, 0, 0
 				for seed := range uint64(*seeds) {
 					s := runSimulation(seed, c.quota, c.tolerance, shares)
 					count, at := s.busiestWindow()
 					given += s.given
+					listed += s.listed
 					maxRatio = max(maxRatio, float64(count)/c.tolerance.MaxOperations(c.quota))
 					if float64(count) > c.tolerance.MaxOperations(c.quota) {
 						t.Fatalf("seed %d: %d operations began within %s from %s, allowed %.0f\n%s", seed, count, c.tolerance.Window,
 							at.Sub(time.UnixMilli(1_000_000)), c.tolerance.MaxOperations(c.quota), joinLines(s.trace))
 					}
 				}
-				t.Logf("the busiest window used %.2f of the allowed operations; %d operations got tokens from reserve holders", maxRatio, given)
+				t.Logf("the busiest window used %.2f of the allowed operations; %d operations got tokens from reserve holders, which were recorded %d times", maxRatio, given, listed)
 			})
 		}
 	}
--- a/internal/gateway/quota.go
+++ b/internal/gateway/quota.go
@@ -9,6 +9,7 @@
 
 	"pearlatch/core/account"
 	"pearlatch/core/admission"
+	"pearlatch/core/kv"
 	"pearlatch/core/leadership"
 	"pearlatch/internal/fleet"
 	"pearlatch/internal/quotas"
@@ -52,28 +53,29 @@
 func (f quotaFleet) IsProcessEnded(err error) bool { return connRefused(err) }
 
 // RecordGrantee implements quotas.Fleet. It records all listed hosts, since the others will request quotas as well.
-func (f quotaFleet) RecordGrantee(ctx context.Context, shard, host string) ([]string, error) {
+func (f quotaFleet) RecordGrantee(ctx context.Context, shard, host string, reserveHolders []string) ([]string, error) {
 	f.h.mu.Lock()
 	d := f.h.coordinators[shard]
 	f.h.mu.Unlock()
 	if d == nil {
 		return nil, errNoCoordinator
 	}
-	return d.recordGrantees(ctx, host)
+	return d.recordGrantees(ctx, host, reserveHolders)
 }
 
-// recordGrantees stores in the record that the given host and all listed hosts may hold portions of quotas. It
-// returns all hosts that may.
-func (d *coordinator) recordGrantees(ctx context.Context, host string) ([]string, error) {
-	r, ok := d.currentRecord()
-	if !ok {
+// recordGrantees stores in the record that the given host and all listed hosts may hold portions of quotas, and, unless nil,
+// which hosts may hold reserves. It returns all hosts that may hold portions.
+func (d *coordinator) recordGrantees(ctx context.Context, host string, reserveHolders []string) (grantees []string, err error) {
+	if _, ok := d.currentRecord(); !ok {
 		return nil, errRecordUnknown
 	}
-	r.PortionHolders = leadership.Union(append(d.host.fleet.ListedIDs(), r.PortionHolders...), host, d.host.settings.Host)
-	if err := d.saveRecord(ctx, r); err != nil {
-		return nil, err
-	}
-	return r.PortionHolders, nil
+	err = d.changeRecord(ctx, func(r *leadership.Record) {
+		grantees = leadership.Union(append(d.host.fleet.ListedIDs(), r.PortionHolders...), host, d.host.settings.Host)
+		if r.PortionHolders = grantees; reserveHolders != nil {
+			r.ReserveHolders = reserveHolders
+		}
+	}, kv.Transaction{})
+	return grantees, err
 }
 
 // quotaGranters returns the hosts that may regard themselves as the granter of the group's accounts, including this
@@ -88,12 +90,12 @@
 
 // startQuotaGranting makes this host the granter of the group's accounts once it knows which hosts may hold portions
 // or be granters, and if it is the granter already, makes sure that a successor knows of them as well.
-func (d *coordinator) startQuotaGranting(grantees, granters []string) {
+func (d *coordinator) startQuotaGranting(r leadership.Record, granters []string) {
 	d.mu.Lock()
 	first, token, renewedAt := !d.recordInherited, d.token, d.renewedAt
 	d.mu.Unlock()
 	if first {
-		d.host.quotas.StartGranting(d.group.name, int64(token), renewedAt, grantees, granters)
+		d.host.quotas.StartGranting(d.group.name, int64(token), renewedAt, r.PortionHolders, r.ReserveHolders, granters)
 	}
 }
 
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -23,12 +23,12 @@
 		if !ok {
 			continue
 		}
-		r, err := recordcodec.Decode(i.Value)
+		f, err := recordcodec.DecodeItem(i)
 		if err != nil {
 			h.log("record_unreadable", "group", name, "revision", i.Revision, "err", err)
 			continue
 		}
-		if f := leadership.NewStoredRecord(r, i.Revision); f.Revision > h.formerRecords[name].Revision {
+		if f.Revision > h.formerRecords[name].Revision {
 			h.formerRecords[name] = f
 		}
 	}
@@ -48,20 +48,6 @@
 	return newest
 }
 
-// parseStoredRecord decodes the stored record. A missing record is returned as the zero value and true, one that can't be
-// decoded as the zero value and false.
-func (d *coordinator) parseStoredRecord(item kv.Item) (leadership.StoredRecord, bool) {
-	if len(item.Value) == 0 {
-		return leadership.StoredRecord{}, true
-	}
-	r, err := recordcodec.Decode(item.Value)
-	if err != nil {
-		d.log("record_unreadable", "revision", item.Revision, "err", err)
-		return leadership.StoredRecord{}, false
-	}
-	return leadership.NewStoredRecord(r, item.Revision), true
-}
-
 // inheritance is what a coordinator takes over from the previous one.
 type inheritance struct {
 	// found is the newest known record of the previous coordinator.
@@ -76,13 +62,16 @@
 
 // newInheritance evaluates the stored record that was read in the epoch.
 func (d *coordinator) newInheritance(item kv.Item, epoch kv.Epoch) inheritance {
-	stored, readable := d.parseStoredRecord(item)
+	stored, err := recordcodec.DecodeItem(item)
+	if err != nil {
+		d.log("record_unreadable", "revision", item.Revision, "err", err)
+	}
 	found, certain := leadership.Inherit(stored, d.newestKnownRecord(), epoch)
-	i := inheritance{found: found, certain: certain && readable, formerGranters: found.QuotaGranters, record: found.Record}
+	i := inheritance{found: found, certain: certain && err == nil, formerGranters: found.QuotaGranters, record: found.Record}
 	if !i.certain {
 		// The store may have lost the entry of a later coordinator, which may have been any host.
 		i.formerGranters = leadership.Union(i.formerGranters, d.host.fleet.ListedIDs()...)
-		i.record.PortionHolders = leadership.Union(i.record.PortionHolders, i.formerGranters...)
+		i.record.PortionHolders, i.record.ReserveHolders = leadership.Union(i.record.PortionHolders, i.formerGranters...), nil
 	}
 	i.record.Holder, i.record.HandedBack, i.record.Epoch = d.host.settings.Host, false, epoch
 	i.record.QuotaGranters = leadership.Union(i.formerGranters, d.host.settings.Host)
@@ -111,7 +100,7 @@
 	// The floor is the position that the log of a successor of the primary must have reached.
 	d.group.inheritFloor(r, found.Revision)
 	d.group.noteTerm(r.Term)
-	d.startQuotaGranting(r.PortionHolders, i.formerGranters)
+	d.startQuotaGranting(r, i.formerGranters)
 	d.mu.Lock()
 	if !d.recordInherited { // afterwards this host knows the pending promotion better than the store
 		d.recordInherited, d.predecessor.RecordCertain = true, i.certain
@@ -135,15 +124,23 @@
 
 // saveRecordWith is like saveRecord, but commits further changes in the same transaction.
 func (d *coordinator) saveRecordWith(ctx context.Context, r leadership.Record, extra kv.Transaction) error {
+	return d.changeRecord(ctx, func(last *leadership.Record) {
+		r.PortionHolders, r.ReserveHolders = last.PortionHolders, last.ReserveHolders
+		*last = r
+	}, extra)
+}
+
+// changeRecord writes the record after a change to what was last written. It must not replace the record that another
+// goroutine has written since change was called.
+func (d *coordinator) changeRecord(ctx context.Context, change func(*leadership.Record), extra kv.Transaction) error {
 	d.mu.Lock()
 	revision, last := d.recordRevision, d.record.Record
 	d.mu.Unlock()
 	call, cancel := context.WithTimeout(ctx, recordWriteTimeout)
 	defer cancel()
+	r := last
+	change(&r)
 	r.Holder = d.host.settings.Host
-	if r.PortionHolders == nil {
-		r.PortionHolders = last.PortionHolders
-	}
 	if r.QuotaGranters = d.quotaGranters(last); r.HandedBack {
 		r.QuotaGranters = leadership.Without(r.QuotaGranters, r.Holder)
 	}
@@ -226,7 +223,7 @@
 		return
 	}
 	r, known := w.group.successorRequirements()
-	r.PortionHolders, r.QuotaGranters = old.PortionHolders, w.quotaGranters(old)
+	r.QuotaGranters = w.quotaGranters(old)
 	if !known || old.PendingPromotion == "" && old.Term == r.Term && old.SameMembers(r.Members) && len(r.QuotaGranters) == len(old.QuotaGranters) {
 		return
 	}
--- a/internal/gateway/restore_test.go
+++ b/internal/gateway/restore_test.go
@@ -290,8 +290,8 @@
 			s.mu.Unlock()
 		}
 		r, err := recordcodec.Decode(i.Value)
-		if err != nil || len(r.PortionHolders) != 4 || len(r.QuotaGranters) != 4 {
-			t.Errorf("%v may hold portions, and %v may grant them; %v", r.PortionHolders, r.QuotaGranters, err)
+		if err != nil || len(r.PortionHolders) != 4 || len(r.QuotaGranters) != 4 || r.ReserveHolders != nil {
+			t.Errorf("%v may hold portions and %v reserves, and %v may grant them; %v", r.PortionHolders, r.ReserveHolders, r.QuotaGranters, err)
 		}
 	})
 }
--- a/internal/quotas/enforcer.go
+++ b/internal/quotas/enforcer.go
@@ -74,9 +74,9 @@
 	// changed is closed and replaced when waiting operations should check again.
 	changed chan struct{}
 	// recording is true while hosts are being recorded for a successor. After a failure this is not retried before
-	// nextRecordAt.
-	recording    bool
-	nextRecordAt time.Time
+	// nextRecordAt, and for reserve holders alone not before nextHoldersAt.
+	recording                   bool
+	nextRecordAt, nextHoldersAt time.Time
 	// reports holds the state of the report requests to each host.
 	reports map[string]*reportState
 }
--- a/internal/quotas/fleet_test.go
+++ b/internal/quotas/fleet_test.go
@@ -32,6 +32,9 @@
 	token   int64
 	// reserveRequests counts the requests to reserve holders.
 	reserveRequests int
+	// storeUp is true if the store records grantees. recorded holds the recorded reserve holders. With nil any host may be one.
+	storeUp  bool
+	recorded []string
 }
 
 // testHost is a host of a testFleet, and its quotas.Fleet.
@@ -89,9 +92,9 @@
 	f.mu.Lock()
 	f.token++
 	f.granter = f.hosts[i].id
-	token, e := f.token, f.hosts[i].enforcer
+	token, e, recorded := f.token, f.hosts[i].enforcer, f.recorded
 	f.mu.Unlock()
-	e.StartGranting("s", token, time.Now(), ids, formerGranters)
+	e.StartGranting("s", token, time.Now(), ids, recorded, formerGranters)
 }
 
 // holdingsKnown reports whether the granter of the shard knows what all hosts hold.
@@ -175,8 +178,17 @@
 	return n
 }
 
-func (h *testHost) RecordGrantee(context.Context, string, string) ([]string, error) {
-	return nil, errors.New("the store is silent")
+func (h *testHost) RecordGrantee(_ context.Context, _, host string, reserveHolders []string) ([]string, error) {
+	time.Sleep(testDelay)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.storeUp {
+		return nil, errors.New("the store is silent")
+	}
+	if reserveHolders != nil {
+		h.recorded = reserveHolders
+	}
+	return []string{host}, nil
 }
 
 func (h *testHost) Peer(id string) (Peers, netip.AddrPort, error) {
--- a/internal/quotas/granting.go
+++ b/internal/quotas/granting.go
@@ -9,19 +9,20 @@
 
 // StartGranting makes this host the granter of a shard with the given fencing token. renewedAt is when the host last
 // renewed its duty. The hosts in mayHold may hold portions from earlier granters, and the hosts in formerGranters may
-// have been granters. The caller must have recorded them, and this host, for a successor.
-func (e *Enforcer) StartGranting(name string, token int64, renewedAt time.Time, mayHold, formerGranters []string) {
+// have been granters. reserveHolders are those that may hold reserves, or nil if any may. The caller must have recorded them, and this host, for a successor.
+func (e *Enforcer) StartGranting(name string, token int64, renewedAt time.Time, mayHold, reserveHolders, formerGranters []string) {
 	s := e.shardByName(name)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	g := quota.NewGranter(token, e.settings.Tolerance, e.now(), mayHold, formerGranters)
+	g.SetReserveHolders(reserveHolders)
 	g.SetPortionShare(e.settings.PortionShare)
 	g.Extend(renewedAt)
 	s.SetGranter(g)
 	s.reports = map[string]*reportState{}
 	s.nextRequestAt = time.Time{}
 	e.requestReports(s)
-	e.log("granter_begins", "shard", name, "token", token, "may_hold", len(mayHold), "before", len(formerGranters))
+	e.log("granter_begins", "shard", name, "token", token, "may_hold", len(mayHold), "may_hold_reserves", len(reserveHolders), "before", len(formerGranters))
 }
 
 // ExtendGranting records that this host still held a shard's duty at the time heldAt.
@@ -100,6 +101,9 @@
 	}
 	req.Accounts = accounts
 	if response, ok := g.HandleRequest(host, process, req, now); ok {
+		if g.ReserveHolders().Due(now) && !now.Before(s.nextHoldersAt) {
+			e.recordGrantee(s, g, host)
+		}
 		return response, true
 	}
 	switch {
@@ -114,25 +118,28 @@
 	return quota.Response{}, false
 }
 
-// recordGrantee allows a new host to get portions, after recording it for a successor. s.mu must be held.
+// recordGrantee allows a new host to get portions, and reserve holders to get reserves, after recording them for a
+// successor. s.mu must be held.
 func (e *Enforcer) recordGrantee(s *shard, g *quota.Granter, host string) {
 	if s.recording || e.now().Before(s.nextRecordAt) {
 		return
 	}
 	s.recording = true
+	holders := g.ReserveHolders().Prepare(e.now())
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
 		defer cancel()
-		recorded, err := e.fleet.RecordGrantee(ctx, s.name, host)
+		recorded, err := e.fleet.RecordGrantee(ctx, s.name, host, holders)
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.recording = false
 		if err != nil {
-			s.nextRecordAt = e.now().Add(recordRetryDelay)
+			s.nextRecordAt, s.nextHoldersAt = e.now().Add(recordRetryDelay), e.now().Add(holdersRetryDelay)
 			e.log("grantee_not_entered", "shard", s.name, "peer", host, "err", err)
 			return
 		}
 		g.AddHosts(recorded...)
+		g.ReserveHolders().Recorded(holders)
 		for _, id := range recorded {
 			e.requestReport(s, g, id)
 		}
--- a/internal/quotas/messages.go
+++ b/internal/quotas/messages.go
@@ -73,8 +73,9 @@
 	// IsProcessEnded reports whether an error proves that a host's process has ended.
 	IsProcessEnded(err error) bool
 	// RecordGrantee records that a host may hold portions of a shard, so that a successor of the granter knows of it.
-	// It may record more hosts, and returns all that it has recorded.
-	RecordGrantee(ctx context.Context, shard, host string) ([]string, error)
+	// It may record more hosts, and returns all that it has recorded. In the same write it records which hosts may hold
+	// reserves, unless reserveHolders is nil.
+	RecordGrantee(ctx context.Context, shard, host string, reserveHolders []string) ([]string, error)
 }
 
 const (
@@ -103,6 +104,9 @@
 	// failed.
 	recordTimeout    = time.Second
 	recordRetryDelay = 100 * time.Millisecond
+	// holdersRetryDelay is the pause after the recording of reserve holders failed. Until it succeeds, new holders get no
+	// reserves, which matters less than a further write to a store that is silent.
+	holdersRetryDelay = time.Second
 	// initialReportBackoff is the pause between two report requests to a host, and doubles up to maxReportBackoff
 	// while the host doesn't report. While its report is needed to distribute the whole quota, the pause doubles up to
 	// neededReportBackoff: after a loss of all hosts, the last one to start delays all callers by this time.
--- a/internal/recordcodec/record.go
+++ b/internal/recordcodec/record.go
@@ -24,6 +24,8 @@
 		HandedBack bool     `json:"handed_back,omitempty"`
 		Grantees   []string `json:"grantees,omitempty"`
 		Granters   []string `json:"granters,omitempty"`
+		// ReserveHolders is missing if any of the grantees may hold reserves, as in records of the previous version.
+		ReserveHolders []string `json:"reserve_holders,omitempty"`
 	}
 	wireIncarnation struct {
 		Member string `json:"member"`
@@ -34,7 +36,7 @@
 // Encode returns the stored form of a record.
 func Encode(r leadership.Record) ([]byte, error) {
 	out := wireRecord{
-		Holder: r.Holder, Epoch: int64(r.Epoch), Term: uint64(r.Term), Ordered: r.PendingPromotion, HandedBack: r.HandedBack, Grantees: r.PortionHolders, Granters: r.QuotaGranters,
+		Holder: r.Holder, Epoch: int64(r.Epoch), Term: uint64(r.Term), Ordered: r.PendingPromotion, HandedBack: r.HandedBack, Grantees: r.PortionHolders, Granters: r.QuotaGranters, ReserveHolders: r.ReserveHolders,
 		FloorTerm: uint64(r.Floor.Term), FloorLSN: uint64(r.Floor.LSN),
 	}
 	for _, m := range r.Members {
@@ -50,7 +52,7 @@
 		return leadership.Record{}, errors.Wrap(err, "decode leadership record")
 	}
 	out := leadership.Record{
-		Holder: in.Holder, Epoch: kv.Epoch(in.Epoch), Term: group.Term(in.Term), PendingPromotion: in.Ordered, HandedBack: in.HandedBack, PortionHolders: in.Grantees, QuotaGranters: in.Granters,
+		Holder: in.Holder, Epoch: kv.Epoch(in.Epoch), Term: group.Term(in.Term), PendingPromotion: in.Ordered, HandedBack: in.HandedBack, PortionHolders: in.Grantees, QuotaGranters: in.Granters, ReserveHolders: in.ReserveHolders,
 		Floor: group.Position{Term: group.Term(in.FloorTerm), LSN: group.LSN(in.FloorLSN)},
 	}
 	for _, m := range in.Members {
@@ -58,3 +60,15 @@
 	}
 	return out, nil
 }
+
+// DecodeItem parses the record that the store returned. An item without a value is a missing record, the zero value.
+func DecodeItem(i kv.Item) (leadership.StoredRecord, error) {
+	if len(i.Value) == 0 {
+		return leadership.StoredRecord{}, nil
+	}
+	r, err := Decode(i.Value)
+	if err != nil {
+		return leadership.StoredRecord{}, err
+	}
+	return leadership.NewStoredRecord(r, i.Revision), nil
+}
