--- a/core/quota/removal_test.go
+++ b/core/quota/removal_test.go
@@ -30,7 +30,7 @@
 		{"portions expire at the host", "bucket.go", "if !now.Before(b.expiresAt) {", "if false {"},
 		{"a portion counts until the host is known to hold a smaller one", "token_pool.go", "return max(p.held.Rate, p.offered.Rate)", "return p.offered.Rate"},
 		{"tokens that hosts may store are not in the pool", "token_pool.go", "maxTokens -= t.totals.stored", ""},
-		{"a granter starts with few tokens", "granter.go", "initial := g.tolerance.initialTokens()", "initial := q.Burst"},
+		{"a granter starts with few tokens", "granter.go", "initial := g.tolerance.InitialTokens()", "initial := q.Burst"},
 		{"a new portion starts empty", "bucket.go", "b.tokens = min(g.Cap, b.tokens+g.Prefetched)", "b.tokens = g.Cap"},
 		{"a process that has not reported gets nothing", "granter.go", "h.unreported || h.process != process ||", ""},
 		{"portions of unreachable hosts still count", "token_pool.go", "if !now.Before(p.expiresAt) {", "if p != nil {"},
@@ -43,9 +43,12 @@
 		{"tokens that a host with an active portion may store are not in the pool", "token_pool.go", "s.stored += sign * p.cap()", "s.stored += sign * p.tokens"},
 		{"a holder gives only tokens that it takes from its bucket", "reserve.go", "g.Tokens < d.Waiting && a.bucket.take(now, l.activeAt)", "g.Tokens < d.Waiting"},
 		{"a holder's reply is accepted once and in time", "reserve.go", "now, ResponseTimeout)\n\tif !ok {", "now, ResponseTimeout)\n\tif ok = true; !ok {"},
-		{"reserves and other portions together are bounded", "token_pool.go", "portionRateFraction*t.quota.Rate-(t.totals.rate-p.rate())", "t.quota.Rate"},
+		{"reserves and other portions together are bounded", "token_pool.go", "t.share.Fraction()*t.quota.Rate-(t.totals.rate-p.rate())", "t.quota.Rate"},
 		{"a reserve counts as active before it may yield tokens", "granter.go", "out.ActivateAfter, h.suspension = suspension(req.KeepaliveInterval)", "out.ActivateAfter, _ = suspension(req.KeepaliveInterval)\n\th.suspension = assumeActiveAfter"},
 		{"active portions count", "token_pool.go", "t.quota.Rate-t.totals.activeRate-t.unreportedMax", "t.quota.Rate-t.unreportedMax"},
+		{"unreported hosts may hold portions of the largest setting", "token_pool.go", "share.MaxPortions.Fraction()*quota-reported", "t.share.Fraction()*quota-reported"},
+		{"a host that is not recorded gets no reserve", "granter.go", "req.Reserve = g.reserves.Request(id, req.Reserve, known, now)", ""},
+		{"portions of hosts that are not recorded are limited", "token_pool.go", "if t.othersLimited {", "if false {"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			out, err := testWithReplacement(t, c.file, c.from, c.to)
--- a/internal/quotas/enforcer.go
+++ b/internal/quotas/enforcer.go
@@ -12,6 +12,7 @@
 
 	"pearlatch/core/account"
 	"pearlatch/core/quota"
+	"pearlatch/core/quota/share"
 )
 
 // Settings configure an Enforcer.
@@ -19,6 +20,8 @@
 	// Host and Process identify this host and its process.
 	Host, Process string
 	Tolerance     quota.Tolerance
+	// PortionShare is the fraction of each quota that this host grants as portions when it is the granter.
+	PortionShare share.Portions
 	// Metrics receives the Enforcer's metrics. With nil nothing is recorded.
 	Metrics metrics.Registry
 }
@@ -71,9 +74,9 @@
 	// changed is closed and replaced when waiting operations should check again.
 	changed chan struct{}
 	// recording is true while hosts are being recorded for a successor. After a failure this is not retried before
-	// nextRecordAt.
-	recording    bool
-	nextRecordAt time.Time
+	// nextRecordAt, and for reserve holders alone not before nextHoldersAt.
+	recording                   bool
+	nextRecordAt, nextHoldersAt time.Time
 	// reports holds the state of the report requests to each host.
 	reports map[string]*reportState
 }
