Quotas: each rule of the record of reserve holders is needed

Adds four entries to TestRemovalsAreDetected for core/quota/holder. For one, the list inherited from an earlier granter, no test failed; TestHoldersOfEarlierGrantersStayRecorded covers it.

--- a/core/quota/removal_test.go
+++ b/core/quota/removal_test.go
@@ -49,6 +49,10 @@
 		{"unreported hosts may hold portions of the largest setting", "token_pool.go", "share.MaxPortions.Fraction()*quota-reported", "t.share.Fraction()*quota-reported"},
 		{"a host that is not recorded gets no reserve", "granter.go", "req.Reserve = g.reserves.Request(id, req.Reserve, known, now)", ""},
 		{"portions of hosts that are not recorded are limited", "token_pool.go", "if t.othersLimited {", "if false {"},
+		{"holders are named once larger portions have expired", "holder/registry.go", "!now.Before(r.limitedSince.Add(r.ttl))", "true"},
+		{"a host that is left out of the record gets no reserve", "holder/registry.go", "return !names[id]", "return false"},
+		{"a host whose reserve may not have expired is recorded", "holder/registry.go", "if until.After(now) {", "if until.After(now) && false {"},
+		{"reserves from earlier granters are recorded", "holder/registry.go", "r.allowed[id], r.until[id] = true, now.Add(ttl)", "r.allowed[id] = true"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			out, err := testWithReplacement(t, c.file, c.from, c.to)
@@ -78,6 +82,9 @@
 	}
 	folder := t.TempDir()
 	changed := filepath.Join(folder, file)
+	if err := os.MkdirAll(filepath.Dir(changed), 0o700); err != nil {
+		t.Fatal(err)
+	}
 	if err := os.WriteFile(changed, []byte(strings.Replace(string(text), from, to, 1)), 0o600); err != nil {
 		t.Fatal(err)
 	}
--- a/core/quota/reserve_holders_test.go
+++ b/core/quota/reserve_holders_test.go
@@ -55,6 +55,22 @@
 	}
 }
 
+// A granter records another holder before the hosts that its predecessor recorded have reported or requested anything. They
+// may hold reserves, so they must stay in the record until these have expired.
+func TestHoldersOfEarlierGrantersStayRecorded(t *testing.T) {
+	for at, want := range map[time.Time][]string{
+		t0.Add(PortionTTL): {"r1", "r2"}, t0.Add(PortionTTL + maxClockDrift): {"r2"},
+	} {
+		g := NewGranter(5, noTolerance, t0, []string{"r1", "r2"}, nil)
+		g.SetReserveHolders([]string{"r1"})
+		g.RecordReport("r2", "r2.1", nil, t0)
+		requestPart(t, g, "r2", t0, 0, ReserveFraction(3))
+		if ids := g.ReserveHolders().Prepare(at); !slices.Equal(ids, want) {
+			t.Errorf("%v are to be recorded %s after the start, want %v", ids, at.Sub(t0), want)
+		}
+	}
+}
+
 // The record names no reserve holders, since a host of the previous version wrote it. Hosts may then hold larger portions
 // than a successor would assume. The granter names the holders only once these have expired.
 func TestHoldersAreRecordedOnceOtherPortionsAreLimited(t *testing.T) {
