--- a/core/quota/share/portions.go
+++ b/core/quota/share/portions.go
@@ -21,9 +21,10 @@
 	// with portions that store 0.95 of it, 0.115 of the operations of a day without faults were refused on deployment K, and
 	// 0.038 with 0.6.
 	Cap = 0.6
-	// OtherCap is the fraction of the capacity that reserves leave to other portions, and ReserveCap what they have. Most of
-	// the capacity is for reserves: their stored tokens serve callers until the reserves become active.
-	OtherCap   = 0.15
+	// OtherCap is the fraction of the capacity that reserves leave to other portions.
+	OtherCap = 0.15
+	// ReserveCap bounds the sum of the reserves' capacities. Most of the capacity is for reserves: their stored tokens serve
+	// callers until the reserves become active.
 	ReserveCap = Cap - OtherCap
 	// Requested is the sum of what the reserve holders of an account request. It stands for all that the granter grants as
 	// reserves, so that hosts need not know the granter's setting.
