--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -313,37 +313,6 @@
 	}
 }
 
-// reroute runs a statement by way of another host, since this one can't reach the primary. It
-// declines a forwarded statement instead. It returns false if no host took the statement, which
-// then waits here.
-func (s *Session) reroute(ctx context.Context, r Request, op *operation) (Reply, bool) {
-	if s.declineToOrigin() {
-		return failureReply(Busy, errReroute.Error()), true
-	}
-	op.need.Forwardable = false
-	return s.forwardSingle(ctx, r, op)
-}
-
-// rerouteInTransaction is reroute for a transaction that has run no statement yet.
-func (s *Session) rerouteInTransaction(ctx context.Context, r Request, arrived time.Time) (Reply, bool) {
-	if s.declineToOrigin() {
-		return s.failTransaction(failureReply(Busy, errReroute.Error())), true
-	}
-	s.tx.op.need.Forwardable = false
-	return s.forwardInTransaction(ctx, r, arrived)
-}
-
-// declineToOrigin declines a forwarded statement that has already been accepted, since this host
-// can't reach the primary. The host that sent the statement tries others. It returns false for this
-// host's own callers.
-func (s *Session) declineToOrigin() bool {
-	if s.origin == nil {
-		return false
-	}
-	s.origin.declined = true
-	return true
-}
-
 // logForward logs and counts a forwarded statement that another host did not take or answer.
 func (h *Host) logForward(s *Session, r *PeerRequest, server, outcome string, err error) {
 	h.log("forward", "request", r.Request.ID, "database", s.database, "group", r.Group, "peer", server,
--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -180,84 +179,6 @@
 	g.dispatch()
 }
 
-// updateMembers applies a new list of members.
-func (g *Group) updateMembers(change memberChange) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.departedAt.IsZero() {
-		g.departedAt = g.now()
-	}
-	for _, id := range change.lapsed {
-		if m := g.members[id]; m != nil {
-			g.markMissing(m)
-		}
-	}
-	listed := map[string]bool{}
-	for _, listedMember := range change.members {
-		listed[listedMember.ID] = true
-		g.updateMember(listedMember)
-	}
-	for id, m := range g.members {
-		if !listed[id] {
-			g.markMissing(m)
-		}
-	}
-	g.sortedMembers = g.sortedMembers[:0]
-	for _, m := range g.members {
-		g.sortedMembers = append(g.sortedMembers, m)
-	}
-	slices.SortFunc(g.sortedMembers, func(a, b *member) int { return strings.Compare(a.ID, b.ID) })
-	g.tryAdoptFloor()
-	g.dispatch()
-}
-
-// updateMember adds or updates a listed member. g.mu must be held.
-func (g *Group) updateMember(listed Member) {
-	m := g.members[listed.ID]
-	if m != nil && m.Incarnation != listed.Incarnation {
-		g.dropRestarted(m)
-		m = nil
-	}
-	if m == nil {
-		m = &member{Member: listed, poolMember: g.pool.Add(listed.ID, listed.Slots)}
-		m.IsPrimary, m.Leaving = false, false
-		g.members[listed.ID] = m
-		g.log("member_listed", "member", listed.ID, "addr", listed.Addr, "leads", listed.IsPrimary)
-	}
-	before := m.Member
-	// All other fields of an incarnation are constant, so they are read without the lock.
-	m.IsPrimary, m.Leaving = listed.IsPrimary, listed.Leaving
-	if !m.missingSince.IsZero() {
-		m.missingSince = time.Time{}
-		g.log("member_back", "member", listed.ID)
-	}
-	if listed.Leaving && !before.Leaving {
-		m.leavingSince = g.now()
-		g.log("member_leaving", "member", listed.ID, "leads", listed.IsPrimary)
-		g.closeIdleConns(m)
-	}
-	if listed.IsPrimary && !before.IsPrimary && g.primaryID != listed.ID {
-		g.setPrimary(listed.ID, "listed")
-	}
-	if !listed.IsPrimary && before.IsPrimary && g.primaryID == listed.ID {
-		g.setPrimary("", "listed")
-	}
-}
-
-// markMissing records that the platform no longer lists the member. g.mu must be held.
-func (g *Group) markMissing(m *member) {
-	if !m.missingSince.IsZero() {
-		return
-	}
-	g.log("member_missing", "member", m.ID, "leads", m.ID == g.primaryID)
-	m.missingSince = g.now()
-	// What a primary had written and no replica had received was never acknowledged.
-	m.missingAsPrimary = m.ID == g.primaryID
-	if m.Incarnation == 0 && !m.missingAsPrimary {
-		m.restartSuspectedSince, m.receivedBeforeMissing = m.missingSince, m.received
-	}
-}
-
 // dropRestarted drops a member that was restarted under the same ID, so that it can be added as a new
 // one. The restart has lost its state, including a fence that kept it from receiving the log, and its
 // connections are closed. g.mu must be held.
