Overload: no relief of a primary within ten seconds of any promotion

The replica was behind, the primary was demoted and promoted again at 19.8 s. A promotion for whatever reason now starts the ten seconds between two switchovers; before, only switchovers did.

--- a/core/group/overload.go
+++ b/core/group/overload.go
@@ -115,6 +115,11 @@
 	return true
 }
 
+// Promoted records that a member was promoted, for whatever reason. A switchover
+// soon after a failover would wait for a replica that still catches up with the
+// new primary, and interrupt service for a second time.
+func (d *OverloadDetector) Promoted(now time.Time) { d.overloadedRounds, d.switchedAt = 0, now }
+
 // Abandon records that the switchover was abandoned before a promotion was
 // requested.
 func (d *OverloadDetector) Abandon(now time.Time) {
--- a/core/group/overload_test.go
+++ b/core/group/overload_test.go
@@ -137,3 +137,22 @@
 		t.Errorf("tried again %s after an abandoned switchover", got)
 	}
 }
+
+// Guards against a switchover right after a failover: a replica is gone with the old primary, the other one still catches up
+// with the new primary, and statements wait. The new primary was relieved 0.65 s after its promotion, in vain, and service
+// stopped for a further 1.7 s.
+func TestNoReliefSoonAfterAPromotion(t *testing.T) {
+	var d OverloadDetector
+	at := time.Unix(100, 0)
+	d.Promoted(at)
+	load := PrimaryLoad{Replicas: lagging, Running: 2, Slots: 2, Waits: 60}
+	for range 20 {
+		at = at.Add(350 * time.Millisecond)
+		if d.Observe(load, at) {
+			t.Fatalf("relieved %s after the promotion", at.Sub(time.Unix(100, 0)))
+		}
+	}
+	if at = at.Add(minSwitchoverInterval); !d.Observe(load, at) {
+		t.Error("never relieved")
+	}
+}
--- a/internal/gateway/promotion.go
+++ b/internal/gateway/promotion.go
@@ -50,6 +50,7 @@
 			w.primary = answer.member
 			w.group.metrics.Promotion(w.group.name, "led", w.host.now().Sub(started))
 			w.log("promoted", "member", id, "took_ms", w.host.now().Sub(started).Milliseconds())
+			w.overloadDetector.Promoted(w.host.now())
 			w.clearPendingPromotion()
 			// Writes that only the old primary had are lost, so a position that no replica had received does not
 			// count against the new primary.
