--- a/core/admission/flow.go
+++ b/core/admission/flow.go
@@ -11,7 +11,7 @@
 // rank holds the waiting statements of a rank.
 type rank[T any] struct {
 	number int
-	// flows is a heap of the accounts that wait, the one to be served next first. byAccount holds the same by name.
+	// flows is a heap of the accounts that wait, with the next one to serve on top. byAccount holds them by name.
 	flows     flowHeap[T]
 	byAccount map[string]*flow[T]
 	// waiting counts the statements by class, and arrivals measures how many arrive per second while others wait.
--- a/core/admission/prediction.go
+++ b/core/admission/prediction.go
@@ -15,16 +15,15 @@
 	// reservedWork is how much work is never refused on a prediction. It keeps slots busy while no new statements
 	// arrive, and is as long as an account's statements wait before newer ones overtake them.
 	reservedWork = lifoThreshold
-	// checkInterval is the minimum time between two examinations of the queue, and checkIntervalPerEntry the same per
-	// waiting statement, each of which costs 0.1 us, or 1.4 us with as many accounts as statements.
+	// The queue is examined at most once per checkInterval, and at most once per checkIntervalPerEntry for each waiting
+	// statement. An examination takes 0.1 us a statement, or 1.4 us with as many accounts as statements.
 	checkInterval         = 5 * time.Millisecond
 	checkIntervalPerEntry = 20 * time.Microsecond
 	// minDrainShare is the share of the drain rate that is left at least for statements that others overtake, since the
 	// overload may end at any moment.
 	minDrainShare = 0.05
 	// minOverload is how long statements must have waited without a break before the rate of arrivals counts, since
-	// shorter accumulations may be random. In a replay at 0.7 of the capacity, 25, 67, 1 and 1 of 16,830 operations were
-	// refused with 1, 100, 250 and 500 ms.
+	// shorter accumulations arise by chance at 0.7 of the capacity, where nothing should be refused.
 	minOverload = 250 * time.Millisecond
 	// minPredictedWait is the shortest predicted wait that is compared with the actual one. Shorter ones are within the
 	// random variation of a few statements.
--- a/core/leadership/predecessor_test.go
+++ b/core/leadership/predecessor_test.go
@@ -9,7 +9,7 @@
 )
 
 // Guards against a lease that is granted while a promotion of an earlier coordinator may still take effect, and against
-// one that all callers wait for although no such promotion can exist.
+// callers that wait for a lease although no such promotion can exist.
 func TestPredecessorSettles(t *testing.T) {
 	start := time.Unix(100, 0)
 	raised := start.Add(400 * time.Millisecond)
--- a/core/load/affinity.go
+++ b/core/load/affinity.go
@@ -8,9 +8,8 @@
 
 // AppendAffinity appends to dst the indices of the servers in the order in which they serve an
 // account of a group: the home server first, then the ones that replace it. Nearer servers come
-// first, so that the statements stay in their zone while it has a server: with one home server for
-// the callers of all zones, the bytes between zones doubled, and connections that are kept open
-// saved most of what it saves. The order of two servers at the same distance depends only on the
+// first, so that the statements stay in their zone while it has a server: one home server for the
+// callers of all zones doubles the bytes between zones. The order of two servers at the same distance depends only on the
 // group, the account and their IDs. All entry hosts of a zone therefore agree on it, and a server
 // that joins or leaves moves only the accounts that it gains or loses.
 //
--- a/core/load/table.go
+++ b/core/load/table.go
@@ -39,8 +39,7 @@
 type Table struct {
 	reports map[string]receivedReport
 	large   *largeAccounts
-	// moves is the number of statements that Order has moved to another server.
-	moves int
+	moves   int // see Moves
 }
 
 // Moves returns the number of statements that Order has moved to another server because of its load.
@@ -162,12 +161,12 @@
 const (
 	// evenShare is the part of the difference between two queues whose move evens them out.
 	evenShare = 0.5
-	// maxMoved bounds the share of a server's statements that go to another one. With 0.5, the
-	// busiest of three servers got 1.51 times the mean in simulations of 100 hosts with reports 500 ms
-	// old (1.38 with 0.4): 1.5 times by the rule, and more by chance.
+	// maxMoved bounds the share of a server's statements that go to another one. All hosts may act on
+	// the same old report, so a server that reported no queue gets up to 1+maxMoved times its part.
+	// This and what comes by chance must stay below 1.5 times.
 	maxMoved = 0.4
-	// queueNoise is a queue that arises and passes by chance. Without it, at a load equal to the
-	// capacity, the busiest server got 1.38 times the mean (1.28 with it, 1.09 if nothing is moved).
+	// queueNoise is a queue that arises and passes by chance at a load near the capacity. Moving
+	// statements because of it only makes the servers' loads less even.
 	queueNoise = 100 * time.Millisecond
 )
 
--- a/core/pool/queue.go
+++ b/core/pool/queue.go
@@ -39,7 +39,7 @@
 	return w
 }
 
-// Dequeue removes a statement that has stopped waiting from the queue.
+// Dequeue removes from the queue a statement that has stopped waiting.
 func (p *Pool) Dequeue(w *Waiter, now time.Time) { p.queue.Remove(w.entry, now) }
 
 // Waiting returns the number of waiting statements.
--- a/core/quota/share/portions.go
+++ b/core/quota/share/portions.go
@@ -17,9 +17,8 @@
 	PerHost = 0.3
 	// OtherRate is the fraction of the rate that reserves leave to other portions.
 	OtherRate = 0.1
-	// Cap bounds the sum of all portions' capacities, whatever the setting. The granter's pool keeps the rest of the burst:
-	// with portions that store 0.95 of it, 0.115 of the operations of a day without faults were refused on deployment K, and
-	// 0.038 with 0.6.
+	// Cap bounds the sum of all portions' capacities, whatever the setting. The granter's pool keeps the rest of the burst
+	// for callers of hosts that hold nothing: tokens stored elsewhere are of no use to them while the granter answers.
 	Cap = 0.6
 	// OtherCap is the fraction of the capacity that reserves leave to other portions.
 	OtherCap = 0.15
