Fences are released only by a coordinator that is certain of its role

What callers saw: nothing yet; an acknowledged write could be lost. A coordinator that the platform had silently replaced, or that was cut off from the store, went on looking at the members every 350 ms. A fence of a later term looked stale to it, and it released it: the fences of its successor's switchover or failover. The command carries no term, so the member obeyed.

Evidence: TestUncertainCoordinatorReleasesNoFences found both fences gone, and TestSwitchoverFencesAreNotReleasedByPreviousCoordinator a promoted member that lacked acknowledged writes, after a "fences_released" line of the previous coordinator between the fence and the order of the next one.

Why the change works: a release is sent only if the role lasts until the command has timed out; and a coordinator begins no switchover, and fences nobody for a pending promotion, until its predecessor can no longer rely on its role (failovers waited already, since they wait for leases first).

The model checker has former coordinators release fences.

Tried: to wait for the predecessor inside the switchover. The round stands still meanwhile and all leases lapse, so the round returns and the next one tries again.

--- a/core/leadership/model_test.go
+++ b/core/leadership/model_test.go
@@ -16,14 +16,14 @@
 
 // safeguards are the rules on which the protocol relies. The checker disables them one by one.
 type safeguards struct {
-	waitForLeases, boundByRole, confirmWrites, fenceReplicas, requireFloor, detectRestarts, recordOrder, proveByAll, recheckReplicas, waitForFormerCoordinator, rememberRecord, settlePromotions bool
+	waitForLeases, boundByRole, confirmWrites, fenceReplicas, requireFloor, detectRestarts, recordOrder, proveByAll, recheckReplicas, waitForFormerCoordinator, rememberRecord, settlePromotions, boundReleases bool
 	// proofOnly makes NoPromotionPending the only way to learn that no unrecorded order is pending. Without it, a new
 	// coordinator also learns that by waiting.
 	proofOnly bool
 }
 
 func allSafeguards() safeguards {
-	return safeguards{true, true, true, true, true, true, true, true, true, true, true, true, false}
+	return safeguards{true, true, true, true, true, true, true, true, true, true, true, true, true, false}
 }
 
 // none is the index of no member or host, and the length of no log.
@@ -51,10 +51,11 @@
 }
 
 // formerCoordinator is a coordinator that lost its role without noticing: the platform removed the role's entry, or
-// the store was restored. It continues to grant leases until RoleValidity has passed since its last renewal.
+// the store was restored. It continues to grant leases and to release fences until RoleValidity has passed since its last
+// renewal, when active becomes false.
 type formerCoordinator struct {
-	active        bool
-	host, primary int8
+	exists, active bool
+	host, primary  int8
 }
 
 // stage is the progress of the coordinator in replacing the primary.
--- a/core/leadership/steps_test.go
+++ b/core/leadership/steps_test.go
@@ -176,7 +176,7 @@
 		return
 	}
 	st.faultsLeft.removals--
-	st.former = formerCoordinator{active: true, host: st.coordinator.host, primary: st.coordinator.primary}
+	st.former = formerCoordinator{exists: true, active: true, host: st.coordinator.host, primary: st.coordinator.primary}
 	for h := range st.hosts {
 		st.hosts[h].fromFormerCoordinator = st.hosts[h].lease != none
 	}
@@ -193,7 +193,7 @@
 	}
 	st.faultsLeft.restores--
 	if st.coordinator.stage == granting && st.coordinator.primary != none {
-		st.former = formerCoordinator{active: true, host: st.coordinator.host, primary: st.coordinator.primary}
+		st.former = formerCoordinator{exists: true, active: true, host: st.coordinator.host, primary: st.coordinator.primary}
 		for h := range st.hosts {
 			st.hosts[h].fromFormerCoordinator = st.hosts[h].lease != none
 		}
@@ -213,9 +213,24 @@
 	e.add("store is restored", st, "")
 }
 
-// formerCoordinatorSteps adds the leases that a former coordinator grants. They end with its validity of the role.
+// releaseFences adds the releases by a former coordinator, which takes the fences of its successor for stale ones.
+func (e *explorer) releaseFences(st modelState) {
+	for m := range st.nodes {
+		if n := st.nodes[m]; n.up && n.fenceTerm > 0 && n.partition == st.hosts[st.former.host].partition {
+			next := st
+			next.nodes[m].fenceTerm = 0
+			e.add("former coordinator releases "+memberName(m), next, "")
+		}
+	}
+}
+
+// formerCoordinatorSteps adds the leases that a former coordinator grants, and its releases of fences. They end with its
+// validity of the role.
 func (e *explorer) formerCoordinatorSteps(st modelState) {
 	f := &st.former
+	if f.active || f.exists && !e.safeguards.boundReleases {
+		e.releaseFences(st)
+	}
 	if !f.active {
 		return
 	}
--- /dev/null
+++ b/internal/gateway/fences_test.go
@@ -0,0 +1,74 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"pearlatch/core/freshness"
+	"pearlatch/core/group"
+)
+
+// Guards against a coordinator that lost its role unnoticed and releases the fences of its successor, which it takes for
+// stale ones.
+func TestUncertainCoordinatorReleasesNoFences(t *testing.T) {
+	withHost(t, freshness.Latest{}, func(s *fakeSite, h *Host) {
+		exec(h, Write{})
+		s.setDown(true)
+		time.Sleep(coordinatorLeaseTTL + time.Second)
+		s.updateMember("b", func(m *fakeMember) { m.fenced = 2 })
+		s.updateMember("c", func(m *fakeMember) { m.fenced = 2 })
+		time.Sleep(2 * time.Second)
+		for _, id := range []string{"b", "c"} {
+			if got := s.fenceOf(id); got != 2 {
+				t.Errorf("the fence of %s is %d, want 2", id, got)
+			}
+		}
+		s.setDown(false)
+		time.Sleep(5 * time.Second)
+		if got := s.fenceOf("b"); got != 0 {
+			t.Errorf("the fence of b is %d once the role is certain again, want none", got)
+		}
+	})
+}
+
+// fenceOf returns the term of a member's fence, or zero.
+func (s *fakeSite) fenceOf(id string) group.Term {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.member(id).fenced
+}
+
+// Guards against a switchover whose fences are released by the previous coordinator. The platform removes the entry of a
+// coordinator that can't reach the store, and the primary drains. The next coordinator must not rely on its fences until the
+// previous one can no longer take them for stale.
+func TestSwitchoverFencesAreNotReleasedByPreviousCoordinator(t *testing.T) {
+	withFleet(t, 3, 20, freshness.Latest{}, func(s *fakeSite, f *fakeFleet) {
+		s.setIncarnation(7) // the next coordinator then need not wait until unrecorded promotions have settled
+		time.Sleep(3 * time.Second)
+		previous := f.coordinatorHost()
+		exec(previous, Write{})
+		f.setFault(f.storeSilentFor, previous.settings.Host, true)
+		s.mu.Lock()
+		s.removeLocked(previous.coordinatorKey(testGroup))
+		s.mu.Unlock()
+		s.writeMemberEntry("a", "draining")
+		fenced := ""
+		for range 500 {
+			for _, id := range []string{"b", "c"} {
+				if fenced == "" && s.fenceOf(id) > 0 {
+					fenced = id
+					target := map[string]string{"b": "c", "c": "b"}[id]
+					s.updateMember(target, func(m *fakeMember) { m.receivesNothing = true })
+				}
+			}
+			if fenced != "" {
+				exec(previous, Write{})
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		if fenced == "" {
+			t.Error("no replica was fenced")
+		}
+		wantNoLostWrites(t, s)
+	})
+}
--- a/internal/gateway/group_monitor.go
+++ b/internal/gateway/group_monitor.go
@@ -325,21 +325,6 @@
 	return len(replicas) >= 2 && countFailed(replicas) == 0
 }
 
-// releaseStaleFences releases fences that an earlier coordinator left behind.
-func (w *groupMonitor) releaseStaleFences(primary controlResult, replicas []controlResult) {
-	var fenced []Member
-	for _, r := range replicas {
-		if r.err == nil && r.status.Fenced > primary.status.Term {
-			fenced = append(fenced, r.member)
-		}
-	}
-	if len(fenced) == 0 {
-		return
-	}
-	w.log("fences_released", "members", len(fenced))
-	w.group.controlAll(fenced, Release{}, controlTimeout)
-}
-
 // countFailed returns the number of results with an error.
 func countFailed(answers []controlResult) int {
 	n := 0
--- a/internal/gateway/lease_grants.go
+++ b/internal/gateway/lease_grants.go
@@ -121,10 +121,7 @@
 	}
 	// Leases that the previous coordinator granted may still be valid if it was an earlier process of this
 	// host, or lost its entry early.
-	w.mu.Lock()
-	end := w.predecessor.LeasesEnd()
-	w.mu.Unlock()
-	if !pause.For(ctx, end.Sub(w.host.now())) {
+	if !pause.For(ctx, w.predecessorEnd().Sub(w.host.now())) {
 		return false
 	}
 	w.group.metrics.LeaseRevocation(w.group.name, w.host.now().Sub(started))
--- a/internal/gateway/overload.go
+++ b/internal/gateway/overload.go
@@ -17,7 +17,7 @@
 	if load.Interruption = w.interruptions.Remaining(0); load.Interruption == 0 {
 		load.Interruption = leadership.PromotionDelay
 	}
-	if !w.overloadDetector.Observe(load, w.host.now()) {
+	if !w.overloadDetector.Observe(load, w.host.now()) || w.predecessorMayAct() {
 		return false
 	}
 	w.log("primary_relieved", "member", primary.member.ID, "running", load.Running, "waited", load.Waits,
--- a/internal/gateway/switchover.go
+++ b/internal/gateway/switchover.go
@@ -11,7 +11,12 @@
 // switchOver replaces a primary that still serves, but is leaving, missing from the store or overloaded. The primary continues
 // to serve meanwhile. All replicas but the switchover target are fenced, so that every later write is acknowledged by the
 // target. It returns false if it requested no promotion.
+//
+// It does nothing until the previous coordinator has ended, which would take the fences for stale ones.
 func (w *groupMonitor) switchOver(ctx context.Context, primary controlResult, replicas []controlResult) bool {
+	if w.predecessorMayAct() {
+		return false
+	}
 	started := w.host.now()
 	steady := func(id string) bool { return w.overloadDetector.Steady(id, started) }
 	standby, _ := group.SwitchoverTarget(w.successorCandidates(replicas), steady)
@@ -33,18 +38,18 @@
 	// The primary is demoted once the leases have ended, so that it serves until then.
 	demote := !ready && countFailed(fenced) > 0
 	if (ready || demote) && !w.revokeLeases(ctx, true) {
-		w.group.controlAll(others, Release{}, controlTimeout)
+		w.releaseFences(others)
 		return false
 	}
 	revoked := w.host.now()
 	if !ready && !(demote && w.demoteForSwitchover(ctx, term, target, fenced)) {
 		w.log("heir_behind", "member", target.ID, "answers", formatResults(fenced))
-		w.group.controlAll(others, Release{}, controlTimeout)
+		w.releaseFences(others)
 		return false
 	}
 	w.log("successor", "member", target.ID, "term", term, "planned", true)
 	if !w.promote(ctx, target.ID, successorChoice{listedAt: started, received: logEndOf(target.ID, replicas)}) {
-		w.group.controlAll(others, Release{}, controlTimeout)
+		w.releaseFences(others)
 		return false
 	}
 	w.interruptions.Observe(w.host.now().Sub(revoked))
