A resigned coordinator leaves no leases that its successor does not wait for

What callers saw: nothing yet; a read could be stale, or an acknowledged write lost, in the second after a host that stops has handed a role back.

Cause, three ways to the same fault. A host that resigns ended only the full leases, and its successor took none to be out: the leases for writes lasted up to a second. The monitor went on beside it and granted full leases anew. And if the host ended while it waited, it recorded all the same that nothing was left, of earlier coordinators too.

Why the change works: from the decision to resign a host grants no lease, requests no promotion and releases no fence, so what is out ends within LeaseDuration of the successor's acquisition, and that is how long the successor waits before a failover or a switchover (not before it grants leases). The record says "handed back" only if all waits were completed.

Weighed: to wait for the end of the leases for writes before handing back. Each group would be without a coordinator for up to a second at each planned stop.

--- a/core/leadership/predecessor.go
+++ b/core/leadership/predecessor.go
@@ -8,8 +8,8 @@
 
 // Predecessor is what a coordinator knows of the coordinators before it.
 type Predecessor struct {
-	// HandedBack is true if the previous coordinator handed the role back. It then grants no leases and requests no
-	// promotions.
+	// HandedBack is true if the previous coordinator handed the role back, after the end of the coordinators before it.
+	// It then grants no leases and requests no promotions.
 	HandedBack bool
 	// SameHost is true if it was an earlier process of this host, which had ended when this process started, at
 	// ProcessStarted.
@@ -50,13 +50,14 @@
 	return end.Add(PromotionDelay), true
 }
 
-// LeasesEnd returns when the leases that earlier coordinators may have granted have ended: the zero time if the
-// previous one handed the role back, LeaseDuration after the start of this process if it was a process of this host,
-// and else the time at which it can no longer rely on its role.
+// LeasesEnd returns when the leases that earlier coordinators may have granted have ended, and with them their releases
+// of fences, see MayReleaseFences.
+//
+// A coordinator that hands its role back grants nothing from then on.
 func (p Predecessor) LeasesEnd() time.Time {
 	switch {
 	case p.HandedBack:
-		return time.Time{}
+		return p.AcquiredAt.Add(LeaseDuration + maxClockDrift)
 	case p.SameHost:
 		return p.ProcessStarted.Add(LeaseDuration)
 	}
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -64,7 +64,8 @@
 	grants        leadership.Grants
 	// lastWokenAt is when a lease request that was not granted last woke the group's monitor.
 	lastWokenAt time.Time
-	// resigning is true once the host has begun to hand the role back and waits for its leases to end.
+	// resigning is true once the host has begun to hand the role back. It then grants no leases, requests no promotions
+	// and releases no fences.
 	resigning bool
 	// claims decides when the host tries to acquire the role.
 	claims leadership.ClaimSchedule
@@ -186,8 +187,8 @@
 	}
 }
 
-// resign hands the role back in the background, while the host keeps running for a while. The leases on the primary end
-// first, since the next coordinator does not know them.
+// resign hands the role back in the background, while the host keeps running for a while. The full leases on the primary
+// end first, since the next coordinator does not know them; it waits until the leases for writes have ended.
 func (d *coordinator) resign(ctx context.Context) {
 	d.mu.Lock()
 	already := d.resigning
@@ -198,9 +199,9 @@
 	}
 	go func() {
 		w := &groupMonitor{coordinator: d}
-		w.revokeLeases(ctx, true)
+		ended := w.endLeases(ctx, true)
 		d.host.quotas.StopGranting(d.group.name)
-		w.handBack()
+		w.handBack(ended)
 		d.loseRole("stopping")
 	}()
 }
@@ -303,7 +304,7 @@
 func (d *coordinator) mayPromote() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.held {
+	if !d.held || d.resigning {
 		return false
 	}
 	return d.host.settings.PromotionTokens || d.host.now().Before(d.soleHolderUntil())
--- a/internal/gateway/fences_test.go
+++ b/internal/gateway/fences_test.go
@@ -72,3 +72,38 @@
 		wantNoLostWrites(t, s)
 	})
 }
+
+// Guards against a coordinator that hands its role back while leases are out that its successor does not wait for.
+func TestSuccessorAwaitsLeasesOfResignedCoordinator(t *testing.T) {
+	withFleet(t, 3, 20, freshness.Latest{}, func(_ *fakeSite, f *fakeFleet) {
+		resigning := f.coordinatorHost()
+		for range 20 {
+			for _, h := range f.all() {
+				exec(h, Write{})
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		resigning.Stop()
+		var successor *Host
+		for range 100 {
+			if successor = f.coordinatorHost(); successor != nil && successor != resigning {
+				break
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		if successor == nil || successor == resigning {
+			t.Fatal("no other host took the role")
+		}
+		role := successor.coordinatorOf(testGroup)
+		end, acquired := role.predecessorEnd(), role.acquiredTime()
+		for _, h := range f.all() {
+			g := h.group(testGroup)
+			g.mu.Lock()
+			lease := g.lease
+			g.mu.Unlock()
+			if lease.From.Before(acquired) && lease.Until.After(end) {
+				t.Errorf("%s has a lease %+v until %s after the time that the successor waits for", h.settings.Host, lease, lease.Until.Sub(end))
+			}
+		}
+	})
+}
--- a/internal/gateway/lease_grants.go
+++ b/internal/gateway/lease_grants.go
@@ -55,14 +55,14 @@
 }
 
 // grantLease grants the host a lease that ends before the coordinator role may pass to another host. It returns an
-// empty reply if this host is not the coordinator or does not know the primary.
+// empty reply if this host is not the coordinator, hands the role back, or does not know the primary.
 func (d *coordinator) grantLease(host string) LeaseReply {
 	now := d.host.now()
 	heard, alive := d.group.lastHeard(d.leasedPrimary())
 	position, sampled := d.group.newestSample()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.held || d.primaryStatus.member == "" {
+	if !d.held || d.resigning || d.primaryStatus.member == "" {
 		return LeaseReply{}
 	}
 	s := d.primaryStatus
@@ -105,6 +105,11 @@
 // asks the hosts to give back theirs, and waits until the leases of hosts that don't answer have expired. In a
 // switchover (planned is true), write leases may remain. It returns false if ctx ends or this host may no longer promote.
 func (w *groupMonitor) revokeLeases(ctx context.Context, planned bool) bool {
+	return w.endLeases(ctx, planned) && w.mayPromote()
+}
+
+// endLeases is revokeLeases for a host that need not promote. It returns false if ctx ends.
+func (w *groupMonitor) endLeases(ctx context.Context, planned bool) bool {
 	started := w.host.now()
 	id := w.stopLeaseGrants(planned)
 	var wait sync.WaitGroup
@@ -125,7 +130,7 @@
 		return false
 	}
 	w.group.metrics.LeaseRevocation(w.group.name, w.host.now().Sub(started))
-	return w.mayPromote()
+	return true
 }
 
 // stopLeaseGrants prevents further grants of leases on the primary. In a switchover (planned is true) only read
--- a/internal/gateway/promotion.go
+++ b/internal/gateway/promotion.go
@@ -129,11 +129,11 @@
 // role was lost since the round began so that nothing was requested. An unanswered request counts as made.
 func (w *groupMonitor) requestPromotion(ctx context.Context, id string) bool {
 	w.mu.Lock()
-	if !w.held || !w.predecessor.AcquiredAt.Equal(w.roundAcquiredAt) {
+	if !w.held || w.resigning || !w.predecessor.AcquiredAt.Equal(w.roundAcquiredAt) {
 		// The role was lost since the round began, and may have been acquired again: leases may be valid that this round
-		// has not waited for.
+		// has not waited for. Or the role is being handed back, and the next coordinator expects no promotion.
 		w.mu.Unlock()
-		w.log("promotion_off", "member", id, "why", "the coordinator role was lost since the round began")
+		w.log("promotion_off", "member", id, "why", "the coordinator role was lost or handed back since the round began")
 		return false
 	}
 	token := w.token
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -194,9 +194,9 @@
 	return d.record, d.recordRevision != 0
 }
 
-// handBack removes the role's entry, so that another host need not wait for it to expire. If no promotion is pending, it
-// also records that this host handed the role back and requests no more promotions.
-func (w *groupMonitor) handBack() {
+// handBack removes the role's entry, so that another host need not wait for it to expire. If the leases of this and
+// earlier coordinators have ended and no promotion is pending, it also records that the role was handed back.
+func (w *groupMonitor) handBack(leasesEnded bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	w.mu.Lock()
@@ -206,7 +206,7 @@
 		return
 	}
 	removal := kv.Remove(w.host.coordinatorKey(w.group.name), token)
-	if r, ok := w.currentRecord(); ok && w.pendingPromotion() == "" {
+	if r, ok := w.currentRecord(); ok && leasesEnded && w.pendingPromotion() == "" {
 		r.HandedBack = true
 		err := w.saveRecordWith(ctx, r, removal)
 		if err == nil {
