Leases of earlier coordinators outlast the process that took the role from them

What callers saw: nothing yet; for up to 0.8 s two hosts could hold different primaries for the true one, so that reads were stale.

Cause: a host that takes up the role of its own earlier process waited one LeaseDuration from its start before a failover, as long as that process's leases last. If that process held the role for less than 0.8 s, the coordinator before it, from which the platform had taken the entry unnoticed, may rely on the role for longer: RoleValidity from its last renewal. That renewal is before the start of the new process, so RoleValidity from the start is enough. A failover in the first 1.8 s of a process (before: 1 s) waits up to 0.8 s longer.

Evidence: TestPredecessorLeasesEnd, 800 ms too early before the change.

--- a/core/leadership/change_test.go
+++ b/core/leadership/change_test.go
@@ -86,7 +86,8 @@
 			e.add("revoke", next, "")
 		}
 	}
-	if c.leased == [hostCount]bool{} && !(e.safeguards.waitForFormerCoordinator && st.former.active) {
+	awaitsFormer := e.safeguards.waitForFormerCoordinator && (e.safeguards.waitAfterRestart || !c.restarted)
+	if c.leased == [hostCount]bool{} && !(awaitsFormer && st.former.active) {
 		c.stage = fencing
 		e.add("all leases ended", st, "")
 	}
--- a/core/leadership/checker_test.go
+++ b/core/leadership/checker_test.go
@@ -58,9 +58,9 @@
 // rest, the role changes hands, or promotion orders are executed late, in any order. No read may miss an
 // acknowledged write, and no promoted member may lack one.
 func TestProtocolInvariants(t *testing.T) {
-	cases := []faultBounds{{1, 0, 0, 0, 0, 0}, {0, 1, 0, 0, 0, 0}, {0, 0, 1, 0, 0, 0}, {0, 0, 0, 1, 0, 0}, {0, 0, 0, 0, 1, 0}, {0, 0, 1, 0, 0, 1}, {1, 0, 1, 0, 0, 1}}
+	cases := []faultBounds{{1, 0, 0, 0, 0, 0, 0}, {0, 1, 0, 0, 0, 0, 0}, {0, 0, 1, 0, 0, 0, 0}, {0, 0, 0, 1, 0, 0, 0}, {0, 0, 0, 0, 1, 0, 0}, {0, 0, 1, 0, 0, 1, 0}, {1, 0, 1, 0, 0, 1, 0}, {0, 0, 0, 1, 0, 0, 1}}
 	if *allFaults {
-		cases = []faultBounds{{1, 1, 1, 0, 0, 0}, {2, 1, 0, 0, 0, 0}, {1, 0, 0, 1, 0, 0}, {1, 0, 0, 0, 1, 0}, {0, 1, 0, 0, 1, 0}, {0, 1, 1, 0, 0, 1}, {2, 0, 1, 0, 0, 1}}
+		cases = []faultBounds{{1, 1, 1, 0, 0, 0, 0}, {2, 1, 0, 0, 0, 0, 0}, {1, 0, 0, 1, 0, 0, 0}, {1, 0, 0, 0, 1, 0, 0}, {0, 1, 0, 0, 1, 0, 0}, {0, 1, 1, 0, 0, 1, 0}, {2, 0, 1, 0, 0, 1, 0}, {1, 0, 0, 1, 0, 0, 1}}
 	}
 	for _, b := range cases {
 		guards := allSafeguards()
@@ -82,20 +82,21 @@
 		bounds  faultBounds
 		disable func(*safeguards)
 	}{
-		{"failover waits for leases", faultBounds{1, 0, 0, 0, 0, 0}, func(s *safeguards) { s.waitForLeases = false }},
-		{"leases end with the role", faultBounds{1, 0, 1, 0, 0, 0}, func(s *safeguards) { s.boundByRole = false }},
-		{"replicas are fenced", faultBounds{0, 0, 0, 0, 0, 0}, func(s *safeguards) { s.fenceReplicas = false }},
-		{"fenced replicas are rechecked", faultBounds{0, 1, 0, 0, 0, 0}, func(s *safeguards) { s.recheckReplicas = false }},
-		{"successor has the floor", faultBounds{0, 1, 0, 0, 0, 0}, func(s *safeguards) { s.requireFloor = false }},
-		{"restarts are detected", faultBounds{0, 1, 0, 0, 0, 0}, func(s *safeguards) { s.detectRestarts = false }},
-		{"promotion orders are recorded", faultBounds{1, 0, 1, 0, 0, 0}, func(s *safeguards) { s.recordOrder = false }},
-		{"writes without a lease are confirmed", faultBounds{1, 0, 0, 0, 0, 0}, func(s *safeguards) { s.confirmWrites = false }},
-		{"failover waits for a coordinator whose role was removed", faultBounds{1, 0, 0, 1, 0, 0}, func(s *safeguards) { s.waitForFormerCoordinator = false }},
-		{"record is remembered over a restore of the store", faultBounds{1, 0, 0, 0, 1, 0}, func(s *safeguards) { s.rememberRecord = false }},
-		{"failover waits for a coordinator missing from the restored store", faultBounds{1, 0, 0, 0, 1, 0}, func(s *safeguards) { s.waitForFormerCoordinator = false }},
-		{"leases wait for an unrecorded promotion", faultBounds{0, 0, 1, 0, 0, 1}, func(s *safeguards) { s.settlePromotions = false }},
-		{"former coordinator releases no fences without its role", faultBounds{0, 0, 0, 1, 0, 0}, func(s *safeguards) { s.boundReleases = false }},
-		{"all other members confirm the primary", faultBounds{2, 1, 0, 0, 0, 0}, func(s *safeguards) { s.proveByAll = false }},
+		{"failover waits for leases", faultBounds{1, 0, 0, 0, 0, 0, 0}, func(s *safeguards) { s.waitForLeases = false }},
+		{"leases end with the role", faultBounds{1, 0, 1, 0, 0, 0, 0}, func(s *safeguards) { s.boundByRole = false }},
+		{"replicas are fenced", faultBounds{0, 0, 0, 0, 0, 0, 0}, func(s *safeguards) { s.fenceReplicas = false }},
+		{"fenced replicas are rechecked", faultBounds{0, 1, 0, 0, 0, 0, 0}, func(s *safeguards) { s.recheckReplicas = false }},
+		{"successor has the floor", faultBounds{0, 1, 0, 0, 0, 0, 0}, func(s *safeguards) { s.requireFloor = false }},
+		{"restarts are detected", faultBounds{0, 1, 0, 0, 0, 0, 0}, func(s *safeguards) { s.detectRestarts = false }},
+		{"promotion orders are recorded", faultBounds{1, 0, 1, 0, 0, 0, 0}, func(s *safeguards) { s.recordOrder = false }},
+		{"writes without a lease are confirmed", faultBounds{1, 0, 0, 0, 0, 0, 0}, func(s *safeguards) { s.confirmWrites = false }},
+		{"failover waits for a coordinator whose role was removed", faultBounds{1, 0, 0, 1, 0, 0, 0}, func(s *safeguards) { s.waitForFormerCoordinator = false }},
+		{"record is remembered over a restore of the store", faultBounds{1, 0, 0, 0, 1, 0, 0}, func(s *safeguards) { s.rememberRecord = false }},
+		{"failover waits for a coordinator missing from the restored store", faultBounds{1, 0, 0, 0, 1, 0, 0}, func(s *safeguards) { s.waitForFormerCoordinator = false }},
+		{"leases wait for an unrecorded promotion", faultBounds{0, 0, 1, 0, 0, 1, 0}, func(s *safeguards) { s.settlePromotions = false }},
+		{"former coordinator releases no fences without its role", faultBounds{0, 0, 0, 1, 0, 0, 0}, func(s *safeguards) { s.boundReleases = false }},
+		{"failover after a restart waits for a coordinator whose role was removed", faultBounds{0, 0, 0, 1, 0, 0, 1}, func(s *safeguards) { s.waitAfterRestart = false }},
+		{"all other members confirm the primary", faultBounds{2, 1, 0, 0, 0, 0, 0}, func(s *safeguards) { s.proveByAll = false }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			guards := allSafeguards()
--- a/core/leadership/model_test.go
+++ b/core/leadership/model_test.go
@@ -16,14 +16,14 @@
 
 // safeguards are the rules on which the protocol relies. The checker disables them one by one.
 type safeguards struct {
-	waitForLeases, boundByRole, confirmWrites, fenceReplicas, requireFloor, detectRestarts, recordOrder, proveByAll, recheckReplicas, waitForFormerCoordinator, rememberRecord, settlePromotions, boundReleases bool
+	waitForLeases, boundByRole, confirmWrites, fenceReplicas, requireFloor, detectRestarts, recordOrder, proveByAll, recheckReplicas, waitForFormerCoordinator, rememberRecord, settlePromotions, boundReleases, waitAfterRestart bool
 	// proofOnly makes NoPromotionPending the only way to learn that no unrecorded order is pending. Without it, a new
 	// coordinator also learns that by waiting.
 	proofOnly bool
 }
 
 func allSafeguards() safeguards {
-	return safeguards{true, true, true, true, true, true, true, true, true, true, true, true, true, false}
+	return safeguards{true, true, true, true, true, true, true, true, true, true, true, true, true, true, false}
 }
 
 // none is the index of no member or host, and the length of no log.
@@ -84,6 +84,8 @@
 	floor, target int8
 	// memberLeft is true if a member has left since the order was given.
 	memberLeft bool
+	// restarted is true if an earlier process of this host held the role.
+	restarted bool
 }
 
 // The states of a write.
@@ -118,8 +120,9 @@
 }
 
 // faultBounds bounds how often the network is partitioned, a member crashes, the role expires, the role's entry is
-// removed early, the store is restored from an older copy, and an order can't be recorded.
-type faultBounds struct{ partitions, crashes, expirations, removals, restores, recordings int8 }
+// removed early, the store is restored from an older copy, an order can't be recorded, and the coordinator's process
+// restarts.
+type faultBounds struct{ partitions, crashes, expirations, removals, restores, recordings, processes int8 }
 
 func newModelState(b faultBounds) modelState {
 	st := modelState{platformOrder: none, recordedOrder: none, faultsLeft: b}
--- a/core/leadership/predecessor.go
+++ b/core/leadership/predecessor.go
@@ -53,13 +53,14 @@
 // LeasesEnd returns when the leases that earlier coordinators may have granted have ended, and with them their releases
 // of fences, see MayReleaseFences.
 //
-// A coordinator that hands its role back grants nothing from then on.
+// A coordinator that hands its role back grants nothing from then on. An earlier process of this host may have held the
+// role for a moment only, so that the coordinator before it may still rely on a role that it has lost.
 func (p Predecessor) LeasesEnd() time.Time {
 	switch {
 	case p.HandedBack:
 		return p.AcquiredAt.Add(LeaseDuration + maxClockDrift)
 	case p.SameHost:
-		return p.ProcessStarted.Add(LeaseDuration)
+		return p.ProcessStarted.Add(RoleValidity)
 	}
 	return p.AcquiredAt.Add(RoleValidity)
 }
--- a/core/leadership/predecessor_test.go
+++ b/core/leadership/predecessor_test.go
@@ -36,6 +36,28 @@
 	}
 }
 
+// Guards against a failover while a host still holds a lease of an earlier coordinator: each case names the last moment at
+// which such a lease may end.
+func TestPredecessorLeasesEnd(t *testing.T) {
+	start := time.Unix(100, 0)
+	acquired := start.Add(400 * time.Millisecond)
+	for _, c := range []struct {
+		name string
+		p    Predecessor
+		last time.Time
+	}{
+		// A lost its role to B unnoticed and renewed it just before; B's process ended at once and was started again.
+		{"earlier process of this host", Predecessor{SameHost: true, ProcessStarted: start, AcquiredAt: acquired}, start.Add(RoleValidity)},
+		{"other host", Predecessor{ProcessStarted: start, AcquiredAt: acquired}, acquired.Add(RoleValidity)},
+		// Granted just before the role was handed back.
+		{"role handed back", Predecessor{HandedBack: true, ProcessStarted: start, AcquiredAt: acquired}, acquired.Add(LeaseDuration)},
+	} {
+		if got := c.p.LeasesEnd(); got.Before(c.last) {
+			t.Errorf("%s: leases are taken for ended %s too early", c.name, c.last.Sub(got))
+		}
+	}
+}
+
 // A promotion that was requested without a record, because the store did not answer, shows only in the fences of the
 // replicas. Each case but the first leaves room for one, so that a lease on the old primary could be followed by stale
 // reads.
--- a/core/leadership/steps_test.go
+++ b/core/leadership/steps_test.go
@@ -165,6 +165,7 @@
 	}
 	e.expireRole(st)
 	e.removeRole(st)
+	e.restartProcess(st)
 	e.restoreStore(st)
 	e.formerCoordinatorSteps(st)
 }
@@ -184,6 +185,18 @@
 	e.add("role is removed", st, "")
 }
 
+// restartProcess ends the coordinator's process before it has granted a lease. The next process of the host reclaims the
+// role, whose entry still names the host.
+func (e *explorer) restartProcess(st modelState) {
+	c := &st.coordinator
+	if st.faultsLeft.processes == 0 || !st.former.active || c.leased != [hostCount]bool{} || c.stage != granting {
+		return
+	}
+	st.faultsLeft.processes--
+	st.coordinator = coordinatorState{host: c.host, primary: none, floor: c.floor, target: none, restarted: true}
+	e.add("coordinator's process restarts", st, "")
+}
+
 // restoreStore restores the store from a copy in which the other host has the role and no order is recorded. The
 // old coordinator does not know yet, and continues to grant leases. The new coordinator remembers the record that it
 // read before the restore.
