A reload no longer ends a host that is starting

What operators saw: SIGHUP to a host that was still reading its settings or opening its listeners ended the process. The soak knew it and left the signal out ("it would end").

Cause: the handlers were installed after the settings had been read and all listeners opened. Until then SIGHUP has its default effect.

Change: Run reads the settings itself, after it has installed the handlers; a signal that comes meanwhile is handled once the host runs. The first line, "starting" with the path, says that the host takes signals.

Left: the milliseconds between the start of a process and its first line.

--- a/cmd/pearlatch/gateway.go
+++ b/cmd/pearlatch/gateway.go
@@ -1,10 +1,10 @@
 package main
 
 import (
+	"errors"
 	"os"
 
 	"pearlatch/internal/process"
-	"pearlatch/platform"
 )
 
 // gatewayCommand runs a host on the users' platform, whose members acknowledge
@@ -15,9 +15,9 @@
 
 // Execute implements flags.Commander.
 func (c *gatewayCommand) Execute([]string) error {
-	s, err := platform.LoadSettings(c.Settings)
-	if err != nil {
+	err := process.Run(c.Settings, os.Stdout)
+	if invalid := (*process.SettingsError)(nil); errors.As(err, &invalid) {
 		return &exitError{exitUsage, err}
 	}
-	return process.Run(s, c.Settings, os.Stdout)
+	return err
 }
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -28,19 +28,38 @@
 	"pearlatch/platform"
 )
 
-// Run runs a host with the given settings, which were loaded from the file at path, until the process receives
-// SIGTERM or SIGINT and has drained. The settings are reloaded on SIGHUP and when the file changes. Log lines are
-// written to out.
-func Run(s *platform.Settings, path string, out io.Writer) error {
-	return RunWithPorts(s, path, out, func(*gateway.Ports) {})
+// SettingsError means that the settings can't be read or are invalid.
+type SettingsError struct{ Err error }
+
+// Error implements error.
+func (e *SettingsError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the reason.
+func (e *SettingsError) Unwrap() error { return e.Err }
+
+// Run runs a host with the settings in the file at path until the process receives SIGTERM or SIGINT and has drained.
+// The settings are reloaded on SIGHUP and when the file changes. Log lines are written to out. A *SettingsError is
+// returned if the host can't start with the settings.
+func Run(path string, out io.Writer) error {
+	return RunWithPorts(path, out, func(*gateway.Ports) {})
 }
 
 // RunWithPorts is like Run, and calls change with the host's external dependencies before the host is created. Tests
 // use it to inject faults.
-func RunWithPorts(s *platform.Settings, path string, out io.Writer, change func(*gateway.Ports)) error {
+func RunWithPorts(path string, out io.Writer, change func(*gateway.Ports)) error {
+	// The signals come first: until then they end the process.
+	stopped, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	lines := eventlog.New(out, boottime.Now)
 	defer lines.Close()
 	logger := log.With(lines, "ts", log.DefaultTimestampUTC)
+	_ = level.Info(logger).Log("event", "starting", "settings", path)
+	s, err := platform.LoadSettings(path)
+	if err != nil {
+		return &SettingsError{err}
+	}
 	g := &gatewayProcess{settings: s, logger: logger, registry: metrics.NewRegistry(), lines: lines, traffic: &peer.Traffic{}}
 	ports := g.ports()
 	change(&ports)
@@ -51,10 +70,6 @@
 	if err := g.listen(ctx, h, accept); err != nil {
 		return err
 	}
-	stopped, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
 	go reloadSettings(hup, path, h, logger)
 	done := make(chan struct{})
 	go func() {
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -146,13 +146,17 @@
 const maxStartErrorBytes = 4096
 
 // refusedSettings reports whether a process that ended with the given error and output refused its settings file
-// correctly: by exit code 1, before it wrote any log line, with an error that names the file and a reason.
+// correctly: by exit code 1, before it wrote any log line but the one that names the file it is about to read, with an
+// error that names the file and a reason.
 func refusedSettings(output []byte, path string, err error) bool {
 	var exit *exec.ExitError
 	if !errors.As(err, &exit) || exit.ExitCode() != 1 {
 		return false
 	}
-	line, _, _ := bytes.Cut(output, []byte("\n"))
+	line, rest, _ := bytes.Cut(output, []byte("\n"))
+	if bytes.Contains(line, []byte(`"event":"starting"`)) {
+		line, _, _ = bytes.Cut(rest, []byte("\n"))
+	}
 	_, reason, found := bytes.Cut(line, []byte("settings "+path+": "))
 	return found && len(reason) > 0
 }
@@ -169,7 +173,8 @@
 		return
 	}
 	if s == syscall.SIGHUP && len(p.readOutput()) == 0 {
-		return // it has not started yet: it would end, and it reads its settings anyway
+		go p.hangUpOnceStarted(p.incarnation)
+		return
 	}
 	switch s {
 	case syscall.SIGTERM:
@@ -181,6 +186,28 @@
 	_ = p.command.Process.Signal(s) // it may have ended just now
 }
 
+// hangUpOnceStarted sends SIGHUP to a process that has just been started, as soon as it has written its first line. It
+// can't handle signals before, and has not read its settings yet. It sends nothing if the process ends.
+func (p *hostProcess) hangUpOnceStarted(incarnation int) {
+	for {
+		time.Sleep(time.Millisecond)
+		p.mu.Lock()
+		ended, started := p.incarnation != incarnation || p.finished, len(p.readOutput()) > 0
+		select {
+		case <-p.exited:
+			ended = true
+		default:
+		}
+		if started && !ended {
+			_ = p.command.Process.Signal(syscall.SIGHUP) // it may have ended just now
+		}
+		p.mu.Unlock()
+		if started || ended {
+			return
+		}
+	}
+}
+
 // current returns the incarnation of the host's process, and whether it was sent SIGTERM.
 func (p *hostProcess) current() (incarnation int, stopping bool) {
 	p.mu.Lock()
