Hosts whose update sources are all old ask random hosts

Cause: a host asked its parent, two hosts of its zone and the roots of the other zones, six addresses in all. The store turned away the roots, so they followed one another, and none of the 50 hosts that were up to date was asked.

Change: core/serving.SourceSelector decides on sources, as a value. After its sources a host tries two random hosts, and two more at intervals while it waits for its preferred source. A watch that only catches up is given 0.5 s in place of 1.5 s, until 20 sources have failed in a row: hosts whose calls the store leaves unanswered lost the three seconds to it otherwise.

TestRejectedHostsFindUpToDateHosts: 60 of 60, and 0 of 3 without random hosts.

Tried: more time for a silent store with each failed watch. Hosts that read the store first then missed the three seconds in some of 40 runs.

--- a/core/serving/update_sources.go
+++ b/core/serving/update_sources.go
@@ -54,6 +54,24 @@
 	return UpdateSources{Listed: listed, Hosts: append(out, t.zoneRoots(self.Zone)...)}
 }
 
+// Order returns the sources in the order in which they are tried. samples are random hosts, which come after the listed
+// ones. The store is the last source if readStore is true; a host without any other source reads it in any case.
+func (u UpdateSources) Order(samples []membership.Host, readStore bool) []Source {
+	var out []Source
+	if u.StoreFirst {
+		out = append(out, StoreSource{})
+	}
+	for _, h := range slices.Concat(u.Hosts, samples) {
+		if s := (HostSource{h.Peer}); h.Peer.IsValid() && !slices.Contains(out, Source(s)) {
+			out = append(out, s)
+		}
+	}
+	if !u.StoreFirst && (readStore || len(out) == 0) {
+		out = append(out, StoreSource{})
+	}
+	return out
+}
+
 // alternateParents is how many of the first hosts of the zone are tried after the parent.
 const alternateParents = 2
 
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -9,25 +9,19 @@
 	"github.com/pkg/errors"
 
 	"pearlatch/core/kv"
+	"pearlatch/core/serving"
 	"pearlatch/internal/fleet"
 	"pearlatch/internal/pause"
 )
 
-const (
-	// initialBackoff is the pause after all update sources have failed. It doubles each time that they fail again.
-	initialBackoff = 100 * time.Millisecond
-	// MaxStoreBackoff bounds the backoff of hosts that read the store themselves.
-	MaxStoreBackoff = 400 * time.Millisecond
-	// maxHostBackoff bounds the backoff of all other hosts. During a store outage they wait for the hosts that read the
-	// store. At 195 hosts, an outage of six seconds cost 4,000 store calls because each host looked for the store itself,
-	// and each of these calls came with seven feeds that were opened and closed. The bound is shorter than the time in
-	// which hosts must recover.
-	maxHostBackoff = 3 * time.Second
-	// maxReferralsTried is the number of hosts tried of those that a busy host named.
-	maxReferralsTried = 2
-	// preferredRetryDelay is how long a host uses a source other than the preferred one before it retries that one.
-	preferredRetryDelay = 3 * time.Second
-)
+// MaxStoreBackoff bounds the backoff of hosts that read the store themselves.
+const MaxStoreBackoff = serving.MaxStoreBackoff
+
+// preferredRetryDelay is how long a host uses a source other than the preferred one before it retries that one.
+const preferredRetryDelay = serving.AlternativeDuration
+
+// maxReferralsTried is the number of hosts tried of those that a busy host named.
+const maxReferralsTried = 2
 
 // Settings configure a Follower.
 type Settings struct {
@@ -52,14 +46,12 @@
 	log   func(event string, fields ...any)
 	now   func() time.Time
 
-	// sourceIndex is the index of the source in use, and sourceSince when its use began.
-	sourceIndex int
-	sourceSince time.Time
+	// selector chooses the source. alternative is true while another source than the present one is preferred.
+	selector    serving.SourceSelector
+	alternative bool
 	// failures counts consecutive failures of sources. reason is the kind of the last failure.
 	failures int
 	reason   string
-	// backoff is how long the preferred source is used or awaited once all sources have failed.
-	backoff time.Duration
 	// watchFailed is true after a watch failed. The next one asks for the missed changes without waiting for new ones.
 	// watchedAt is when the last watch started.
 	watchFailed bool
@@ -80,7 +72,6 @@
 func New(s Settings, p Ports, f *fleet.Hosts, view *StoreView, now func() time.Time) *Follower {
 	return &Follower{
 		settings: s, store: p.Store, peers: p.Peers, apply: p.Apply, log: p.Log, fleet: f, view: view, now: now,
-		sourceSince: now(), backoff: initialBackoff,
 	}
 }
 
@@ -90,33 +81,25 @@
 		f.join(ctx)
 	}
 	for ctx.Err() == nil {
-		sources := f.Sources()
-		f.sourceIndex %= len(sources)
-		if f.sourceIndex == 0 && f.failures > 0 {
-			f.followPreferred(ctx, sources[0])
-			continue
+		switch step := f.selector.Next(sourceLists{f}, rand.Float64()).(type) {
+		case serving.AwaitSource:
+			pause.For(ctx, step.For)
+			f.selector.Waited(sourceLists{f}, f.now())
+		case serving.FollowSource:
+			f.alternative = step.Alternative
+			until := f.now().Add(step.Patience)
+			if f.followSource(ctx, toSource(step.Source), step.Patience) {
+				f.selector.Ended(f.now())
+				continue
+			}
+			pause.For(ctx, until.Sub(f.now()))
+			f.selector.Failed(sourceLists{f}, f.now())
 		}
-		f.followSource(ctx, sources[f.sourceIndex], 0)
 	}
 }
 
-// followPreferred follows the preferred source for the backoff after all sources have failed, even if its updates are
-// old: it is the first to receive updates when the store is back.
-func (f *Follower) followPreferred(ctx context.Context, s Source) {
-	until := f.now().Add(f.backoff + rand.N(f.backoff/2))
-	if f.followSource(ctx, s, until.Sub(f.now())) {
-		return
-	}
-	maxBackoff := maxHostBackoff
-	if _, ok := s.(StoreSource); ok {
-		maxBackoff = MaxStoreBackoff
-	}
-	f.backoff = min(2*f.backoff, maxBackoff)
-	pause.For(ctx, until.Sub(f.now()))
-}
-
 // followSource follows a source until it fails or another one should be used. Old updates are tolerated for the duration
-// patience. It returns false if the source failed, and moves on to the next one.
+// patience. It returns false if the source failed.
 func (f *Follower) followSource(ctx context.Context, s Source, patience time.Duration) bool {
 	err := s.follow(ctx, f, patience)
 	if busy := (*busyError)(nil); errors.As(err, &busy) {
@@ -127,21 +110,16 @@
 	if err != nil {
 		f.logFailure(ctx, s, err)
 		f.failures++
-		f.sourceIndex++
-		f.sourceSince = f.now()
 		return false
 	}
 	f.recordSuccess(s)
-	if f.sourceIndex > 0 && f.now().Sub(f.sourceSince) > preferredRetryDelay {
-		f.sourceIndex, f.sourceSince = 0, f.now()
-	}
 	return true
 }
 
 // followReferrals follows one of the hosts that a busy host named. It returns false if all that it tries fail.
 func (f *Follower) followReferrals(ctx context.Context, hosts []netip.AddrPort) bool {
-	f.sourceIndex++ // referrals are not preferred sources
-	defer func() { f.sourceIndex-- }()
+	defer func(before bool) { f.alternative = before }(f.alternative)
+	f.alternative = true // referrals are not preferred sources
 	for _, a := range hosts[:min(len(hosts), maxReferralsTried)] {
 		if s := (HostSource{a}); s.follow(ctx, f, 0) == nil {
 			return true
@@ -180,5 +158,6 @@
 	if f.failures > 0 {
 		f.log("source_regained", "source", s.String(), "failures", f.failures)
 	}
-	f.failures, f.backoff = 0, initialBackoff
+	f.failures = 0
+	f.selector.Updated()
 }
--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -51,7 +51,7 @@
 }
 
 func (s HostSource) follow(ctx context.Context, f *Follower, patience time.Duration) error {
-	alternative, after := f.sourceIndex > 0, f.view.Revision()
+	alternative, after := f.alternative, f.view.Revision()
 	openCtx, cancel := context.WithTimeout(ctx, feedOpenTimeout)
 	defer cancel()
 	feed, err := f.peers.Feed(openCtx, s.Addr, after)
@@ -107,30 +107,43 @@
 
 // Sources returns the update sources of the host, the preferred one first. It may be called from several goroutines.
 func (f *Follower) Sources() []Source {
-	if f.peers == nil || !f.fleet.AnyListed() {
-		return []Source{StoreSource{}}
+	var out []Source
+	for _, s := range (sourceLists{f}).Sources() {
+		out = append(out, toSource(s))
 	}
-	sources := f.fleet.UpdateSources()
-	var addrs []netip.AddrPort
-	for _, h := range sources.Hosts {
-		addrs = append(addrs, h.Peer)
+	return out
+}
+
+// sourceLists lists a host's sources for its serving.SourceSelector.
+type sourceLists struct{ follower *Follower }
+
+var _ serving.SourceLists = sourceLists{}
+
+// Sources implements serving.SourceLists.
+func (l sourceLists) Sources() []serving.Source {
+	f := l.follower
+	if f.peers == nil || !f.fleet.AnyListed() {
+		return []serving.Source{serving.StoreSource{}}
 	}
-	if sources.StoreFirst {
-		return append([]Source{StoreSource{}}, hostSources(addrs)...)
+	readStore := serving.ShouldReadStore(f.fleet.Size(), rand.Float64())
+	return f.fleet.UpdateSources().Order(f.fleet.Sample(serving.SampleSize), readStore)
+}
+
+// Sample implements serving.SourceLists.
+func (l sourceLists) Sample(n int) []serving.Source {
+	if l.follower.peers == nil {
+		return nil
 	}
-	out := hostSources(addrs)
-	if len(out) == 0 || serving.ShouldReadStore(f.fleet.Size(), rand.Float64()) {
-		out = append(out, StoreSource{})
+	var out []serving.Source
+	for _, h := range l.follower.fleet.Sample(n) {
+		out = append(out, serving.HostSource{Addr: h.Peer})
 	}
 	return out
 }
 
-func hostSources(addrs []netip.AddrPort) []Source {
-	var out []Source
-	for _, a := range addrs {
-		if a.IsValid() {
-			out = append(out, HostSource{a})
-		}
+func toSource(s serving.Source) Source {
+	if h, ok := s.(serving.HostSource); ok {
+		return HostSource{h.Addr}
 	}
-	return out
+	return StoreSource{}
 }
--- a/internal/follow/store.go
+++ b/internal/follow/store.go
@@ -23,9 +23,11 @@
 	pageTimeout      = 1500 * time.Millisecond
 	maxPageAttempts  = 4
 	pageRetryBackoff = 60 * time.Millisecond
-	// catchUpTimeout replaces watchTimeout after a failed watch: the changes that it missed are requested without waiting
-	// for new ones.
+	// catchUpTimeout replaces watchTimeout after a failed watch, and while the view is old: the changes that it missed are
+	// requested without waiting for new ones.
 	catchUpTimeout = time.Millisecond
+	// slowStoreFailures is after how many consecutive failures of sources a watch that does not wait gets more time.
+	slowStoreFailures = 20
 	// minWatchInterval is the shortest time between two watches. When all hosts start, their entries are written one by
 	// one. A watch for each entry cost five hosts 319 calls in two seconds. Callers don't notice that a host learns of
 	// the next change a tenth of a second later.
@@ -35,9 +37,9 @@
 // followStore applies the store's changes by one watch, or by a full list if there is no view yet or the store no longer
 // keeps the changes.
 func (f *Follower) followStore(ctx context.Context) error {
-	revision, wait := f.view.Revision(), watchTimeout
-	if f.watchFailed {
-		wait = catchUpTimeout
+	revision, wait, limit := f.view.Revision(), watchTimeout, watchTimeout+watchResponseDelay
+	if f.watchFailed || !f.view.IsRecent() {
+		wait, limit = catchUpTimeout, f.catchUpLimit()
 	}
 	if revision == 0 {
 		return f.listAll(ctx)
@@ -46,7 +48,7 @@
 		return ctx.Err()
 	}
 	f.watchedAt = f.now()
-	watchCtx, cancel := context.WithTimeout(ctx, watchTimeout+watchResponseDelay)
+	watchCtx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	s, err := f.store.Watch(watchCtx, "", revision, wait)
 	if errors.Is(err, ErrCompacted) {
@@ -64,6 +66,15 @@
 	return err
 }
 
+// catchUpLimit returns how long a watch may take that does not wait for changes. It is short, since other hosts may have what
+// a store that does not answer keeps back, unless all of them have failed repeatedly: the store may be slow.
+func (f *Follower) catchUpLimit() time.Duration {
+	if f.failures < slowStoreFailures {
+		return watchResponseDelay
+	}
+	return watchTimeout + watchResponseDelay
+}
+
 // listAll reads all items of the store and applies them as a full update.
 func (f *Follower) listAll(ctx context.Context) error {
 	s, err := f.list(ctx, kv.Range{})
--- a/internal/gateway/fakefleet_test.go
+++ b/internal/gateway/fakefleet_test.go
@@ -27,8 +27,8 @@
 	hosts map[netip.AddrPort]*Host
 	stops map[string]func()
 	// unreachable holds the hosts that neither reach nor answer other hosts, storeSilentFor those whose calls the store leaves
-	// unanswered.
-	unreachable, storeSilentFor map[string]bool
+	// unanswered, storeRejects those whose calls it rejects at once.
+	unreachable, storeSilentFor, storeRejects map[string]bool
 	// losesReplies holds the hosts whose streams lose the reply of each request, losesRequests those whose streams lose the
 	// request.
 	losesReplies, losesRequests map[string]bool
@@ -46,7 +46,7 @@
 func newFakeFleet(s *fakeSite, zones, n, connections int, class freshness.Class) *fakeFleet {
 	f := &fakeFleet{
 		site: s, zones: zones, hosts: map[netip.AddrPort]*Host{}, stops: map[string]func(){}, unreachable: map[string]bool{},
-		storeSilentFor: map[string]bool{}, losesReplies: map[string]bool{}, losesRequests: map[string]bool{}, severed: map[string]bool{}, forwardedTo: map[string]int{},
+		storeSilentFor: map[string]bool{}, storeRejects: map[string]bool{}, losesReplies: map[string]bool{}, losesRequests: map[string]bool{}, severed: map[string]bool{}, forwardedTo: map[string]int{},
 		storeReads: map[string]int{},
 	}
 	s.put("config", []byte{1, byte(connections)}, 0)
@@ -174,8 +174,12 @@
 	host  string
 }
 
-// reach blocks until ctx ends and returns an error if the store does not answer the host.
+// reach returns an error if the store rejects the host, or blocks until ctx ends and then does if the store does not answer
+// it.
 func (s hostStore) reach(ctx context.Context) error {
+	if s.fleet.hasFault(s.fleet.storeRejects, s.host) {
+		return errStoreDown
+	}
 	if s.fleet.hasFault(s.fleet.storeSilentFor, s.host) {
 		<-ctx.Done()
 		return errStoreDown
--- a/internal/gateway/propagation_test.go
+++ b/internal/gateway/propagation_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -160,3 +161,37 @@
 		f.wantConfigInForce(t, 2)
 	})
 }
+
+// Guards against hosts that act on a configuration which a newer one has replaced: the store rejects or does not answer the
+// hosts that read it for the others, and a third of the rest. Each of them must find a host that is up to date.
+func TestRejectedHostsFindUpToDateHosts(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		t.Run(fmt.Sprint("silent ", silent), func(t *testing.T) {
+			withFleet(t, 75, 20, freshness.Latest{}, func(_ *fakeSite, f *fakeFleet) {
+				fault := f.storeRejects
+				if silent {
+					fault = f.storeSilentFor
+				}
+				f.cutReadersFromStore(fault)
+				time.Sleep(100 * time.Millisecond)
+				for version := range byte(6) {
+					f.writeConfig(2+version, 20)
+					time.Sleep(3 * time.Second)
+					f.wantConfigInForce(t, 2+int64(version))
+				}
+			})
+		})
+	}
+}
+
+// cutReadersFromStore sets the fault for all store readers and a third of the other hosts.
+func (f *fakeFleet) cutReadersFromStore(fault map[string]bool) {
+	for i, h := range f.all() {
+		if i%3 == 0 {
+			f.setFault(fault, h.settings.Host, true)
+		}
+	}
+	for _, h := range f.storeReaders() {
+		f.setFault(fault, h.settings.Host, true)
+	}
+}
