A forwarded write does not run twice after it was said not to have run

What callers saw: nothing yet; a write could take effect twice.

Cause: the log of received requests kept each for 4 s from its arrival. It dropped requests that were still running, so that a sender whose connection broke was told "not received" of a statement with a time-out over 4 s, and sent it elsewhere. And it kept the refusal of a request that had not arrived for 4 s only, while a connection that was cut off delivers what it holds minutes later.

Change: the sender counts "not received" as "not run" only within Retention of sending (recall.ProvesNotRun); later the outcome is in doubt. Refusals are kept for 15 minutes, 16,384 at most.

--- a/core/recall/log.go
+++ b/core/recall/log.go
@@ -16,8 +16,8 @@
 type Log[R any] struct {
 	mu      sync.Mutex
 	entries map[Key]*entry[R]
-	// order holds the keys by age, the oldest first.
-	order []Key
+	// received holds the keys of admitted requests by age, the oldest first, and rejected those of the others.
+	received, rejected []Key
 }
 
 type entry[R any] struct {
@@ -30,19 +30,32 @@
 	reply R
 }
 
-// Retention is how long a request is kept: the longest statement timeout of the users, 2 s, and as long again
-// for calls of Resolve after it.
-const Retention = 4 * time.Second
+const (
+	// Retention is how long a request is kept at least: the longest statement timeout of the users, 2 s, and as long again
+	// for calls of Resolve after it.
+	Retention = 4 * time.Second
+	// RejectionRetention is how long a rejected request is kept. A connection that was cut off may deliver it minutes later.
+	RejectionRetention = 15 * time.Minute
+	// maxRejected bounds the number of rejected requests that are kept. Senders call Resolve only for requests whose
+	// connection fails.
+	maxRejected = 1 << 14
+)
+
+// ProvesNotRun reports whether NotReceived, answered by a Log to a call of Resolve that returned at the given time, proves
+// that a request which was sent at sent has not run. The Log may have dropped an older request that it received.
+func ProvesNotRun(sent, answered time.Time) bool { return answered.Sub(sent) < Retention }
 
 // Admit records a request and reports whether it may run. It returns false for a request that was admitted
 // before or that Resolve rejected.
 func (l *Log[R]) Admit(k Key, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.drop(now)
 	if l.entries[k] != nil {
 		return false
 	}
-	l.add(k, &entry[R]{recorded: now})
+	l.entries[k] = &entry[R]{recorded: now}
+	l.received = append(l.received, k)
 	return true
 }
 
@@ -74,10 +87,12 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var zero R
+	l.drop(now)
 	e := l.entries[k]
 	switch {
 	case e == nil:
-		l.add(k, &entry[R]{recorded: now, rejected: true})
+		l.entries[k] = &entry[R]{recorded: now, rejected: true}
+		l.rejected = append(l.rejected, k)
 		return NotReceived, zero
 	case e.rejected:
 		return NotReceived, zero
@@ -87,19 +102,21 @@
 	return Answered, e.reply
 }
 
-// add adds an entry and removes those older than Retention. The caller must hold l.mu.
-func (l *Log[R]) add(k Key, e *entry[R]) {
+// drop drops the entries that need not be kept any longer. The caller must hold l.mu.
+func (l *Log[R]) drop(now time.Time) {
 	if l.entries == nil {
 		l.entries = map[Key]*entry[R]{}
 	}
-	for len(l.order) > 0 {
-		oldest := l.entries[l.order[0]]
-		if e.recorded.Sub(oldest.recorded) < Retention {
-			break
-		}
-		delete(l.entries, l.order[0])
-		l.order = l.order[1:]
+	l.received = l.dropOld(l.received, now.Add(-Retention), len(l.received))
+	l.rejected = l.dropOld(l.rejected, now.Add(-RejectionRetention), maxRejected-1)
+}
+
+// dropOld drops the entries of the first keys that were recorded at oldest or before, and more if there are over limit. It
+// returns the remaining keys.
+func (l *Log[R]) dropOld(keys []Key, oldest time.Time, limit int) []Key {
+	for len(keys) > 0 && (len(keys) > limit || !l.entries[keys[0]].recorded.After(oldest)) {
+		delete(l.entries, keys[0])
+		keys = keys[1:]
 	}
-	l.entries[k] = e
-	l.order = append(l.order, k)
+	return keys
 }
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"pearlatch/core/membership"
+	"pearlatch/core/recall"
 	"pearlatch/internal/pause"
 )
 
@@ -193,7 +194,7 @@
 		if errors.Is(err, ErrNotSent) || r.isRetrySafe() {
 			return nil, errNotRun
 		}
-		reply, err = h.resolveOutcome(ctx, server, r, deadline)
+		reply, err = h.resolveOutcome(ctx, server, r, sent, deadline)
 		switch {
 		case errors.Is(err, errNotRun):
 			stream.ReplaceIfSilent(h.now().Sub(sent))
@@ -257,9 +258,9 @@
 	return h.ports.Peers.QueryOutcome(callCtx, server.Peer, r.From, r.Serial)
 }
 
-// resolveOutcome determines the outcome of a request whose stream broke, and returns its reply.
-// The error is errNotRun or errOutcomeUnknown.
-func (h *Host) resolveOutcome(ctx context.Context, server membership.Host, r *PeerRequest, deadline time.Time) (*PeerReply, error) {
+// resolveOutcome determines the outcome of a request that was sent at the given time and whose stream
+// broke, and returns its reply. The error is errNotRun or errOutcomeUnknown.
+func (h *Host) resolveOutcome(ctx context.Context, server membership.Host, r *PeerRequest, sent, deadline time.Time) (*PeerReply, error) {
 	for missed := 0; h.now().Before(deadline) && missed < maxMissedOutcomeQueries; {
 		got, err := h.queryOutcome(ctx, server, r)
 		if err != nil {
@@ -270,8 +271,8 @@
 		case OutcomeDone:
 			return got.Reply, nil
 		case OutcomeUnknown:
-			if r.To == "" || got.Process != r.To {
-				return nil, errOutcomeUnknown // an earlier process of the host may have run it
+			if r.To == "" || got.Process != r.To || !recall.ProvesNotRun(sent, h.now()) {
+				return nil, errOutcomeUnknown // the host, or an earlier process of it, may have run it
 			}
 			return nil, errNotRun
 		}
