Follow: a slow store is given more time once the view is 3 s old

With a store that takes 0.7 s for each answer a host would have been without a recent view for most of the time: the count began anew with each success. No deployment has such a store (368 ms at the most); it was found by reading the change again.

Now the limit depends on the age of the view, and an answer that came late makes the next watches short polls. TestSlowStoreIsGivenTime fails with the limit kept for an hour.

Tried: more time for every third watch.

--- a/core/serving/source_selector.go
+++ b/core/serving/source_selector.go
@@ -70,8 +70,8 @@
 // A host tries its sources in order, then random hosts. If all fail, it waits for the preferred source, whose updates are
 // recent again as soon as those of any host above it are, and tries random hosts meanwhile.
 type SourceSelector struct {
-	// round holds the sources that are tried one after the other, and next the index of the one in use. It is empty
-	// while a new round is due.
+	// round holds the sources that are tried one after the other, the preferred one first, and next the index of the one
+	// in use.
 	round []Source
 	next  int
 	// since is when the use of the present source began.
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -53,9 +53,10 @@
 	failures int
 	reason   string
 	// watchFailed is true after a watch failed. The next one asks for the missed changes without waiting for new ones.
-	// watchedAt is when the last watch started.
-	watchFailed bool
-	watchedAt   time.Time
+	// storeSlow is true if the last answer came more than watchResponseDelay after the wait. watchedAt is when the last
+	// watch started.
+	watchFailed, storeSlow bool
+	watchedAt              time.Time
 }
 
 // Ports are the external dependencies of a Follower.
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -13,6 +13,7 @@
 	"pearlatch/core/kv"
 	"pearlatch/core/membership"
 	"pearlatch/internal/fleet"
+	"pearlatch/internal/pause"
 )
 
 func hostAddr(i int) netip.AddrPort {
@@ -161,3 +162,37 @@
 		}
 	})
 }
+
+// slowStore answers watches after a delay.
+type slowStore struct {
+	pagedStore
+	delay time.Duration
+}
+
+func (s *slowStore) Watch(ctx context.Context, _ string, after kv.Revision, wait time.Duration) (kv.Snapshot, error) {
+	if !pause.For(ctx, s.delay+wait) {
+		return kv.Snapshot{}, ctx.Err()
+	}
+	return kv.Snapshot{Revision: after}, nil
+}
+
+// Guards against a host that never has a recent view because it gives a slow store too little time for each answer.
+func TestSlowStoreIsGivenTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFollower(newTestFleet("h0", 0), &slowStore{delay: 700 * time.Millisecond}, nil)
+		if err := f.apply(StoreUpdate{Update: kv.Update{Full: true, Snapshot: kv.Snapshot{Revision: 7}}}); err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.Run(ctx)
+		time.Sleep(8 * time.Second)
+		for range 100 {
+			if !f.view.IsRecent() {
+				t.Fatalf("the view is %s old", f.view.Age())
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/follow/store.go
+++ b/internal/follow/store.go
@@ -26,8 +26,8 @@
 	// catchUpTimeout replaces watchTimeout after a failed watch, and while the view is old: the changes that it missed are
 	// requested without waiting for new ones.
 	catchUpTimeout = time.Millisecond
-	// slowStoreFailures is after how many consecutive failures of sources a watch that does not wait gets more time.
-	slowStoreFailures = 20
+	// slowStoreAge is the age of the view from which on a watch that does not wait is given more time.
+	slowStoreAge = 3 * time.Second
 	// minWatchInterval is the shortest time between two watches. When all hosts start, their entries are written one by
 	// one. A watch for each entry cost five hosts 319 calls in two seconds. Callers don't notice that a host learns of
 	// the next change a tenth of a second later.
@@ -38,7 +38,7 @@
 // keeps the changes.
 func (f *Follower) followStore(ctx context.Context) error {
 	revision, wait, limit := f.view.Revision(), watchTimeout, watchTimeout+watchResponseDelay
-	if f.watchFailed || !f.view.IsRecent() {
+	if f.watchFailed || f.storeSlow || !f.view.IsRecent() {
 		wait, limit = catchUpTimeout, f.catchUpLimit()
 	}
 	if revision == 0 {
@@ -59,6 +59,7 @@
 	if err != nil {
 		return err
 	}
+	f.storeSlow = f.now().Sub(f.watchedAt) > wait+watchResponseDelay
 	err = f.apply(StoreUpdate{Update: kv.Update{Snapshot: s}})
 	if errors.Is(err, kv.ErrGap) {
 		return f.listAll(ctx)
@@ -67,12 +68,12 @@
 }
 
 // catchUpLimit returns how long a watch may take that does not wait for changes. It is short, since other hosts may have what
-// a store that does not answer keeps back, unless all of them have failed repeatedly: the store may be slow.
+// a store that does not answer keeps back, unless none of them has had it for long: the store may be slow.
 func (f *Follower) catchUpLimit() time.Duration {
-	if f.failures < slowStoreFailures {
-		return watchResponseDelay
+	if f.storeSlow || f.view.Age() > slowStoreAge {
+		return watchTimeout + watchResponseDelay
 	}
-	return watchTimeout + watchResponseDelay
+	return watchResponseDelay
 }
 
 // listAll reads all items of the store and applies them as a full update.
