--- a/core/serving/source_selector.go
+++ b/core/serving/source_selector.go
@@ -11,10 +11,8 @@
 	initialSourceBackoff = 100 * time.Millisecond
 	// MaxStoreBackoff bounds the wait of hosts that read the store themselves.
 	MaxStoreBackoff = 400 * time.Millisecond
-	// maxHostBackoff bounds the wait of all other hosts. During a store outage they wait for the hosts that read the
-	// store. At 195 hosts, an outage of six seconds cost 4,000 store calls because each host looked for the store itself,
-	// and each of these calls came with seven feeds that were opened and closed. The bound is shorter than the time in
-	// which hosts must recover.
+	// maxHostBackoff bounds the wait of all other hosts, which leave a silent store to the hosts that read it first. It is
+	// shorter than the time in which hosts must recover.
 	maxHostBackoff = 3 * time.Second
 	// SampleSize is the number of hosts outside the update tree that are tried at a time, and samplesPerBackoff how often
 	// during a wait, but not more often than every minSampleInterval. The hosts near the roots of the tree follow one
