Console: the diff shows changed lines that begin with -- or ++

What operators saw: a diff before a submission that hid removed lines which begin with -- and new ones which begin with ++.

Cause: lines of the unified diff that begin with --- or +++ were dropped as the header of its files; the library writes none, since the console names no files.

--- a/io/operator/console.go
+++ b/io/operator/console.go
@@ -257,7 +257,7 @@
 	var out []diffLine
 	for line := range strings.Lines(text) {
 		line = strings.TrimRight(line, "\n")
-		if line == "" || strings.HasPrefix(line, "---") || strings.HasPrefix(line, "+++") {
+		if line == "" {
 			continue
 		}
 		out = append(out, diffLine{Sign: line[:1], Text: line[1:]})
--- a/io/operator/console_test.go
+++ b/io/operator/console_test.go
@@ -8,6 +8,7 @@
 	"net/url"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 
@@ -161,3 +162,17 @@
 		t.Errorf("state without login: status %d", status)
 	}
 }
+
+// Guards against a console that hides changed lines which begin with -- or ++: the diff of a removed comment begins with
+// three signs, like the header that a diff of two files has.
+func TestDiffShowsLinesThatBeginWithSigns(t *testing.T) {
+	var changed []diffLine
+	for _, l := range diff("a\n-- old\nb\n", "a\n++ new\nb\n") {
+		if l.Sign == "-" || l.Sign == "+" {
+			changed = append(changed, l)
+		}
+	}
+	if want := []diffLine{{"-", "-- old"}, {"+", "++ new"}}; !slices.Equal(changed, want) {
+		t.Errorf("changed lines %q, want %q", changed, want)
+	}
+}
