--- a/core/leadership/predecessor_test.go
+++ b/core/leadership/predecessor_test.go
@@ -36,8 +36,8 @@
 	}
 }
 
-// Guards against a failover while a host still holds a lease of an earlier coordinator: each case names the last moment at
-// which such a lease may end.
+// Guards against a failover while a host still holds a lease of an earlier coordinator. last is the latest end of such a
+// lease.
 func TestPredecessorLeasesEnd(t *testing.T) {
 	start := time.Unix(100, 0)
 	acquired := start.Add(400 * time.Millisecond)
--- a/core/serving/source_selector_test.go
+++ b/core/serving/source_selector_test.go
@@ -29,8 +29,8 @@
 	// contact is when the store confirmed the host's view, and version what the view contains.
 	contact time.Duration
 	version int
-	// step is what the host does since started, and due when it does something next. received is the version of the last
-	// update, and updatedAt when it came.
+	// step is the present step, which began at started, and due is when the host acts next. received is the version of the
+	// last update of the source, which came at updatedAt. following is true once the source has sent a recent update.
 	step         SourceStep
 	started, due time.Duration
 	received     int
@@ -111,7 +111,7 @@
 	}
 }
 
-// time returns the simulated time as the selectors see it.
+// time returns the simulated time as a time.Time.
 func (f *simFleet) time() time.Time { return time.Unix(1000, 0).Add(f.now) }
 
 // act carries out the host's present step, or begins the next one.
@@ -184,8 +184,8 @@
 	}
 }
 
-// rejectHalf makes the store reject up to half of the hosts, at random but with those that read it first among them.
-func (f *simFleet) rejectHalf(share float64) {
+// reject makes the store reject the given share of the hosts: those that read it first, and others at random.
+func (f *simFleet) reject(share float64) {
 	n := int(share * float64(len(f.hosts)))
 	for _, h := range f.hosts {
 		if h.sources.StoreFirst {
@@ -223,7 +223,7 @@
 			n := c.hosts
 			f := newSimFleet(n, seed)
 			f.run(5 * time.Second)
-			f.rejectHalf([]float64{0.1, 0.34, 0.5}[seed%3])
+			f.reject([]float64{0.1, 0.34, 0.5}[seed%3])
 			f.version++
 			f.run(3 * time.Second)
 			if b := f.behind(); b > 0 {
@@ -260,7 +260,7 @@
 		if got := perHost(f.feeds); got > maxFeedsPerSecond {
 			t.Errorf("%d hosts: %.2f feeds a host and second, want %d at most", n, got, maxFeedsPerSecond)
 		}
-		f.rejectHalf(0.5)
+		f.reject(0.5)
 		f.silent = false
 		f.version++
 		f.run(3 * time.Second)
--- a/internal/gateway/switchover.go
+++ b/internal/gateway/switchover.go
@@ -12,7 +12,7 @@
 // to serve meanwhile. All replicas but the switchover target are fenced, so that every later write is acknowledged by the
 // target. It returns false if it requested no promotion.
 //
-// It does nothing until the previous coordinator has ended, which would take the fences for stale ones.
+// It does nothing while an earlier coordinator may still release the fences.
 func (w *groupMonitor) switchOver(ctx context.Context, primary controlResult, replicas []controlResult) bool {
 	if w.predecessorMayAct() {
 		return false
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -47,7 +47,7 @@
 // RunWithPorts is like Run, and calls change with the host's external dependencies before the host is created. Tests
 // use it to inject faults.
 func RunWithPorts(path string, out io.Writer, change func(*gateway.Ports)) error {
-	// The signals come first: until then they end the process.
+	// A signal that arrives before its handler is installed ends the process.
 	stopped, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	hup := make(chan os.Signal, 1)
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -146,8 +146,7 @@
 const maxStartErrorBytes = 4096
 
 // refusedSettings reports whether a process that ended with the given error and output refused its settings file
-// correctly: by exit code 1, before it wrote any log line but the one that names the file it is about to read, with an
-// error that names the file and a reason.
+// correctly: by exit code 1, with no log line but "starting", and with an error that names the file and a reason.
 func refusedSettings(output []byte, path string, err error) bool {
 	var exit *exec.ExitError
 	if !errors.As(err, &exit) || exit.ExitCode() != 1 {
--- a/io/operator/console_test.go
+++ b/io/operator/console_test.go
@@ -163,8 +163,7 @@
 	}
 }
 
-// Guards against a console that hides changed lines which begin with -- or ++: the diff of a removed comment begins with
-// three signs, like the header that a diff of two files has.
+// Guards against a diff that takes changed lines which begin with -- or ++ for the names of files.
 func TestDiffShowsLinesThatBeginWithSigns(t *testing.T) {
 	var changed []diffLine
 	for _, l := range diff("a\n-- old\nb\n", "a\n++ new\nb\n") {
