Hosts keep a working update source until the preferred one works

Callers: one or two of 75 hosts acted on a configuration 3 s after it was replaced, with a store that leaves a third of the hosts unanswered. Roles and granters end with an old view, so far more hosts were without them.

Cause: a host on another source than its preferred one left it after a fixed 3 s. A fault comes to all hosts at one moment, so they left together, and each took along the hosts that followed it. A host also returned to a parent whose updates came from the host itself; both noticed after 1.8 s.

Change: SourceSelector tests the preferred source beside the one in use, after 3 to 4.5 s, and returns only to one that works; so does a host that reads the store first and waits for it. Updates name the hosts that they came through (a field that older hosts skip), and a host on that path does not follow them. A contact with the store is passed on at once and not with the next heartbeat, which comes every 0.5 s in place of 0.4. Waits have random lengths.

--- a/internal/follow/feeder.go
+++ b/internal/follow/feeder.go
@@ -15,7 +15,7 @@
 const (
 	// heartbeatInterval is the longest time between two messages of a feed. A message without changes shows the
 	// receiver that the feed is alive.
-	heartbeatInterval = 400 * time.Millisecond
+	heartbeatInterval = 500 * time.Millisecond
 	// maxFeeds bounds the hosts that a host forwards updates to: those below it in the tree of update sources, and as
 	// many again that have lost their own source. maxFullUpdates bounds the full updates that it sends at the same time,
 	// so that the last receiver has its update before it considers the feed lost.
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -17,8 +17,8 @@
 // MaxStoreBackoff bounds the backoff of hosts that read the store themselves.
 const MaxStoreBackoff = serving.MaxStoreBackoff
 
-// preferredRetryDelay is how long a host uses a source other than the preferred one before it retries that one.
-const preferredRetryDelay = serving.AlternativeDuration
+// referralDuration is how long a host follows a host that a busy one named before it asks the busy one again.
+const referralDuration = serving.AlternativeDuration
 
 // maxReferralsTried is the number of hosts tried of those that a busy host named.
 const maxReferralsTried = 2
@@ -46,9 +46,12 @@
 	log   func(event string, fields ...any)
 	now   func() time.Time
 
-	// selector chooses the source. alternative is true while another source than the present one is preferred.
-	selector    serving.SourceSelector
-	alternative bool
+	// selector chooses the source. alternative is true while another source than the present one is preferred, and referral
+	// while the present one was named by a busy host.
+	selector              serving.SourceSelector
+	alternative, referral bool
+	// test receives whether the preferred source works from the test that goes on, or is nil.
+	test <-chan bool
 	// failures counts consecutive failures of sources. reason is the kind of the last failure.
 	failures int
 	reason   string
@@ -82,19 +85,19 @@
 		f.join(ctx)
 	}
 	for ctx.Err() == nil {
+		f.testPreferred(ctx)
 		switch step := f.selector.Next(sourceLists{f}, rand.Float64()).(type) {
 		case serving.AwaitSource:
 			pause.For(ctx, step.For)
-			f.selector.Waited(sourceLists{f}, f.now())
+			f.selector.Waited(sourceLists{f}, f.now(), rand.Float64())
 		case serving.FollowSource:
 			f.alternative = step.Alternative
 			until := f.now().Add(step.Patience)
 			if f.followSource(ctx, toSource(step.Source), step.Patience) {
-				f.selector.Ended(f.now())
 				continue
 			}
 			pause.For(ctx, until.Sub(f.now()))
-			f.selector.Failed(sourceLists{f}, f.now())
+			f.selector.Failed(sourceLists{f}, f.now(), rand.Float64())
 		}
 	}
 }
@@ -113,14 +116,13 @@
 		f.failures++
 		return false
 	}
-	f.recordSuccess(s)
 	return true
 }
 
 // followReferrals follows one of the hosts that a busy host named. It returns false if all that it tries fail.
 func (f *Follower) followReferrals(ctx context.Context, hosts []netip.AddrPort) bool {
-	defer func(before bool) { f.alternative = before }(f.alternative)
-	f.alternative = true // referrals are not preferred sources
+	f.referral = true
+	defer func() { f.referral = false }()
 	for _, a := range hosts[:min(len(hosts), maxReferralsTried)] {
 		if s := (HostSource{a}); s.follow(ctx, f, 0) == nil {
 			return true
@@ -146,7 +148,7 @@
 
 // reasonOf returns the kind of an error of a source.
 func reasonOf(err error) string {
-	for _, kind := range []error{kv.ErrStale, kv.ErrGap, errStaleUpdates, errNoUpdates, ErrCompacted} {
+	for _, kind := range []error{kv.ErrStale, kv.ErrGap, errStaleUpdates, errOwnUpdates, errNoUpdates, ErrCompacted} {
 		if errors.Is(err, kind) {
 			return kind.Error()
 		}
@@ -154,11 +156,12 @@
 	return "the source does not respond"
 }
 
-// recordSuccess records that a source sent an update that is not too old.
-func (f *Follower) recordSuccess(s Source) {
+// recordSuccess records that a source sent an update that is not too old, which came to this host on the path.
+func (f *Follower) recordSuccess(s Source, path []netip.AddrPort) {
 	if f.failures > 0 {
 		f.log("source_regained", "source", s.String(), "failures", f.failures)
 	}
 	f.failures = 0
-	f.selector.Updated()
+	f.view.SetPath(path)
+	f.selector.Updated(f.now(), rand.Float64())
 }
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -157,7 +157,7 @@
 		if !f.followSource(t.Context(), HostSource{hostAddr(1)}, 0) || f.failures != 0 {
 			t.Errorf("the redirected host has %d failures", f.failures)
 		}
-		if followed := time.Since(started); followed < preferredRetryDelay || followed > 2*preferredRetryDelay {
+		if followed := time.Since(started); followed < referralDuration || followed > 2*referralDuration {
 			t.Errorf("it followed the referral for %s", followed)
 		}
 	})
@@ -196,3 +196,30 @@
 		synctest.Wait()
 	})
 }
+
+// loopingPeers opens feeds whose updates reach the sender through the host at hostAddr(250).
+type loopingPeers struct{ testFeed }
+
+func (p *loopingPeers) Feed(context.Context, netip.AddrPort, kv.Revision) (Feed, error) {
+	return p, nil
+}
+
+func (p *loopingPeers) Next(time.Duration) (StoreUpdate, error) {
+	u, err := p.testFeed.Next(0)
+	u.Path = []netip.AddrPort{hostAddr(3), hostAddr(250)}
+	return u, err
+}
+
+// Guards against hosts that follow one another in a circle, which neither notices before its view is old.
+func TestHostDoesNotFollowItsOwnUpdates(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFollower(newTestFleet("h5", 30), nil, &loopingPeers{})
+		f.settings.Self = hostAddr(250)
+		if err := (HostSource{hostAddr(1)}).follow(t.Context(), f, time.Minute); !errors.Is(err, errOwnUpdates) {
+			t.Errorf("%v, want %v", err, errOwnUpdates)
+		}
+		if (HostSource{hostAddr(1)}).sendsUpdates(t.Context(), f, 0) {
+			t.Error("the test of a source whose updates come from the host itself succeeds")
+		}
+	})
+}
--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -29,9 +30,12 @@
 type Source interface {
 	// follow receives updates from the source and applies them. It returns an error if the source fails, and nil when
 	// the caller should choose a source again: the store source after one call, a host source when ctx ends, when
-	// another source should be preferred, or after preferredRetryDelay if it is not the preferred source. Old updates
+	// another source should be preferred, or after referralDuration if a busy host named it. Old updates
 	// count as a failure only after the duration patience.
 	follow(ctx context.Context, f *Follower, patience time.Duration) error
+	// sendsUpdates reports whether the source sends a recent update. It may be called beside follow of another source.
+	// storeTimeout bounds a call to the store.
+	sendsUpdates(ctx context.Context, f *Follower, storeTimeout time.Duration) bool
 	String() string
 }
 
@@ -46,50 +50,62 @@
 
 func (s HostSource) String() string { return s.Addr.String() }
 
-func (StoreSource) follow(ctx context.Context, f *Follower, _ time.Duration) error {
-	return f.followStore(ctx)
+func (s StoreSource) follow(ctx context.Context, f *Follower, _ time.Duration) error {
+	if err := f.followStore(ctx); err != nil {
+		return err
+	}
+	f.recordSuccess(s, nil)
+	f.testPreferred(ctx)
+	return nil
 }
 
 func (s HostSource) follow(ctx context.Context, f *Follower, patience time.Duration) error {
-	alternative, after := f.alternative, f.view.Revision()
 	openCtx, cancel := context.WithTimeout(ctx, feedOpenTimeout)
 	defer cancel()
-	feed, err := f.peers.Feed(openCtx, s.Addr, after)
+	feed, err := f.peers.Feed(openCtx, s.Addr, f.view.Revision())
 	if err != nil {
 		return err
 	}
 	defer feed.Close()
 	version := f.fleet.Version()
 	for started := f.now(); ctx.Err() == nil; {
-		update, err := feed.Next(feedTimeout)
+		update, err := f.nextUpdate(feed)
 		if err != nil {
 			return err
 		}
-		if len(update.Referrals) > 0 {
-			return &busyError{update.Referrals}
-		}
-		update.Age += maxTransitDelay
-		if err := f.apply(update); err != nil {
-			return err
-		}
 		followed := f.now().Sub(started)
 		switch {
+		case slices.Contains(update.Path, f.settings.Self):
+			return errOwnUpdates
 		case update.Age <= maxUpdateAge:
-			f.recordSuccess(s)
+			f.recordSuccess(s, append([]netip.AddrPort{s.Addr}, update.Path...))
 			patience = 0
 		case followed >= patience:
 			return errStaleUpdates
 		}
-		if alternative && followed > preferredRetryDelay {
+		if f.referral && followed > referralDuration || !f.referral && f.testPreferred(ctx) {
 			return nil
 		}
-		if now := f.fleet.Version(); now != version && !alternative && f.shouldSwitchSource(s) {
+		if now := f.fleet.Version(); now != version && !f.alternative && !f.referral && f.shouldSwitchSource(s) {
 			return nil
 		}
 	}
 	return nil
 }
 
+// nextUpdate receives and applies the next update of a feed.
+func (f *Follower) nextUpdate(feed Feed) (StoreUpdate, error) {
+	update, err := feed.Next(feedTimeout)
+	if err != nil {
+		return update, err
+	}
+	if len(update.Referrals) > 0 {
+		return update, &busyError{update.Referrals}
+	}
+	update.Age += maxTransitDelay
+	return update, f.apply(update)
+}
+
 // busyError means that a host forwards updates to too many hosts already. It names other hosts that can send them.
 type busyError struct{ referrals []netip.AddrPort }
 
@@ -105,6 +121,10 @@
 // errStaleUpdates means that the source has had no recent contact with the store either.
 var errStaleUpdates = errors.New("the news is old")
 
+// errOwnUpdates means that the source receives its updates through this host. If they followed each other, neither would
+// notice before their views are old.
+var errOwnUpdates = errors.New("the news comes from this host itself")
+
 // Sources returns the update sources of the host, the preferred one first. It may be called from several goroutines.
 func (f *Follower) Sources() []Source {
 	var out []Source
--- a/internal/follow/store_view.go
+++ b/internal/follow/store_view.go
@@ -1,12 +1,18 @@
 package follow
 
 import (
+	"net/netip"
 	"sync"
 	"time"
 
 	"pearlatch/core/kv"
 )
 
+// minContactAdvance is by how much the store's last contact must be later than the one sent before for the feeds to send it
+// at once. If each host of a path sent it only with its next heartbeat, the updates of a path of three hosts would count as
+// old although all of them are up to date.
+const minContactAdvance = 500 * time.Millisecond
+
 // StoreView is a host's view of the store's contents, and the age of that view. Use NewStoreView to create one. Its
 // methods may be called from several goroutines.
 type StoreView struct {
@@ -14,10 +20,15 @@
 
 	mu   sync.Mutex
 	view *kv.View
-	// changed is closed and replaced with each change of view. lastContact is when the store itself last confirmed the
-	// view, directly or through other hosts.
+	// changed is closed and replaced when the feeds have something to send: a change of view, or a lastContact that is at
+	// least minContactAdvance later. lastContact is when the store itself last confirmed the view, directly or through
+	// other hosts.
 	changed     chan struct{}
 	lastContact time.Time
+	// sentContact is lastContact when changed was last replaced.
+	sentContact time.Time
+	// path holds the hosts through which the host receives its updates, see StoreUpdate.Path.
+	path []netip.AddrPort
 	// lag is the age of the last update that changed an item.
 	lag time.Duration
 	// fullUpdate is the last full update that was forwarded, built at fullUpdateAt. It is reused for other hosts that
@@ -45,13 +56,20 @@
 	if len(applied.Changed) > 0 {
 		v.lag = u.Age
 	}
-	if len(applied.Changed) > 0 || v.view.Revision() != applied.PreviousRevision {
+	if len(applied.Changed) > 0 || v.view.Revision() != applied.PreviousRevision || v.lastContact.Sub(v.sentContact) >= minContactAdvance {
 		close(v.changed)
-		v.changed = make(chan struct{})
+		v.changed, v.sentContact = make(chan struct{}), v.lastContact
 	}
 	return applied, nil
 }
 
+// SetPath sets the hosts through which the host receives its updates, see StoreUpdate.Path. The slice must not be changed.
+func (v *StoreView) SetPath(path []netip.AddrPort) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.path = path
+}
+
 // Item returns the known item of a key, and whether the key exists.
 func (v *StoreView) Item(key string) (kv.Item, bool) {
 	v.mu.Lock()
@@ -91,7 +109,7 @@
 	if v.view.Revision() == 0 {
 		return StoreUpdate{}, nil, errNoUpdates
 	}
-	u := StoreUpdate{Age: v.now().Sub(v.lastContact)}
+	u := StoreUpdate{Age: v.now().Sub(v.lastContact), Path: v.path}
 	if v.view.HasChangesSince(after) {
 		u.Update = v.view.Since(after)
 	} else {
--- a/internal/follow/update.go
+++ b/internal/follow/update.go
@@ -15,6 +15,9 @@
 	kv.Update
 	// Age is the time since the contents were last confirmed by the store itself.
 	Age time.Duration
+	// Path holds the hosts through which the sender receives its updates, the nearest first. It is empty for a host that
+	// reads the store.
+	Path []netip.AddrPort
 	// Referrals are hosts that can send updates. If there are any, the sender already forwards to too many hosts, and
 	// this StoreUpdate contains no update.
 	Referrals []netip.AddrPort
--- a/io/peer/gateway_codec_test.go
+++ b/io/peer/gateway_codec_test.go
@@ -75,6 +75,10 @@
 		"news_elsewhere": &newsMessage{StoreUpdate: follow.StoreUpdate{
 			Referrals: []netip.AddrPort{netip.MustParseAddrPort("10.1.0.8:8782"), netip.MustParseAddrPort("10.2.0.6:8782")}, Age: time.Hour,
 		}, compressor: &compressor{}},
+		"news_with_a_path": &newsMessage{StoreUpdate: follow.StoreUpdate{
+			Update: kv.Update{Snapshot: kv.Snapshot{Revision: 10}}, Age: time.Second,
+			Path: []netip.AddrPort{netip.MustParseAddrPort("10.1.0.8:8782"), netip.MustParseAddrPort("[fd00::6]:8782")},
+		}, compressor: &compressor{}},
 		"feed_request_of_a_later_epoch": &feedRequest{after: kv.NewRevision(3, 412)},
 		"news_of_a_later_epoch": &newsMessage{StoreUpdate: follow.StoreUpdate{Update: kv.Update{
 			Snapshot: kv.Snapshot{Items: []kv.Item{{Key: "k", Value: []byte("v"), Revision: kv.NewRevision(3, 9), Created: 4}}, Revision: kv.NewRevision(3, 10)},
--- a/io/peer/news_messages.go
+++ b/io/peer/news_messages.go
@@ -3,6 +3,8 @@
 import (
 	"net/netip"
 
+	"github.com/pkg/errors"
+
 	"pearlatch/core/kv"
 	"pearlatch/internal/follow"
 )
@@ -47,6 +49,9 @@
 		elsewhere[i] = addrMessage{a}
 	}
 	writeList(w, "elsewhere", elsewhere)
+	path, err := packAddrs(m.Path)
+	w.setErr(err)
+	w.bytes("path", path)
 	if m.compressList && m.Full {
 		compressed, err := m.compressor.compressSnapshot(m.Snapshot)
 		w.setErr(err)
@@ -80,6 +85,13 @@
 		r.setErr(err)
 		m.Items = items
 		return true
+	case "path":
+		var packed []byte
+		r.bytes(&packed)
+		path, err := unpackAddrs(packed)
+		r.setErr(err)
+		m.Path = path
+		return true
 	case "elsewhere":
 		var list []addrMessage
 		readList(r, &list)
@@ -91,6 +103,37 @@
 	return false
 }
 
+// packAddrs packs addresses, each as its length in one byte and its binary form. A list of messages would take four times as
+// much, and the path is sent with each update.
+func packAddrs(addrs []netip.AddrPort) ([]byte, error) {
+	var out []byte
+	for _, a := range addrs {
+		b, err := a.MarshalBinary()
+		if err != nil {
+			return nil, errors.Wrapf(err, "pack address %s", a)
+		}
+		out = append(append(out, byte(len(b))), b...)
+	}
+	return out, nil
+}
+
+// unpackAddrs returns the addresses that packAddrs packed.
+func unpackAddrs(packed []byte) ([]netip.AddrPort, error) {
+	var out []netip.AddrPort
+	for len(packed) > 0 {
+		n := 1 + int(packed[0])
+		if n > len(packed) {
+			return nil, errors.Errorf("a packed address of %d bytes has %d left", n-1, len(packed)-1)
+		}
+		var a netip.AddrPort
+		if err := a.UnmarshalBinary(packed[1:n]); err != nil {
+			return nil, errors.Wrap(err, "unpack an address")
+		}
+		out, packed = append(out, a), packed[n:]
+	}
+	return out, nil
+}
+
 // readItems reads a list of items.
 func readItems(r *fieldReader) []kv.Item {
 	var list []itemMessage
