io/peer: hosts read every full update that others send

Callers: none so far. A host that needs a full update would get one without items at revision 0, and none at all of a store with more than 65,536 items: each host that it asks sends a list that every host refuses.

Lists were bounded by a count that only the reader knew.

Change: a cached value counts only if there is one. Lists are bounded by the memory of their elements and by what is left of the message; sender and reader check the same bounds. Numbers that don't fit are errors.

--- a/io/peer/codec.go
+++ b/io/peer/codec.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"io"
+	"math"
+	"reflect"
 	"sync"
 	"time"
 
@@ -48,6 +50,9 @@
 	out := w.buf
 	out[start+1], out[start+2] = byte(w.count>>8), byte(w.count)
 	w.buf = nil
+	if n := len(out) - start; n > maxMessageSize {
+		w.setErr(errors.Errorf("%d bytes, and hosts read %d at most", n, maxMessageSize))
+	}
 	return out, errors.Wrapf(w.err, "encode %T", msg)
 }
 
@@ -150,6 +155,7 @@
 	if len(list) == 0 {
 		return
 	}
+	w.setErr(checkListLen[M](len(list)))
 	w.writeName(name)
 	w.setErr(w.e.EncodeArrayLen(len(list)))
 	for i := range list {
@@ -311,13 +317,25 @@
 func (r *fieldReader) duration(v *time.Duration) bool {
 	var n uint64
 	r.uint(&n)
+	if n > uint64(math.MaxInt64/time.Microsecond) {
+		r.setErr(errors.Errorf("a duration of %d microseconds is too long", n))
+	}
 	*v = time.Duration(n) * time.Microsecond
 	return true
 }
 
-// maxListLen bounds the number of elements of a list in a message: a length field must not make the process allocate more
-// than the message itself can hold.
-const maxListLen = 1 << 16
+// maxListSize bounds the memory that the elements of a list take when they are decoded, in bytes, without what they refer to.
+// An element takes one byte of a message at least.
+const maxListSize = 64 << 20
+
+// checkListLen returns an error if a list of n elements exceeds maxListSize. The sender and the reader check it, so that no
+// host sends a list that the others refuse.
+func checkListLen[M any](n int) error {
+	if most := maxListSize / int(reflect.TypeFor[M]().Size()); n > most {
+		return errors.Errorf("list of %d elements, and hosts read %d at most", n, most)
+	}
+	return nil
+}
 
 // readList reads a list of messages and appends them to list.
 func readList[M any, P interface {
@@ -326,10 +344,10 @@
 }](r *fieldReader, list *[]M) bool {
 	n, err := r.d.DecodeArrayLen()
 	r.setErr(err)
-	if n > maxListLen {
-		r.setErr(errors.Errorf("list of %d elements", n))
-		return true
+	if n > r.in.Len() {
+		r.setErr(errors.Errorf("list of %d elements in %d bytes", n, r.in.Len()))
 	}
+	r.setErr(checkListLen[M](n))
 	for i := 0; i < n && r.err == nil; i++ {
 		var m M
 		r.message(P(&m))
@@ -338,10 +356,13 @@
 	return true
 }
 
-// readUint reads an unsigned number into a variable of any integer type. It does not check for overflow.
+// readUint reads an unsigned number into a variable of any integer type. A number that the type can't hold is an error.
 func readUint[N ~int | ~int64 | ~uint8 | ~uint32 | ~uint64](r *fieldReader, v *N) bool {
 	var n uint64
 	r.uint(&n)
 	*v = N(n)
+	if *v < 0 || uint64(*v) != n {
+		r.setErr(errors.Errorf("the number %d does not fit %T", n, *v))
+	}
 	return true
 }
--- a/io/peer/gateway_codec_test.go
+++ b/io/peer/gateway_codec_test.go
@@ -4,10 +4,12 @@
 	"encoding/hex"
 	"flag"
 	"fmt"
+	"math"
 	"net/netip"
 	"os"
 	"path/filepath"
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -217,6 +219,70 @@
 	}
 }
 
+// Guards against hosts that can never join because no host reads the full update that the others send: an update at revision
+// 0, and one of more than 65,536 items.
+func TestFullUpdatesOfAnySizeAreRead(t *testing.T) {
+	for _, c := range []struct {
+		items    int
+		revision kv.Revision
+	}{{10, 0}, {70_000, 9}} {
+		s := kv.Snapshot{Revision: c.revision}
+		for i := range c.items {
+			s.Items = append(s.Items, kv.Item{Key: fmt.Sprintf("key-%08x", i), Value: []byte("12345678"), Revision: kv.Revision(i + 1), Created: 1})
+		}
+		for _, compressed := range []bool{false, true} {
+			var out newsMessage
+			m := &newsMessage{StoreUpdate: follow.StoreUpdate{Update: kv.Update{Snapshot: s, Full: true}}, compressor: &compressor{}, compressList: compressed}
+			text, err := encoding{}.Marshal(m)
+			if err == nil {
+				err = encoding{}.Unmarshal(text, &out)
+			}
+			if err != nil || !reflect.DeepEqual(out.Items, s.Items) {
+				t.Errorf("%d items at revision %v, compressed %t: %d items, %v", c.items, c.revision, compressed, len(out.Items), err)
+			}
+		}
+	}
+}
+
+// Guards against a host that sends a message which every other host refuses: they would ask for it again and again.
+func TestMessagesAboveTheBoundsAreNotSent(t *testing.T) {
+	item := kv.Item{Key: "config", Value: make([]byte, 1<<20), Revision: 1}
+	large := kv.Snapshot{Revision: 9, Items: slices.Repeat([]kv.Item{item}, maxInflatedSize>>20)}
+	for name, m := range map[string]message{
+		"snapshot":      &newsMessage{StoreUpdate: follow.StoreUpdate{Update: kv.Update{Snapshot: large, Full: true}}, compressor: &compressor{}, compressList: true},
+		"list":          &listMessage{make([]kv.Item, maxListSize/int(reflect.TypeFor[itemMessage]().Size())+1)},
+		"large message": &recallRequest{from: strings.Repeat("x", maxMessageSize)},
+	} {
+		if _, err := (encoding{}).Marshal(m); err == nil || !strings.Contains(err.Error(), "hosts read") {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+// Guards against numbers that are read as others, such as a negative revision or age.
+func TestNumbersThatDoNotFitAreRefused(t *testing.T) {
+	for name, write := range map[string]func(w *fieldWriter){
+		"int64":    func(w *fieldWriter) { w.uint("revision", 1<<63) },
+		"duration": func(w *fieldWriter) { w.uint("age_us", math.MaxInt64/1000+1) },
+	} {
+		text, err := encoding{}.Marshal(rawMessage(write))
+		if err != nil {
+			t.Fatal(err)
+		}
+		var out newsMessage
+		if err := (encoding{}).Unmarshal(text, &out); err == nil {
+			t.Errorf("%s: read as revision %d, age %s", name, out.Revision, out.Age)
+		}
+	}
+}
+
+// rawMessage is a message that consists of what the function writes.
+type rawMessage func(w *fieldWriter)
+
+func (m rawMessage) fields(w *fieldWriter) { m(w) }
+
+func (rawMessage) field(string, *fieldReader) bool { return false }
+
 // A small compressed value that expands to a huge one must not exhaust the host's memory.
 func TestCompressedValueIsBounded(t *testing.T) {
 	bomb, err := deflate(make([]byte, maxInflatedSize+1))
--- a/io/peer/pack.go
+++ b/io/peer/pack.go
@@ -42,7 +42,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if cached := c.values[item.Key]; cached.revision == item.Revision {
+	if cached, ok := c.values[item.Key]; ok && cached.revision == item.Revision {
 		return cached.bytes, nil
 	}
 	out, err := deflate(item.Value)
@@ -60,13 +60,16 @@
 func (c *compressor) compressSnapshot(s kv.Snapshot) ([]byte, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.list.revision == s.Revision {
+	if c.list.bytes != nil && c.list.revision == s.Revision {
 		return c.list.bytes, nil
 	}
 	plain, err := encoding{}.Marshal(&listMessage{s.Items})
 	if err != nil {
 		return nil, err
 	}
+	if len(plain) > maxInflatedSize {
+		return nil, errors.Errorf("the list of revision %v has %d bytes, and hosts read %d at most", s.Revision, len(plain), maxInflatedSize)
+	}
 	out, err := deflate(plain)
 	if err != nil {
 		return nil, errors.Wrapf(err, "compress the list of revision %v", s.Revision)
