Coordinators finish a change of primary instead of releasing its fences

Callers: an acknowledged write is lost if a coordinator decides to release fences, is suspended for longer than its role lasts, and sends the release when it wakes.

Cause: the command names no term and no token. It takes away the fences that the next coordinator has set for its promotion; a replica receives from the old primary again, and a host without a lease takes its write for confirmed, since all members answer without a fence.

Change: no fence is released. A round that finds fences although the primary serves switches over to a replica that still receives, or demotes the primary and promotes it again. Both can be refused, by term and token. A switchover asks its target whether it receives before it fences the others.

Failed on the way: leases went on while the primary was demoted, and a host sent its write to it again and again (TestRestartedMemberHasEmptyLog never ended); leases end first now.

--- a/core/leadership/predecessor.go
+++ b/core/leadership/predecessor.go
@@ -50,8 +50,8 @@
 	return end.Add(PromotionDelay), true
 }
 
-// LeasesEnd returns when the leases that earlier coordinators may have granted have ended, and with them their releases
-// of fences, see MayReleaseFences.
+// LeasesEnd returns when the leases that earlier coordinators may have granted have ended, and with them their switchovers,
+// see MayFinishChange.
 //
 // A coordinator that hands its role back grants nothing from then on. An earlier process of this host may have held the
 // role for a moment only, so that the coordinator before it may still rely on a role that it has lost.
--- a/internal/gateway/fakeconn_test.go
+++ b/internal/gateway/fakeconn_test.go
@@ -46,6 +46,8 @@
 	closed    bool
 	// severed, if set, reports whether the network path to the member is cut.
 	severed func() bool
+	// beforeRelease, if set, is called before a fence is released.
+	beforeRelease func()
 }
 
 func (c *fakeConn) Alive() bool {
@@ -85,6 +87,9 @@
 	if err := c.awaitNoReply(timeout); err != nil {
 		return Status{}, err
 	}
+	if _, releases := o.(Release); releases && c.beforeRelease != nil {
+		c.beforeRelease()
+	}
 	c.site.mu.Lock()
 	defer c.site.mu.Unlock()
 	m := c.m
--- a/internal/gateway/fences.go
+++ b/internal/gateway/fences.go
@@ -1,42 +1,75 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	"pearlatch/core/leadership"
 )
 
-// releaseStaleFences releases fences that an earlier coordinator left behind.
-func (w *groupMonitor) releaseStaleFences(primary controlResult, replicas []controlResult) {
-	var fenced []Member
-	for _, r := range replicas {
-		if r.err == nil && r.status.Fenced > primary.status.Term {
-			fenced = append(fenced, r.member)
-		}
+// finishChange finishes a change of primary that has left fences behind, see leadership.NextFinishStep. It returns false if
+// there is none, or if the fences may be those of another coordinator.
+func (w *groupMonitor) finishChange(ctx context.Context, primary controlResult, replicas []controlResult) bool {
+	step := leadership.NextFinishStep(toProbeResults([]controlResult{primary})[0], toProbeResults(replicas), w.handOverAttempts)
+	if step == leadership.NothingToFinish {
+		w.handOverAttempts = 0
+		return false
+	}
+	if !w.mayFinishChange() || w.predecessorMayAct() {
+		w.log("fences_kept", "answers", formatResults(replicas))
+		return false
 	}
-	if len(fenced) > 0 {
-		w.releaseFences(fenced)
+	w.log("change_unfinished", "member", primary.member.ID, "step", step.String(), "attempts", w.handOverAttempts, "answers", formatResults(replicas))
+	switch step {
+	case leadership.HandOver:
+		w.handOverAttempts++
+		w.switchOver(ctx, primary, replicas)
+	case leadership.Reinstate:
+		w.handOverAttempts = 0
+		w.reinstate(ctx, primary, replicas)
 	}
+	return true
 }
 
-// releaseFences releases the fences of the members, unless they may be those of another coordinator. Fences that are kept
-// are released by the next coordinator that finds them stale.
-func (w *groupMonitor) releaseFences(members []Member) {
-	now := w.host.now()
+// mayFinishChange reports whether this host is certain to be the coordinator until a command that it sends now has timed out.
+func (w *groupMonitor) mayFinishChange() bool {
 	w.mu.Lock()
-	certain := w.held && !w.resigning && w.predecessor.AcquiredAt.Equal(w.roundAcquiredAt)
-	until := w.soleHolderUntil()
-	w.mu.Unlock()
-	if !certain || !leadership.MayReleaseFences(now, until, controlTimeout) {
-		w.log("fences_kept", "members", len(members), "role_certain_ms", until.Sub(now).Milliseconds())
+	defer w.mu.Unlock()
+	same := w.held && !w.resigning && w.predecessor.AcquiredAt.Equal(w.roundAcquiredAt)
+	return same && leadership.MayFinishChange(w.host.now(), w.soleHolderUntil(), controlTimeout)
+}
+
+// reinstate demotes the primary and promotes it again. Its log holds every write that it has acknowledged, and no other member
+// leads meanwhile. The leases end first, since callers would be sent to a member that refuses their writes.
+func (w *groupMonitor) reinstate(ctx context.Context, primary controlResult, replicas []controlResult) {
+	defer w.group.clearAllReplacements()
+	if !w.revokeLeases(ctx, false) {
+		return
+	}
+	term := max(highestTerm(replicas), w.group.highestSeenTerm()) + 1
+	s, err := w.group.control(primary.member, Demote{Term: term}, controlTimeout)
+	if err != nil || s.IsPrimary {
+		w.log("primary_not_demoted", "member", primary.member.ID, "term", term, "err", err)
 		return
 	}
-	w.log("fences_released", "members", len(members))
-	w.group.controlAll(members, Release{}, controlTimeout)
+	w.log("primary_demoted", "member", primary.member.ID, "position", s.Received)
+	w.group.clearAllReplacements() // the primary is also the successor
+	w.promote(ctx, primary.member.ID, successorChoice{})
+}
+
+// receivingReplicas returns the replicas that answered and receive the primary's log.
+func receivingReplicas(primary controlResult, replicas []controlResult) []controlResult {
+	var out []controlResult
+	for _, r := range replicas {
+		if r.err == nil && r.status.Fenced <= primary.status.Term {
+			out = append(out, r)
+		}
+	}
+	return out
 }
 
-// predecessorMayAct reports whether an earlier coordinator may still rely on its role, so that it grants leases or releases
-// fences.
+// predecessorMayAct reports whether an earlier coordinator may still rely on its role, so that it grants leases or switches
+// over.
 func (w *groupMonitor) predecessorMayAct() bool { return w.host.now().Before(w.predecessorEnd()) }
 
 // predecessorEnd returns the time until which predecessorMayAct returns true.
--- a/internal/gateway/fences_test.go
+++ b/internal/gateway/fences_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -31,6 +32,52 @@
 	})
 }
 
+// Guards against a host that decides to release stale fences, is suspended for longer than its role lasts, and then releases
+// those of its successor: a write that a replica acknowledges after that is lost in the successor's promotion.
+func TestLateReleaseLosesNoWrites(t *testing.T) {
+	withFleet(t, 3, 20, freshness.Latest{}, func(s *fakeSite, f *fakeFleet) {
+		previous := f.coordinatorHost()
+		name := previous.settings.Host
+		exec(previous, Write{})
+		f.setFault(f.holdsReleases, name, true)
+		for _, id := range []string{"b", "c"} {
+			s.updateMember(id, func(m *fakeMember) { m.fenced = 2 })
+		}
+		time.Sleep(600 * time.Millisecond)
+		f.setFault(f.storeSilentFor, name, true)
+		s.removeCoordinatorEntry(previous)
+		time.Sleep(5 * time.Second)
+		old := s.primaryID()
+		f.setFault(f.unreachable, name, true)
+		for _, h := range f.all() {
+			if h != previous {
+				f.setFault(f.severed, h.settings.Host+" "+old, true)
+			}
+		}
+		ordered := s.awaitPromotionOf(old)
+		s.updateMember(ordered, func(m *fakeMember) { m.receivesNothing = true }) // until it leads
+		f.setFault(f.holdsReleases, name, false)
+		for range 100 {
+			exec(previous, Write{})
+			time.Sleep(5 * time.Millisecond)
+		}
+		wantNoLostWrites(t, s)
+	})
+}
+
+// awaitPromotionOf waits until the promotion of another member than the primary has been requested, and returns that member.
+func (s *fakeSite) awaitPromotionOf(primary string) string {
+	for range 2000 {
+		if requests := s.promotionRequests(); len(requests) > 0 {
+			if _, id, _ := strings.Cut(requests[len(requests)-1], " "); id != primary {
+				return id
+			}
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return primary
+}
+
 // fenceOf returns the term of a member's fence, or zero.
 func (s *fakeSite) fenceOf(id string) group.Term {
 	s.mu.Lock()
--- a/internal/gateway/group_monitor.go
+++ b/internal/gateway/group_monitor.go
@@ -44,6 +44,8 @@
 	roundAcquiredAt time.Time
 	// primary is the last known primary.
 	primary Member
+	// handOverAttempts counts the attempts to finish a change of primary by a switchover.
+	handOverAttempts int
 	// silentRounds counts rounds without an answer from the primary.
 	silentRounds int
 	stuckWrites  group.StuckWriteDetector
@@ -214,7 +216,9 @@
 	}
 	w.recordPrimaryAnswer(primary)
 	w.demoteStalePrimaries(primary, answers)
-	w.releaseStaleFences(primary, replicas)
+	if w.finishChange(ctx, primary, replicas) {
+		return
+	}
 	w.updateRecord(ctx)
 	stuck := w.writesStuck(primary, replicas)
 	if countFailed(replicas) == 0 && !w.overloadDetector.Overloaded() && !w.stuckWrites.Waiting() {
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -98,7 +98,7 @@
 	// Fence stops a replica from receiving the log until the fence is released, another member is promoted or the replica
 	// restarts. The term must exceed the newest term that the member knows.
 	Fence struct{ Term group.Term }
-	// Release ends a fence.
+	// Release ends a fence. Coordinators don't send it: see leadership.NextFinishStep.
 	Release struct{}
 	// Demote turns a primary of a lower term into a replica.
 	Demote struct{ Term group.Term }
--- a/internal/gateway/promotion.go
+++ b/internal/gateway/promotion.go
@@ -99,7 +99,7 @@
 	}
 	if len(unfenced) > 0 {
 		if w.predecessorMayAct() {
-			return // the previous coordinator may still release the fences
+			return // the previous coordinator may still switch over to another target
 		}
 		w.group.controlAll(unfenced, Fence{Term: max(highestTerm(replicas), primary.status.Term) + 1}, controlTimeout)
 		if target.err != nil || target.status.Received.Compare(primary.status.Received) < 0 {
--- a/internal/gateway/switchover.go
+++ b/internal/gateway/switchover.go
@@ -10,21 +10,25 @@
 
 // switchOver replaces a primary that still serves, but is leaving, missing from the store or overloaded. The primary continues
 // to serve meanwhile. All replicas but the switchover target are fenced, so that every later write is acknowledged by the
-// target. It returns false if it requested no promotion.
+// target. It returns false if it requested no promotion. The fences then stay until finishChange ends them.
 //
-// It does nothing while an earlier coordinator may still release the fences.
+// It does nothing while an earlier coordinator may still switch over to another target.
 func (w *groupMonitor) switchOver(ctx context.Context, primary controlResult, replicas []controlResult) bool {
 	if w.predecessorMayAct() {
 		return false
 	}
 	started := w.host.now()
 	steady := func(id string) bool { return w.overloadDetector.Steady(id, started) }
-	standby, _ := group.SwitchoverTarget(w.successorCandidates(replicas), steady)
+	standby, _ := group.SwitchoverTarget(w.successorCandidates(receivingReplicas(primary, replicas)), steady)
 	target, ok := w.group.lookupMember(standby.Member)
 	if !ok {
 		w.log("no_heir", "answers", formatResults(replicas))
 		return false
 	}
+	if !w.hasReceived(target, primary.status.Received) {
+		w.log("heir_behind", "member", target.ID, "answers", formatResults(replicas))
+		return false // no fence is set that only a change of primary would end
+	}
 	// The replicas may not have heard of the primary's term yet, and a fence of that term has no effect.
 	term := max(highestTerm(replicas), w.group.highestSeenTerm()) + 1
 	var others []Member
@@ -38,18 +42,15 @@
 	// The primary is demoted once the leases have ended, so that it serves until then.
 	demote := !ready && countFailed(fenced) > 0
 	if (ready || demote) && !w.revokeLeases(ctx, true) {
-		w.releaseFences(others)
 		return false
 	}
 	revoked := w.host.now()
 	if !ready && !(demote && w.demoteForSwitchover(ctx, term, target, fenced)) {
 		w.log("heir_behind", "member", target.ID, "answers", formatResults(fenced))
-		w.releaseFences(others)
 		return false
 	}
 	w.log("successor", "member", target.ID, "term", term, "planned", true)
 	if !w.promote(ctx, target.ID, successorChoice{listedAt: started, received: logEndOf(target.ID, replicas)}) {
-		w.releaseFences(others)
 		return false
 	}
 	w.interruptions.Observe(w.host.now().Sub(revoked))
