--- a/io/peer/gateway_codec_test.go
+++ b/io/peer/gateway_codec_test.go
@@ -4,6 +4,7 @@
 	"encoding/hex"
 	"flag"
 	"fmt"
+	"maps"
 	"math"
 	"net/netip"
 	"os"
@@ -37,8 +38,7 @@
 		},
 	}
 	loaded := peerReplyMessage{Process: "h2-1f", LoadSequence: 812, Load: load.Report{Waiting: 41, Rate: 212.5, Delay: 120 * time.Millisecond}}
-	item := kv.Item{Key: "config", Value: []byte("v"), Revision: 9}
-	return map[string]message{
+	out := map[string]message{
 		"link_request": &linkRequest{lane: 4, peerRequestMessage: peerRequestMessage{version: Version, PeerRequest: gateway.PeerRequest{
 			From: "h1-2a", Serial: 7, To: "h2-1f", Group: "lessons", Database: "booking",
 			Route: gateway.Route{
@@ -72,6 +72,15 @@
 			Suspended: true, ActivateAfter: 950 * time.Millisecond, Partial: true,
 			Grants: []quota.Grant{{Account: "a1", Serial: 4, Rate: 2.5, Cap: 3, TTL: time.Second, Tokens: 1, Prefetched: 0.5, RetryAfter: time.Millisecond, Interval: time.Millisecond}},
 		}},
+	}
+	maps.Copy(out, newsSamples())
+	return out
+}
+
+// newsSamples returns the samples that carry updates of the store.
+func newsSamples() map[string]message {
+	item := kv.Item{Key: "config", Value: []byte("v"), Revision: 9}
+	return map[string]message{
 		"feed_request":        &feedRequest{after: 412},
 		"feed_request_packed": &feedRequest{after: 412, readsCompressedLists: true},
 		"news_elsewhere": &newsMessage{StoreUpdate: follow.StoreUpdate{
