promote tells whether a promotion was requested, and whether the member leads

Callers: a switchover that relieves an overloaded primary counted as done although the platform had refused it, so that it was not tried again soon.

Cause: promote returned a bool that it set before the call.

Evidence: TestRefusedPromotionIsNotRequested fails before: a refused promotion has the outcome true. 50 of 50 after.

Change: a typed outcome.

--- a/internal/gateway/failover_test.go
+++ b/internal/gateway/failover_test.go
@@ -379,3 +379,19 @@
 		wantNoLostWrites(t, s)
 	})
 }
+
+// Guards against a switchover that counts as done although the platform refused its promotion: the overloaded primary would
+// not be relieved again for as long as after one that succeeded.
+func TestRefusedPromotionIsNotRequested(t *testing.T) {
+	withHost(t, freshness.Latest{}, func(s *fakeSite, h *Host) {
+		exec(h, Write{})
+		d := h.coordinatorOf(testGroup)
+		m := &groupMonitor{coordinator: d, roundAcquiredAt: d.acquiredTime()}
+		if err := s.RaiseToken(t.Context(), "", 1<<40, testGroup); err != nil {
+			t.Fatal(err)
+		}
+		if got := m.promote(context.Background(), "b", successorChoice{}); got != promotionNotRequested {
+			t.Errorf("a refused promotion has the outcome %v, want %v", got, promotionNotRequested)
+		}
+	})
+}
--- a/internal/gateway/promotion.go
+++ b/internal/gateway/promotion.go
@@ -18,10 +18,21 @@
 	received group.Position
 }
 
+// promotionOutcome is what became of a promotion.
+type promotionOutcome int
+
+const (
+	// promotionNotRequested means that no request was sent, or that the platform refused it.
+	promotionNotRequested promotionOutcome = iota
+	// promotionRequested means that the platform may carry out a request.
+	promotionRequested
+	// promotionLed means that the member leads.
+	promotionLed
+)
+
 // promote requests the promotion of the member and waits until it leads, for up to promotionTimeout. If another member's
-// promotion is pending, it either requests that one again or invalidates it first. It returns false if it requested no
-// promotion.
-func (w *groupMonitor) promote(ctx context.Context, id string, c successorChoice) (requested bool) {
+// promotion is pending, it either requests that one again or invalidates it first.
+func (w *groupMonitor) promote(ctx context.Context, id string, c successorChoice) promotionOutcome {
 	if pending := w.pendingPromotion(); pending != "" && pending != id {
 		if s, err := w.probe(pending); err == nil && s.Received.Compare(c.received) >= 0 {
 			// The pending promotion may be carried out at any moment. That member lacks nothing, so its promotion is
@@ -29,21 +40,21 @@
 			id, c = pending, successorChoice{}
 		} else if err := w.invalidatePromotion(ctx); err != nil {
 			w.log("promotion_held_back", "member", id, "open", pending, "err", err)
-			return false
+			return promotionNotRequested
 		}
 	}
 	if err := w.recordPromotion(ctx, id); err != nil {
 		w.log("order_not_recorded", "member", id, "err", err)
 		if !w.host.settings.PromotionTokens {
-			return false // the next coordinator would not know of the promotion
+			return promotionNotRequested // the next coordinator would not know of the promotion
 		}
 	}
-	started := w.host.now()
+	started, outcome := w.host.now(), promotionNotRequested
 	for w.mayPromote() && ctx.Err() == nil && w.host.now().Sub(started) < promotionTimeout {
-		requested = true
 		if !w.requestPromotion(ctx, id) {
-			return requested
+			return outcome
 		}
+		outcome = promotionRequested
 		if answer, ok := w.awaitPromoted(ctx, id); ok {
 			w.recordPrimaryAnswer(answer)
 			w.demotePredecessor(id, answer.status.Term)
@@ -57,12 +68,12 @@
 			w.silentRounds = 0
 			w.stuckWrites.Reset()
 			w.group.renewFloor(c)
-			return requested
+			return promotionLed
 		}
 	}
 	w.group.metrics.Promotion(w.group.name, "open", w.host.now().Sub(started))
 	w.log("promotion_open", "member", id)
-	return requested
+	return outcome
 }
 
 // invalidatePromotion makes sure that a pending promotion of a member that does not answer, or is behind, is not carried out
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -6,7 +6,7 @@
 	"pearlatch/core/group"
 )
 
-//go:generate go tool stringer -type=State,Code,DeclineReason -linecomment -output=enum_string.go
+//go:generate go tool stringer -type=State,Code,DeclineReason,promotionOutcome -linecomment -output=enum_string.go
 
 // State is the transaction status of a session.
 type State uint8
--- a/internal/gateway/switchover.go
+++ b/internal/gateway/switchover.go
@@ -50,7 +50,7 @@
 		return false
 	}
 	w.log("successor", "member", target.ID, "term", term, "planned", true)
-	if !w.promote(ctx, target.ID, successorChoice{listedAt: started, received: logEndOf(target.ID, replicas)}) {
+	if w.promote(ctx, target.ID, successorChoice{listedAt: started, received: logEndOf(target.ID, replicas)}) == promotionNotRequested {
 		return false
 	}
 	w.interruptions.Observe(w.host.now().Sub(revoked))
