A new coordinator rules out a primary that nobody reaches

Callers: a write that they were told is kept is lost. A coordinator that can't reach the store promotes a replica without a record; a partition parts that replica from everything as it begins to lead, and another host takes the role. The old primary is followed as before, gets leases and acknowledges.

Cause: the wait of 1.2 s makes sure that unrecorded promotions have taken effect, not that a coordinator sees their effect. A hidden primary and a replica that is down look the same.

Evidence: TestHiddenPrimaryIsRuledOut (new) fails before: "the primary b lacks acknowledged writes [1:0/3]".

Change: a coordinator whose predecessor has not handed the role back looks at the answers after the wait. All answer: nothing is hidden. One does not: the known primary is demoted and promoted again, the replicas that answer fenced above the term of the hidden one. More do not: no leases until they answer.

Failed on the way: a promote call that names the known primary, as it is. The checker finds that the hidden primary comes back before the call takes effect, gets its write acknowledged by the other replica, and is replaced: a lost write, 444,126 states.

Two new removals are found: without the check 333,353 states, with fences a term lower 942,251.

--- a/core/leadership/change_test.go
+++ b/core/leadership/change_test.go
@@ -1,6 +1,8 @@
 package leadership
 
 import (
+	"slices"
+
 	"pearlatch/core/group"
 )
 
@@ -30,7 +32,7 @@
 	if best == none || c.stage == revoking || c.stage == fencing || c.primary == int8(best) && c.stage == granting {
 		return
 	}
-	if c.stage != ordered && st.unrecordedOrder && e.safeguards.settlePromotions && st.nodes[best].term <= max(1, st.recordedTerm) && !st.nothingPending(best) {
+	if c.stage != ordered && st.nodes[best].term <= max(1, st.recordedTerm) && !e.promotionsSettled(st, best) {
 		return
 	}
 	pending := st.recordedOrder != none && e.safeguards.recordOrder
@@ -47,9 +49,34 @@
 	c.primary, c.stage, c.target, c.rechecked = int8(best), granting, none, false
 	c.fenced, c.fencedLength = [memberCount]bool{}, [memberCount]int8{}
 	st.recordedOrder, st.recordedTerm = none, max(st.recordedTerm, st.nodes[best].term)
+	if st.unrecorded == settledUnrecorded {
+		st.unrecorded = noneUnrecorded
+	}
 	e.add("adopt "+memberName(best), st, "")
 }
 
+// promotionsSettled reports whether the coordinator knows that no unrecorded order replaces the primary, or has replaced it. It
+// adds the step by which it begins to rule out a hidden primary.
+func (e *explorer) promotionsSettled(st modelState, primary int) bool {
+	if st.unrecorded == noneUnrecorded || !e.safeguards.settlePromotions || st.nothingPending(primary) {
+		return true
+	}
+	if st.unrecorded == pendingUnrecorded {
+		return false
+	}
+	if !e.safeguards.ruleOutHidden {
+		return true
+	}
+	switch FindHiddenPrimary(group.Term(st.nodes[primary].term), slices.Delete(st.probeResults(st.coordinator.host), primary, primary+1)) {
+	case HiddenNone:
+		return true
+	case HiddenAlone:
+		st.coordinator.primary, st.coordinator.stage, st.coordinator.suspectsHidden = int8(primary), revoking, true
+		e.add("suspect a hidden primary", st, "")
+	}
+	return false
+}
+
 // sampleFloor sets the floor for a successor to the primary's position.
 func (e *explorer) sampleFloor(st modelState) {
 	c := &st.coordinator
@@ -107,6 +134,9 @@
 		next := st
 		if e.safeguards.fenceReplicas {
 			next.nodes[m].fenceTerm = n.term + 1
+			if c.suspectsHidden && e.safeguards.fenceAboveHidden {
+				next.nodes[m].fenceTerm++ // above the term of the hidden primary
+			}
 		}
 		next.coordinator.fenced[m], next.coordinator.fencedLength[m] = true, n.length
 		e.add("fence "+memberName(m), next, "")
@@ -141,27 +171,38 @@
 	if c.stage != fencing {
 		return
 	}
-	if p := c.primary; st.platformOrder == none && st.nodes[p].up && st.nodes[p].leads && st.coordinatorReaches(int(p)) {
+	if p := c.primary; st.platformOrder == none && st.nodes[p].up && st.nodes[p].leads && st.coordinatorReaches(int(p)) && (!c.suspectsHidden || st.allFenced()) {
 		demoted := st
 		demoted.nodes[p].leads = false
 		demoted.coordinator.fencedLength[p] = none // its log says nothing of what departed members held
 		e.order(demoted, p)
 	}
 	best, ok := group.Successor(nil, st.standbys(e.safeguards))
-	if !ok || st.platformOrder != none || e.safeguards.recheckReplicas && e.safeguards.fenceReplicas && !c.rechecked {
+	if !ok || c.suspectsHidden || st.platformOrder != none || e.safeguards.recheckReplicas && e.safeguards.fenceReplicas && !c.rechecked {
 		return
 	}
 	e.order(st, int8(best.Member[0]-'a'))
 }
 
+// allFenced reports whether the coordinator has fenced all replicas that it reaches.
+func (st *modelState) allFenced() bool {
+	c := &st.coordinator
+	for m := range st.nodes {
+		if int8(m) != c.primary && st.nodes[m].up && st.coordinatorReaches(m) && !c.fenced[m] {
+			return false
+		}
+	}
+	return true
+}
+
 // order adds the order to promote a member, with and without a record of it.
 func (e *explorer) order(st modelState, target int8) {
 	c := &st.coordinator
-	c.stage, c.target, c.memberLeft, st.platformOrder = ordered, target, false, target
+	c.stage, c.target, c.memberLeft, c.suspectsHidden, st.platformOrder = ordered, target, false, false, target
 	if st.faultsLeft.recordings > 0 {
 		next := st
 		next.faultsLeft.recordings--
-		next.unrecordedOrder = true
+		next.unrecorded = pendingUnrecorded
 		e.add("order "+memberName(int(target))+" without a record", next, "")
 	}
 	st.recordedOrder = target
@@ -183,7 +224,12 @@
 }
 
 // endOrder records that the platform has executed an order or has dropped it.
-func (st *modelState) endOrder() { st.platformOrder, st.unrecordedOrder = none, false }
+func (st *modelState) endOrder() {
+	st.platformOrder = none
+	if st.unrecorded == pendingUnrecorded {
+		st.unrecorded = settledUnrecorded
+	}
+}
 
 // standbys returns the replicas as the coordinator knows them.
 func (st *modelState) standbys(safe safeguards) []group.Standby {
@@ -206,7 +252,7 @@
 // executePromotion is the platform's part: the member leads the next term with the log that it has.
 func (e *explorer) executePromotion(st modelState) {
 	m := st.platformOrder
-	if m != none && st.unrecordedOrder && !st.nodes[m].up {
+	if m != none && st.unrecorded == pendingUnrecorded && !st.nodes[m].up {
 		st.endOrder() // the new coordinator has waited for PromotionDelay
 		e.add("order lapses", st, "")
 		return
@@ -214,6 +260,11 @@
 	if m == none || !st.nodes[m].up {
 		return
 	}
+	if st.newestPrimary() == m && !st.replaced(m) {
+		st.endOrder()
+		e.add("order for the primary has no effect", st, "")
+		return
+	}
 	top := int8(0)
 	for i := range st.nodes {
 		top = max(top, st.nodes[i].term)
@@ -221,7 +272,7 @@
 	if top == maxTerms {
 		return
 	}
-	st.platformOrder, st.unrecordedOrder = none, st.unrecordedOrder && e.safeguards.proofOnly
+	st.endOrder()
 	n := &st.nodes[m]
 	violation := ""
 	if missing := st.missingWrite(n); missing != "" && !n.leads {
--- a/core/leadership/checker_test.go
+++ b/core/leadership/checker_test.go
@@ -63,11 +63,7 @@
 		cases = []faultBounds{{1, 1, 1, 0, 0, 0, 0}, {2, 1, 0, 0, 0, 0, 0}, {1, 0, 0, 1, 0, 0, 0}, {1, 0, 0, 0, 1, 0, 0}, {0, 1, 0, 0, 1, 0, 0}, {0, 1, 1, 0, 0, 1, 0}, {2, 0, 1, 0, 0, 1, 0}, {1, 0, 0, 1, 0, 0, 1}}
 	}
 	for _, b := range cases {
-		guards := allSafeguards()
-		// The wait does not help against a partition between the member of an unrecorded order and all others that begins
-		// when the platform executes the order: see docs/design/leadership.md.
-		guards.proofOnly = b.recordings > 0 && b.partitions > 0
-		v, n := explore(guards, b)
+		v, n := explore(allSafeguards(), b)
 		if v != nil {
 			t.Fatalf("%+v: %s, after:\n%s", b, v.invariant, strings.Join(v.trace, "\n"))
 		}
@@ -96,6 +92,8 @@
 		{"leases wait for an unrecorded promotion", faultBounds{0, 0, 1, 0, 0, 1, 0}, func(s *safeguards) { s.settlePromotions = false }},
 		{"fences are not released", faultBounds{0, 0, 0, 1, 0, 0, 0}, func(s *safeguards) { s.keepFences = false }},
 		{"failover after a restart waits for a coordinator whose role was removed", faultBounds{0, 0, 0, 1, 0, 0, 1}, func(s *safeguards) { s.waitAfterRestart = false }},
+		{"hidden primary is ruled out", faultBounds{1, 0, 1, 0, 0, 1, 0}, func(s *safeguards) { s.ruleOutHidden = false }},
+		{"fences exceed the term of a hidden primary", faultBounds{1, 0, 1, 0, 0, 1, 0}, func(s *safeguards) { s.fenceAboveHidden = false }},
 		{"all other members confirm the primary", faultBounds{2, 1, 0, 0, 0, 0, 0}, func(s *safeguards) { s.proveByAll = false }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/core/leadership/model_test.go
+++ b/core/leadership/model_test.go
@@ -16,14 +16,11 @@
 
 // safeguards are the rules on which the protocol relies. The checker disables them one by one.
 type safeguards struct {
-	waitForLeases, boundByRole, confirmWrites, fenceReplicas, requireFloor, detectRestarts, recordOrder, proveByAll, recheckReplicas, waitForFormerCoordinator, rememberRecord, settlePromotions, keepFences, waitAfterRestart bool
-	// proofOnly makes NoPromotionPending the only way to learn that no unrecorded order is pending. Without it, a new
-	// coordinator also learns that by waiting.
-	proofOnly bool
+	waitForLeases, boundByRole, confirmWrites, fenceReplicas, requireFloor, detectRestarts, recordOrder, proveByAll, recheckReplicas, waitForFormerCoordinator, rememberRecord, settlePromotions, keepFences, waitAfterRestart, ruleOutHidden, fenceAboveHidden bool
 }
 
 func allSafeguards() safeguards {
-	return safeguards{true, true, true, true, true, true, true, true, true, true, true, true, true, true, false}
+	return safeguards{true, true, true, true, true, true, true, true, true, true, true, true, true, true, true, true}
 }
 
 // none is the index of no member or host, and the length of no log.
@@ -86,6 +83,8 @@
 	memberLeft bool
 	// restarted is true if an earlier process of this host held the role.
 	restarted bool
+	// suspectsHidden is true while the coordinator promotes the primary again to rule out a hidden one.
+	suspectsHidden bool
 }
 
 // The states of a write.
@@ -97,6 +96,19 @@
 	inDoubt
 )
 
+// unrecordedOrder is the state of an order that a coordinator could not record.
+type unrecordedOrder int8
+
+const (
+	// noneUnrecorded means that there is none, or that a coordinator has ruled it out.
+	noneUnrecorded unrecordedOrder = iota
+	// pendingUnrecorded means that the platform may execute it.
+	pendingUnrecorded
+	// settledUnrecorded means that the platform has executed or dropped it, which a new coordinator knows after
+	// PromotionDelay.
+	settledUnrecorded
+)
+
 // write is the state of a write, the host that sent it, and the member and term that it was sent to.
 type write struct{ state, host, member, term int8 }
 
@@ -110,8 +122,8 @@
 	writes      [writeCount]write
 	// platformOrder is the member of an order that the platform may execute at any time, or none.
 	platformOrder int8
-	// unrecordedOrder is true while platformOrder was given by a coordinator that could not record it.
-	unrecordedOrder bool
+	// unrecorded is the state of an order that a coordinator could not record.
+	unrecorded unrecordedOrder
 	// recordedOrder is the member of the order in the stored record, or none. recordedTerm is the highest term
 	// there.
 	recordedOrder, recordedTerm int8
--- a/core/leadership/predecessor.go
+++ b/core/leadership/predecessor.go
@@ -22,6 +22,14 @@
 	RecordCertain bool
 	// NothingPending is true once NoPromotionPending has returned true for probes that were sent after PromotionsEnd.
 	NothingPending bool
+	// HiddenRuledOut is true once no unrecorded promotion of an earlier coordinator can have made another member than the
+	// known one the primary: see FindHiddenPrimary.
+	HiddenRuledOut bool
+}
+
+// HiddenPrimaryPossible reports whether an earlier coordinator may have made a member the primary that does not answer.
+func (p Predecessor) HiddenPrimaryPossible() bool {
+	return !p.HandedBack && !p.NothingPending && !p.HiddenRuledOut
 }
 
 // PromotionsEnd returns until when an earlier coordinator may have requested promotions without recording them: the
--- a/internal/gateway/failover.go
+++ b/internal/gateway/failover.go
@@ -47,13 +47,7 @@
 // its fence and may have acknowledged a write since. Hosts without a lease confirm such a write if the other replicas were
 // not fenced yet when they asked. The answer of a replica that lost its fence gets errFenceLost.
 func (w *groupMonitor) confirmFences(term group.Term, fenced []controlResult) []controlResult {
-	var reached []Member
-	for _, a := range fenced {
-		if a.err == nil {
-			reached = append(reached, a.member)
-		}
-	}
-	out := w.group.controlAll(reached, Probe{}, controlTimeout)
+	out := w.group.controlAll(answeredMembers(fenced), Probe{}, controlTimeout)
 	for i, a := range out {
 		if a.err == nil && a.status.Fenced < term {
 			out[i].err = errFenceLost
--- a/internal/gateway/fakesite_test.go
+++ b/internal/gateway/fakesite_test.go
@@ -230,7 +230,7 @@
 	for _, o := range s.members {
 		wasPrimary := o.isPrimary
 		o.fenced = 0
-		if o.partitioned && o != m {
+		if (o.partitioned || m.partitioned) && o != m {
 			continue
 		}
 		o.isPrimary = o == m
--- a/internal/gateway/fences.go
+++ b/internal/gateway/fences.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"pearlatch/core/group"
 	"pearlatch/core/leadership"
 )
 
@@ -31,6 +32,32 @@
 	return true
 }
 
+// hiddenPrimaryRuledOut reports whether no unrecorded promotion of an earlier coordinator can have made a member the primary that
+// does not answer. Where only one does not, it promotes the known primary again, so that this one is the latest.
+func (w *groupMonitor) hiddenPrimaryRuledOut(ctx context.Context, primary controlResult, replicas []controlResult) bool {
+	w.mu.Lock()
+	possible := w.host.settings.PromotionTokens && w.predecessor.HiddenPrimaryPossible()
+	settled, _ := w.predecessor.SettledAt()
+	w.mu.Unlock()
+	if !possible {
+		return true
+	}
+	if primary.sentAt.Before(settled) {
+		return false
+	}
+	found := leadership.FindHiddenPrimary(primary.status.Term, toProbeResults(replicas))
+	if found != leadership.HiddenNone {
+		w.log("primary_uncertain", "member", primary.member.ID, "term", primary.status.Term, "found", found.String(), "answers", formatResults(replicas))
+	}
+	if found == leadership.HiddenPossible || found == leadership.HiddenAlone && (w.predecessorMayAct() || !w.reinstate(ctx, primary, replicas)) {
+		return false
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.predecessor.HiddenRuledOut = true
+	return found == leadership.HiddenNone
+}
+
 // mayFinishChange reports whether this host is certain to be the coordinator until a command that it sends now has timed out.
 func (w *groupMonitor) mayFinishChange() bool {
 	w.mu.Lock()
@@ -39,22 +66,42 @@
 	return same && leadership.MayFinishChange(w.host.now(), w.soleHolderUntil(), controlTimeout)
 }
 
-// reinstate demotes the primary and promotes it again. Its log holds every write that it has acknowledged, and no other member
-// leads meanwhile. The leases end first, since callers would be sent to a member that refuses their writes.
-func (w *groupMonitor) reinstate(ctx context.Context, primary controlResult, replicas []controlResult) {
+// reinstate demotes the primary and promotes it again, and reports whether it leads then. Its log holds every write that it has
+// acknowledged. The leases end first, since callers would be sent to a member that refuses their writes.
+//
+// The replicas are fenced meanwhile, above the term of a primary that does not answer: if one comes back before the promotion has
+// taken effect, no other member than the demoted one acknowledges its writes.
+func (w *groupMonitor) reinstate(ctx context.Context, primary controlResult, replicas []controlResult) bool {
 	defer w.group.clearAllReplacements()
 	if !w.revokeLeases(ctx, false) {
-		return
+		return false
 	}
 	term := max(highestTerm(replicas), w.group.highestSeenTerm()) + 1
+	hidden := group.Term(countFailed(replicas))
+	fenced := w.group.controlAll(answeredMembers(replicas), Fence{Term: term + hidden}, controlTimeout)
+	if countFailed(w.confirmFences(term+hidden, fenced)) > 0 {
+		w.log("primary_not_demoted", "member", primary.member.ID, "term", term, "answers", formatResults(fenced))
+		return false
+	}
 	s, err := w.group.control(primary.member, Demote{Term: term}, controlTimeout)
 	if err != nil || s.IsPrimary {
 		w.log("primary_not_demoted", "member", primary.member.ID, "term", term, "err", err)
-		return
+		return false
 	}
 	w.log("primary_demoted", "member", primary.member.ID, "position", s.Received)
 	w.group.clearAllReplacements() // the primary is also the successor
-	w.promote(ctx, primary.member.ID, successorChoice{})
+	return w.promote(ctx, primary.member.ID, successorChoice{}) == promotionLed
+}
+
+// answeredMembers returns the members whose answers are not errors.
+func answeredMembers(answers []controlResult) []Member {
+	var out []Member
+	for _, a := range answers {
+		if a.err == nil {
+			out = append(out, a.member)
+		}
+	}
+	return out
 }
 
 // receivingReplicas returns the replicas that answered and receive the primary's log.
--- a/internal/gateway/group_monitor.go
+++ b/internal/gateway/group_monitor.go
@@ -214,6 +214,9 @@
 	if !w.promotionsSettled() || !w.tokenCurrent() {
 		return
 	}
+	if !w.hiddenPrimaryRuledOut(ctx, primary, replicas) {
+		return
+	}
 	w.recordPrimaryAnswer(primary)
 	w.demoteStalePrimaries(primary, answers)
 	if w.finishChange(ctx, primary, replicas) {
--- a/internal/gateway/leadership_test.go
+++ b/internal/gateway/leadership_test.go
@@ -417,3 +417,24 @@
 		s.writeMemberEntry(id, "ready")
 	}
 }
+
+// Guards against a write that a replaced primary acknowledges: a coordinator that can't reach the store promotes a replica, which
+// is cut off from everything at that moment. The next coordinator sees the old primary lead and must not rely on it.
+func TestHiddenPrimaryIsRuledOut(t *testing.T) {
+	withFleet(t, 3, 20, freshness.Latest{}, func(s *fakeSite, f *fakeFleet) {
+		previous := f.coordinatorHost()
+		name := previous.settings.Host
+		exec(previous, Write{})
+		f.setFault(f.storeSilentFor, name, true)
+		f.setFault(f.unreachable, name, true)
+		f.setFault(f.severed, name+" a", true)
+		promoted := s.awaitPromotionOf("a")
+		s.updateMember(promoted, func(m *fakeMember) { m.partitioned = true })
+		for _, h := range f.all() {
+			f.setFault(f.severed, h.settings.Host+" "+promoted, true)
+		}
+		took := awaitWrite(t, f.other(previous), 12*time.Second)
+		t.Logf("a write succeeded after %s", took)
+		wantNoLostWrites(t, s)
+	})
+}
