One reset of the primary's control connection starts no failover

Callers: a primary that is alive and at its limit of connections was replaced, and with it went open transactions and the time of a promotion.

Cause: silentRoundsOf took a reset for the end of the process. Members reset connections over their limit, too.

--- a/internal/gateway/failover_test.go
+++ b/internal/gateway/failover_test.go
@@ -395,3 +395,17 @@
 		}
 	})
 }
+
+// Guards against a failover because of one reset: a member resets connections over its limit, and the process that did is alive.
+func TestResetOfControlConnectionStartsNoFailover(t *testing.T) {
+	withHost(t, freshness.Latest{}, func(s *fakeSite, h *Host) {
+		exec(h, Write{})
+		for range 5 {
+			s.updateMember("a", func(m *fakeMember) { m.resetsControl = 1 })
+			time.Sleep(2 * time.Second)
+		}
+		if requests := s.promotionRequests(); len(requests) > 0 {
+			t.Errorf("promotions %v were requested", requests)
+		}
+	})
+}
--- a/internal/gateway/fakeconn_test.go
+++ b/internal/gateway/fakeconn_test.go
@@ -93,6 +93,10 @@
 	c.site.mu.Lock()
 	defer c.site.mu.Unlock()
 	m := c.m
+	if m.resetsControl > 0 {
+		m.resetsControl--
+		return Status{}, errors.WithStack(syscall.ECONNRESET)
+	}
 	if _, isProbe := o.(Probe); m.full || m.refusesProbes && isProbe {
 		return Status{}, &Failure{Busy, m.id}
 	}
--- a/internal/gateway/fakesite_test.go
+++ b/internal/gateway/fakesite_test.go
@@ -45,6 +45,7 @@
 	silent          bool // does not answer
 	receivesNothing bool // receives no log from the primary
 	resets          bool // resets connections for probes, as a member at its connection limit does
+	resetsControl   int  // number of control commands that it will answer with a reset
 	partitioned     bool // cut off from the other members: if replaced, it stays primary in its own term
 	incarnation     int  // identifies this run of the member's process
 	written         int  // how often it wrote its store entry
--- a/internal/gateway/group_monitor.go
+++ b/internal/gateway/group_monitor.go
@@ -163,7 +163,7 @@
 
 // silentRoundsOf returns how much a round in which no primary was found adds to silentRounds: 0 if the
 // last primary answered with a failure, so that it is alive; maxSilentRounds if it answered as a
-// replica, refused or reset the connection, or is no longer listed; and 1 otherwise.
+// replica, refused the connection, or is no longer listed; and 1 otherwise.
 func silentRoundsOf(primary Member, answers []controlResult) int {
 	for _, a := range answers {
 		if a.member.ID != primary.ID {
@@ -174,10 +174,10 @@
 			return maxSilentRounds // it answers as a replica
 		case isMemberFailure(a.err):
 			return 0 // it is alive
-		case connRefusedOrReset(a.err):
+		case connRefused(a.err):
 			return maxSilentRounds
 		}
-		return 1
+		return 1 // also if it reset the connection, as members do over their limit: a process that has ended refuses the next one
 	}
 	return maxSilentRounds // the platform no longer lists it
 }
