Leases are counted from the sending of a statement that the primary answered

Callers: after the loss of a primary, a failover that waits for the lease of a host that can't be reached took longer by the duration of the last answered statement.

Cause: a grant took the arrival of the answer for the sending of the request.

Left, and listed: canSkipProbe takes reports of other hosts for younger than they may be.

--- a/internal/gateway/coordinator_test.go
+++ b/internal/gateway/coordinator_test.go
@@ -116,3 +116,22 @@
 		time.Sleep(10 * time.Second)
 	})
 }
+
+// Guards against a lease that ends a statement's duration late, so that a failover waits for it that much longer.
+func TestLeaseIsCountedFromTheRequestThatThePrimaryAnswered(t *testing.T) {
+	withHost(t, freshness.Latest{}, func(_ *fakeSite, h *Host) {
+		exec(h, Write{})
+		time.Sleep(2 * time.Second)
+		const took = 600 * time.Millisecond
+		d, g := h.coordinatorOf(testGroup), h.group(testGroup)
+		renewLeaseNow(h, d)
+		d.setPrimaryStatus(primaryStatus{member: "a", term: 1, heardAt: time.Now().Add(-2 * time.Second)})
+		g.mu.Lock()
+		primary := g.members["a"]
+		g.mu.Unlock()
+		g.noteAnswer(primary, time.Now().Add(-took))
+		if got, want := d.grantLease("h2").Granted, leadership.LeaseDuration-took; got > want {
+			t.Errorf("the lease lasts %s after an answer to a request sent %s ago, want %s at most", got, took, want)
+		}
+	})
+}
--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -336,15 +336,16 @@
 	g.primaryTerm = max(g.primaryTerm, t)
 }
 
-// lastHeard returns when the member last answered a statement of this host, or false if it has not.
-func (g *Group) lastHeard(id string) (time.Time, bool) {
+// lastAnsweredRequest returns when the latest statement of this host was sent that the member has answered, or false if there is
+// none.
+func (g *Group) lastAnsweredRequest(id string) (sentAt time.Time, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m := g.members[id]
 	if m == nil {
 		return time.Time{}, false
 	}
-	return m.statementAnsweredAt, !m.statementAnsweredAt.IsZero()
+	return m.answeredStatementSentAt, !m.answeredStatementSentAt.IsZero()
 }
 
 // positionCovering returns the position that a member must hold to have everything acknowledged before
@@ -398,6 +399,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m.statementAnsweredAt, m.silentSince = g.now(), time.Time{}
+	if sentAt.After(m.answeredStatementSentAt) {
+		m.answeredStatementSentAt = sentAt
+	}
 	m.poolMember.ObserveLatency(m.statementAnsweredAt.Sub(sentAt))
 	g.metrics.MemberCall(g.name, m.ID, m.ID == g.primaryID, m.statementAnsweredAt.Sub(sentAt))
 }
--- a/internal/gateway/lease_grants.go
+++ b/internal/gateway/lease_grants.go
@@ -58,7 +58,7 @@
 // empty reply if this host is not the coordinator, hands the role back, or does not know the primary.
 func (d *coordinator) grantLease(host string) LeaseReply {
 	now := d.host.now()
-	heard, alive := d.group.lastHeard(d.leasedPrimary())
+	sentAt, answered := d.group.lastAnsweredRequest(d.leasedPrimary())
 	position, sampled := d.group.newestSample()
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -66,8 +66,8 @@
 		return LeaseReply{}
 	}
 	s := d.primaryStatus
-	if alive && heard.After(s.heardAt) {
-		s.heardAt = heard
+	if answered && sentAt.After(s.heardAt) {
+		s.heardAt = sentAt
 	}
 	granted := d.grants.Grant(host, now, leadership.GrantLimits{LastAnsweredRequest: s.heardAt, RoleUntil: d.soleHolderUntil(), InSwitchover: s.inSwitchover})
 	if granted == 0 && now.Sub(d.lastWokenAt) >= probeInterval {
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -53,6 +53,8 @@
 	receivedTerm group.Term
 	// statementAnsweredAt is when the member last answered a statement.
 	statementAnsweredAt time.Time
+	// answeredStatementSentAt is when the latest statement was sent that the member has answered.
+	answeredStatementSentAt time.Time
 	// leavingSince is when the member was first listed as leaving.
 	leavingSince time.Time
 }
