An unanswered promotion request can't undo a later promotion

Callers: acknowledged writes of some seconds are lost. A promotion request gets no answer, its repetition does, the member leads; another member is promoted within seconds, and then the platform carries out the first request.

Cause: the request is forgotten once its member leads, and the later promotion has the same token, so that the platform does not refuse the late one.

Change: an unanswered request is remembered. A promotion of another member under its token takes a higher one first, or is held back for as long as the platform may carry the request out (8 s).

--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -19,9 +19,6 @@
 	coordinatorLeaseTTL = 3 * time.Second
 	// recordWriteTimeout bounds a write of the record for the next coordinator.
 	recordWriteTimeout = 500 * time.Millisecond
-	// maxUnansweredPromotionDelay is how long after an unanswered request the platform may still promote the member,
-	// if it checks no fencing tokens: delayed calls on users' platforms are carried out up to 6 s later.
-	maxUnansweredPromotionDelay = 8 * time.Second
 	// coordinatorPollInterval is the interval at which a host checks for vacant roles. It is short because after a
 	// restart of all hosts nobody grants leases until the roles are acquired again.
 	coordinatorPollInterval = 100 * time.Millisecond
@@ -78,6 +75,8 @@
 	pendingMember string
 	pendingToken  kv.Revision
 	pendingAt     time.Time
+	// unanswered is the last promotion request that got no answer.
+	unanswered leadership.UnansweredPromotion
 	// raisedToken is the highest token that the platform has acknowledged. It refuses requests with lower tokens
 	// from then on.
 	raisedToken kv.Revision
--- a/internal/gateway/failover_test.go
+++ b/internal/gateway/failover_test.go
@@ -409,3 +409,32 @@
 		}
 	})
 }
+
+// Guards against an unanswered promotion request that is carried out after a later change of primary: its member leads again
+// without the writes that were acknowledged meanwhile.
+func TestLateDuplicateOfAPromotionLosesNoWrites(t *testing.T) {
+	withHost(t, freshness.Latest{}, func(s *fakeSite, h *Host) {
+		exec(h, Write{})
+		s.mu.Lock()
+		s.lateRequests = 1
+		s.mu.Unlock()
+		s.updateMember("a", func(m *fakeMember) { m.crashed = true })
+		awaitWrite(t, h, 4*time.Second)
+		first := s.primaryID()
+		s.updateMember("a", func(m *fakeMember) { m.crashed, m.isPrimary = false, false })
+		time.Sleep(time.Second)
+		s.writeMemberEntry(first, "draining")
+		for range 200 {
+			if s.primaryID() != first {
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		s.updateMember(first, func(m *fakeMember) { m.receivesNothing = true })
+		for range 400 {
+			exec(h, Write{})
+			time.Sleep(10 * time.Millisecond)
+		}
+		wantNoLostWrites(t, s)
+	})
+}
--- a/internal/gateway/fakesite_test.go
+++ b/internal/gateway/fakesite_test.go
@@ -29,6 +29,8 @@
 	workTime = 5 * time.Millisecond
 	// promoteTime is how long a fake promotion takes.
 	promoteTime = 300 * time.Millisecond
+	// lateDelay is how much later a request is carried out that the platform left unanswered.
+	lateDelay = 5 * time.Second
 )
 
 // fakeMember is a member with synchronous replication: a write is acknowledged
@@ -85,6 +87,8 @@
 	token          int64
 	promotions     []string
 	promotionDelay time.Duration
+	// lateRequests is the number of promotion requests that will be left unanswered and carried out lateDelay later.
+	lateRequests int
 	// ignoresTokens is true for a platform that does not check fencing tokens.
 	ignoresTokens      bool
 	acknowledgedWrites []group.Position // positions of acknowledged writes
@@ -184,6 +188,10 @@
 func (s *fakeSite) Promote(ctx context.Context, holder string, token int64, _, id string) error {
 	s.mu.Lock()
 	delay := s.promotionDelay
+	if s.lateRequests > 0 {
+		s.lateRequests--
+		delay = lateDelay
+	}
 	s.mu.Unlock()
 	if delay > 0 {
 		time.AfterFunc(delay, func() { _ = s.executePromotion(holder, token, id) })
--- a/internal/gateway/promotion.go
+++ b/internal/gateway/promotion.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"pearlatch/core/group"
+	"pearlatch/core/leadership"
 	"pearlatch/internal/pause"
 )
 
@@ -43,6 +44,12 @@
 			return promotionNotRequested
 		}
 	}
+	if w.mayBeUndone(id) {
+		if err := w.invalidatePromotion(ctx); err != nil {
+			w.log("promotion_held_back", "member", id, "why", "an earlier request got no answer", "err", err)
+			return promotionNotRequested
+		}
+	}
 	if err := w.recordPromotion(ctx, id); err != nil {
 		w.log("order_not_recorded", "member", id, "err", err)
 		if !w.host.settings.PromotionTokens {
@@ -160,6 +167,9 @@
 	}
 	if err != nil {
 		w.log("promotion_unanswered", "member", id, "token", int64(token), "err", err)
+		w.mu.Lock()
+		w.unanswered = leadership.UnansweredPromotion{Member: id, Token: token, SentAt: w.host.now()}
+		w.mu.Unlock()
 		return true
 	}
 	// The platform refuses older tokens from now on. This token's promotion is pending until the member leads.
--- a/internal/gateway/promotion_state.go
+++ b/internal/gateway/promotion_state.go
@@ -52,6 +52,13 @@
 	return d.pendingMember
 }
 
+// mayBeUndone reports whether an earlier request of this host may be carried out after the member's promotion.
+func (d *coordinator) mayBeUndone(id string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.unanswered.MayUndo(id, d.token, d.host.now())
+}
+
 // clearPendingPromotion records that no promotion is pending any more.
 func (d *coordinator) clearPendingPromotion() {
 	d.mu.Lock()
@@ -64,7 +71,7 @@
 func (d *coordinator) pendingPromotionExpired() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return !d.host.settings.PromotionTokens && d.host.now().Sub(d.pendingAt) > maxUnansweredPromotionDelay
+	return !d.host.settings.PromotionTokens && d.host.now().Sub(d.pendingAt) > leadership.MaxUnansweredPromotionDelay
 }
 
 // noteTokenRaised records that the platform has acknowledged the token.
