--- a/core/statement/classify.go
+++ b/core/statement/classify.go
@@ -68,12 +68,12 @@
 // kindOf returns the kind of the statement from its leading keyword.
 func kindOf(sql string) Kind {
 	switch word, rest := leadingKeyword(sql); word {
-	case "SELECT":
+	case "SELECT", "VALUES":
 		if takesLocks(sql) {
 			return Write
 		}
 		return Read
-	case "SHOW", "TABLE", "VALUES":
+	case "SHOW", "TABLE":
 		return Read
 	case "BEGIN", "START":
 		if containsFold(rest, "READ ONLY") {
@@ -101,7 +101,7 @@
 	return found && strings.Trim(rest, " \t\r\n;") != ""
 }
 
-// takesLocks reports whether a SELECT takes row locks, which replicas refuse,
+// takesLocks reports whether a query takes row locks, which replicas refuse,
 // or advisory locks, which serve no purpose on a replica.
 func takesLocks(sql string) bool {
 	return containsFold(sql, " FOR UPDATE") || containsFold(sql, " FOR SHARE") ||
@@ -109,8 +109,11 @@
 }
 
 // pinsSession reports whether the statement changes session state that outlives
-// its transaction.
+// its transaction. Functions that do so may stand in any part of any statement.
 func pinsSession(sql string) bool {
+	if containsFold(sql, "pg_advisory_lock") || containsFold(sql, "pg_try_advisory_lock") || containsFold(sql, "set_config") {
+		return true
+	}
 	switch word, rest := leadingKeyword(sql); word {
 	case "SET":
 		next, _ := leadingKeyword(strings.TrimLeft(rest, " \t\r\n"))
@@ -122,8 +125,6 @@
 		return next == "TEMP" || next == "TEMPORARY" || next == "LOCAL" || next == "GLOBAL"
 	case "DECLARE":
 		return containsFold(rest, "WITH HOLD")
-	case "SELECT":
-		return containsFold(sql, "pg_advisory_lock") || containsFold(sql, "pg_try_advisory_lock") || containsFold(sql, "set_config")
 	}
 	return false
 }
