core/membership: a host that is listed as leaving ranks itself as leaving

Callers of pearlatch serve: a host that the platform was about to remove kept its groups until something else changed the list of hosts.

Cause: mergeListed set the own host's flag and left the cached lists; the fingerprint of a change left the own host out.

--- a/core/membership/membership_test.go
+++ b/core/membership/membership_test.go
@@ -148,3 +148,14 @@
 		t.Errorf("a round probed %d hosts, want all neighbours", len(probed))
 	}
 }
+
+// Guards against a host that owns groups although the platform lists it as leaving: it ranked itself by a cached list.
+func TestListedAsLeavingChangesOwnRank(t *testing.T) {
+	changes := 0
+	table := NewTable(Host{ID: "self"}, DefaultTiming(), func() { changes++ })
+	table.Live()
+	table.MergeHostList([]Host{{ID: "self", Leaving: true}}, time.Now())
+	if live := table.Live(); len(live) != 1 || !live[0].Leaving || changes != 1 {
+		t.Errorf("live hosts %+v after %d changes, want one that leaves after 1", live, changes)
+	}
+}
--- a/core/membership/table.go
+++ b/core/membership/table.go
@@ -391,10 +391,10 @@
 	t.unlockAndNotify(before)
 }
 
-// fingerprint returns a hash of the IDs of the live hosts other than the table's own, and
-// whether they are leaving, on which rankings depend. t.mu is held.
+// fingerprint returns a hash of the IDs of the live hosts, and whether they are leaving, on
+// which rankings depend. t.mu is held.
 func (t *Table) fingerprint() uint64 {
-	var sum uint64
+	sum := pairHash(t.self.ID, leavingText(t.self.Leaving))
 	for id, e := range t.entries {
 		if e.status.State != Dead {
 			sum += pairHash(id, leavingText(e.status.Host.Leaving))
