--- a/internal/host/configure.go
+++ b/internal/host/configure.go
@@ -142,9 +142,11 @@
 	}
 	for _, e := range c.earlier {
 		if e.Number == have {
-			delta, err = etcd.EncodeDelta(e, c.newest)
+			if delta, err = etcd.EncodeDelta(e, c.newest); err != nil {
+				return 0, nil, err
+			}
 			c.deltas[have] = delta
-			return have, delta, err
+			return have, delta, nil
 		}
 	}
 	delta, err = etcd.EncodeRevision(c.newest)
