--- a/io/etcd/revision.go
+++ b/io/etcd/revision.go
@@ -61,18 +61,21 @@
 func DecodeRevision(b []byte) (config.Revision, error) {
 	plain, err := decoder.DecodeAll(b, nil)
 	if err != nil {
-		return config.Revision{}, errors.Wrap(err, "decode revision")
+		return config.Revision{}, errors.Wrapf(errUnreadable, "decode revision: %v", err)
 	}
 	return unmarshalRevision(plain)
 }
 
+// errUnreadable means that a stored revision can't be decoded, now or later.
+var errUnreadable = errors.New("the stored revision can't be read")
+
 func unmarshalRevision(plain []byte) (config.Revision, error) {
 	var r revisionRecord
 	if err := json.Unmarshal(plain, &r); err != nil {
-		return config.Revision{}, errors.Wrap(err, "decode revision")
+		return config.Revision{}, errors.Wrapf(errUnreadable, "decode revision: %v", err)
 	}
 	if r.Number == 0 {
-		return config.Revision{}, errors.New("decode revision: number is missing")
+		return config.Revision{}, errors.Wrap(errUnreadable, "decode revision: number is missing")
 	}
 	return config.Revision{
 		Number: r.Number, Author: r.Author, At: r.At, Submission: r.Submission, Text: []byte(r.Document),
--- a/io/etcd/submit.go
+++ b/io/etcd/submit.go
@@ -65,7 +65,7 @@
 func trySubmit(ctx context.Context, s Store, base uint64, r config.Revision, value []byte, retried bool) (done bool, err error) {
 	entry, current, err := Current(ctx, s)
 	if err != nil {
-		return false, err
+		return !retried && errors.Is(err, errUnreadable), err
 	}
 	if current.Number != base {
 		if retried {
--- a/io/etcd/submit_test.go
+++ b/io/etcd/submit_test.go
@@ -199,3 +199,18 @@
 		t.Errorf("decoded revision %d of %d bytes, %v", got.Number, len(got.Text), err)
 	}
 }
+
+// Guards against an operator who waits 20 s for the answer that the outcome is unknown, while the stored configuration can't be
+// decoded and nothing was written.
+func TestSubmitOverUnreadableConfiguration(t *testing.T) {
+	ctx := testContext(t)
+	_, s := startPlatform(t)
+	if _, err := s.CompareAndSwap(ctx, etcd.ConfigKey, 0, []etcd.Put{{Key: etcd.ConfigKey, Value: []byte("no revision")}}, nil); err != nil {
+		t.Fatal(err)
+	}
+	short, cancel := context.WithTimeout(ctx, 5*time.Second)
+	defer cancel()
+	if _, err := etcd.Submit(short, s, 0, "operator", []byte("a")); err == nil || errors.Is(err, etcd.ErrOutcomeUnknown) || short.Err() != nil {
+		t.Errorf("%v, want an error that says what can't be decoded", err)
+	}
+}
