A replica that returns during a promotion confirms no write: test

The primary acknowledges the write with that replica, but the host has no lease any more and confirms nothing while the other replica has a fence; callers get InDoubt, which promises nothing.

--- a/internal/gateway/leadership_test.go
+++ b/internal/gateway/leadership_test.go
@@ -438,3 +438,36 @@
 		wantNoLostWrites(t, s)
 	})
 }
+
+// Guards against a lost write: a replica that was dead comes back without a fence, and confirms a write, during the promotion of a
+// successor to a primary that only the coordinator does not reach.
+func TestReplicaThatReturnsDuringAPromotionConfirmsNoWrite(t *testing.T) {
+	withFleet(t, 3, 20, freshness.Latest{}, func(s *fakeSite, f *fakeFleet) {
+		coord := f.coordinatorHost()
+		other := f.other(coord)
+		exec(other, Write{})
+		s.updateMember("c", func(m *fakeMember) { m.crashed = true })
+		s.writeMemberEntry("c", "")
+		time.Sleep(8 * time.Second)
+		exec(other, Write{})
+		f.setFault(f.unreachable, coord.settings.Host, true)
+		f.setFault(f.severed, coord.settings.Host+" a", true)
+		ordered := s.awaitPromotionOf("a")
+		s.updateMember(ordered, func(m *fakeMember) { m.receivesNothing = true })
+		s.updateMember("c", func(m *fakeMember) { m.crashed, m.fenced = false, 0 })
+		s.writeMemberEntry("c", "ready")
+		failed := map[Code]int{}
+		for range 200 {
+			if r := exec(other, Write{}); r.Failure != nil {
+				failed[r.Failure.Code]++
+			} else if r.Signature == "by a" {
+				t.Errorf("a acknowledged a write at %v that %s lacks", r.Position, ordered)
+				return
+			}
+			time.Sleep(2 * time.Millisecond)
+		}
+		if failed[InDoubt] == 0 {
+			t.Errorf("no write reached a during the promotion: %v", failed)
+		}
+	})
+}
