io/upstream: a fence's result is not read while its command runs

Callers of pearlatch serve: nothing that was traced to it; a data race in a failover whose fence times out.

Cause: prober.do returns when its context ends although the command may go on, and fence returned the variable that the command writes.

--- a/io/upstream/fence.go
+++ b/io/upstream/fence.go
@@ -61,11 +61,11 @@
 // disconnected from its source; a primary is made read-only and its sessions are
 // ended.
 func (o *Owner) fence(ctx context.Context, i int, fence group.Fence) (group.FenceAck, error) {
-	var out group.FenceAck
+	acks := make(chan group.FenceAck, 1) // the command may outlast the wait for it
 	err := o.probers[i].do(ctx, func(ctx context.Context, conn *pgconn.PgConn, _ uint64) error {
 		if o.options.Unsafe.SkipFence {
 			status, err := queryStatus(ctx, conn)
-			out = fenceAckOf(i, status)
+			acks <- fenceAckOf(i, status)
 			return err
 		}
 		before, status, err := storeFence(ctx, conn, fence, func(s group.Status) []string {
@@ -78,10 +78,13 @@
 			return err
 		}
 		status, err = awaitLogEnd(ctx, conn, status, before.LogTerm == before.Fence.Term)
-		out = fenceAckOf(i, status)
+		acks <- fenceAckOf(i, status)
 		return err
 	})
-	return out, err
+	if err != nil {
+		return group.FenceAck{}, err
+	}
+	return <-acks, nil
 }
 
 func fenceAckOf(i int, s group.Status) group.FenceAck {
