--- a/core/leadership/hidden.go
+++ b/core/leadership/hidden.go
@@ -2,14 +2,15 @@
 
 import "pearlatch/core/group"
 
-// HiddenPrimary says whether an unrecorded promotion of an earlier coordinator may have made a member the primary that nobody
-// reaches.
+// HiddenPrimary says whether a member that does not answer may be the primary, after a promotion that an earlier coordinator
+// requested without recording it.
 type HiddenPrimary int
 
 //go:generate go tool stringer -type HiddenPrimary
 
 const (
-	// HiddenPossible means that members which do not answer may have a primary among them that acknowledges writes.
+	// HiddenPossible means that several members do not answer, one of which may be the primary and acknowledge writes with
+	// another.
 	HiddenPossible HiddenPrimary = iota
 	// HiddenAlone means that the one member which does not answer may be the primary. Without a replica it acknowledges no
 	// write, so the known primary can be promoted in its place.
@@ -18,8 +19,8 @@
 	HiddenNone
 )
 
-// FindHiddenPrimary returns what the results of the members other than the known primary show, which leads in the term. All
-// probes must have been sent after Predecessor.SettledAt, so that every unrecorded promotion has taken effect.
+// FindHiddenPrimary returns what probes show. term is the term of the known primary, and others are the results of all other
+// members. The probes must have been sent after Predecessor.SettledAt, when every unrecorded promotion has taken effect.
 //
 // A member whose process has ended counts as one that does not answer: it leads again when it is back.
 func FindHiddenPrimary(term group.Term, others []ProbeResult) HiddenPrimary {
--- a/core/leadership/unanswered.go
+++ b/core/leadership/unanswered.go
@@ -17,9 +17,9 @@
 	SentAt time.Time
 }
 
-// MayUndo reports whether the platform may carry out the request after it has promoted another member with the token, and so make
-// Member the primary again without what was written since. That Member led meanwhile does not matter: a repeated request may have
-// been the one that was carried out.
+// MayUndo reports whether the request may be carried out after the promotion of another member with the given token. It would
+// make Member the primary again, without what was written since. That Member has led since the request does not rule that out:
+// a repetition of the request may be what the platform carried out.
 func (u UnansweredPromotion) MayUndo(member string, token kv.Revision, now time.Time) bool {
 	return u.Member != "" && u.Member != member && u.Token == token && now.Sub(u.SentAt) <= MaxUnansweredPromotionDelay
 }
--- a/core/leadership/unfinished.go
+++ b/core/leadership/unfinished.go
@@ -3,8 +3,8 @@
 import "time"
 
 // MayFinishChange reports whether a coordinator may finish a change of primary that has left fences behind. roleUntil is the
-// time until which it relies on its role, and timeout is how long a command may be under way. The fences may otherwise be those
-// of the next coordinator.
+// time until which it relies on its role, and timeout is how long a command may be under way. Later, the fences may be those of
+// the next coordinator.
 func MayFinishChange(now, roleUntil time.Time, timeout time.Duration) bool {
 	return now.Add(timeout).Before(roleUntil)
 }
--- a/internal/gateway/fences.go
+++ b/internal/gateway/fences.go
@@ -32,32 +32,6 @@
 	return true
 }
 
-// hiddenPrimaryRuledOut reports whether no unrecorded promotion of an earlier coordinator can have made a member the primary that
-// does not answer. Where only one does not, it promotes the known primary again, so that this one is the latest.
-func (w *groupMonitor) hiddenPrimaryRuledOut(ctx context.Context, primary controlResult, replicas []controlResult) bool {
-	w.mu.Lock()
-	possible := w.host.settings.PromotionTokens && w.predecessor.HiddenPrimaryPossible()
-	settled, _ := w.predecessor.SettledAt()
-	w.mu.Unlock()
-	if !possible {
-		return true
-	}
-	if primary.sentAt.Before(settled) {
-		return false
-	}
-	found := leadership.FindHiddenPrimary(primary.status.Term, toProbeResults(replicas))
-	if found != leadership.HiddenNone {
-		w.log("primary_uncertain", "member", primary.member.ID, "term", primary.status.Term, "found", found.String(), "answers", formatResults(replicas))
-	}
-	if found == leadership.HiddenPossible || found == leadership.HiddenAlone && (w.predecessorMayAct() || !w.reinstate(ctx, primary, replicas)) {
-		return false
-	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.predecessor.HiddenRuledOut = true
-	return found == leadership.HiddenNone
-}
-
 // mayFinishChange reports whether this host is certain to be the coordinator until a command that it sends now has timed out.
 func (w *groupMonitor) mayFinishChange() bool {
 	w.mu.Lock()
