--- a/core/leadership/change_test.go
+++ b/core/leadership/change_test.go
@@ -15,6 +15,7 @@
 	e.fenceReplicas(st)
 	e.chooseSuccessor(st)
 	e.executePromotion(st)
+	e.executeDuplicate(st)
 }
 
 // adoptPrimary makes the coordinator treat a member as the primary: of the members that lead and that it can reach,
@@ -46,13 +47,21 @@
 	case c.primary != none && c.primary != int8(best) && !st.nodes[c.primary].listed:
 		c.floor = none // the previous primary has left; it was not a replica when the floor was set
 	}
+	st.forgetEarlierOrders()
 	c.primary, c.stage, c.target, c.rechecked = int8(best), granting, none, false
 	c.fenced, c.fencedLength = [memberCount]bool{}, [memberCount]int8{}
 	st.recordedOrder, st.recordedTerm = none, max(st.recordedTerm, st.nodes[best].term)
+	e.add("adopt "+memberName(best), st, "")
+}
+
+// forgetEarlierOrders forgets the orders that can have no effect once the coordinator relies on a primary.
+func (st *modelState) forgetEarlierOrders() {
+	if st.coordinator.primary == none {
+		st.duplicateOrder = none // a new coordinator has raised its token
+	}
 	if st.unrecorded == settledUnrecorded {
 		st.unrecorded = noneUnrecorded
 	}
-	e.add("adopt "+memberName(best), st, "")
 }
 
 // promotionsSettled reports whether the coordinator knows that no unrecorded order replaces the primary, or has replaced it. It
@@ -198,6 +207,9 @@
 // order adds the order to promote a member, with and without a record of it.
 func (e *explorer) order(st modelState, target int8) {
 	c := &st.coordinator
+	if st.duplicateOrder != target && e.safeguards.renewToken {
+		st.duplicateOrder = none // the platform refuses it once it has seen the token of this order
+	}
 	c.stage, c.target, c.memberLeft, c.suspectsHidden, st.platformOrder = ordered, target, false, false, target
 	if st.faultsLeft.recordings > 0 {
 		next := st
@@ -260,8 +272,26 @@
 	if m == none || !st.nodes[m].up {
 		return
 	}
+	st.endOrder()
+	e.promote(st, m)
+	if st.faultsLeft.duplicates > 0 {
+		st.faultsLeft.duplicates--
+		st.duplicateOrder = m
+		e.promote(st, m)
+	}
+}
+
+// executeDuplicate adds the second execution of an order.
+func (e *explorer) executeDuplicate(st modelState) {
+	if m := st.duplicateOrder; m != none && st.nodes[m].up {
+		st.duplicateOrder = none
+		e.promote(st, m)
+	}
+}
+
+// promote adds the effect of an order on a member that is up.
+func (e *explorer) promote(st modelState, m int8) {
 	if st.newestPrimary() == m && !st.replaced(m) {
-		st.endOrder()
 		e.add("order for the primary has no effect", st, "")
 		return
 	}
@@ -269,10 +299,9 @@
 	for i := range st.nodes {
 		top = max(top, st.nodes[i].term)
 	}
-	if top == maxTerms {
+	if top == e.maxTerms {
 		return
 	}
-	st.endOrder()
 	n := &st.nodes[m]
 	violation := ""
 	if missing := st.missingWrite(n); missing != "" && !n.leads {
--- a/core/leadership/checker_test.go
+++ b/core/leadership/checker_test.go
@@ -23,7 +23,7 @@
 func explore(guards safeguards, b faultBounds) (*violation, int) {
 	first := newModelState(b)
 	seen := map[modelState]predecessor{first: {}}
-	e := &explorer{safeguards: guards}
+	e := &explorer{safeguards: guards, maxTerms: maxTerms + b.duplicates}
 	for queue := []modelState{first}; len(queue) > 0; queue = queue[1:] {
 		st := queue[0]
 		for _, s := range e.next(st) {
@@ -55,12 +55,12 @@
 var allFaults = flag.Bool("all", false, "explore combinations of faults, such as partitions, crashes and role expirations")
 
 // A member crashes and restarts with or without its log, a partition separates the primary and a host from the
-// rest, the role changes hands, or promotion orders are executed late, in any order. No read may miss an
+// rest, the role changes hands, or promotion orders are executed late or twice, in any order. No read may miss an
 // acknowledged write, and no promoted member may lack one.
 func TestProtocolInvariants(t *testing.T) {
-	cases := []faultBounds{{1, 0, 0, 0, 0, 0, 0}, {0, 1, 0, 0, 0, 0, 0}, {0, 0, 1, 0, 0, 0, 0}, {0, 0, 0, 1, 0, 0, 0}, {0, 0, 0, 0, 1, 0, 0}, {0, 0, 1, 0, 0, 1, 0}, {1, 0, 1, 0, 0, 1, 0}, {0, 0, 0, 1, 0, 0, 1}}
+	cases := []faultBounds{{1, 0, 0, 0, 0, 0, 0, 0}, {0, 1, 0, 0, 0, 0, 0, 0}, {0, 0, 1, 0, 0, 0, 0, 0}, {0, 0, 0, 1, 0, 0, 0, 0}, {0, 0, 0, 0, 1, 0, 0, 0}, {0, 0, 1, 0, 0, 1, 0, 0}, {1, 0, 1, 0, 0, 1, 0, 0}, {0, 0, 0, 1, 0, 0, 1, 0}, {0, 0, 0, 0, 0, 0, 0, 1}}
 	if *allFaults {
-		cases = []faultBounds{{1, 1, 1, 0, 0, 0, 0}, {2, 1, 0, 0, 0, 0, 0}, {1, 0, 0, 1, 0, 0, 0}, {1, 0, 0, 0, 1, 0, 0}, {0, 1, 0, 0, 1, 0, 0}, {0, 1, 1, 0, 0, 1, 0}, {2, 0, 1, 0, 0, 1, 0}, {1, 0, 0, 1, 0, 0, 1}}
+		cases = []faultBounds{{1, 1, 1, 0, 0, 0, 0, 0}, {2, 1, 0, 0, 0, 0, 0, 0}, {1, 0, 0, 1, 0, 0, 0, 0}, {1, 0, 0, 0, 1, 0, 0, 0}, {0, 1, 0, 0, 1, 0, 0, 0}, {0, 1, 1, 0, 0, 1, 0, 0}, {2, 0, 1, 0, 0, 1, 0, 0}, {1, 0, 0, 1, 0, 0, 1, 0}}
 	}
 	for _, b := range cases {
 		v, n := explore(allSafeguards(), b)
@@ -78,23 +78,24 @@
 		bounds  faultBounds
 		disable func(*safeguards)
 	}{
-		{"failover waits for leases", faultBounds{1, 0, 0, 0, 0, 0, 0}, func(s *safeguards) { s.waitForLeases = false }},
-		{"leases end with the role", faultBounds{1, 0, 1, 0, 0, 0, 0}, func(s *safeguards) { s.boundByRole = false }},
-		{"replicas are fenced", faultBounds{0, 0, 0, 0, 0, 0, 0}, func(s *safeguards) { s.fenceReplicas = false }},
-		{"fenced replicas are rechecked", faultBounds{0, 1, 0, 0, 0, 0, 0}, func(s *safeguards) { s.recheckReplicas = false }},
-		{"successor has the floor", faultBounds{0, 1, 0, 0, 0, 0, 0}, func(s *safeguards) { s.requireFloor = false }},
-		{"restarts are detected", faultBounds{0, 1, 0, 0, 0, 0, 0}, func(s *safeguards) { s.detectRestarts = false }},
-		{"promotion orders are recorded", faultBounds{1, 0, 1, 0, 0, 0, 0}, func(s *safeguards) { s.recordOrder = false }},
-		{"writes without a lease are confirmed", faultBounds{1, 0, 0, 0, 0, 0, 0}, func(s *safeguards) { s.confirmWrites = false }},
-		{"failover waits for a coordinator whose role was removed", faultBounds{1, 0, 0, 1, 0, 0, 0}, func(s *safeguards) { s.waitForFormerCoordinator = false }},
-		{"record is remembered over a restore of the store", faultBounds{1, 0, 0, 0, 1, 0, 0}, func(s *safeguards) { s.rememberRecord = false }},
-		{"failover waits for a coordinator missing from the restored store", faultBounds{1, 0, 0, 0, 1, 0, 0}, func(s *safeguards) { s.waitForFormerCoordinator = false }},
-		{"leases wait for an unrecorded promotion", faultBounds{0, 0, 1, 0, 0, 1, 0}, func(s *safeguards) { s.settlePromotions = false }},
-		{"fences are not released", faultBounds{0, 0, 0, 1, 0, 0, 0}, func(s *safeguards) { s.keepFences = false }},
-		{"failover after a restart waits for a coordinator whose role was removed", faultBounds{0, 0, 0, 1, 0, 0, 1}, func(s *safeguards) { s.waitAfterRestart = false }},
-		{"hidden primary is ruled out", faultBounds{1, 0, 1, 0, 0, 1, 0}, func(s *safeguards) { s.ruleOutHidden = false }},
-		{"fences exceed the term of a hidden primary", faultBounds{1, 0, 1, 0, 0, 1, 0}, func(s *safeguards) { s.fenceAboveHidden = false }},
-		{"all other members confirm the primary", faultBounds{2, 1, 0, 0, 0, 0, 0}, func(s *safeguards) { s.proveByAll = false }},
+		{"failover waits for leases", faultBounds{1, 0, 0, 0, 0, 0, 0, 0}, func(s *safeguards) { s.waitForLeases = false }},
+		{"leases end with the role", faultBounds{1, 0, 1, 0, 0, 0, 0, 0}, func(s *safeguards) { s.boundByRole = false }},
+		{"replicas are fenced", faultBounds{0, 0, 0, 0, 0, 0, 0, 0}, func(s *safeguards) { s.fenceReplicas = false }},
+		{"fenced replicas are rechecked", faultBounds{0, 1, 0, 0, 0, 0, 0, 0}, func(s *safeguards) { s.recheckReplicas = false }},
+		{"successor has the floor", faultBounds{0, 1, 0, 0, 0, 0, 0, 0}, func(s *safeguards) { s.requireFloor = false }},
+		{"restarts are detected", faultBounds{0, 1, 0, 0, 0, 0, 0, 0}, func(s *safeguards) { s.detectRestarts = false }},
+		{"promotion orders are recorded", faultBounds{1, 0, 1, 0, 0, 0, 0, 0}, func(s *safeguards) { s.recordOrder = false }},
+		{"writes without a lease are confirmed", faultBounds{1, 0, 0, 0, 0, 0, 0, 0}, func(s *safeguards) { s.confirmWrites = false }},
+		{"failover waits for a coordinator whose role was removed", faultBounds{1, 0, 0, 1, 0, 0, 0, 0}, func(s *safeguards) { s.waitForFormerCoordinator = false }},
+		{"record is remembered over a restore of the store", faultBounds{1, 0, 0, 0, 1, 0, 0, 0}, func(s *safeguards) { s.rememberRecord = false }},
+		{"failover waits for a coordinator missing from the restored store", faultBounds{1, 0, 0, 0, 1, 0, 0, 0}, func(s *safeguards) { s.waitForFormerCoordinator = false }},
+		{"leases wait for an unrecorded promotion", faultBounds{0, 0, 1, 0, 0, 1, 0, 0}, func(s *safeguards) { s.settlePromotions = false }},
+		{"fences are not released", faultBounds{0, 0, 0, 1, 0, 0, 0, 0}, func(s *safeguards) { s.keepFences = false }},
+		{"failover after a restart waits for a coordinator whose role was removed", faultBounds{0, 0, 0, 1, 0, 0, 1, 0}, func(s *safeguards) { s.waitAfterRestart = false }},
+		{"hidden primary is ruled out", faultBounds{1, 0, 1, 0, 0, 1, 0, 0}, func(s *safeguards) { s.ruleOutHidden = false }},
+		{"fences exceed the term of a hidden primary", faultBounds{1, 0, 1, 0, 0, 1, 0, 0}, func(s *safeguards) { s.fenceAboveHidden = false }},
+		{"a promotion after one without an answer has a higher token", faultBounds{0, 0, 0, 0, 0, 0, 0, 1}, func(s *safeguards) { s.renewToken = false }},
+		{"all other members confirm the primary", faultBounds{2, 1, 0, 0, 0, 0, 0, 0}, func(s *safeguards) { s.proveByAll = false }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			guards := allSafeguards()
--- a/core/leadership/model_test.go
+++ b/core/leadership/model_test.go
@@ -11,16 +11,16 @@
 	writeCount  = 1
 	memberCount = 3
 	hostCount   = 2
-	maxTerms    = 3
+	maxTerms    = 3 // and one more for a duplicate of an order
 )
 
 // safeguards are the rules on which the protocol relies. The checker disables them one by one.
 type safeguards struct {
-	waitForLeases, boundByRole, confirmWrites, fenceReplicas, requireFloor, detectRestarts, recordOrder, proveByAll, recheckReplicas, waitForFormerCoordinator, rememberRecord, settlePromotions, keepFences, waitAfterRestart, ruleOutHidden, fenceAboveHidden bool
+	waitForLeases, boundByRole, confirmWrites, fenceReplicas, requireFloor, detectRestarts, recordOrder, proveByAll, recheckReplicas, waitForFormerCoordinator, rememberRecord, settlePromotions, keepFences, waitAfterRestart, ruleOutHidden, fenceAboveHidden, renewToken bool
 }
 
 func allSafeguards() safeguards {
-	return safeguards{true, true, true, true, true, true, true, true, true, true, true, true, true, true, true, true}
+	return safeguards{true, true, true, true, true, true, true, true, true, true, true, true, true, true, true, true, true}
 }
 
 // none is the index of no member or host, and the length of no log.
@@ -122,6 +122,8 @@
 	writes      [writeCount]write
 	// platformOrder is the member of an order that the platform may execute at any time, or none.
 	platformOrder int8
+	// duplicateOrder is the member of an order that was executed and that the platform may execute once more, or none.
+	duplicateOrder int8
 	// unrecorded is the state of an order that a coordinator could not record.
 	unrecorded unrecordedOrder
 	// recordedOrder is the member of the order in the stored record, or none. recordedTerm is the highest term
@@ -132,12 +134,12 @@
 }
 
 // faultBounds bounds how often the network is partitioned, a member crashes, the role expires, the role's entry is
-// removed early, the store is restored from an older copy, an order can't be recorded, and the coordinator's process
-// restarts.
-type faultBounds struct{ partitions, crashes, expirations, removals, restores, recordings, processes int8 }
+// removed early, the store is restored from an older copy, an order can't be recorded, the coordinator's process restarts, and
+// an order without an answer is executed twice.
+type faultBounds struct{ partitions, crashes, expirations, removals, restores, recordings, processes, duplicates int8 }
 
 func newModelState(b faultBounds) modelState {
-	st := modelState{platformOrder: none, recordedOrder: none, faultsLeft: b}
+	st := modelState{platformOrder: none, duplicateOrder: none, recordedOrder: none, faultsLeft: b}
 	for i := range st.nodes {
 		st.nodes[i] = node{up: true, leads: i == 0, term: 1, listed: true}
 	}
--- a/core/leadership/steps_test.go
+++ b/core/leadership/steps_test.go
@@ -14,6 +14,7 @@
 // explorer lists the transitions from a state.
 type explorer struct {
 	safeguards safeguards
+	maxTerms   int8
 	out        []transition
 }
 
