Fences that are set for a hidden primary end, and replaced members hide none

A member that was replaced at its address answers Misrouted and counted as silent. The fences above the hidden primary's term outlast the promotion where there was none, on a platform that ends fences up to the new term only (the lab's model does; the users' page says that a promotion ends them). finishChange then fenced as high again, each time.

TestFencesForAHiddenPrimaryEnd (new) fails before: 24 promotions, no write in 15 s.

Change: members that were replaced don't count. Ending fences sets none above the new term, and is done once in 5 s at most.

--- a/internal/gateway/fakesite_test.go
+++ b/internal/gateway/fakesite_test.go
@@ -90,7 +90,9 @@
 	// lateRequests is the number of promotion requests that will be left unanswered and carried out lateDelay later.
 	lateRequests int
 	// ignoresTokens is true for a platform that does not check fencing tokens.
-	ignoresTokens      bool
+	ignoresTokens bool
+	// keepsLaterFences is true if a promotion ends only the fences up to its term.
+	keepsLaterFences   bool
 	acknowledgedWrites []group.Position // positions of acknowledged writes
 	droppedWrites      []group.Position // those of them that a promoted member did not hold
 	// ranFor maps a statement's ID to the account of the connection on which it ran.
@@ -238,7 +240,9 @@
 	}
 	for _, o := range s.members {
 		wasPrimary := o.isPrimary
-		o.fenced = 0
+		if !s.keepsLaterFences || o.fenced <= term+1 {
+			o.fenced = 0
+		}
 		if (o.partitioned || m.partitioned) && o != m {
 			continue
 		}
--- a/internal/gateway/fences.go
+++ b/internal/gateway/fences.go
@@ -8,6 +8,10 @@
 	"pearlatch/core/leadership"
 )
 
+// reinstateInterval is the minimum time between two promotions of a primary that end fences. Each interrupts service, and one that
+// leaves fences is not going to be the last.
+const reinstateInterval = 5 * time.Second
+
 // finishChange finishes a change of primary that has left fences behind, see leadership.NextFinishStep. It returns false if
 // there is none, or if the fences may be those of another coordinator.
 func (w *groupMonitor) finishChange(ctx context.Context, primary controlResult, replicas []controlResult) bool {
@@ -16,7 +20,7 @@
 		w.handOverAttempts = 0
 		return false
 	}
-	if !w.mayFinishChange() || w.predecessorMayAct() {
+	if !w.mayFinishChange() || w.predecessorMayAct() || step == leadership.Reinstate && w.host.now().Sub(w.reinstatedAt) < reinstateInterval {
 		w.log("fences_kept", "answers", formatResults(replicas))
 		return false
 	}
@@ -27,7 +31,7 @@
 		w.switchOver(ctx, primary, replicas)
 	case leadership.Reinstate:
 		w.handOverAttempts = 0
-		w.reinstate(ctx, primary, replicas)
+		w.reinstate(ctx, primary, replicas, 0)
 	}
 	return true
 }
@@ -43,15 +47,15 @@
 // reinstate demotes the primary and promotes it again, and reports whether it leads then. Its log holds every write that it has
 // acknowledged. The leases end first, since callers would be sent to a member that refuses their writes.
 //
-// The replicas are fenced meanwhile, above the term of a primary that does not answer: if one comes back before the promotion has
-// taken effect, no other member than the demoted one acknowledges its writes.
-func (w *groupMonitor) reinstate(ctx context.Context, primary controlResult, replicas []controlResult) bool {
+// The replicas are fenced meanwhile, above the terms of hidden primaries: if one comes back before the promotion has taken effect,
+// no other member than the demoted one acknowledges its writes. Where there was none, the fences may exceed the new term and
+// outlast the promotion; finishChange ends them by another one, with no hidden primaries.
+func (w *groupMonitor) reinstate(ctx context.Context, primary controlResult, replicas []controlResult, hidden group.Term) bool {
 	defer w.group.clearAllReplacements()
 	if !w.revokeLeases(ctx, false) {
 		return false
 	}
 	term := max(highestTerm(replicas), w.group.highestSeenTerm()) + 1
-	hidden := group.Term(countFailed(replicas))
 	fenced := w.group.controlAll(answeredMembers(replicas), Fence{Term: term + hidden}, controlTimeout)
 	if countFailed(w.confirmFences(term+hidden, fenced)) > 0 {
 		w.log("primary_not_demoted", "member", primary.member.ID, "term", term, "answers", formatResults(fenced))
@@ -64,6 +68,9 @@
 	}
 	w.log("primary_demoted", "member", primary.member.ID, "position", s.Received)
 	w.group.clearAllReplacements() // the primary is also the successor
+	if hidden == 0 {
+		w.reinstatedAt = w.host.now()
+	}
 	return w.promote(ctx, primary.member.ID, successorChoice{}) == promotionLed
 }
 
--- a/internal/gateway/group_monitor.go
+++ b/internal/gateway/group_monitor.go
@@ -46,6 +46,8 @@
 	primary Member
 	// handOverAttempts counts the attempts to finish a change of primary by a switchover.
 	handOverAttempts int
+	// reinstatedAt is when a promotion of the primary to end fences was last requested.
+	reinstatedAt time.Time
 	// silentRounds counts rounds without an answer from the primary.
 	silentRounds int
 	stuckWrites  group.StuckWriteDetector
--- a/internal/gateway/hidden_primary.go
+++ b/internal/gateway/hidden_primary.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"pearlatch/core/leadership"
 )
@@ -21,11 +22,12 @@
 			return false
 		}
 	}
+	replicas = slices.DeleteFunc(slices.Clone(replicas), func(a controlResult) bool { return isReplaced(a.err) })
 	found := leadership.FindHiddenPrimary(primary.status.Term, toProbeResults(replicas))
 	if found != leadership.HiddenNone {
 		w.log("primary_uncertain", "member", primary.member.ID, "term", primary.status.Term, "found", found.String(), "answers", formatResults(replicas))
 	}
-	if found == leadership.HiddenPossible || found == leadership.HiddenAlone && (w.predecessorMayAct() || !w.reinstate(ctx, primary, replicas)) {
+	if found == leadership.HiddenPossible || found == leadership.HiddenAlone && (w.predecessorMayAct() || !w.reinstate(ctx, primary, replicas, 1)) {
 		return false
 	}
 	w.mu.Lock()
--- a/internal/gateway/leadership_test.go
+++ b/internal/gateway/leadership_test.go
@@ -471,3 +471,29 @@
 		}
 	})
 }
+
+// Guards against a primary that is promoted again and again, since the fences that are set for a hidden primary outlast its
+// promotion where there was none.
+func TestFencesForAHiddenPrimaryEnd(t *testing.T) {
+	withFleet(t, 3, 20, freshness.Latest{}, func(s *fakeSite, f *fakeFleet) {
+		s.keepsLaterFences = true
+		previous := f.coordinatorHost()
+		name := previous.settings.Host
+		exec(previous, Write{})
+		s.updateMember("b", func(m *fakeMember) { m.silent = true })
+		f.setFault(f.storeSilentFor, name, true)
+		f.setFault(f.unreachable, name, true)
+		for _, id := range []string{"a", "b", "c"} {
+			f.setFault(f.severed, name+" "+id, true)
+		}
+		awaitWrite(t, f.other(previous), 15*time.Second)
+		time.Sleep(10 * time.Second)
+		if r := exec(f.other(previous), Write{}); r.Failure != nil {
+			t.Errorf("a write fails 10 s later: %v", r.Failure)
+		}
+		if requests := s.promotionRequests(); len(requests) > 2 {
+			t.Errorf("promotions %v were requested, want two at most", requests)
+		}
+		wantNoLostWrites(t, s)
+	})
+}
--- a/internal/gateway/primary.go
+++ b/internal/gateway/primary.go
@@ -200,6 +200,12 @@
 	return errors.As(err, &f) && (f.Code == Busy || f.Code == TooManyConnections)
 }
 
+// isReplaced reports whether another member answered at the member's address, so that it has left for good.
+func isReplaced(err error) bool {
+	var f *Failure
+	return errors.As(err, &f) && f.Code == Misrouted
+}
+
 // isMemberFailure reports whether the error is a failure that the member itself answered with.
 func isMemberFailure(err error) bool {
 	var f *Failure
