--- a/internal/gateway/fakesite_test.go
+++ b/internal/gateway/fakesite_test.go
@@ -240,9 +240,7 @@
 	}
 	for _, o := range s.members {
 		wasPrimary := o.isPrimary
-		if !s.keepsLaterFences || o.fenced <= term+1 {
-			o.fenced = 0
-		}
+		s.endFence(o, term+1)
 		if (o.partitioned || m.partitioned) && o != m {
 			continue
 		}
@@ -265,6 +263,13 @@
 	m.applied = m.received
 }
 
+// endFence ends the fence of a member when a promotion begins the term.
+func (s *fakeSite) endFence(m *fakeMember, term group.Term) {
+	if !s.keepsLaterFences || m.fenced <= term {
+		m.fenced = 0
+	}
+}
+
 // lostWrites returns the acknowledged writes that the primary lacks or that a promotion dropped.
 func (s *fakeSite) lostWrites() []group.Position {
 	s.mu.Lock()
