A host that waits for its parent keeps the feed although the parent names an old path

Callers: one host of 30 acts on a replaced configuration 0.7 s after an outage of the store, which is when it must be in force.

Cause, of: a source that has lost its own one still names the hosts through which its updates came. A host on that path ended the feed at once, also while it waited for that source, and so missed the update with which the store came back.

--- a/core/serving/source_selector.go
+++ b/core/serving/source_selector.go
@@ -197,12 +197,12 @@
 // with the store would otherwise all look for one at the same moments, and for as long as the wait nobody would notice that
 // it has returned.
 func (s *SourceSelector) startWait(now time.Time, random float64) {
-	maxBackoff := maxHostBackoff
+	maxBackoff, jitter := maxHostBackoff, (random-0.5)*waitJitter
 	if _, ok := s.round[0].(StoreSource); ok {
-		maxBackoff = MaxStoreBackoff
+		maxBackoff, jitter = MaxStoreBackoff, -random*waitJitter/2 // all hosts below wait for this one
 	}
 	s.backoff = min(max(2*s.backoff, initialSourceBackoff), maxBackoff)
-	length := time.Duration((1 + (random-0.5)*waitJitter) * float64(s.backoff))
+	length := time.Duration((1 + jitter) * float64(s.backoff))
 	s.waiting, s.waitUntil, s.next = true, now.Add(length), 0
 	s.testAt = s.waitUntil
 }
--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -74,13 +74,15 @@
 			return err
 		}
 		followed := f.now().Sub(started)
+		own := slices.Contains(update.Path, f.settings.Self)
 		switch {
-		case slices.Contains(update.Path, f.settings.Self):
-			return errOwnUpdates
-		case update.Age <= maxUpdateAge:
+		case update.Age <= maxUpdateAge && !own:
 			f.recordSuccess(s, append([]netip.AddrPort{s.Addr}, update.Path...))
 			patience = 0
-		case followed >= patience:
+		case followed < patience: // its updates may change: a source that has lost its own one still names the old path
+		case own:
+			return errOwnUpdates
+		default:
 			return errStaleUpdates
 		}
 		if f.referral && followed > referralDuration || !f.referral && f.testPreferred(ctx) {
