--- a/core/leadership/change_test.go
+++ b/core/leadership/change_test.go
@@ -281,7 +281,7 @@
 	}
 }
 
-// executeDuplicate adds the second execution of an order.
+// executeDuplicate adds the second execution of an order, which may come after later orders.
 func (e *explorer) executeDuplicate(st modelState) {
 	if m := st.duplicateOrder; m != none && st.nodes[m].up {
 		st.duplicateOrder = none
--- a/core/leadership/model_test.go
+++ b/core/leadership/model_test.go
@@ -174,7 +174,7 @@
 	return best
 }
 
-// replaced reports whether a member knows a later term than that of the node, whose primary was demoted.
+// replaced reports whether any member knows a later term than the given one does.
 func (st *modelState) replaced(m int8) bool {
 	for i := range st.nodes {
 		if st.nodes[i].term > st.nodes[m].term {
--- a/core/leadership/predecessor.go
+++ b/core/leadership/predecessor.go
@@ -27,7 +27,7 @@
 	HiddenRuledOut bool
 }
 
-// HiddenPrimaryPossible reports whether an earlier coordinator may have made a member the primary that does not answer.
+// HiddenPrimaryPossible reports whether a member that does not answer may be the primary.
 func (p Predecessor) HiddenPrimaryPossible() bool {
 	return !p.HandedBack && !p.NothingPending && !p.HiddenRuledOut
 }
--- a/core/serving/source_selector.go
+++ b/core/serving/source_selector.go
@@ -124,9 +124,9 @@
 	s.testAt = now.Add(AlternativeDuration + time.Duration(random*float64(AlternativeDuration)/2))
 }
 
-// SourceToTest returns the preferred source if a test of it is due, which goes on beside the use of other sources: while
-// another source is in use, and while the host waits for a store that has not answered, since an unanswered call takes as
-// long as a round of all other sources.
+// SourceToTest returns the preferred source if a test of it is due. The caller runs the test in the background. Tests are due
+// while another source is in use, and while the host waits for the store: an unanswered call to the store takes longer than a
+// round of all other sources.
 func (s *SourceSelector) SourceToTest(lists SourceLists, now time.Time, random float64) (Source, bool) {
 	inUse := s.joined && s.next > 0
 	if !inUse && !s.awaitsStore() || now.Before(s.testAt) {
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -17,7 +17,7 @@
 // MaxStoreBackoff bounds the backoff of hosts that read the store themselves.
 const MaxStoreBackoff = serving.MaxStoreBackoff
 
-// referralDuration is how long a host follows a host that a busy one named before it asks the busy one again.
+// referralDuration is how long a host uses a referral before it asks the busy host again.
 const referralDuration = serving.AlternativeDuration
 
 // maxReferralsTried is the number of hosts tried of those that a busy host named.
@@ -46,8 +46,8 @@
 	log   func(event string, fields ...any)
 	now   func() time.Time
 
-	// selector chooses the source. alternative is true while another source than the present one is preferred, and referral
-	// while the present one was named by a busy host.
+	// selector chooses the source. alternative is true while the present source is not the preferred one, and referral while
+	// it was named by a busy host.
 	selector              serving.SourceSelector
 	alternative, referral bool
 	// test receives whether the preferred source works from the test that goes on, or is nil.
--- a/internal/gateway/promotion_state.go
+++ b/internal/gateway/promotion_state.go
@@ -52,7 +52,7 @@
 	return d.pendingMember
 }
 
-// mayBeUndone reports whether an earlier request of this host may be carried out after the member's promotion.
+// mayBeUndone reports whether a promotion of the member under the present token may be undone by an earlier request.
 func (d *coordinator) mayBeUndone(id string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
