internal/soak: a crash or a data race in a host is a finding

What was missed: a soaked host could report data races, panic or be ended by a signal while it drained, and the run passed unless callers lost something by it. What a host writes to stderr went to its log, which is dropped when the run passes, and the exit of a process that had been sent SIGTERM was not looked at.

Cause: hostProcess judged only the exits of processes that it had not asked to end, and read the log only for refusals of settings.

Change: when a process ends, killed ones included, its whole output is searched for reports of the race detector, panics (also those that net/http recovers from) and fatal errors; the first report, with files and lines, is in the finding CRASH. A signal that the soak didn't send is CRASH, an error after SIGTERM is EXIT. GORACE can't redirect the reports. A run whose hosts don't start says what they reported. TestReloadDoesNotEndStartingHost reads its host's output too.

Looked for elsewhere: core/quota's TestRemovalsAreDetected starts go test and tells failed builds apart; no other test or tool starts a program.

--- a/internal/soak/flaw_test.go
+++ b/internal/soak/flaw_test.go
@@ -35,12 +35,17 @@
 	"descriptors are leaked":                flawedConns(func(c gateway.Conn) gateway.Conn { return leakingConn{c} }),
 	"failed members are never dialed again": func(p *gateway.Ports) { p.Dialer = &failingDialer{Dialer: p.Dialer} },
 	"store epochs are hidden":               func(p *gateway.Ports) { p.Store = epochlessStore{p.Store} },
+	"the process panics while it drains":    func(*gateway.Ports) { go onTermination(func() { panic("flaw") }) },
+	"nil is dereferenced at SIGTERM":        func(*gateway.Ports) { go onTermination(func() { (*gateway.Ports)(nil).Metrics = nil }) },
+	"the process is killed while it drains": func(*gateway.Ports) { go onTermination(func() { _ = syscall.Kill(os.Getpid(), syscall.SIGKILL) }) },
+	"the process fails while it drains":     func(*gateway.Ports) { go onTermination(func() { os.Exit(3) }) },
 }
 
 // Guards against checks that pass whatever hosts do: for each check, a host that violates the guarantee must lead to
 // a finding with the name of that guarantee.
 func TestFlawsAreFound(t *testing.T) {
 	lag := func(seed uint64) Fault { return Fault{Kind: LagMember, For: 3 * time.Second, Seed: seed} }
+	stopHost := []Fault{{Kind: StopHost, For: 2 * time.Second}}
 	for _, c := range []struct {
 		flaw, finding string
 		faults        []Fault
@@ -63,6 +68,10 @@
 			{Kind: StoreRestored, For: 2 * time.Second}, {Kind: Configure, At: 500 * time.Millisecond, Seed: manyChangesSeed},
 			{Kind: Configure, At: time.Second, Seed: manyChangesSeed}, {Kind: Configure, At: 5500 * time.Millisecond, Seed: oddChangesSeed},
 		}, 0},
+		{"the process panics while it drains", "CRASH", stopHost, 0},
+		{"nil is dereferenced at SIGTERM", "CRASH", stopHost, 0},
+		{"the process is killed while it drains", "CRASH", stopHost, 0},
+		{"the process fails while it drains", "EXIT", stopHost, 0},
 	} {
 		t.Run(c.flaw, func(t *testing.T) {
 			t.Parallel()
@@ -303,6 +312,15 @@
 	os.Exit(0)
 }
 
+// onTermination calls f shortly after the process has received SIGTERM, while it drains.
+func onTermination(f func()) {
+	received := make(chan os.Signal, 1)
+	signal.Notify(received, syscall.SIGTERM)
+	<-received
+	time.Sleep(100 * time.Millisecond)
+	f()
+}
+
 // leakingConn leaks a file descriptor for each statement.
 type leakingConn struct{ gateway.Conn }
 
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -34,15 +34,17 @@
 	// incarnation counts the started processes. exited is closed when the current one ends.
 	incarnation int
 	exited      chan struct{}
-	// endRequested is true once the current process was asked to end or killed. termAt is when it was sent SIGTERM,
-	// or zero.
-	endRequested bool
-	termAt       time.Time
+	// endRequested is true once the current process was asked to end or killed, and killed once it was sent SIGKILL.
+	// termAt is when it was sent SIGTERM, or zero.
+	endRequested, killed bool
+	termAt               time.Time
 	// downtime is the delay from the end of the current process to the next start. finished ends the supervision.
 	downtime time.Duration
 	finished bool
-	// failures describes the processes that ended unasked or could not be started.
+	// failures describes crashes, data races, and processes that ended unasked or could not be started. Each begins
+	// with the kind of the finding. failed is true once one was recorded.
 	failures []string
+	failed   bool
 	done     chan struct{}
 }
 
@@ -55,7 +57,8 @@
 	p := &hostProcess{
 		index: index, program: o.Program, settings: filepath.Join(o.Folder, fmt.Sprintf("host-%d.yaml", index)), done: make(chan struct{}),
 	}
-	p.environment = append(append(os.Environ(), o.Environment...), SettingsVariable+"="+p.settings)
+	// Reports of the race detector must be written to the host's log, whatever GORACE the soak was started with.
+	p.environment = append(append(os.Environ(), o.Environment...), SettingsVariable+"="+p.settings, "GORACE=log_path=stderr")
 	if err := p.writeSettings(settings, false); err != nil {
 		return nil, err
 	}
@@ -97,9 +100,7 @@
 		err := p.command.Wait()
 		p.mu.Lock()
 		close(p.exited)
-		if !p.endRequested && !(p.sawInvalidSettings && refusedSettings(p.readOutput(), p.settings, err)) {
-			p.failures = append(p.failures, fmt.Sprintf("host %d ended by itself: %v", p.index, err))
-		}
+		p.recordEnd(err)
 		downtime, finished := p.downtime, p.finished
 		p.mu.Unlock()
 		if finished {
@@ -127,23 +128,27 @@
 		p.outputAt, err = at, p.command.Start()
 	}
 	if err != nil {
-		p.failures = append(p.failures, fmt.Sprintf("host %d does not start: %v", p.index, err))
+		p.recordFailure("EXIT", "host %d does not start: %v", p.index, err)
 		return false
 	}
 	p.incarnation++
-	p.endRequested, p.termAt, p.downtime, p.exited = false, time.Time{}, restartDelay, make(chan struct{})
+	p.endRequested, p.killed, p.termAt, p.downtime, p.exited = false, false, time.Time{}, restartDelay, make(chan struct{})
 	return true
 }
 
-// readOutput returns the first bytes that the current process has written. p.mu must be held.
-func (p *hostProcess) readOutput() []byte {
-	out := make([]byte, maxStartErrorBytes)
-	n, _ := p.log.ReadAt(out, p.outputAt) // io.EOF after a shorter output; nothing after any other error
-	return out[:n]
+// readOutput returns the first bytes that the current process has written, at most limit. p.mu must be held.
+func (p *hostProcess) readOutput(limit int64) ([]byte, error) {
+	return io.ReadAll(io.NewSectionReader(p.log, p.outputAt, limit))
 }
 
-// maxStartErrorBytes bounds what is read of an error at the start. Its first line is sufficient.
-const maxStartErrorBytes = 4096
+// maxLogBytes bounds what is read of the output of a process.
+const maxLogBytes = 1 << 30
+
+// hasOutput reports whether the current process has written anything. p.mu must be held.
+func (p *hostProcess) hasOutput() bool {
+	first, err := p.readOutput(1)
+	return err == nil && len(first) > 0
+}
 
 // refusedSettings reports whether a process that ended with the given error and output refused its settings file
 // correctly: by exit code 1, with no log line but "starting", and with an error that names the file and a reason.
@@ -168,10 +173,10 @@
 func (p *hostProcess) signal(s syscall.Signal, downtime time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.command == nil || p.command.Process == nil || p.failures != nil {
+	if p.command == nil || p.command.Process == nil || p.failed {
 		return
 	}
-	if s == syscall.SIGHUP && len(p.readOutput()) == 0 {
+	if s == syscall.SIGHUP && !p.hasOutput() {
 		go p.hangUpOnceStarted(p.incarnation)
 		return
 	}
@@ -180,7 +185,7 @@
 		p.endRequested, p.downtime = true, max(restartDelay, downtime)
 		p.termAt = time.Now()
 	case syscall.SIGKILL:
-		p.endRequested, p.downtime = true, max(restartDelay, downtime)
+		p.endRequested, p.killed, p.downtime = true, true, max(restartDelay, downtime)
 	}
 	_ = p.command.Process.Signal(s) // it may have ended just now
 }
@@ -191,7 +196,7 @@
 	for {
 		time.Sleep(time.Millisecond)
 		p.mu.Lock()
-		ended, started := p.incarnation != incarnation || p.finished, len(p.readOutput()) > 0
+		ended, started := p.incarnation != incarnation || p.finished, p.hasOutput()
 		select {
 		case <-p.exited:
 			ended = true
@@ -229,10 +234,10 @@
 	return len(entries)
 }
 
-// finish kills the host, waits for the end of supervise, and returns the recorded failures.
+// finish kills the host, waits for the end of supervise, and returns the failures that takeFailures has not returned.
 func (p *hostProcess) finish() []string {
 	p.mu.Lock()
-	p.finished, p.endRequested = true, true
+	p.finished, p.endRequested, p.killed = true, true, true
 	if p.command != nil && p.command.Process != nil {
 		_ = p.command.Process.Signal(syscall.SIGCONT)
 		_ = p.command.Process.Kill()
@@ -240,5 +245,5 @@
 	p.mu.Unlock()
 	<-p.done
 	_ = p.log.Close()
-	return p.failures
+	return p.takeFailures()
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -94,7 +95,7 @@
 	}
 	defer r.finish()
 	if !r.awaitServing(ctx, startTimeout) {
-		return nil, errors.New("not every host served every database before the first fault")
+		return nil, r.startError("not every host served every database before the first fault")
 	}
 	descriptors := r.openDescriptors()
 	r.play(ctx, seed, faults)
@@ -287,12 +288,24 @@
 	maxDescriptorGrowth = 4
 )
 
-// finish kills all hosts and records their unexpected exits as findings. Further calls do nothing.
+// finish kills all hosts and records their failures as findings. Further calls do nothing.
 func (r *run) finish() {
 	for _, p := range r.processes {
-		for _, failure := range p.finish() {
-			r.site.History().Broken("EXIT: %s", failure)
-		}
+		r.recordFailures(p.finish())
 	}
 	r.processes = nil
 }
+
+// recordFailures records failures of host processes as findings.
+func (r *run) recordFailures(failures []string) {
+	for _, failure := range failures {
+		kind, text, _ := strings.Cut(failure, ": ")
+		r.site.History().Broken(kind+": %s", text)
+	}
+}
+
+// startError kills all hosts and returns an error with the message and the findings.
+func (r *run) startError(message string) error {
+	r.finish()
+	return errors.New(strings.Join(append([]string{message}, r.site.History().Findings()...), "; "))
+}
--- a/internal/soak/serve.go
+++ b/internal/soak/serve.go
@@ -40,7 +40,7 @@
 	}
 	defer r.finish()
 	if !r.awaitServing(ctx, startTimeout) {
-		return errors.New("not every host served every database after the start")
+		return r.startError("not every host served every database after the start")
 	}
 	done := make(chan struct{})
 	go func() {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"flag"
@@ -125,6 +126,8 @@
 	}
 	host := exec.Command(os.Args[0])
 	host.Env = append(os.Environ(), SettingsVariable+"="+settings)
+	var output bytes.Buffer
+	host.Stdout, host.Stderr = &output, &output
 	if err := host.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -145,6 +148,9 @@
 	if exit := (*exec.ExitError)(nil); !errors.As(err, &exit) || exit.ExitCode() != 1 {
 		t.Errorf("the host ended with %v, want exit code 1 for its invalid settings", err)
 	}
+	if crash, n := findCrashes(output.Bytes()); n > 0 {
+		t.Error(crash)
+	}
 }
 
 // Shrink removes the faults that a failure doesn't depend on, and keeps the others in order.
