internal/soak: Serve reports hosts that ended or crashed

What was missed: pearlatch-lab site never named a host that ended by itself. Failures of processes became findings when the hosts were killed at the end, after the last report.

Change: Serve takes the failures of each host before each report, and reports once more after all hosts have ended.

Evidence: TestServeReportsFailures, a host that exits after 4 s: fails on the code before after its minute, passes now.

--- a/internal/soak/serve.go
+++ b/internal/soak/serve.go
@@ -25,8 +25,8 @@
 // progressInterval is the pause between two progress reports.
 const progressInterval = time.Second
 
-// Serve runs a site with its load and its faults until ctx ends, and calls report every second. It returns an error
-// if the site or its hosts don't start.
+// Serve runs a site with its load and its faults until ctx ends, and calls report every second and once all hosts have
+// ended. It returns an error if the site or its hosts don't start.
 func Serve(ctx context.Context, p *Plan, report func(Progress)) error {
 	s, err := site.Start(p.Options.Site)
 	if err != nil {
@@ -49,23 +49,37 @@
 	}()
 	started := time.Now()
 	var before Progress
-	for pause.For(ctx, progressInterval) {
-		now := Progress{
-			Elapsed: time.Since(started), Served: r.served.Load(), Refused: r.refused.Load(), Unknown: r.unknown.Load(),
-			Findings: s.History().Findings(),
-		}
-		for _, g := range s.Groups() {
-			now.Primaries = append(now.Primaries, g.Leader())
-		}
+	reportSince := func() {
+		now := r.progress(started)
 		delta := now
 		delta.Served, delta.Refused, delta.Unknown = now.Served-before.Served, now.Refused-before.Refused, now.Unknown-before.Unknown
 		before = now
 		report(delta)
 	}
+	for pause.For(ctx, progressInterval) {
+		for _, p := range r.processes {
+			r.recordFailures(p.takeFailures())
+		}
+		reportSince()
+	}
 	<-done
+	r.finish()
+	reportSince()
 	return nil
 }
 
+// progress returns the state of the site, with the outcomes of all operations since the start.
+func (r *run) progress(started time.Time) Progress {
+	now := Progress{
+		Elapsed: time.Since(started), Served: r.served.Load(), Refused: r.refused.Load(), Unknown: r.unknown.Load(),
+		Findings: r.site.History().Findings(),
+	}
+	for _, g := range r.site.Groups() {
+		now.Primaries = append(now.Primaries, g.Leader())
+	}
+	return now
+}
+
 // playUntilDone runs callers and injects the faults until ctx ends.
 func (r *run) playUntilDone(ctx context.Context, seed uint64, faults []Fault) {
 	callers := r.startCallers(ctx, seed)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -8,8 +8,10 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"pearlatch/internal/gateway"
 	"pearlatch/internal/process"
@@ -153,6 +155,29 @@
 	}
 }
 
+// Guards against hosts that end or crash without a word of it in the reports on a running site.
+func TestServeReportsFailures(t *testing.T) {
+	t.Parallel()
+	p := &Plan{Options: DefaultOptions(), Seed: 1}
+	p.Options.Site.Hosts, p.Options.Site.Groups = 3, 1
+	p.Options.Program, p.Options.Folder = []string{os.Args[0]}, t.TempDir()
+	p.Options.Environment = []string{flawVariable + "=the process ends"}
+	ctx, stop := context.WithTimeout(context.Background(), time.Minute)
+	defer stop()
+	reported := false
+	err := Serve(ctx, p, func(now Progress) {
+		for _, f := range now.Findings {
+			if strings.HasPrefix(f, "EXIT") {
+				reported = true
+				stop()
+			}
+		}
+	})
+	if err != nil || !reported {
+		t.Errorf("no host that ended is reported, error %v", err)
+	}
+}
+
 // Shrink removes the faults that a failure doesn't depend on, and keeps the others in order.
 func TestShrink(t *testing.T) {
 	faults := []Fault{{Kind: KillHost}, {Kind: StoreAway}, {Kind: CutMember}, {Kind: LagMember}}
