internal/gateway: statements known not to be served take no token of the quota

What callers saw: during an outage of the primary, refused statements used up the account's quota, so that callers were refused as over quota once the primary was back.

Cause: Session.do charged the quota before it planned the statement and asked whether the outage outlasts the deadline.

Change: statements outside a transaction are planned, then refused if that is known, then charged. A transaction is charged with its begin, as before. An unknown prepared name takes no token either.

Evidence: TestRefusedStatementsTakeNoQuota, 200 refused writes with a quota of 10 a second: on the code before the next operation is over quota, now it is not; and no more than 60 writes run in the 5 s after, which the quota allows.

Tried: returning tokens of refused operations.

--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -25,6 +25,9 @@
 	}
 	op.prepared = prepared
 	op.deadline = arrived.Add(op.route.Timeout)
+	if f := s.admit(ctx, &op, arrived); f != nil {
+		return Reply{Failure: f}
+	}
 	return s.runSingle(ctx, r, op)
 }
 
--- a/internal/gateway/operation.go
+++ b/internal/gateway/operation.go
@@ -5,6 +5,7 @@
 
 	"github.com/pkg/errors"
 
+	"pearlatch/core/account"
 	"pearlatch/core/freshness"
 	"pearlatch/core/group"
 	"pearlatch/core/pool"
@@ -14,6 +15,7 @@
 // it.
 type operation struct {
 	group             *Group
+	account           *account.Account
 	route             Route
 	need              pool.ConnRequest
 	writes            bool
@@ -41,7 +43,7 @@
 		return operation{}, err
 	}
 	g := target.group
-	op := operation{group: g, route: target.route, writes: writes, decision: &s.decision, need: pool.ConnRequest{
+	op := operation{group: g, account: target.account, route: target.route, writes: writes, decision: &s.decision, need: pool.ConnRequest{
 		Account: target.account.Name, Weight: s.host.accountWeight(target.account.Name), Rank: target.route.Priority, ArrivedAt: arrived,
 		RefuseEarly: target.route.LatencyTarget > 0,
 	}}
@@ -153,6 +155,20 @@
 	return op.refusal(code, reason)
 }
 
+// knownRefusal returns the refusal of a statement outside a transaction that needs the primary, if it is known already
+// that it can't be served in time, or nil. It returns nil for a transaction, which is refused with its first statement.
+func (op *operation) knownRefusal() *Failure {
+	switch {
+	case op.deadline.IsZero():
+		return nil
+	case op.shouldForward && op.writes:
+		return op.overloadRefusal(Busy)
+	case op.need.Forwardable:
+		return nil
+	}
+	return op.outageRefusal(Busy)
+}
+
 // outageRefusal returns a failure with the code if the operation needs the primary and the outage
 // is expected to outlast its deadline, or nil.
 func (op *operation) outageRefusal(code Code) *Failure {
--- a/internal/gateway/quota_test.go
+++ b/internal/gateway/quota_test.go
@@ -43,3 +43,48 @@
 		}
 	})
 }
+
+// Guards against quotas that are used up by statements which are refused during an outage of the primary, so that the
+// callers are refused for longer than the outage. The operations that run after it must remain within the quota.
+func TestRefusedStatementsTakeNoQuota(t *testing.T) {
+	withHost(t, freshness.Latest{}, func(s *fakeSite, h *Host) {
+		const rate = 10
+		s.put("config", configWithAccounts(52, 20, "hotel k2 10"), 0)
+		time.Sleep(5 * time.Second)
+		setAllCrashed(s, true)
+		time.Sleep(3 * time.Second)
+		for range 20 * rate {
+			if r := execAs(h, "k2", Write{}); r.Failure == nil || r.Failure.Code != Busy {
+				t.Fatalf("a write without a primary got %v", r.Failure)
+			}
+		}
+		hotel := h.config.Accounts.Account("hotel")
+		if ok, _ := h.Quotas().Admit(context.Background(), hotel, time.Now().Add(50*time.Millisecond)); !ok {
+			t.Error("the refused statements have used up the quota")
+		}
+		setAllCrashed(s, false)
+		time.Sleep(2 * time.Second)
+		const window = 5 * time.Second
+		served := countServed(h, "k2", window)
+		if most := rate*int(window.Seconds()) + rate; served > most || served < most/2 {
+			t.Errorf("%d writes were served in %s, want at most %d and half of them", served, window, most)
+		}
+	})
+}
+
+func setAllCrashed(s *fakeSite, crashed bool) {
+	for _, id := range []string{"a", "b", "c"} {
+		s.updateMember(id, func(m *fakeMember) { m.crashed = crashed })
+	}
+}
+
+// countServed sends a write every 10 ms for the given time, and returns how many succeed.
+func countServed(h *Host, key string, during time.Duration) int {
+	served := 0
+	for since := time.Now(); time.Since(since) < during; time.Sleep(10 * time.Millisecond) {
+		if r := execAs(h, key, Write{}); r.Failure == nil {
+			served++
+		}
+	}
+	return served
+}
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -102,16 +102,10 @@
 	if s.state == InFailedTransaction {
 		return s.doInFailedTransaction(r)
 	}
-	if f := s.chargeQuota(ctx, r, arrived); f != nil {
-		reply := s.failTransaction(Reply{Failure: f})
-		reply.State = s.state
-		s.recordOutcome(r, arrived, reply)
-		return reply
-	}
 	var reply Reply
 	switch st := r.Statement.(type) {
 	case Begin:
-		reply = s.begin(st, arrived)
+		reply = s.beginAdmitted(ctx, st, arrived)
 	case Commit:
 		reply = s.commit(ctx, r, arrived)
 	case Rollback:
@@ -132,27 +126,18 @@
 	return reply
 }
 
-// chargeQuota charges the account's quota for an operation that begins with the request: a
-// transaction, or a statement outside one. Operations of another host's callers were
-// charged there.
-func (s *Session) chargeQuota(ctx context.Context, r Request, arrived time.Time) *Failure {
-	if s.state != Idle {
-		return nil
-	}
-	switch r.Statement.(type) {
-	case Begin, Read, Write, Execute:
-	default:
+// admit charges the account's quota for an operation, a transaction or a statement outside one. A
+// statement that is known not to be served is refused without a charge. Operations of another host's
+// callers were charged there.
+func (s *Session) admit(ctx context.Context, op *operation, arrived time.Time) *Failure {
+	s.host.usage.Begun(op.account.Name, arrived)
+	if s.origin != nil {
 		return nil
 	}
-	target, f := s.route()
-	if f != nil {
+	if f := op.knownRefusal(); f != nil {
 		return f
 	}
-	s.host.usage.Begun(target.account.Name, arrived)
-	if s.origin != nil {
-		return nil
-	}
-	f = s.host.takeQuota(ctx, target.account, arrived.Add(target.route.Timeout))
+	f := s.host.takeQuota(ctx, op.account, arrived.Add(op.route.Timeout))
 	s.decision = decision{f, usage.Quota}
 	return f
 }
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -25,6 +25,19 @@
 	sentWrite bool
 }
 
+// beginAdmitted begins a transaction of a caller of this host, and charges the account's quota for it.
+func (s *Session) beginAdmitted(ctx context.Context, st Begin, arrived time.Time) Reply {
+	reply := s.begin(st, arrived)
+	if reply.Failure != nil {
+		return reply
+	}
+	if f := s.admit(ctx, &s.tx.op, arrived); f != nil {
+		s.tx, s.state = nil, Idle
+		return Reply{Failure: f}
+	}
+	return reply
+}
+
 func (s *Session) begin(st Begin, arrived time.Time) Reply {
 	if s.state != Idle {
 		return s.failTransaction(failureReply(Malformed, "a transaction is open"))
