Leases are counted from the request that another host reports as answered

What callers saw: after the loss of a primary, a failover that waits for the lease of an unreachable host takes up to half a second longer.

Cause: while another host reported a healthy primary, canSkipProbe took each skipped round for an answer to a request of 350 ms ago, whatever the age of the report and of the answer that it speaks of.

Change: a report names the member and how long ago the request that it answered was sent. A lease counts from the latest such request, less the longest time for which a report may be under way. Skipped rounds count for nothing.

Evidence: TestLeaseIsCountedFromTheRequestThatAnotherHostReports, on the code before: leases end 175 and 525 ms late; none does now.

--- a/internal/gateway/group_monitor.go
+++ b/internal/gateway/group_monitor.go
@@ -157,7 +157,6 @@
 	}
 	elapsed := now.Sub(w.lastHealthyProbe)
 	if elapsed <= healthyProbeInterval && w.group.healthy() {
-		w.notePrimaryAlive(now.Add(-probeInterval))
 		return true
 	}
 	return elapsed <= idleProbeInterval && w.group.isIdle()
--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"pearlatch/core/group"
+	"pearlatch/core/leadership"
 )
 
 const (
@@ -45,16 +46,34 @@
 func (g *Group) notePeerReport(r LeaseRequest) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.peerAskedAt = g.now()
+	now := g.now()
+	g.peerAskedAt = now
 	if r.Healthy {
-		g.peerHealthyAt = g.now()
+		g.peerHealthyAt = now
 	}
+	g.notePeerAnswer(r, now)
 	if r.SuspectsPrimary {
 		g.peerHealthyAt = time.Time{}
 		g.wakeCoordinator()
 	}
 }
 
+// notePeerAnswer records when the primary last answered another host. The report may have been sent leaseRequestTimeout
+// ago. g.mu must be held.
+func (g *Group) notePeerAnswer(r LeaseRequest, now time.Time) {
+	id, age := r.Answered, r.AnswerAge
+	if id == "" && r.Healthy {
+		id, age = g.primaryID, probeInterval // a host of an earlier version
+	}
+	m := g.members[id]
+	if m == nil {
+		return
+	}
+	if sentAt := now.Add(-age - leaseRequestTimeout); sentAt.After(m.answeredStatementSentAt) {
+		m.answeredStatementSentAt = sentAt
+	}
+}
+
 // wakeCoordinator makes the coordinator probe the members now, if it is this host. It may be called
 // from several goroutines.
 func (g *Group) wakeCoordinator() {
@@ -64,16 +83,22 @@
 	}
 }
 
-// healthReport returns whether this host's own statements show a healthy group, and whether the
-// primary recently failed to answer them.
-func (g *Group) healthReport() (healthy, suspectsPrimary bool) {
+// healthReport returns what this host's own statements show of the group and its primary.
+func (g *Group) healthReport() LeaseRequest {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
+	r := LeaseRequest{Healthy: g.locallyHealthy(now)}
 	m := g.members[g.primaryID]
+	if m == nil {
+		return r
+	}
 	// Without the limit, a host that has not used the primary since would report the failure forever.
-	suspectsPrimary = m != nil && !m.silentSince.IsZero() && now.Sub(m.silentSince) < suspicionReportPeriod
-	return g.locallyHealthy(now), suspectsPrimary
+	r.SuspectsPrimary = !m.silentSince.IsZero() && now.Sub(m.silentSince) < suspicionReportPeriod
+	if age := now.Sub(m.answeredStatementSentAt); age < leadership.LeaseDuration {
+		r.Answered, r.AnswerAge = m.ID, age
+	}
+	return r
 }
 
 // locallyHealthy reports whether this host's own statements show a healthy group. g.mu must be held.
--- a/internal/gateway/health_test.go
+++ b/internal/gateway/health_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"pearlatch/core/freshness"
+	"pearlatch/core/leadership"
 )
 
 // probeCount returns how many probes the members have answered.
@@ -67,14 +68,43 @@
 		g.mu.Lock()
 		g.members["a"].silentSince = g.now()
 		g.mu.Unlock()
-		if _, suspects := g.healthReport(); !suspects {
+		if !g.healthReport().SuspectsPrimary {
 			t.Error("a recent failure is not reported")
 		}
 		g.mu.Lock()
 		g.members["a"].silentSince = g.now().Add(-2 * suspicionReportPeriod)
 		g.mu.Unlock()
-		if _, suspects := g.healthReport(); suspects {
+		if g.healthReport().SuspectsPrimary {
 			t.Error("an old failure is reported")
 		}
 	})
 }
+
+// Guards against a lease that ends late, so that a failover waits for it: another host's report that the primary is
+// healthy was taken for an answer to a request of 350 ms ago, however old the report and the request were.
+func TestLeaseIsCountedFromTheRequestThatAnotherHostReports(t *testing.T) {
+	withHost(t, freshness.Latest{}, func(s *fakeSite, h *Host) {
+		exec(h, Write{})
+		const answerAge = 340 * time.Millisecond
+		report := LeaseRequest{Group: testGroup, Host: "h2", Healthy: true, Answered: "a", AnswerAge: answerAge}
+		for probes, rounds := s.probeCount(), 0; rounds < 4; rounds++ {
+			h.GrantLease(report)
+			time.Sleep(leaseRenewInterval)
+			if n := s.probeCount(); n > probes {
+				probes, rounds = n, 0
+			}
+		}
+		h.GrantLease(report)
+		end, probes := time.Now().Add(leadership.LeaseDuration-answerAge), s.probeCount()
+		for range 12 {
+			time.Sleep(50 * time.Millisecond)
+			got := h.GrantLease(LeaseRequest{Group: testGroup, Host: "h3"}).Granted
+			if s.probeCount() > probes {
+				break // the primary has answered the coordinator itself
+			}
+			if late := time.Now().Add(got).Sub(end); late > 0 {
+				t.Errorf("a lease of %s ends %s after the last answered request has lost its effect", got, late)
+			}
+		}
+	})
+}
--- a/internal/gateway/lease_client.go
+++ b/internal/gateway/lease_client.go
@@ -29,6 +29,10 @@
 	// Healthy is true if the host's own statements show that the group is healthy. SuspectsPrimary is true
 	// if the primary has failed to answer the host since its last reply.
 	Healthy, SuspectsPrimary bool
+	// Answered is the member that the host takes for the primary, and AnswerAge the time since the host sent the latest
+	// statement that this member has answered. Answered is empty if there is none, and from hosts of earlier versions.
+	Answered  string
+	AnswerAge time.Duration
 	// SampleOnly requests only a position of the primary, without a lease. A host that does not serve the
 	// group needs no lease, and a change of primary need not wait for that host.
 	SampleOnly bool
@@ -120,8 +124,8 @@
 	}
 	r := LeaseRequest{Group: groupName, Host: h.settings.Host}
 	if g := h.existingGroup(groupName); g != nil {
-		r.Healthy, r.SuspectsPrimary = g.healthReport()
-		r.SampleOnly = !g.servesHere()
+		r = g.healthReport()
+		r.Group, r.Host, r.SampleOnly = groupName, h.settings.Host, !g.servesHere()
 	}
 	addr, ok := h.fleet.Address(coordinatorID)
 	if !ok || h.ports.Peers == nil {
--- a/io/peer/lease_messages.go
+++ b/io/peer/lease_messages.go
@@ -10,6 +10,8 @@
 	w.str("host", m.Host)
 	w.bool("calm", m.Healthy)
 	w.bool("suspects", m.SuspectsPrimary)
+	w.str("answered", m.Answered)
+	w.duration("answer_age_us", m.AnswerAge)
 	w.bool("sample_only", m.SampleOnly)
 }
 
@@ -23,6 +25,10 @@
 		return r.bool(&m.Healthy)
 	case "suspects":
 		return r.bool(&m.SuspectsPrimary)
+	case "answered":
+		return r.str(&m.Answered)
+	case "answer_age_us":
+		return r.duration(&m.AnswerAge)
 	case "sample_only":
 		return r.bool(&m.SampleOnly)
 	}
