--- a/io/peer/gateway_codec_test.go
+++ b/io/peer/gateway_codec_test.go
@@ -54,6 +54,7 @@
 		"link_recalled":   &linkReply{lane: 5, recalled: &recallReply{running: true}},
 		"link_reply":      &linkReply{lane: 4, peerReplyMessage: reply},
 		"link_reply_load": &linkReply{lane: 4, peerReplyMessage: loaded},
+		"lease_request":   &leaseRequest{Group: "lessons", Host: "h1", Healthy: true, Answered: "i-7f", AnswerAge: 12 * time.Millisecond},
 		"recall_request":  &recallRequest{from: "h1-2a", serial: 7},
 		"recall_reply":    &recallReply{running: true, process: "h2-1f", reply: &reply},
 		"member_request":  &memberRequest{group: "lessons", member: "i-7f"},
