internal/gateway: reports of other hosts lengthen no leases

Cause: counted a report at once when a lease was granted. Leases lasted longer after the last statements, and the coordinator, which probes when it can't grant one, probed less. Its positions grew older than the maximum age of reads.

What callers would have seen: reads with a maximum age are forwarded although the local replica is fresh.

--- a/internal/gateway/group_monitor.go
+++ b/internal/gateway/group_monitor.go
@@ -156,7 +156,8 @@
 		return false
 	}
 	elapsed := now.Sub(w.lastHealthyProbe)
-	if elapsed <= healthyProbeInterval && w.group.healthy() {
+	if answered, ok := w.group.healthySince(); ok && elapsed <= healthyProbeInterval {
+		w.notePrimaryAlive(earlierTime(answered, now.Add(-probeInterval)))
 		return true
 	}
 	return elapsed <= idleProbeInterval && w.group.isIdle()
--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -28,17 +28,23 @@
 	lagHealthWindow = time.Second
 )
 
-// healthy reports whether statements show that the primary serves, writes are acknowledged and
-// replicas keep up, so that the coordinator need not probe. The statements are those of this host, or
-// of a host that reported the group healthy when it requested its lease.
-func (g *Group) healthy() bool {
+// healthySince reports whether statements show that the primary serves, writes are acknowledged and
+// replicas keep up, so that the coordinator need not probe, and when the latest statement was sent that
+// the primary has answered. The statements are those of this host, or of a host that reported the group
+// healthy when it requested its lease.
+func (g *Group) healthySince() (answered time.Time, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.now()
-	if m := g.members[g.primaryID]; m == nil || !m.silentSince.IsZero() || len(g.missingMembers()) > 0 {
-		return false
+	m := g.members[g.primaryID]
+	if m == nil || !m.silentSince.IsZero() || len(g.missingMembers()) > 0 {
+		return time.Time{}, false
+	}
+	answered = m.answeredStatementSentAt
+	if m.reportedAnswer.After(answered) {
+		answered = m.reportedAnswer
 	}
-	return g.locallyHealthy(now) || !g.lacksReplicas(now) && now.Sub(g.peerHealthyAt) < leaseRenewInterval+probeInterval
+	return answered, g.locallyHealthy(now) || !g.lacksReplicas(now) && now.Sub(g.peerHealthyAt) < leaseRenewInterval+probeInterval
 }
 
 // notePeerReport records another serving host's view of the group. If the primary fails to answer that
@@ -58,19 +64,14 @@
 	}
 }
 
-// notePeerAnswer records when the primary last answered another host. The report may have been sent leaseRequestTimeout
-// ago. g.mu must be held.
+// notePeerAnswer records when another host sent the latest statement that its primary answered. g.mu must be held.
 func (g *Group) notePeerAnswer(r LeaseRequest, now time.Time) {
 	id, age := r.Answered, r.AnswerAge
 	if id == "" && r.Healthy {
 		id, age = g.primaryID, probeInterval // a host of an earlier version
 	}
-	m := g.members[id]
-	if m == nil {
-		return
-	}
-	if sentAt := now.Add(-age - leaseRequestTimeout); sentAt.After(m.answeredStatementSentAt) {
-		m.answeredStatementSentAt = sentAt
+	if m := g.members[id]; m != nil && now.Add(-age).After(m.reportedAnswer) {
+		m.reportedAnswer = now.Add(-age)
 	}
 }
 
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -55,6 +55,9 @@
 	statementAnsweredAt time.Time
 	// answeredStatementSentAt is when the latest statement was sent that the member has answered.
 	answeredStatementSentAt time.Time
+	// reportedAnswer is when, by the reports of other hosts, the latest of their statements was sent that the member has
+	// answered.
+	reportedAnswer time.Time
 	// leavingSince is when the member was first listed as leaving.
 	leavingSince time.Time
 }
