TestSwitchoverWaitsForUnreturnedLease ends by time, not by reads

The test ended after 300 reads, 1.5 s of the test's clock, in which another member had to take over. The change waits for a lease of up to 1 s, and needs a round of probes (350 ms) and the promotion (300 ms) besides: whether 1.5 s were enough depended on how old the lease was when the primary's shutdown was announced. Since the coordinator probes once its last answer has run out, so that a lease can be fresh at that moment: it failed in 6 of 100 runs on 8 processors, with "leases_awaited" 870 ms and the first write after 1.685 or 1.715 s; 1.335 and 1.355 s in the other runs.

Now it reads for the longest lease, a round, the promotion and the 100 ms that are the aim for a planned change, 1.75 s: another member must have taken over by then, and reads of the replaced primary are looked for 0.25 s longer than before. 0 of 75 runs failed with 1, 2, 4 and 8 processors each.

--- a/internal/gateway/leadership_test.go
+++ b/internal/gateway/leadership_test.go
@@ -72,7 +72,7 @@
 
 // A primary drains while a host that has a lease on it is unreachable, and at the same time a
 // partition separates the primary from the other members. The coordinator must wait until that
-// lease expires, since the host reads from the old primary until then.
+// lease expires, since the host reads from the old primary until then, and no longer.
 func TestSwitchoverWaitsForUnreturnedLease(t *testing.T) {
 	withFleet(t, 3, 20, freshness.Latest{}, func(s *fakeSite, f *fakeFleet) {
 		coord := f.coordinatorHost()
@@ -88,7 +88,7 @@
 		s.writeMemberEntry("a", "draining")
 		s.updateMember("a", func(m *fakeMember) { m.partitioned = true })
 		var written bool
-		for range 300 {
+		for start := time.Now(); time.Since(start) < leadership.LeaseDuration+probeInterval+promoteTime+100*time.Millisecond; {
 			if !written && s.primaryID() != "a" {
 				written = exec(coord, Write{}).Failure == nil
 			}
