internal/gateway: a healthy host always reports the age of its last answer

Cause: a report left out the age of an answer to a statement that was sent more than a lease ago, though the answer itself can be recent.

Evidence: TestHealthyReportNamesTheAgeOfTheAnswer fails before.

--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -96,7 +96,7 @@
 	}
 	// Without the limit, a host that has not used the primary since would report the failure forever.
 	r.SuspectsPrimary = !m.silentSince.IsZero() && now.Sub(m.silentSince) < suspicionReportPeriod
-	if age := now.Sub(m.answeredStatementSentAt); age < leadership.LeaseDuration {
+	if age := now.Sub(m.answeredStatementSentAt); r.Healthy || age < leadership.LeaseDuration {
 		r.Answered, r.AnswerAge = m.ID, age
 	}
 	return r
--- a/internal/gateway/health_test.go
+++ b/internal/gateway/health_test.go
@@ -108,3 +108,18 @@
 		}
 	})
 }
+
+// Guards against a statement that took longer than a lease and whose age is left out of the report: the coordinator would take the
+// report for one of an earlier version, and the answer for a recent one.
+func TestHealthyReportNamesTheAgeOfTheAnswer(t *testing.T) {
+	withHost(t, freshness.Latest{}, func(_ *fakeSite, h *Host) {
+		exec(h, Write{})
+		g := h.groups[testGroup]
+		g.mu.Lock()
+		g.members["a"].answeredStatementSentAt = g.now().Add(-2 * leadership.LeaseDuration)
+		g.mu.Unlock()
+		if r := g.healthReport(); !r.Healthy || r.Answered != "a" || r.AnswerAge != 2*leadership.LeaseDuration {
+			t.Errorf("unexpected report %+v", r)
+		}
+	})
+}
