--- a/internal/gateway/handback_test.go
+++ b/internal/gateway/handback_test.go
@@ -7,7 +7,7 @@
 	"pearlatch/core/freshness"
 )
 
-// holder returns the host that holds the group's coordinator role, but for the given ones, or nil.
+// holder returns the host that holds the group's coordinator role, or nil. Hosts in except don't count.
 func (f *fakeFleet) holder(except map[*Host]bool) *Host {
 	for _, h := range f.all() {
 		if d := h.coordinatorOf(testGroup); !except[h] && d != nil && d.isHeld() {
@@ -17,8 +17,8 @@
 	return nil
 }
 
-// Guards against a role that does not count as handed back, since a round of probes that was in progress replaced the record: the
-// next coordinator then promotes the primary again while a member is silent.
+// Guards against probes in progress that overwrite the record of a role that was handed back. With a silent member, the next
+// coordinator would promote the primary again.
 func TestStoppedCoordinatorsHandTheirRolesBack(t *testing.T) {
 	withFleet(t, 8, 20, freshness.Latest{}, func(s *fakeSite, f *fakeFleet) {
 		s.updateMember("b", func(m *fakeMember) { m.silent = true })
--- a/internal/gateway/health.go
+++ b/internal/gateway/health.go
@@ -29,9 +29,9 @@
 )
 
 // healthySince reports whether statements show that the primary serves, writes are acknowledged and
-// replicas keep up, so that the coordinator need not probe, and when the latest statement was sent that
-// the primary has answered. The statements are those of this host, or of a host that reported the group
-// healthy when it requested its lease.
+// replicas keep up, so that the coordinator need not probe. The statements are those of this host, or
+// of a host that reported the group healthy when it requested its lease. answered is when the latest
+// one that the primary answered was sent.
 func (g *Group) healthySince() (answered time.Time, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -64,7 +64,7 @@
 	}
 }
 
-// notePeerAnswer records when another host sent the latest statement that its primary answered. g.mu must be held.
+// notePeerAnswer records the primary's answer that another host reports. g.mu must be held.
 func (g *Group) notePeerAnswer(r LeaseRequest, now time.Time) {
 	id, age := r.Answered, r.AnswerAge
 	if id == "" && r.Healthy {
@@ -84,7 +84,7 @@
 	}
 }
 
-// healthReport returns what this host's own statements show of the group and its primary.
+// healthReport returns the health fields of a LeaseRequest, based on this host's own statements.
 func (g *Group) healthReport() LeaseRequest {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/gateway/health_test.go
+++ b/internal/gateway/health_test.go
@@ -80,8 +80,7 @@
 	})
 }
 
-// Guards against a lease that ends late, so that a failover waits for it: another host's report that the primary is
-// healthy was taken for an answer to a request of 350 ms ago, however old the report and the request were.
+// Guards against a lease that ends late because a report of another host counts as more recent than the answer it is based on.
 func TestLeaseIsCountedFromTheRequestThatAnotherHostReports(t *testing.T) {
 	withHost(t, freshness.Latest{}, func(s *fakeSite, h *Host) {
 		exec(h, Write{})
@@ -109,8 +108,7 @@
 	})
 }
 
-// Guards against a statement that took longer than a lease and whose age is left out of the report: the coordinator would take the
-// report for one of an earlier version, and the answer for a recent one.
+// Guards against a report without the age of a long statement, which looks like the report of an earlier version.
 func TestHealthyReportNamesTheAgeOfTheAnswer(t *testing.T) {
 	withHost(t, freshness.Latest{}, func(_ *fakeSite, h *Host) {
 		exec(h, Write{})
--- a/internal/gateway/lease_client.go
+++ b/internal/gateway/lease_client.go
@@ -29,8 +29,8 @@
 	// Healthy is true if the host's own statements show that the group is healthy. SuspectsPrimary is true
 	// if the primary has failed to answer the host since its last reply.
 	Healthy, SuspectsPrimary bool
-	// Answered is the member that the host takes for the primary, and AnswerAge the time since the host sent the latest
-	// statement that this member has answered. Answered is empty if there is none, and from hosts of earlier versions.
+	// Answered is the primary that answered the host's latest statement, and AnswerAge the time since that statement was
+	// sent. Hosts of earlier versions leave them empty.
 	Answered  string
 	AnswerAge time.Duration
 	// SampleOnly requests only a position of the primary, without a lease. A host that does not serve the
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -55,8 +55,7 @@
 	statementAnsweredAt time.Time
 	// answeredStatementSentAt is when the latest statement was sent that the member has answered.
 	answeredStatementSentAt time.Time
-	// reportedAnswer is when, by the reports of other hosts, the latest of their statements was sent that the member has
-	// answered.
+	// reportedAnswer is the same for the statements of other hosts, as far as they report it.
 	reportedAnswer time.Time
 	// leavingSince is when the member was first listed as leaving.
 	leavingSince time.Time
--- a/internal/gateway/operation.go
+++ b/internal/gateway/operation.go
@@ -155,8 +155,8 @@
 	return op.refusal(code, reason)
 }
 
-// knownRefusal returns the refusal of a statement outside a transaction that needs the primary, if it is known already
-// that it can't be served in time, or nil. It returns nil for a transaction, which is refused with its first statement.
+// knownRefusal returns the refusal of a statement that needs a primary which is not expected back in time, or nil. A
+// transaction has no deadline yet and is refused with its first statement.
 func (op *operation) knownRefusal() *Failure {
 	switch {
 	case op.deadline.IsZero():
--- a/internal/gateway/quota_test.go
+++ b/internal/gateway/quota_test.go
@@ -44,8 +44,8 @@
 	})
 }
 
-// Guards against quotas that are used up by statements which are refused during an outage of the primary, so that the
-// callers are refused for longer than the outage. The operations that run after it must remain within the quota.
+// Guards against statements that use up the quota although they are refused during an outage of the primary. The operations
+// that run after the outage must remain within the quota.
 func TestRefusedStatementsTakeNoQuota(t *testing.T) {
 	withHost(t, freshness.Latest{}, func(s *fakeSite, h *Host) {
 		const rate = 10
--- a/internal/gateway/record.go
+++ b/internal/gateway/record.go
@@ -187,16 +187,15 @@
 	return d.recordInherited
 }
 
-// currentRecord returns the record as this host last wrote it, or false if it is not certain that the store holds it, or
-// the role was handed back with it, after which this host must not replace it.
+// currentRecord returns the record as this host last wrote it. It returns false if the store may hold another one, or if
+// the record hands the role back: this host must not replace it then.
 func (d *coordinator) currentRecord() (leadership.StoredRecord, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.record, d.recordRevision != 0 && !d.record.HandedBack
 }
 
-// maxHandBackAttempts bounds the attempts to write the record that hands a role back, while a round of probes or the granter of
-// quotas replaces it at the same time.
+// maxHandBackAttempts bounds the attempts to write the last record of a role, which other goroutines may update meanwhile.
 const maxHandBackAttempts = 3
 
 // handBack removes the role's entry, so that another host need not wait for it to expire. If the leases of this and
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -126,9 +126,8 @@
 	return reply
 }
 
-// admit charges the account's quota for an operation, a transaction or a statement outside one. A
-// statement that is known not to be served is refused without a charge. Operations of another host's
-// callers were charged there.
+// admit charges the account's quota for a transaction, or for a statement outside one. Operations that
+// other hosts forward were charged there.
 func (s *Session) admit(ctx context.Context, op *operation, arrived time.Time) *Failure {
 	s.host.usage.Begun(op.account.Name, arrived)
 	if s.origin != nil {
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -25,7 +25,6 @@
 	sentWrite bool
 }
 
-// beginAdmitted begins a transaction of a caller of this host, and charges the account's quota for it.
 func (s *Session) beginAdmitted(ctx context.Context, st Begin, arrived time.Time) Reply {
 	reply := s.begin(st, arrived)
 	if reply.Failure != nil {
--- a/internal/soak/crash.go
+++ b/internal/soak/crash.go
@@ -16,14 +16,14 @@
 var crashLine = regexp.MustCompile(`^(WARNING: DATA RACE|panic: |fatal error: |unexpected fault address |SIG[A-Z]+: |.*ThreadSanitizer|.*http: panic serving )`)
 
 const (
-	// maxReportLines bounds the lines of a report in a finding. The stacks of a data race fit.
+	// maxReportLines bounds the lines of a report in a finding.
 	maxReportLines = 40
 	// reportEnd is the last line of a report of the race detector.
 	reportEnd = "=================="
 )
 
-// findCrashes returns the text of the first report of a crash or a data race in the output of a process, and the number
-// of reports. Log lines, which may stand between the lines of a report, are left out.
+// findCrashes returns the first report of a crash or a data race in the output of a process, without the log lines that
+// may be mixed into it, and the number of reports.
 func findCrashes(output []byte) (first string, count int) {
 	var report []string
 	inReport := false
@@ -57,7 +57,7 @@
 	return status.Signal()
 }
 
-// recordEnd records the failures of the current process, which ended with the given error. p.mu must be held.
+// recordEnd checks the output and the exit of the current process, which ended with err. p.mu must be held.
 func (p *hostProcess) recordEnd(err error) {
 	output, readErr := p.readOutput(maxLogBytes)
 	if readErr != nil {
@@ -78,13 +78,13 @@
 	}
 }
 
-// recordFailure records a failure that leads to a finding of the given kind. p.mu must be held.
+// recordFailure adds a failure. kind is the kind of its finding. p.mu must be held.
 func (p *hostProcess) recordFailure(kind, format string, args ...any) {
 	p.failed = true
 	p.failures = append(p.failures, kind+": "+fmt.Sprintf(format, args...))
 }
 
-// takeFailures returns the failures that were recorded since the last call.
+// takeFailures returns the failures since its last call. Each begins with the kind of the finding.
 func (p *hostProcess) takeFailures() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/soak/flaw_race_test.go
+++ b/internal/soak/flaw_race_test.go
@@ -14,7 +14,6 @@
 	flaws["two goroutines write a variable"] = func(*gateway.Ports) { time.AfterFunc(time.Second, raceOnVariable) }
 }
 
-// raceOnVariable makes two goroutines write a variable without synchronization.
 func raceOnVariable() {
 	n := 0
 	for range 2 {
@@ -22,7 +21,7 @@
 	}
 }
 
-// Guards against data races in hosts that no run reports: the finding must name the file of the race.
+// Guards against data races in hosts that go unnoticed. The finding must name the file.
 func TestDataRaceIsFound(t *testing.T) {
 	t.Parallel()
 	for _, f := range playFlaw(t, "two goroutines write a variable", nil, 0) {
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -34,15 +34,14 @@
 	// incarnation counts the started processes. exited is closed when the current one ends.
 	incarnation int
 	exited      chan struct{}
-	// endRequested is true once the current process was asked to end or killed, and killed once it was sent SIGKILL.
+	// endRequested is true once the current process was sent SIGTERM or SIGKILL, and killed once it was sent SIGKILL.
 	// termAt is when it was sent SIGTERM, or zero.
 	endRequested, killed bool
 	termAt               time.Time
 	// downtime is the delay from the end of the current process to the next start. finished ends the supervision.
 	downtime time.Duration
 	finished bool
-	// failures describes crashes, data races, and processes that ended unasked or could not be started. Each begins
-	// with the kind of the finding. failed is true once one was recorded.
+	// failures holds the findings that takeFailures has not returned yet. failed is true once there was any.
 	failures []string
 	failed   bool
 	done     chan struct{}
@@ -234,7 +233,7 @@
 	return len(entries)
 }
 
-// finish kills the host, waits for the end of supervise, and returns the failures that takeFailures has not returned.
+// finish kills the host, waits for the end of supervise, and returns the remaining failures.
 func (p *hostProcess) finish() []string {
 	p.mu.Lock()
 	p.finished, p.endRequested, p.killed = true, true, true
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -288,7 +288,7 @@
 	maxDescriptorGrowth = 4
 )
 
-// finish kills all hosts and records their failures as findings. Further calls do nothing.
+// finish kills all hosts and records their failures. Further calls do nothing.
 func (r *run) finish() {
 	for _, p := range r.processes {
 		r.recordFailures(p.finish())
@@ -296,7 +296,6 @@
 	r.processes = nil
 }
 
-// recordFailures records failures of host processes as findings.
 func (r *run) recordFailures(failures []string) {
 	for _, failure := range failures {
 		kind, text, _ := strings.Cut(failure, ": ")
@@ -304,7 +303,7 @@
 	}
 }
 
-// startError kills all hosts and returns an error with the message and the findings.
+// startError kills all hosts, so that their crashes are among the findings, and returns an error with message and findings.
 func (r *run) startError(message string) error {
 	r.finish()
 	return errors.New(strings.Join(append([]string{message}, r.site.History().Findings()...), "; "))
--- a/internal/soak/serve.go
+++ b/internal/soak/serve.go
@@ -25,8 +25,8 @@
 // progressInterval is the pause between two progress reports.
 const progressInterval = time.Second
 
-// Serve runs a site with its load and its faults until ctx ends, and calls report every second and once all hosts have
-// ended. It returns an error if the site or its hosts don't start.
+// Serve runs a site with its load and its faults until ctx ends. It calls report every second, and again after the hosts
+// have ended. It returns an error if the site or its hosts don't start.
 func Serve(ctx context.Context, p *Plan, report func(Progress)) error {
 	s, err := site.Start(p.Options.Site)
 	if err != nil {
@@ -68,7 +68,7 @@
 	return nil
 }
 
-// progress returns the state of the site, with the outcomes of all operations since the start.
+// progress returns a report that counts the operations since the start.
 func (r *run) progress(started time.Time) Progress {
 	now := Progress{
 		Elapsed: time.Since(started), Served: r.served.Load(), Refused: r.refused.Load(), Unknown: r.unknown.Load(),
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -155,7 +155,7 @@
 	}
 }
 
-// Guards against hosts that end or crash without a word of it in the reports on a running site.
+// Guards against progress reports that omit hosts which have ended.
 func TestServeReportsFailures(t *testing.T) {
 	t.Parallel()
 	p := &Plan{Options: DefaultOptions(), Seed: 1}
