--- /dev/null
+++ b/review/standin/member.go
@@ -0,0 +1,517 @@
+//go:build review
+
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	slotsPerMember    = 3                      // slots of the site
+	queuePerMember    = 24                     // queue of the site
+	connsPerMember    = 23                     // max_conns of the site
+	handshakeTime     = 12 * time.Millisecond  // handshake of the site
+	promoteTime       = 300 * time.Millisecond // a promote of the site
+	replicationDelay  = time.Millisecond       // one way between zones
+	heartbeatInterval = 1200 * time.Millisecond
+	// busyMoment is how long a member that is rolled back is busy: PROTOCOL.md says "a moment".
+	busyMoment = 300 * time.Millisecond
+)
+
+// position is a log position. The zero value is written as "-".
+type position struct{ term, lsn int }
+
+func (p position) String() string { return fmt.Sprintf("%d.%d", p.term, p.lsn) }
+
+func (p position) before(q position) bool {
+	return p.term < q.term || p.term == q.term && p.lsn < q.lsn
+}
+
+// service is a group of members.
+type service struct {
+	name  string
+	store *store
+	rec   *recorder
+	// work returns how long a statement takes.
+	work func() time.Duration
+
+	mu      sync.Mutex
+	members []*member
+	primary *member
+	token   int64
+	conns   int
+}
+
+// member is a model of a member: the line protocol of PROTOCOL.md, read strictly (a line ends with CR LF).
+type member struct {
+	s        *service
+	id, zone string
+	addr     string
+	lis      net.Listener
+
+	// s.mu guards the fields below.
+	running   bool
+	leads     bool
+	term      int
+	fence     int
+	log       []position
+	busyUntil time.Time
+	sequence  int
+	sessions  map[net.Conn]bool
+	executing int
+	queued    int
+	slotFree  *sync.Cond
+	// crashAtCommit makes the process end at its next commit, after it has written its own log and before a replica
+	// has received anything.
+	crashAtCommit func()
+}
+
+func newService(name string, st *store, rec *recorder, zones []string, work func() time.Duration) (*service, error) {
+	s := &service{name: name, store: st, rec: rec, work: work}
+	for i, zone := range zones {
+		lis, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		m := &member{s: s, id: fmt.Sprintf("i-%s-%d", name, i), zone: zone, addr: lis.Addr().String(), lis: lis, running: true,
+			term: 1, leads: i == 0, log: []position{{1, 1}}, sessions: map[net.Conn]bool{}}
+		m.slotFree = sync.NewCond(&s.mu)
+		s.members = append(s.members, m)
+		go m.accept(lis)
+		go m.beat()
+	}
+	s.primary = s.members[0]
+	return s, nil
+}
+
+// beat writes the member's entry to the store.
+func (m *member) beat() {
+	for {
+		m.s.mu.Lock()
+		m.register()
+		m.s.mu.Unlock()
+		time.Sleep(heartbeatInterval)
+	}
+}
+
+// register writes the entry. s.mu must be held.
+func (m *member) register() {
+	if !m.running {
+		return
+	}
+	m.sequence++
+	role := "replica"
+	if m.leads {
+		role = "primary"
+	}
+	m.s.store.put("servers/"+m.id, fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":"ready","cold_remaining_ms":0,"db_role":%q,"sequence":%d}`,
+		m.s.name, m.addr, m.zone, slotsPerMember, role, m.sequence))
+}
+
+func (m *member) accept(lis net.Listener) {
+	for {
+		nc, err := lis.Accept()
+		if err != nil {
+			return
+		}
+		go m.serve(nc)
+	}
+}
+
+// crash ends the member's process. s.mu must be held.
+func (m *member) crash() {
+	m.s.rec.note("member %s crashes", m.id)
+	m.running = false
+	_ = m.lis.Close()
+	for nc := range m.sessions {
+		_ = nc.Close()
+	}
+	clear(m.sessions)
+	m.executing, m.queued = 0, 0
+	// Its entry is removed after three ping intervals of silence.
+	time.AfterFunc(3*heartbeatInterval, func() {
+		m.s.mu.Lock()
+		defer m.s.mu.Unlock()
+		if !m.running {
+			m.s.store.del("servers/" + m.id)
+		}
+	})
+}
+
+// restart starts the member's process again, with its log, at its address.
+func (m *member) restart() error {
+	lis, err := net.Listen("tcp", m.addr)
+	if err != nil {
+		return err
+	}
+	m.s.mu.Lock()
+	defer m.s.mu.Unlock()
+	m.lis, m.running, m.fence = lis, true, 0
+	if p := m.s.primary; p != m {
+		m.leads = false
+		m.follow(p)
+	}
+	m.s.rec.note("member %s is back (leads: %v, busy for %v)", m.id, m.leads, time.Until(m.busyUntil).Round(time.Millisecond))
+	m.register()
+	go m.accept(lis)
+	return nil
+}
+
+// follow takes over the log of the primary. What the member had received and the primary had not is rolled back, for which
+// the member is busy for a moment. s.mu must be held.
+func (m *member) follow(p *member) {
+	common := 0
+	for common < len(m.log) && common < len(p.log) && m.log[common] == p.log[common] {
+		common++
+	}
+	if common < len(m.log) {
+		m.busyUntil = time.Now().Add(busyMoment)
+		m.s.rec.note("member %s rolls back %v", m.id, m.log[common:])
+	}
+	m.log, m.term, m.fence = slices.Clone(p.log), p.term, 0
+}
+
+// promote makes a member the primary, some time after the call. The result is the HTTP status.
+func (s *service) promote(id string, token int64) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if token < s.token {
+		return 409
+	}
+	s.token = token
+	i := slices.IndexFunc(s.members, func(m *member) bool { return m.id == id })
+	if i < 0 || !s.members[i].running {
+		return 409
+	}
+	m := s.members[i]
+	if m == s.primary && m.leads {
+		return 200
+	}
+	time.AfterFunc(promoteTime, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if !m.running || m == s.primary && m.leads {
+			return
+		}
+		term := 0
+		for _, o := range s.members {
+			term = max(term, o.term)
+			o.leads = false
+		}
+		s.primary, m.leads, m.fence, m.term = m, true, 0, term+1
+		m.log = append(slices.Clone(m.log), position{m.term, m.log[len(m.log)-1].lsn + 1})
+		s.rec.note("member %s leads term %d", m.id, m.term)
+		for _, o := range s.members {
+			if o != m && o.running {
+				o.follow(m)
+				o.register()
+			}
+		}
+		m.register()
+	})
+	return 200
+}
+
+// memberSession is a connection to a member.
+type memberSession struct {
+	m        *member
+	conn     int
+	state    string
+	readOnly bool
+	wrote    bool
+	values   map[string]string
+	prepared map[string]string // kind and shape
+}
+
+// readStrictLine reads a line that ends with CR LF.
+func readStrictLine(r *bufio.Reader) (string, error) {
+	var b strings.Builder
+	for {
+		part, err := r.ReadString('\n')
+		b.WriteString(part)
+		if err != nil {
+			return "", err
+		}
+		if strings.HasSuffix(part, "\r\n") {
+			return strings.TrimSuffix(b.String(), "\r\n"), nil
+		}
+	}
+}
+
+func (m *member) serve(nc net.Conn) {
+	defer nc.Close()
+	r := bufio.NewReader(nc)
+	line, err := readStrictLine(r)
+	if err != nil {
+		return
+	}
+	time.Sleep(handshakeTime)
+	f := strings.Fields(line)
+	m.s.mu.Lock()
+	switch {
+	case !m.running:
+		m.s.mu.Unlock()
+		return
+	case len(f) < 3 || f[0] != "START" || f[1] != m.s.name || len(f) > 3 && f[3] != m.id:
+		m.s.mu.Unlock()
+		_, _ = io.WriteString(nc, "ERR MISROUTED "+m.id+"\r\n")
+		return
+	case len(m.sessions) >= connsPerMember:
+		m.s.mu.Unlock()
+		_, _ = io.WriteString(nc, "ERR TOOMANY "+m.id+"\r\n")
+		return
+	}
+	m.sessions[nc] = true
+	m.s.conns++
+	s := &memberSession{m: m, conn: m.s.conns, state: "I", values: map[string]string{}, prepared: map[string]string{}}
+	text := "READY I " + m.end().String() + "\r\n"
+	m.s.mu.Unlock()
+	defer func() {
+		m.s.mu.Lock()
+		delete(m.sessions, nc)
+		m.s.mu.Unlock()
+	}()
+	for {
+		if _, err := io.WriteString(nc, text); err != nil {
+			return
+		}
+		line, err := readStrictLine(r)
+		if err != nil {
+			return
+		}
+		id, statement, ok := strings.Cut(strings.TrimPrefix(line, "QUERY "), " ")
+		if !strings.HasPrefix(line, "QUERY ") || !ok {
+			return
+		}
+		out, err := s.query(id, statement)
+		if err != nil {
+			return
+		}
+		text = out
+	}
+}
+
+// end returns the end of the log. s.mu must be held.
+func (m *member) end() position { return m.log[len(m.log)-1] }
+
+var errEnded = errors.New("the process has ended")
+
+// query runs a statement and returns the reply.
+func (s *memberSession) query(id, text string) (string, error) {
+	m := s.m
+	m.s.mu.Lock()
+	defer m.s.mu.Unlock()
+	body, err := s.run(id, text)
+	if err != nil || !m.running {
+		return "", errEnded
+	}
+	if strings.HasPrefix(body, "ERR ") && s.state == "T" && !strings.HasPrefix(body, "ERR BUSY") {
+		s.state = "E"
+	}
+	return body + "READY " + s.state + " " + m.end().String() + "\r\n", nil
+}
+
+func fail(code, detail string) string { return "ERR " + code + " " + detail + "\r\n" }
+
+const done = "DONE -\r\n"
+
+// run returns the reply without READY. s.mu of the service must be held.
+func (s *memberSession) run(id, text string) (string, error) {
+	m := s.m
+	if time.Now().Before(m.busyUntil) {
+		// The member is being rolled back. BUSY: the statement was not run.
+		if id == "-" {
+			m.s.rec.note("member %s conn %d: BUSY to %q", m.id, s.conn, text)
+		}
+		return fail("BUSY", m.id+" is being rolled back"), nil
+	}
+	word, rest, _ := strings.Cut(text, " ")
+	if word == "AFTER" {
+		at, statement, _ := strings.Cut(rest, " ")
+		termText, lsnText, _ := strings.Cut(at, ".")
+		term, _ := strconv.Atoi(termText)
+		lsn, _ := strconv.Atoi(lsnText)
+		if m.end().before(position{term, lsn}) {
+			return fail("LAGGING", m.id), nil
+		}
+		text = statement
+		word, rest, _ = strings.Cut(text, " ")
+	}
+	if id == "-" {
+		if out, ok := s.control(word, rest); ok {
+			return out, nil
+		}
+	}
+	if s.state == "E" && word != "ROLLBACK" && word != "COMMIT" {
+		return fail("MALFORMED", "the transaction has failed"), nil
+	}
+	if s.state == "T" && !s.readOnly && !m.leads && !(word == "COMMIT" && !s.wrote) {
+		return fail("READONLY", m.id), nil
+	}
+	switch word {
+	case "BEGIN":
+		if rest != "READ" && !m.leads {
+			return fail("READONLY", m.id), nil
+		}
+		s.state, s.readOnly, s.wrote = "T", rest == "READ", false
+		return done, nil
+	case "ROLLBACK":
+		s.state, s.wrote = "I", false
+		return done, nil
+	case "SET":
+		name, value, _ := strings.Cut(rest, " ")
+		s.values[name] = value
+		return done, nil
+	case "PREPARE":
+		name, shape, _ := strings.Cut(rest, " ")
+		s.prepared[name] = shape
+		return done, nil
+	case "FORGET":
+		delete(s.prepared, rest)
+		return done, nil
+	case "READ", "WRITE", "EXEC", "COMMIT":
+		return s.execute(id, word, text, rest)
+	}
+	return fail("MALFORMED", word), nil
+}
+
+// control runs what only the system itself sends.
+func (s *memberSession) control(word, rest string) (string, bool) {
+	m := s.m
+	term, _ := strconv.Atoi(rest)
+	switch word {
+	case "RESET":
+		clear(s.values)
+		clear(s.prepared)
+		return done, true
+	case "PAUSE":
+		if !m.leads && term > m.term {
+			m.fence = max(m.fence, term)
+		}
+	case "RESUME":
+		m.fence = 0
+	case "DEMOTE":
+		if m.leads && term > m.term {
+			m.leads = false
+			m.register()
+		}
+	case "STATUS":
+	default:
+		return "", false
+	}
+	role := "replica"
+	if m.leads {
+		role = "primary"
+	}
+	return fmt.Sprintf("ROW %s %d %s %d 0 %d %d\r\n", role, m.term, m.end(), m.fence, m.executing, len(m.sessions)) + done, true
+}
+
+// execute runs a read, write or commit in one of the member's slots.
+func (s *memberSession) execute(id, word, text, rest string) (string, error) {
+	m := s.m
+	m.s.rec.arrived(m.id, s.conn, id, text)
+	writes := word == "WRITE"
+	if word == "EXEC" {
+		name, _, _ := strings.Cut(rest, " ")
+		shape, ok := s.prepared[name]
+		if !ok {
+			return fail("NOSTMT", name), nil
+		}
+		writes = strings.HasPrefix(shape, "WRITE")
+	}
+	if writes && !m.leads {
+		return fail("READONLY", m.id), nil
+	}
+	if m.queued >= queuePerMember {
+		return fail("BUSY", m.id), nil
+	}
+	for m.queued++; m.executing >= slotsPerMember && m.running; {
+		m.slotFree.Wait()
+	}
+	if !m.running {
+		return "", errEnded
+	}
+	m.queued--
+	m.executing++
+	m.s.mu.Unlock()
+	time.Sleep(m.s.work())
+	m.s.mu.Lock()
+	if !m.running {
+		return "", errEnded
+	}
+	m.executing--
+	m.slotFree.Signal()
+	var values []string
+	for _, name := range slices.Sorted(maps.Keys(s.values)) {
+		values = append(values, name+"="+s.values[name])
+	}
+	commits := word == "COMMIT" && s.wrote || writes && s.state == "I"
+	if word == "COMMIT" {
+		failed := s.state == "E"
+		s.state = "I"
+		if failed {
+			return fail("ABORTED", m.id), nil
+		}
+		s.wrote = false
+	} else if s.state == "T" {
+		s.wrote = s.wrote || writes
+	}
+	if commits {
+		if err := s.commit(); err != nil {
+			return "", err
+		}
+	}
+	m.s.rec.ran(m.id, s.conn, id, text, strings.Join(values, ";"))
+	out := ""
+	if !writes && word != "COMMIT" {
+		out = "ROW " + strings.Join(values, ";") + "\r\n"
+	}
+	return out + fmt.Sprintf("DONE %s/%s\r\n", m.id, id), nil
+}
+
+// commit appends to the log and waits until a replica has received it.
+func (s *memberSession) commit() error {
+	m := s.m
+	if !m.leads {
+		return errEnded
+	}
+	at := position{m.term, m.end().lsn + 1}
+	m.log = append(slices.Clone(m.log), at)
+	if crash := m.crashAtCommit; crash != nil {
+		m.crashAtCommit = nil
+		m.s.rec.note("member %s has %v in its own log only", m.id, at)
+		m.crash()
+		crash()
+		return errEnded
+	}
+	for {
+		m.s.mu.Unlock()
+		time.Sleep(replicationDelay)
+		m.s.mu.Lock()
+		if !m.running || !m.leads {
+			return errEnded
+		}
+		received := 0
+		for _, o := range m.s.members {
+			if o != m && o.running && o.fence <= m.term && o.term == m.term {
+				if len(o.log) < len(m.log) {
+					o.log = slices.Clone(m.log)
+				}
+				received++
+			}
+		}
+		if received > 0 {
+			return nil
+		}
+	}
+}
