--- a/review/standin/values.go
+++ b/review/standin/values.go
@@ -11,7 +11,7 @@
 
 func init() { cases["values"] = runValues }
 
-// runValues: sessions with values of their own read all the time. A primary crashes and comes back as a replica, which is
+// runValues: sessions with values and a prepared statement of their own read all the time, half of them in transactions. A primary crashes and comes back as a replica, which is
 // rolled back and busy for a moment. Every statement must run with the values that were acknowledged to its session.
 func runValues(e *env) error {
 	const sessions = 12
@@ -33,7 +33,8 @@
 				value := fmt.Sprintf("%s-%d", name, n)
 				// One value is the same in all sessions, as applications set it, and one differs.
 				alive := c.do(newID(), "SET desk allergens", 2*time.Second).broken == nil &&
-					c.do(newID(), "SET owner "+value, 2*time.Second).broken == nil
+					c.do(newID(), "SET owner "+value, 2*time.Second).broken == nil &&
+					c.do(newID(), "PREPARE s1 READ q2c", 2*time.Second).broken == nil
 				for alive {
 					select {
 					case <-stop:
@@ -45,7 +46,16 @@
 					mu.Lock()
 					expected[id] = "desk=allergens;owner=" + value
 					mu.Unlock()
-					alive = c.do(id, "READ 1a4", 3*time.Second).broken == nil
+					if i%2 == 0 {
+						alive = c.do(id, "READ 1a4", 3*time.Second).broken == nil
+						continue
+					}
+					alive = c.do(newID(), "BEGIN READ", 3*time.Second).broken == nil
+					r := c.do(id, "EXEC s1 1a4", 3*time.Second)
+					if r.code == "NOSTMT" {
+						e.rec.breaks("%s got NOSTMT for request %s, and its PREPARE was acknowledged", name, id)
+					}
+					alive = alive && r.broken == nil && c.do(newID(), "COMMIT", 3*time.Second).broken == nil
 				}
 				c.close()
 			}
@@ -110,7 +120,7 @@
 	}
 	for _, r := range e.rec.runs {
 		want, known := expected[r.id]
-		if known && r.values != want && strings.HasPrefix(r.text, "READ") {
+		if known && r.values != want && !strings.HasPrefix(r.text, "WRITE") {
 			e.rec.breaks("%s ran %s %q at %.3f on conn %d with the values [%s], its session was acknowledged [%s]",
 				r.member, r.id, r.text, r.at.Sub(e.rec.started).Seconds(), r.conn, r.values, want)
 		}
