--- a/review/standin/member.go
+++ b/review/standin/member.go
@@ -50,6 +50,12 @@
 	primary *member
 	token   int64
 	conns   int
+	// onPromote is called in a goroutine when the next promotion is accepted. onLed is called when a promotion takes
+	// effect, with s.mu held, before the other members follow.
+	onPromote func(target *member)
+	onLed     func(promoted *member)
+	// committed holds the positions of commits, by the id of the request.
+	committed map[string]position
 }
 
 // member is a model of a member: the line protocol of PROTOCOL.md, read strictly (a line ends with CR LF).
@@ -57,7 +63,6 @@
 	s        *service
 	id, zone string
 	addr     string
-	lis      net.Listener
 
 	// s.mu guards the fields below.
 	leads     bool
@@ -72,26 +77,37 @@
 	slotFree  *sync.Cond
 	// cut is true while the member is parted from the other members, but not from the hosts.
 	cut bool
+	// deaf is true while the member receives nothing from the primary, and leaving once it has reported draining.
+	deaf, leaving bool
 }
 
 func newService(name string, st *store, rec *recorder, zones []string, work func() time.Duration) (*service, error) {
-	s := &service{name: name, store: st, rec: rec, work: work}
-	for i, zone := range zones {
-		lis, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
+	s := &service{name: name, store: st, rec: rec, work: work, committed: map[string]position{}}
+	for _, zone := range zones {
+		if _, err := s.start(zone); err != nil {
 			return nil, err
 		}
-		m := &member{s: s, id: fmt.Sprintf("i-%s-%d", name, i), zone: zone, addr: lis.Addr().String(), lis: lis,
-			term: 1, leads: i == 0, log: []position{{1, 1}}, sessions: map[net.Conn]bool{}}
-		m.slotFree = sync.NewCond(&s.mu)
-		s.members = append(s.members, m)
-		go m.accept(lis)
-		go m.beat()
 	}
 	s.primary = s.members[0]
+	s.primary.leads = true
 	return s, nil
 }
 
+// start starts a member as a replica.
+func (s *service) start(zone string) (*member, error) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	m := &member{s: s, id: fmt.Sprintf("i-%s-%d", s.name, len(s.members)), zone: zone, addr: lis.Addr().String(),
+		term: 1, log: []position{{1, 1}}, sessions: map[net.Conn]bool{}}
+	m.slotFree = sync.NewCond(&s.mu)
+	s.members = append(s.members, m)
+	go m.accept(lis)
+	go m.beat()
+	return m, nil
+}
+
 // beat writes the member's entry to the store.
 func (m *member) beat() {
 	for {
@@ -105,12 +121,15 @@
 // register writes the entry. s.mu must be held.
 func (m *member) register() {
 	m.sequence++
-	role := "replica"
+	role, state := "replica", "ready"
 	if m.leads {
 		role = "primary"
 	}
-	m.s.store.put("servers/"+m.id, fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":"ready","cold_remaining_ms":0,"db_role":%q,"sequence":%d}`,
-		m.s.name, m.addr, m.zone, slotsPerMember, role, m.sequence))
+	if m.leaving {
+		state = "draining"
+	}
+	m.s.store.put("servers/"+m.id, fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":%q,"cold_remaining_ms":0,"db_role":%q,"sequence":%d}`,
+		m.s.name, m.addr, m.zone, slotsPerMember, state, role, m.sequence))
 }
 
 func (m *member) accept(lis net.Listener) {
@@ -123,6 +142,28 @@
 	}
 }
 
+// leave reports that the member is to be replaced. It serves on.
+func (m *member) leave() {
+	m.s.mu.Lock()
+	defer m.s.mu.Unlock()
+	m.leaving = true
+	m.s.rec.note("member %s reports draining", m.id)
+	m.register()
+}
+
+// addReplica starts a new member, which receives the log of the primary.
+func (s *service) addReplica(zone string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m, err := s.start(zone)
+	if err != nil {
+		return err
+	}
+	m.follow(s.primary)
+	s.rec.note("member %s starts, and has the log up to %v", m.id, m.end())
+	return nil
+}
+
 // follow takes over the log of the primary. What the member had received and the primary had not is rolled back, for which
 // the member is busy for a moment. s.mu must be held.
 func (m *member) follow(p *member) {
@@ -153,6 +194,10 @@
 	if m == s.primary && m.leads {
 		return 200
 	}
+	if s.onPromote != nil {
+		go s.onPromote(m)
+		s.onPromote = nil
+	}
 	time.AfterFunc(promoteTime, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -165,7 +210,10 @@
 			o.leads = false
 		}
 		s.primary, m.leads, m.fence, m.term = m, true, 0, term+1
-		s.rec.note("member %s leads term %d", m.id, m.term)
+		s.rec.note("member %s leads term %d from %v", m.id, m.term, m.end())
+		if s.onLed != nil {
+			s.onLed(m)
+		}
 		m.register()
 		for _, o := range s.members {
 			if o.cut {
@@ -418,7 +466,7 @@
 		s.wrote = s.wrote || writes
 	}
 	if commits {
-		if err := s.commit(); err != nil {
+		if err := s.commit(id); err != nil {
 			return "", err
 		}
 	}
@@ -431,7 +479,7 @@
 }
 
 // commit appends to the log and waits until a replica has received it.
-func (s *memberSession) commit() error {
+func (s *memberSession) commit(id string) error {
 	m := s.m
 	if !m.leads {
 		return errReplaced
@@ -439,6 +487,7 @@
 	at := position{m.term, m.end().lsn + 1}
 	m.log = append(slices.Clone(m.log), at)
 	index := len(m.log)
+	m.s.committed[id] = at
 	for {
 		m.s.mu.Unlock()
 		time.Sleep(replicationDelay)
@@ -448,7 +497,7 @@
 		}
 		received := 0
 		for _, o := range m.s.members {
-			if o != m && !m.cut && o.fence <= m.term && o.term == m.term {
+			if o != m && !m.cut && !o.deaf && o.fence <= m.term && o.term == m.term {
 				if len(o.log) < len(m.log) {
 					o.log = slices.Clone(m.log)
 				}
