--- a/review/standin/values.go
+++ b/review/standin/values.go
@@ -14,7 +14,7 @@
 	// cutLength is the for_s of primary_cut at the site. The cut ends sooner if another member is promoted.
 	cutLength = 5 * time.Second
 	// The primary of the time is parted so often, one after the other.
-	cuts        = 3
+	cuts        = 5
 	cutInterval = 10 * time.Second
 )
 
