--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,4 +1,5 @@
 #!/bin/sh
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")" || exit 2
+[ -x ../../target/review-standin ] && [ -x ../../target/pearlatch ] || exit 2
 exec ../../target/review-standin switchover ../../target/pearlatch record.txt
