--- a/cmd/pearlatch-lab/main.go
+++ b/cmd/pearlatch-lab/main.go
@@ -26,6 +26,7 @@
 	addCommand(p, "site", "Run a site with hosts as processes until interrupted", &siteCommand{})
 	addCommand(p, "soak", "Run hosts as processes, make things fail, check promises", &soakCommand{})
 	addCommand(p, "capacity", "Work the capacity table out of measured slopes", &capacityCommand{})
+	addCommand(p, "timeline", "Summarize the log lines of many hosts by second", &timelineCommand{})
 	_, err := p.Parse()
 	var flagsErr *flags.Error
 	switch {
