core/joining: the model of a fleet's start has the store's link

The model answered a list of hosts after two round trips, whatever its length and however many hosts asked, and a busy host named only hosts that have the contents. The store's link is shared now, lists have pages with the product's timeouts and attempts, and a busy host names listed hosts, as the product does. New case: all restart and the seeds stay away.

--- a/core/joining/joiner_test.go
+++ b/core/joining/joiner_test.go
@@ -11,7 +11,7 @@
 	"pearlatch/core/serving"
 )
 
-// fleet simulates hosts that start together and a store that lists hosts.
+// fleet simulates hosts that start together, the link of a store that lists hosts, and the links of the hosts.
 type fleet struct {
 	random *rand.Rand
 	hosts  []*simHost
@@ -21,7 +21,9 @@
 	refusedShare float64
 	// reads are the times at which hosts read the whole store.
 	reads []time.Duration
-	now   time.Duration
+	// storeCalls are the calls that the store is answering. They share its link.
+	storeCalls []*storeCall
+	now        time.Duration
 }
 
 // simHost is a simulated host.
@@ -35,14 +37,37 @@
 	informedAt              time.Duration
 	transferEnds            []time.Duration
 	backoffs                int
+	// reading is true while the host reads from the store.
+	reading bool
+}
+
+// storeCall is the read of a page. pages is the number of pages that are left, with this one, and attempts how often this
+// one was tried.
+type storeCall struct {
+	host            *simHost
+	pages, attempts int
+	left            float64 // bytes
+	deadline        time.Duration
+	whole, first    bool
 }
 
 const (
 	roundTrip    = 2 * time.Millisecond
 	transferTime = 300 * time.Millisecond
-	readTime     = 400 * time.Millisecond
 	maxTransfers = 8
 	tick         = 10 * time.Millisecond
+
+	// The users' store answers after 4 ms over a link of 1,000 Mbit/s, with pages of 500 items and some 200 bytes an item.
+	// Their hosts have links of 20 Mbit/s.
+	storeDelay    = 4 * time.Millisecond
+	storeBytes    = 125e6 // per second
+	hostBytes     = 2.5e6 // per second
+	itemsPerPage  = 500
+	bytesPerItem  = 200
+	keysPerHost   = 6
+	pageTimeout   = 1500 * time.Millisecond
+	pageAttempts  = 4
+	pageRetryTime = 90 * time.Millisecond
 )
 
 func hostAddr(i int) netip.AddrPort {
@@ -63,15 +88,16 @@
 	return f
 }
 
-// run simulates until all hosts are informed. It returns the time that this took, and false if it exceeds 30 s.
+// run simulates until all hosts are informed. It returns the time that this took, and false if it exceeds a minute.
 func (f *fleet) run() (time.Duration, bool) {
 	for _, s := range f.hosts {
 		s.refused = f.random.Float64() < f.refusedShare
 	}
 	waiting := slices.DeleteFunc(slices.Clone(f.hosts), func(s *simHost) bool { return s.informed || s.dead })
-	for f.now = 0; f.now < 30*time.Second; f.now += tick {
+	for f.now = 0; f.now < 60*time.Second; f.now += tick {
+		f.transfer()
 		for _, s := range waiting {
-			for s.nextStep <= f.now && !s.informed {
+			for s.nextStep <= f.now && !s.informed && !s.reading {
 				f.step(s)
 			}
 		}
@@ -90,16 +116,10 @@
 		s.backoffs++
 		s.nextStep += step.For
 	case ListHosts:
-		s.nextStep += 2 * roundTrip
-		if !s.refused {
-			s.joiner.SetListedHosts(f.listed)
-		}
+		f.readStore(s, len(f.listed), false)
 	case ReadStore:
 		f.reads = append(f.reads, f.now)
-		s.nextStep += readTime
-		if !s.refused {
-			f.markInformed(s)
-		}
+		f.readStore(s, keysPerHost*len(f.hosts), true)
 	case AskHost:
 		s.nextStep += roundTrip
 		from := f.hosts[int(step.Addr.Addr().As4()[2])<<8|int(step.Addr.Addr().As4()[3])]
@@ -113,18 +133,72 @@
 			s.nextStep += transferTime
 			f.markInformed(s)
 		default:
-			s.joiner.Redirect(f.sampleInformed())
+			s.joiner.Redirect(f.sampleListed())
 		}
 	}
 }
 
-// sampleInformed returns some informed hosts, as a busy host names them.
-func (f *fleet) sampleInformed() []netip.AddrPort {
-	var out []netip.AddrPort
-	for range 20 {
-		if s := f.hosts[f.random.IntN(len(f.hosts))]; s.informed && len(out) < 4 {
-			out = append(out, s.addr)
+// readStore begins to read a number of items from the store.
+func (f *fleet) readStore(s *simHost, items int, whole bool) {
+	s.nextStep += 2 * roundTrip
+	if s.refused {
+		return
+	}
+	s.reading = true
+	c := &storeCall{host: s, pages: max(1, (items+itemsPerPage-1)/itemsPerPage), whole: whole, first: true}
+	f.beginPage(c, items)
+	f.storeCalls = append(f.storeCalls, c)
+}
+
+// beginPage begins a page with up to the given number of items.
+func (f *fleet) beginPage(c *storeCall, items int) {
+	c.attempts++
+	c.left = bytesPerItem*float64(min(items, itemsPerPage)) + storeDelay.Seconds()*hostBytes
+	c.deadline = f.now + pageTimeout
+}
+
+// transfer moves the bytes of a tick over the store's link, in equal parts for all calls.
+func (f *fleet) transfer() {
+	part := min(storeBytes/float64(max(1, len(f.storeCalls))), hostBytes) * tick.Seconds()
+	f.storeCalls = slices.DeleteFunc(f.storeCalls, func(c *storeCall) bool {
+		c.left -= part
+		switch {
+		case c.left > 0 && f.now < c.deadline:
+			return false
+		case c.left > 0 && (c.first || c.attempts == pageAttempts):
+			f.endRead(c, false)
+			return true
+		case c.left > 0:
+			f.beginPage(c, itemsPerPage)
+			c.deadline += pageRetryTime
+			return false
+		case c.pages > 1:
+			c.pages, c.first, c.attempts = c.pages-1, false, 0
+			f.beginPage(c, itemsPerPage)
+			return false
 		}
+		f.endRead(c, true)
+		return true
+	})
+}
+
+// endRead ends the host's read.
+func (f *fleet) endRead(c *storeCall, ok bool) {
+	s := c.host
+	s.reading, s.nextStep = false, f.now
+	switch {
+	case ok && c.whole:
+		f.markInformed(s)
+	case ok:
+		s.joiner.SetListedHosts(f.listed)
+	}
+}
+
+// sampleListed returns some listed hosts, as a busy host names them.
+func (f *fleet) sampleListed() []netip.AddrPort {
+	var out []netip.AddrPort
+	for range min(4, len(f.listed)) {
+		out = append(out, f.listed[f.random.IntN(len(f.listed))])
 	}
 	return out
 }
@@ -151,10 +225,18 @@
 	return most
 }
 
+// killSeeds ends the hosts that are the seeds of all others.
+func killSeeds(f *fleet) {
+	for _, s := range f.hosts[:3] {
+		s.dead = true
+	}
+}
+
 // All hosts of a fleet start, half of them restart, all restart while the store still lists them, the seeds are
 // gone, or the store refuses a third of the hosts. Each host must have the contents of the store within seconds.
 // The number of hosts that read the whole store within a second must not exceed what the store can serve,
-// whatever the size of the fleet.
+// whatever the size of the fleet. Guards against hosts that saturate the store's link with lists of hosts, so that none
+// can read its contents.
 func TestFleetStartLimitsStoreReads(t *testing.T) {
 	for _, c := range []struct {
 		name     string
@@ -166,11 +248,8 @@
 		{"first start", 0, false, nil, 5 * time.Second},
 		{"half of the hosts restart", 0.45, true, nil, 4 * time.Second},
 		{"all hosts restart", 0, true, nil, 5 * time.Second},
-		{"first start with dead seeds", 0, false, func(f *fleet) {
-			for _, s := range f.hosts[:3] {
-				s.dead = true
-			}
-		}, 10 * time.Second},
+		{"first start with dead seeds", 0, false, killSeeds, 10 * time.Second},
+		{"all hosts restart with dead seeds", 0, true, killSeeds, 10 * time.Second},
 		{"the store refuses a third of the hosts", 0, true, func(f *fleet) { f.refusedShare = 0.33 }, 8 * time.Second},
 	} {
 		for _, n := range []int{100, 1000, 2000} {
--- a/internal/timeline/line.go
+++ b/internal/timeline/line.go
@@ -59,5 +59,5 @@
 	if json.Unmarshal(text[start:], &w) != nil || w.At.IsZero() || w.Host == "" || w.Event == "" {
 		return Line{}, false
 	}
-	return Line{At: w.At, Host: w.Host, Event: w.Event, Group: w.Group, Code: w.Code, Cause: w.Cause}, true
+	return Line(w), true
 }
