--- a/internal/follow/join.go
+++ b/internal/follow/join.go
@@ -33,9 +33,7 @@
 			hostsAsked++
 			source = HostSource{step.Addr}
 			err = source.follow(ctx, f, 0)
-			if busy := (*busyError)(nil); errors.As(err, &busy) {
-				j.Redirect(busy.referrals)
-			}
+			reportAnswer(j, err)
 		case joining.Backoff:
 			pause.For(ctx, step.For)
 		}
@@ -48,6 +46,17 @@
 	f.log("joined", "took_ms", f.now().Sub(started).Milliseconds(), "store_reads", storeReads, "hosts_asked", hostsAsked)
 }
 
+// reportAnswer reports to the joiner how a host answered that did not send the contents.
+func reportAnswer(j *joining.Joiner, err error) {
+	busy, unreached := (*busyError)(nil), (*unreachedError)(nil)
+	switch {
+	case errors.As(err, &busy):
+		j.Redirect(busy.referrals)
+	case err != nil && !errors.As(err, &unreached):
+		j.Reached()
+	}
+}
+
 // listHostAddrs returns the addresses of the hosts that the store lists. The list may be some seconds old.
 func (f *Follower) listHostAddrs(ctx context.Context) ([]netip.AddrPort, error) {
 	list, err := f.list(ctx, kv.Range{Prefix: f.settings.HostsPrefix, AllowStale: true})
--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -64,7 +64,7 @@
 	defer cancel()
 	feed, err := f.peers.Feed(openCtx, s.Addr, f.view.Revision())
 	if err != nil {
-		return err
+		return &unreachedError{err}
 	}
 	defer feed.Close()
 	version := f.fleet.Version()
@@ -113,6 +113,14 @@
 
 func (*busyError) Error() string { return "the host passes news on to too many others" }
 
+// unreachedError means that no feed could be opened, so that nothing is known of the host.
+type unreachedError struct{ cause error }
+
+func (e *unreachedError) Error() string { return e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *unreachedError) Unwrap() error { return e.cause }
+
 // shouldSwitchSource reports whether the host prefers another source than s, now that it is listed and has its own
 // position in the tree of update sources. Hosts that are not listed yet keep their source: while a fleet starts, all of
 // them would otherwise switch to the few listed hosts.
