Busy hosts name hosts that were sent the contents of the store

A host that passes the contents on to as many hosts as it may named random listed hosts to the others. While a fleet restarts, the store still lists all of them, and nearly none has the contents, so that most of what was named was asked in vain.

A request for a feed carries the address of the host that asks (a new field, which older hosts skip, and may lack). The feeder remembers the last 16 hosts that it has sent a full update to, for 10 s, and names four of these; without any, random hosts as before.

--- a/core/joining/joiner_test.go
+++ b/core/joining/joiner_test.go
@@ -39,6 +39,8 @@
 	backoffs                int
 	// reading is true while the host reads from the store.
 	reading bool
+	// receivers are the hosts that have received the contents from this one.
+	receivers Receivers
 }
 
 // storeCall is the read of a page. pages is the number of pages that are left, with this one, and attempts how often this
@@ -131,10 +133,11 @@
 			s.joiner.Reached()
 		case len(from.transferEnds) < maxTransfers:
 			from.transferEnds = append(from.transferEnds, f.now+transferTime)
+			from.receivers.Add(s.addr, f.time())
 			s.nextStep += transferTime
 			f.markInformed(s)
 		default:
-			s.joiner.Redirect(f.sampleListed())
+			s.joiner.Redirect(from.receivers.Sample(4, f.time(), f.random.Float64))
 		}
 	}
 }
@@ -195,14 +198,8 @@
 	}
 }
 
-// sampleListed returns some listed hosts, as a busy host names them.
-func (f *fleet) sampleListed() []netip.AddrPort {
-	var out []netip.AddrPort
-	for range min(4, len(f.listed)) {
-		out = append(out, f.listed[f.random.IntN(len(f.listed))])
-	}
-	return out
-}
+// time returns the time of the simulation.
+func (f *fleet) time() time.Time { return time.Unix(0, 0).Add(f.now) }
 
 func (f *fleet) markInformed(s *simHost) {
 	s.informed, s.informedAt = true, s.nextStep
--- a/internal/follow/feeder.go
+++ b/internal/follow/feeder.go
@@ -2,13 +2,15 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 
-	"pearlatch/core/kv"
+	"pearlatch/core/joining"
 	"pearlatch/internal/fleet"
 )
 
@@ -37,6 +39,10 @@
 	stopping func() bool
 	// feeds counts the open feeds, and fullUpdates the full updates that are being sent.
 	feeds, fullUpdates atomic.Int64
+
+	mu sync.Mutex
+	// receivers are the hosts that were last sent a full update.
+	receivers joining.Receivers
 }
 
 // NewFeeder returns a Feeder that forwards the contents of view. stopping reports whether the host is shutting down.
@@ -44,9 +50,10 @@
 	return &Feeder{view: view, fleet: f, stopping: stopping}
 }
 
-// Feed sends the changes of the store after the given revision until ctx ends or send fails. It returns an error at
+// Feed sends the changes of the store that the request asks for until ctx ends or send fails. It returns an error at
 // once if too many feeds are open, after it has named other hosts to the receiver.
-func (f *Feeder) Feed(ctx context.Context, after kv.Revision, send func(StoreUpdate) error) error {
+func (f *Feeder) Feed(ctx context.Context, r FeedRequest, send func(StoreUpdate) error) error {
+	after := r.After
 	if f.feeds.Add(1) > maxFeeds {
 		f.feeds.Add(-1)
 		return f.redirect(send)
@@ -60,7 +67,7 @@
 		if err != nil {
 			return err
 		}
-		if err := f.sendUpdate(update, send); err != nil {
+		if err := f.sendUpdate(update, r.Receiver, send); err != nil {
 			return err
 		}
 		after = max(after, update.Revision)
@@ -78,7 +85,7 @@
 
 // sendUpdate sends the update, or redirects the receiver if the update is full and this host already sends as many full
 // updates as allowed.
-func (f *Feeder) sendUpdate(update StoreUpdate, send func(StoreUpdate) error) error {
+func (f *Feeder) sendUpdate(update StoreUpdate, receiver netip.AddrPort, send func(StoreUpdate) error) error {
 	if !update.Full {
 		return send(update)
 	}
@@ -86,7 +93,18 @@
 	if f.fullUpdates.Add(1) > maxFullUpdates {
 		return f.redirect(send)
 	}
-	return send(update)
+	err := send(update)
+	if err == nil {
+		f.noteReceiver(receiver)
+	}
+	return err
+}
+
+// noteReceiver records that the host was sent a full update.
+func (f *Feeder) noteReceiver(receiver netip.AddrPort) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.receivers.Add(receiver, f.view.now())
 }
 
 // errTooManyFeeds ends the feed of a host that is redirected to other hosts.
@@ -94,11 +112,7 @@
 
 // redirect names other hosts from which the receiver can get updates, if any are known.
 func (f *Feeder) redirect(send func(StoreUpdate) error) error {
-	var referrals []netip.AddrPort
-	for _, o := range f.fleet.Sample(maxReferrals) {
-		referrals = append(referrals, o.Peer)
-	}
-	if len(referrals) > 0 {
+	if referrals := f.referrals(); len(referrals) > 0 {
 		if err := send(StoreUpdate{Referrals: referrals, Age: referralAge}); err != nil {
 			return err
 		}
@@ -106,5 +120,19 @@
 	return errTooManyFeeds
 }
 
+// referrals returns hosts that were sent a full update recently, or random hosts if there are none.
+func (f *Feeder) referrals() []netip.AddrPort {
+	f.mu.Lock()
+	out := f.receivers.Sample(maxReferrals, f.view.now(), rand.Float64)
+	f.mu.Unlock()
+	if len(out) > 0 {
+		return out
+	}
+	for _, o := range f.fleet.Sample(maxReferrals) {
+		out = append(out, o.Peer)
+	}
+	return out
+}
+
 // errNoUpdates means that a host has no view of the store yet, or is shutting down.
 var errNoUpdates = errors.New("no news to pass on")
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -100,7 +100,7 @@
 			return ctx.Err()
 		}
 		feed := func() {
-			if err := f.Feed(ctx, 0, sendOverSlowLink); !errors.Is(err, errTooManyFeeds) && ctx.Err() == nil {
+			if err := f.Feed(ctx, FeedRequest{}, sendOverSlowLink); !errors.Is(err, errTooManyFeeds) && ctx.Err() == nil {
 				t.Errorf("a feed ended with %v", err)
 			}
 		}
@@ -117,6 +117,36 @@
 	})
 }
 
+// Guards against a busy host that names hosts which are listed but have restarted too, and have no contents either.
+func TestBusyHostNamesReceivers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		view := NewStoreView(nil, time.Now)
+		if _, err := view.Apply(StoreUpdate{Update: kv.Update{Full: true, Snapshot: kv.Snapshot{Revision: 7}}}); err != nil {
+			t.Fatal(err)
+		}
+		f := NewFeeder(view, newTestFleet("h0", 30), func() bool { return false })
+		ended := errors.New("ended")
+		calls := 0
+		endAfterFirst := func(StoreUpdate) error {
+			if calls++; calls > 1 {
+				return ended
+			}
+			return nil
+		}
+		received := hostAddr(200) // not listed
+		if err := f.Feed(t.Context(), FeedRequest{Receiver: received}, endAfterFirst); !errors.Is(err, ended) {
+			t.Fatal(err)
+		}
+		if got := f.referrals(); !slices.Equal(got, []netip.AddrPort{received}) {
+			t.Errorf("named %v, want %v", got, received)
+		}
+		time.Sleep(time.Minute)
+		if got := f.referrals(); slices.Contains(got, received) || len(got) != maxReferrals {
+			t.Errorf("a minute later it names %v", got)
+		}
+	})
+}
+
 // While a fleet starts, a host has no position in the tree of update sources until it is listed. All unlisted hosts would
 // switch to the first listed one, so they must keep the source from which they got the list.
 func TestUnlistedHostKeepsItsSource(t *testing.T) {
@@ -132,7 +162,7 @@
 // busyPeers opens feeds from hosts of which one, at hostAddr(1), is busy and names two others.
 type busyPeers struct{}
 
-func (busyPeers) Feed(_ context.Context, to netip.AddrPort, _ kv.Revision) (Feed, error) {
+func (busyPeers) Feed(_ context.Context, to netip.AddrPort, _ FeedRequest) (Feed, error) {
 	return &testFeed{busy: to == hostAddr(1)}, nil
 }
 
@@ -200,7 +230,7 @@
 // loopingPeers opens feeds whose updates reach the sender through the host at hostAddr(250).
 type loopingPeers struct{ testFeed }
 
-func (p *loopingPeers) Feed(context.Context, netip.AddrPort, kv.Revision) (Feed, error) {
+func (p *loopingPeers) Feed(context.Context, netip.AddrPort, FeedRequest) (Feed, error) {
 	return p, nil
 }
 
--- a/internal/follow/preferred.go
+++ b/internal/follow/preferred.go
@@ -44,7 +44,7 @@
 func (s HostSource) sendsUpdates(ctx context.Context, f *Follower, _ time.Duration) bool {
 	openCtx, cancel := context.WithTimeout(ctx, feedOpenTimeout)
 	defer cancel()
-	feed, err := f.peers.Feed(openCtx, s.Addr, f.view.Revision())
+	feed, err := f.peers.Feed(openCtx, s.Addr, f.feedRequest())
 	if err != nil {
 		return false
 	}
--- a/internal/follow/source.go
+++ b/internal/follow/source.go
@@ -62,7 +62,7 @@
 func (s HostSource) follow(ctx context.Context, f *Follower, patience time.Duration) error {
 	openCtx, cancel := context.WithTimeout(ctx, feedOpenTimeout)
 	defer cancel()
-	feed, err := f.peers.Feed(openCtx, s.Addr, f.view.Revision())
+	feed, err := f.peers.Feed(openCtx, s.Addr, f.feedRequest())
 	if err != nil {
 		return &unreachedError{err}
 	}
@@ -95,6 +95,11 @@
 	return nil
 }
 
+// feedRequest returns a request for the changes that the host does not know.
+func (f *Follower) feedRequest() FeedRequest {
+	return FeedRequest{After: f.view.Revision(), Receiver: f.settings.Self}
+}
+
 // nextUpdate receives and applies the next update of a feed.
 func (f *Follower) nextUpdate(feed Feed) (StoreUpdate, error) {
 	update, err := feed.Next(feedTimeout)
--- a/internal/follow/update.go
+++ b/internal/follow/update.go
@@ -32,8 +32,16 @@
 
 // Peers opens feeds from other hosts.
 type Peers interface {
-	// Feed opens a feed of the changes after the given revision.
-	Feed(ctx context.Context, to netip.AddrPort, after kv.Revision) (Feed, error)
+	// Feed opens a feed of the host at the address.
+	Feed(ctx context.Context, to netip.AddrPort, r FeedRequest) (Feed, error)
+}
+
+// FeedRequest asks another host for a feed.
+type FeedRequest struct {
+	// After is the revision after which the changes are sent.
+	After kv.Revision
+	// Receiver is the address of the host that asks. Hosts of earlier versions leave it empty.
+	Receiver netip.AddrPort
 }
 
 // Store reads the platform's store.
--- a/internal/gateway/fakefleet_test.go
+++ b/internal/gateway/fakefleet_test.go
@@ -374,7 +374,7 @@
 
 func (s *fakeStream) ReplaceIfSilent(time.Duration) {}
 
-func (p *fakePeers) Feed(ctx context.Context, to netip.AddrPort, after kv.Revision) (follow.Feed, error) {
+func (p *fakePeers) Feed(ctx context.Context, to netip.AddrPort, r follow.FeedRequest) (follow.Feed, error) {
 	h, err := p.reach(ctx, to)
 	if err != nil {
 		return nil, err
@@ -382,7 +382,7 @@
 	run, cancel := context.WithCancel(context.Background())
 	f := &fakeFeed{news: make(chan follow.StoreUpdate), done: make(chan error, 1), cancel: cancel}
 	go func() {
-		f.done <- h.Feed(run, after, func(n follow.StoreUpdate) error {
+		f.done <- h.Feed(run, r, func(n follow.StoreUpdate) error {
 			if _, err := p.reach(run, to); err != nil {
 				return err
 			}
--- a/internal/gateway/store_changes.go
+++ b/internal/gateway/store_changes.go
@@ -140,7 +140,7 @@
 	}
 }
 
-// Feed sends the store's changes after the revision to another host, until ctx ends or send fails.
-func (h *Host) Feed(ctx context.Context, after kv.Revision, send func(follow.StoreUpdate) error) error {
-	return h.feeder.Feed(ctx, after, send)
+// Feed sends the store's changes to another host, until ctx ends or send fails.
+func (h *Host) Feed(ctx context.Context, r follow.FeedRequest, send func(follow.StoreUpdate) error) error {
+	return h.feeder.Feed(ctx, r, send)
 }
--- a/io/peer/gateway_client.go
+++ b/io/peer/gateway_client.go
@@ -7,7 +7,6 @@
 
 	"github.com/pkg/errors"
 
-	"pearlatch/core/kv"
 	"pearlatch/core/quota/reserve"
 	"pearlatch/internal/follow"
 	"pearlatch/internal/gateway"
@@ -150,13 +149,13 @@
 }
 
 // Feed implements gateway.Peers.
-func (c *GatewayClient) Feed(ctx context.Context, to netip.AddrPort, after kv.Revision) (follow.Feed, error) {
+func (c *GatewayClient) Feed(ctx context.Context, to netip.AddrPort, r follow.FeedRequest) (follow.Feed, error) {
 	s, err := c.client.openStream(ctx, to, feedCall)
 	if err != nil {
 		return nil, err
 	}
 	f := &feed{addr: to, stream: s}
-	if err := s.drpc.MsgSend(&feedRequest{after: after, readsCompressedLists: true}, encoding{}); err != nil {
+	if err := s.drpc.MsgSend(&feedRequest{FeedRequest: r, readsCompressedLists: true}, encoding{}); err != nil {
 		f.Close()
 		return nil, errors.Wrapf(err, "ask host %s for news", to)
 	}
--- a/io/peer/gateway_codec_test.go
+++ b/io/peer/gateway_codec_test.go
@@ -82,8 +82,11 @@
 func newsSamples() map[string]message {
 	item := kv.Item{Key: "config", Value: []byte("v"), Revision: 9}
 	return map[string]message{
-		"feed_request":        &feedRequest{after: 412},
-		"feed_request_packed": &feedRequest{after: 412, readsCompressedLists: true},
+		"feed_request":        &feedRequest{FeedRequest: follow.FeedRequest{After: 412}},
+		"feed_request_packed": &feedRequest{FeedRequest: follow.FeedRequest{After: 412}, readsCompressedLists: true},
+		"feed_request_of_a_named_receiver": &feedRequest{
+			FeedRequest: follow.FeedRequest{After: 412, Receiver: netip.MustParseAddrPort("10.1.0.8:8782")}, readsCompressedLists: true,
+		},
 		"news_elsewhere": &newsMessage{StoreUpdate: follow.StoreUpdate{
 			Referrals: []netip.AddrPort{netip.MustParseAddrPort("10.1.0.8:8782"), netip.MustParseAddrPort("10.2.0.6:8782")}, Age: time.Hour,
 		}, compressor: &compressor{}},
@@ -91,7 +94,7 @@
 			Update: kv.Update{Snapshot: kv.Snapshot{Revision: 10}}, Age: time.Second,
 			Path: []netip.AddrPort{netip.MustParseAddrPort("10.1.0.8:8782"), netip.MustParseAddrPort("[fd00::6]:8782")},
 		}, compressor: &compressor{}},
-		"feed_request_of_a_later_epoch": &feedRequest{after: kv.NewRevision(3, 412)},
+		"feed_request_of_a_later_epoch": &feedRequest{FeedRequest: follow.FeedRequest{After: kv.NewRevision(3, 412)}},
 		"news_of_a_later_epoch": &newsMessage{StoreUpdate: follow.StoreUpdate{Update: kv.Update{
 			Snapshot: kv.Snapshot{Items: []kv.Item{{Key: "k", Value: []byte("v"), Revision: kv.NewRevision(3, 9), Created: 4}}, Revision: kv.NewRevision(3, 10)},
 			Full:     true,
--- a/io/peer/gateway_server.go
+++ b/io/peer/gateway_server.go
@@ -55,7 +55,7 @@
 	if err := stream.MsgRecv(&in, encoding{}); err != nil {
 		return err
 	}
-	return r.h.Feed(stream.Context(), in.after, func(n follow.StoreUpdate) error {
+	return r.h.Feed(stream.Context(), in.FeedRequest, func(n follow.StoreUpdate) error {
 		return stream.MsgSend(&newsMessage{n, &r.packer, in.readsCompressedLists}, encoding{})
 	})
 }
--- a/io/peer/link_test.go
+++ b/io/peer/link_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"pearlatch/core/freshness"
+	"pearlatch/internal/follow"
 	"pearlatch/internal/gateway"
 )
 
@@ -201,7 +202,7 @@
 func TestFeedOverTheWire(t *testing.T) {
 	s := &stubBackend{}
 	h := serveStub(t, s)
-	f, err := newClient().Feed(t.Context(), h.addr, 0)
+	f, err := newClient().Feed(t.Context(), h.addr, follow.FeedRequest{})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/io/peer/news_messages.go
+++ b/io/peer/news_messages.go
@@ -9,24 +9,41 @@
 	"pearlatch/internal/follow"
 )
 
-// feedRequest asks for the store's updates after a revision.
+// feedRequest is follow.FeedRequest on the wire.
 type feedRequest struct {
-	after kv.Revision
+	follow.FeedRequest
 	// readsCompressedLists is true if the sender can read an item list that is compressed as a whole.
 	readsCompressedLists bool
 }
 
 func (m *feedRequest) fields(w *fieldWriter) {
-	w.uint("after", uint64(m.after))
+	w.uint("after", uint64(m.After))
 	w.bool("packs", m.readsCompressedLists)
+	if m.Receiver.IsValid() {
+		receiver, err := packAddrs([]netip.AddrPort{m.Receiver})
+		w.setErr(err)
+		w.bytes("receiver", receiver)
+	}
 }
 
 func (m *feedRequest) field(name string, r *fieldReader) bool {
 	switch name {
 	case "after":
-		return readUint(r, &m.after)
+		return readUint(r, &m.After)
 	case "packs":
 		return r.bool(&m.readsCompressedLists)
+	case "receiver":
+		var packed []byte
+		r.bytes(&packed)
+		addrs, err := unpackAddrs(packed)
+		if err == nil && len(addrs) != 1 {
+			err = errors.Errorf("the receiver of a feed has %d addresses, want one", len(addrs))
+		}
+		r.setErr(err)
+		if err == nil {
+			m.Receiver = addrs[0]
+		}
+		return true
 	}
 	return false
 }
