A host that starts waits at a host that reads the store

A feed of a host that knows nothing yet and reads the whole store waits for that, for 0.3 s at most, and counts as one of the feeds that the host serves at a time. A host that does not read answers at once, as before.

--- a/core/joining/joiner_test.go
+++ b/core/joining/joiner_test.go
@@ -37,8 +37,13 @@
 	informedAt              time.Duration
 	transferEnds            []time.Duration
 	backoffs                int
-	// reading is true while the host reads from the store.
-	reading bool
+	// reading is true while the host reads from the store, and readsAll while it reads the contents.
+	reading, readsAll bool
+	// The host waits until waitUntil for the contents that the host waitsFor reads, which serves it as one of at most
+	// maxWaiting.
+	waitsFor  *simHost
+	waitUntil time.Duration
+	waiting   int
 	// receivers are the hosts that have received the contents from this one.
 	receivers Receivers
 }
@@ -57,6 +62,8 @@
 	roundTrip    = 2 * time.Millisecond
 	transferTime = 300 * time.Millisecond
 	maxTransfers = 8
+	maxWaiting   = 48
+	maxWait      = 300 * time.Millisecond
 	tick         = 10 * time.Millisecond
 
 	// The users' store answers after 4 ms over a link of 1,000 Mbit/s, with pages of 500 items and some 200 bytes an item.
@@ -99,7 +106,8 @@
 	for f.now = 0; f.now < 60*time.Second; f.now += tick {
 		f.transfer()
 		for _, s := range waiting {
-			for s.nextStep <= f.now && !s.informed && !s.reading {
+			f.endWait(s)
+			for s.nextStep <= f.now && !s.informed && !s.reading && s.waitsFor == nil {
 				f.step(s)
 			}
 		}
@@ -125,20 +133,41 @@
 	case AskHost:
 		s.nextStep += roundTrip
 		from := f.hosts[int(step.Addr.Addr().As4()[2])<<8|int(step.Addr.Addr().As4()[3])]
-		from.transferEnds = slices.DeleteFunc(from.transferEnds, func(until time.Duration) bool { return until < f.now })
-		switch {
-		case from.dead:
-			s.nextStep += 300 * time.Millisecond
-		case !from.informed || from.informedAt > f.now:
-			s.joiner.Reached()
-		case len(from.transferEnds) < maxTransfers:
-			from.transferEnds = append(from.transferEnds, f.now+transferTime)
-			from.receivers.Add(s.addr, f.time())
-			s.nextStep += transferTime
-			f.markInformed(s)
-		default:
-			s.joiner.Redirect(from.receivers.Sample(4, f.time(), f.random.Float64))
+		if from.readsAll && !from.dead && from.waiting < maxWaiting {
+			from.waiting++
+			s.waitsFor, s.waitUntil = from, f.now+maxWait
+			return
 		}
+		f.ask(s, from)
+	}
+}
+
+// endWait ends the wait of a host for the contents that another one reads, if that has read them or the wait is too long.
+func (f *fleet) endWait(s *simHost) {
+	from := s.waitsFor
+	if from == nil || from.readsAll && f.now < s.waitUntil {
+		return
+	}
+	from.waiting--
+	s.waitsFor, s.nextStep = nil, f.now
+	f.ask(s, from)
+}
+
+// ask lets a host ask another one for the contents.
+func (f *fleet) ask(s, from *simHost) {
+	from.transferEnds = slices.DeleteFunc(from.transferEnds, func(until time.Duration) bool { return until < f.now })
+	switch {
+	case from.dead:
+		s.nextStep += 300 * time.Millisecond
+	case !from.informed || from.informedAt > f.now:
+		s.joiner.Reached()
+	case len(from.transferEnds) < maxTransfers:
+		from.transferEnds = append(from.transferEnds, f.now+transferTime)
+		from.receivers.Add(s.addr, f.time())
+		s.nextStep += transferTime
+		f.markInformed(s)
+	default:
+		s.joiner.Redirect(from.receivers.Sample(4, f.time(), f.random.Float64))
 	}
 }
 
@@ -148,7 +177,7 @@
 	if s.refused {
 		return
 	}
-	s.reading = true
+	s.reading, s.readsAll = true, whole
 	c := &storeCall{host: s, pages: max(1, (items+itemsPerPage-1)/itemsPerPage), whole: whole, first: true}
 	f.beginPage(c, items)
 	f.storeCalls = append(f.storeCalls, c)
@@ -189,7 +218,7 @@
 // endRead ends the host's read.
 func (f *fleet) endRead(c *storeCall, ok bool) {
 	s := c.host
-	s.reading, s.nextStep = false, f.now
+	s.reading, s.readsAll, s.nextStep = false, false, f.now
 	switch {
 	case ok && c.whole:
 		f.markInformed(s)
--- a/internal/follow/feeder.go
+++ b/internal/follow/feeder.go
@@ -59,6 +59,7 @@
 		return f.redirect(send)
 	}
 	defer f.feeds.Add(-1)
+	f.awaitFirstRead(ctx)
 	for {
 		if f.stopping() {
 			return errNoUpdates
@@ -83,6 +84,26 @@
 	}
 }
 
+// firstReadWait bounds the wait of a feed for the contents that its host reads from the store. It is as long as the
+// contents of a small store take: the receiver has other hosts to ask.
+const firstReadWait = 300 * time.Millisecond
+
+// awaitFirstRead waits for the contents if this host has none yet and reads them from the store. In a small fleet that
+// restarts, the other hosts have them as soon as the seeds.
+func (f *Feeder) awaitFirstRead(ctx context.Context) {
+	read := f.view.firstStoreRead()
+	if read == nil {
+		return
+	}
+	timer := time.NewTimer(firstReadWait)
+	defer timer.Stop()
+	select {
+	case <-read:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // sendUpdate sends the update, or redirects the receiver if the update is full and this host already sends as many full
 // updates as allowed.
 func (f *Feeder) sendUpdate(update StoreUpdate, receiver netip.AddrPort, send func(StoreUpdate) error) error {
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -147,6 +147,47 @@
 	})
 }
 
+// Guards against hosts of a small fleet that ask again later only because the seeds that they asked were still reading the store.
+func TestFeedWaitsForTheFirstRead(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		takes, ends time.Duration
+		sent        bool
+	}{
+		{"short read", 100 * time.Millisecond, 100 * time.Millisecond, true},
+		{"long read", time.Second, firstReadWait, false},
+		{"no read", 0, 0, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				view := NewStoreView(nil, time.Now)
+				if c.takes > 0 {
+					readFor(view, c.takes)
+				}
+				started, sent, ended := time.Now(), false, errors.New("ended")
+				f := NewFeeder(view, newTestFleet("h0", 30), func() bool { return false })
+				err := f.Feed(t.Context(), FeedRequest{}, func(StoreUpdate) error {
+					sent = true
+					return ended
+				})
+				if took := time.Since(started); took != c.ends || sent != c.sent || sent != errors.Is(err, ended) {
+					t.Errorf("ended after %s, sent is %t, %v; want %s, %t", took, sent, err, c.ends, c.sent)
+				}
+				time.Sleep(2 * time.Second)
+			})
+		})
+	}
+}
+
+// readFor reads the whole store into the view for the duration.
+func readFor(view *StoreView, takes time.Duration) {
+	end := view.beginStoreRead()
+	time.AfterFunc(takes, func() {
+		defer end()
+		_, _ = view.Apply(StoreUpdate{Update: kv.Update{Full: true, Snapshot: kv.Snapshot{Revision: 7}}})
+	})
+}
+
 // While a fleet starts, a host has no position in the tree of update sources until it is listed. All unlisted hosts would
 // switch to the first listed one, so they must keep the source from which they got the list.
 func TestUnlistedHostKeepsItsSource(t *testing.T) {
--- a/internal/follow/store.go
+++ b/internal/follow/store.go
@@ -78,6 +78,7 @@
 
 // listAll reads all items of the store and applies them as a full update.
 func (f *Follower) listAll(ctx context.Context) error {
+	defer f.view.beginStoreRead()()
 	s, err := f.list(ctx, kv.Range{})
 	if err != nil {
 		return err
--- a/internal/follow/store_view.go
+++ b/internal/follow/store_view.go
@@ -35,6 +35,8 @@
 	// need one.
 	fullUpdate   kv.Update
 	fullUpdateAt time.Time
+	// storeRead is closed when the read of the whole store that goes on ends. It is nil while none goes on.
+	storeRead chan struct{}
 }
 
 // NewStoreView returns the empty view of a host that has just started. newer may be nil if no values carry versions.
@@ -70,6 +72,31 @@
 	v.path = path
 }
 
+// beginStoreRead records that the host reads the whole store, until the returned function is called.
+func (v *StoreView) beginStoreRead() (end func()) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	read := make(chan struct{})
+	v.storeRead = read
+	return func() {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		v.storeRead = nil
+		close(read)
+	}
+}
+
+// firstStoreRead returns a channel that is closed when the host has read the whole store, if it does so and knows nothing
+// yet, or else nil.
+func (v *StoreView) firstStoreRead() <-chan struct{} {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.view.Revision() != 0 {
+		return nil
+	}
+	return v.storeRead
+}
+
 // Item returns the known item of a key, and whether the key exists.
 func (v *StoreView) Item(key string) (kv.Item, bool) {
 	v.mu.Lock()
