--- a/internal/follow/join.go
+++ b/internal/follow/join.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -13,24 +14,39 @@
 	"pearlatch/internal/pause"
 )
 
+// joinReportInterval is the time between two lines of a host that does not know the contents of the store yet.
+const joinReportInterval = 5 * time.Second
+
+// joinProgress counts what a host has tried to learn the contents of the store.
+type joinProgress struct {
+	started, reported                 time.Time
+	storeReads, hostLists, hostsAsked int
+}
+
+// fields returns the fields of a log line.
+func (p *joinProgress) fields(now time.Time) []any {
+	return []any{"took_ms", now.Sub(p.started).Milliseconds(), "store_reads", p.storeReads, "host_lists", p.hostLists, "hosts_asked", p.hostsAsked}
+}
+
 // join fetches the contents of the store for the first time, from the store or from a host that has them.
 func (f *Follower) join(ctx context.Context) {
 	j := joining.New(f.settings.Self, f.settings.Seeds, rand.Float64)
-	started, storeReads, hostsAsked := f.now(), 0, 0
+	tried := joinProgress{started: f.now(), reported: f.now()}
 	for ctx.Err() == nil && f.view.Revision() == 0 {
 		var err error
 		var source Source = StoreSource{}
 		switch step := j.Next().(type) {
 		case joining.ReadStore:
-			storeReads++
+			tried.storeReads++
 			err = f.listAll(ctx)
 		case joining.ListHosts:
+			tried.hostLists++
 			var hosts []netip.AddrPort
 			if hosts, err = f.listHostAddrs(ctx); err == nil {
 				j.SetListedHosts(hosts)
 			}
 		case joining.AskHost:
-			hostsAsked++
+			tried.hostsAsked++
 			source = HostSource{step.Addr}
 			err = source.follow(ctx, f, 0)
 			reportAnswer(j, err)
@@ -41,9 +57,13 @@
 			f.logFailure(ctx, source, err)
 			f.failures++
 		}
+		if now := f.now(); f.view.Revision() == 0 && now.Sub(tried.reported) >= joinReportInterval {
+			tried.reported = now
+			f.log("joining", tried.fields(now)...)
+		}
 	}
 	f.failures = 0
-	f.log("joined", "took_ms", f.now().Sub(started).Milliseconds(), "store_reads", storeReads, "hosts_asked", hostsAsked)
+	f.log("joined", tried.fields(f.now())...)
 }
 
 // reportAnswer reports to the joiner how a host answered that did not send the contents.
