--- a/core/joining/joiner.go
+++ b/core/joining/joiner.go
@@ -19,7 +19,7 @@
 	// failedListDivisor after each list that failed: the store's link may be saturated by the lists of other hosts.
 	initialListProbability = 1.0 / 256
 	failedListDivisor      = 4
-	// hostsPerRound is the largest number of hosts asked at a time.
+	// hostsPerRound is the largest number of hosts asked in one part of a round.
 	hostsPerRound = 3
 	// maxDrawsPerAddress bounds the random draws for each address to ask.
 	maxDrawsPerAddress = 8
@@ -46,17 +46,18 @@
 	// fleet. Otherwise a fleet that starts for the first time may have just begun to fill it.
 	listedHosts        []netip.AddrPort
 	listed, selfListed bool
-	// failedLists counts the lists that were started and not completed.
+	// failedLists counts the lists that were started since the last complete one.
 	failedLists int
 	// reached is true once another host has answered.
 	reached bool
 	// referrals are hosts with the contents that busy hosts have named in this round, and roundReferrals those that they
 	// named in the round before, which are asked first in this one.
 	referrals, roundReferrals []netip.AddrPort
-	// plan holds the remaining steps of the round. While askedFirst is true, they are those before the store is read.
-	plan       []Step
-	askedFirst bool
-	round      int
+	// plan holds the remaining steps of the round's present part. asking is true during the first part, which asks other
+	// hosts, and false during the second one, which reads from the store.
+	plan   []Step
+	asking bool
+	round  int
 }
 
 // New returns a Joiner for the host at the address self, which may be one of the seeds. random returns numbers
@@ -68,7 +69,7 @@
 // Next returns the next step.
 func (j *Joiner) Next() Step {
 	for len(j.plan) == 0 {
-		if j.askedFirst {
+		if j.asking {
 			j.plan = j.planStoreSteps()
 		} else {
 			j.plan = j.planRound()
@@ -97,11 +98,11 @@
 // Reached records that the host asked by an AskHost step answered that it does not have the contents.
 func (j *Joiner) Reached() { j.reached = true }
 
-// planRound starts a round and returns its first steps. Seeds read the store without waiting for each other; the other
+// planRound starts a round and returns the steps of its first part. Seeds read the store without waiting for each other; the other
 // hosts ask hosts before they read anything from the store.
 func (j *Joiner) planRound() []Step {
 	j.round++
-	j.askedFirst = true
+	j.asking = true
 	j.roundReferrals, j.referrals = j.referrals, nil
 	asked := j.askSteps(j.roundReferrals, j.listedHosts, j.seeds)
 	if j.isSeed() || len(j.seeds) == 0 {
@@ -110,9 +111,9 @@
 	return asked
 }
 
-// planStoreSteps returns the steps after those of planRound. SetListedHosts replaces those that follow a list.
+// planStoreSteps returns the steps of the second part of a round. SetListedHosts replaces those that follow a list.
 func (j *Joiner) planStoreSteps() []Step {
-	j.askedFirst = false
+	j.asking = false
 	if j.shouldList() {
 		j.failedLists++ // until SetListedHosts is called
 		return []Step{ListHosts{}, j.backoff()}
@@ -123,7 +124,7 @@
 	return []Step{j.backoff()}
 }
 
-// askSteps returns the steps that ask other hosts, of the first addresses first.
+// askSteps returns the steps that ask up to hostsPerRound hosts, drawn from the first list of addresses first.
 func (j *Joiner) askSteps(addrs ...[]netip.AddrPort) []Step {
 	var out []Step
 	for _, some := range addrs {
@@ -145,7 +146,7 @@
 	if j.reached {
 		p = math.Ldexp(initialListProbability, j.round-1)
 	}
-	return j.random() < p*math.Pow(failedListDivisor, -float64(j.failedLists))
+	return j.random() < p/math.Pow(failedListDivisor, float64(j.failedLists))
 }
 
 // shouldReadStore draws at random whether this host reads the store in this round.
