--- a/core/joining/joiner.go
+++ b/core/joining/joiner.go
@@ -14,9 +14,9 @@
 	// know the size of the fleet. It doubles with each round. Some hosts of a large fleet therefore read early, and
 	// those of a small fleet whose seeds are gone do so after seconds.
 	initialReadProbability = 1.0 / 1024
-	// initialListProbability is the probability that a host whose seeds answer reads the list of hosts in its first
-	// round, while it does not know the size of the fleet. It doubles with each round, and is divided by
-	// failedListDivisor after each list that failed: the store's link may be saturated by the lists of other hosts.
+	// initialListProbability is the probability that a host reads the list of hosts in its first round if another host
+	// has answered. It doubles with each round and is divided by failedListDivisor after each failed list, since the
+	// store's link may be saturated.
 	initialListProbability = 1.0 / 256
 	failedListDivisor      = 4
 	// hostsPerRound is the largest number of hosts asked in one part of a round.
@@ -33,9 +33,8 @@
 // safe for concurrent use.
 //
 // It is designed for the start of all hosts, or of half of them, at once. Hosts that have the contents pass them
-// on, so the number of possible sources multiplies with each round. A list of hosts is as long as the fleet is large:
-// if every host read it in each round, the bytes that the store sends would grow with the square of the fleet, and the
-// hosts that read the contents would get no share of its link.
+// on, so the number of possible sources multiplies with each round. The list of hosts is read by few: if all read it,
+// the store would send bytes in proportion to the square of the fleet, and its link would have no room for the contents.
 type Joiner struct {
 	self   netip.AddrPort
 	seeds  []netip.AddrPort
@@ -53,8 +52,8 @@
 	// referrals are hosts with the contents that busy hosts have named in this round, and roundReferrals those that they
 	// named in the round before, which are asked first in this one.
 	referrals, roundReferrals []netip.AddrPort
-	// plan holds the remaining steps of the round's present part. asking is true during the first part, which asks other
-	// hosts, and false during the second one, which reads from the store.
+	// A round has two parts: the first one asks other hosts, the second one reads from the store. plan holds the
+	// remaining steps of the present part, and asking is true during the first one.
 	plan   []Step
 	asking bool
 	round  int
@@ -98,8 +97,8 @@
 // Reached records that the host asked by an AskHost step answered that it does not have the contents.
 func (j *Joiner) Reached() { j.reached = true }
 
-// planRound starts a round and returns the steps of its first part. Seeds read the store without waiting for each other; the other
-// hosts ask hosts before they read anything from the store.
+// planRound starts a round and returns the steps of its first part. Seeds read the store at once; without them, no host
+// would have the contents.
 func (j *Joiner) planRound() []Step {
 	j.round++
 	j.asking = true
@@ -135,9 +134,8 @@
 	return out
 }
 
-// shouldList draws at random whether this host reads the list of hosts in this round. Once it knows how many there are,
-// the expected number of hosts that do so at the same time is that of the hosts that read the store. Before that it lists
-// them at once if no other host answers: most likely the fleet runs and the seeds are gone.
+// shouldList draws at random whether this host reads the list of hosts in this round. A host that has a list reads it
+// again as rarely as the store itself. A host that no other host has answered always reads it: its seeds may be gone.
 func (j *Joiner) shouldList() bool {
 	if j.listed {
 		return serving.ShouldReadStore(len(j.listedHosts), j.random())
--- a/core/joining/joiner_test.go
+++ b/core/joining/joiner_test.go
@@ -298,8 +298,8 @@
 	}
 }
 
-// In a small fleet, hosts that restart and whose seeds do not answer read the store at once, as soon as they know how many
-// hosts there are: it is nearer than another host, which may be starting as well.
+// In a small fleet, a host whose seeds do not answer lists the hosts and then reads the store, without asking the listed
+// hosts first: they may be starting as well.
 func TestSmallFleetReadsStore(t *testing.T) {
 	f := newFleet(1, 8, 0, true)
 	for _, s := range f.hosts[3:] {
--- a/core/joining/receivers.go
+++ b/core/joining/receivers.go
@@ -9,8 +9,7 @@
 const (
 	// maxReceivers is the number of hosts that Receivers keeps.
 	maxReceivers = 16
-	// receiverTTL is how long a host that received the contents is named to others. It exceeds the time in which a fleet
-	// starts; after it, nearly all hosts have the contents.
+	// receiverTTL is how long a host that received the contents is named to others. Later it may have stopped.
 	receiverTTL = 10 * time.Second
 )
 
@@ -28,7 +27,7 @@
 	at   time.Time
 }
 
-// Add records that the host was sent the contents. An invalid address, as of a host of an earlier version, is ignored.
+// Add records that the host was sent the contents. It ignores an invalid address, which hosts of earlier versions send.
 func (r *Receivers) Add(addr netip.AddrPort, now time.Time) {
 	if !addr.IsValid() {
 		return
--- a/internal/follow/feeder.go
+++ b/internal/follow/feeder.go
@@ -84,12 +84,11 @@
 	}
 }
 
-// firstReadWait bounds the wait of a feed for the contents that its host reads from the store. It is as long as the
-// contents of a small store take: the receiver has other hosts to ask.
+// firstReadWait bounds the wait for this host's first read of the store. The receiver can ask other hosts instead.
 const firstReadWait = 300 * time.Millisecond
 
-// awaitFirstRead waits for the contents if this host has none yet and reads them from the store. In a small fleet that
-// restarts, the other hosts have them as soon as the seeds.
+// awaitFirstRead waits for this host's first read of the store if one is in progress. The receiver would otherwise back
+// off before it asks again.
 func (f *Feeder) awaitFirstRead(ctx context.Context) {
 	read := f.view.firstStoreRead()
 	if read == nil {
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -147,7 +147,7 @@
 	})
 }
 
-// Guards against hosts of a small fleet that ask again later only because the seeds that they asked were still reading the store.
+// Guards against hosts that are turned away, and back off, while the host that they ask is reading the store.
 func TestFeedWaitsForTheFirstRead(t *testing.T) {
 	for _, c := range []struct {
 		name        string
--- a/internal/follow/join.go
+++ b/internal/follow/join.go
@@ -66,7 +66,7 @@
 	f.log("joined", tried.fields(f.now())...)
 }
 
-// reportAnswer reports to the joiner how a host answered that did not send the contents.
+// reportAnswer reports the result of an AskHost step, given as the error of the feed.
 func reportAnswer(j *joining.Joiner, err error) {
 	busy, unreached := (*busyError)(nil), (*unreachedError)(nil)
 	switch {
--- a/internal/follow/store_view.go
+++ b/internal/follow/store_view.go
@@ -86,8 +86,8 @@
 	}
 }
 
-// firstStoreRead returns a channel that is closed when the host has read the whole store, if it does so and knows nothing
-// yet, or else nil.
+// firstStoreRead returns a channel that is closed when the read of the whole store in progress ends. It returns nil if
+// there is none, or if the view is not empty.
 func (v *StoreView) firstStoreRead() <-chan struct{} {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/internal/timeline/doc.go
+++ b/internal/timeline/doc.go
@@ -1,2 +1,2 @@
-// Package timeline summarizes the log lines of many hosts by interval: which hosts ran, what they held and what failed.
+// Package timeline counts the events in the log lines of many hosts by interval.
 package timeline
--- a/internal/timeline/line.go
+++ b/internal/timeline/line.go
@@ -10,7 +10,6 @@
 	"github.com/pkg/errors"
 )
 
-// maxLineSize bounds a line. The longest lines of hosts list the answers of all members of a group.
 const maxLineSize = 1 << 20
 
 // Line is a log line of a host, with the fields that the summary uses.
@@ -23,8 +22,8 @@
 	Code, Cause string
 }
 
-// Read calls add for each log line of r. Text before the first brace of a line is ignored, so that the output of programs
-// which prefix the lines can be read. It returns the number of lines that are no log lines.
+// Read calls add for each log line of r, and returns the number of other lines. It ignores text before the first brace
+// of a line, such as a prefix with the host's name.
 func Read(r io.Reader, add func(Line)) (skipped int, err error) {
 	lines := bufio.NewScanner(r)
 	lines.Buffer(nil, maxLineSize)
--- a/internal/timeline/summary.go
+++ b/internal/timeline/summary.go
@@ -12,18 +12,24 @@
 	// Running is the number of hosts that have started and not stopped. A killed host writes no line, and counts as running
 	// until it starts again. Joined is the number of those that know the contents of the store.
 	Running, Joined int
-	// Roles is the number of coordinator roles that hosts hold, and Leases that of leases on primaries, of all hosts
-	// together. A lease that no statement needs ends without a line, and is counted until the host starts again.
-	Roles, Leases int
+	// Roles is the number of coordinator roles held.
+	Roles int
+	// Leases is the number of leases on primaries held. A lease that no statement needs ends without a line and counts
+	// until the host starts again.
+	Leases int
 	// Starts and Stops count starts and orderly ends of processes.
 	Starts, Stops int
-	// SourcesLost counts lost update sources, StoreFailures roles that could not be acquired or renewed, and TokensRefused
-	// fencing tokens that the platform did not take.
-	SourcesLost, StoreFailures, TokensRefused int
-	// PrimariesLost counts failures of primaries that a coordinator acted on, Requests promotion requests without an effect
-	// yet, and Promoted promotions that took effect.
-	PrimariesLost, Requests, Promoted int
-	// Failed counts failed statements by their code or, if they were refused, by the cause.
+	// SourcesLost counts failures of update sources.
+	SourcesLost int
+	// StoreFailures counts failed attempts to acquire or renew coordinator roles.
+	StoreFailures int
+	// TokensRefused counts fencing tokens that the platform did not accept.
+	TokensRefused int
+	// PrimariesLost counts primaries that a coordinator found failed or cut off.
+	PrimariesLost int
+	// Requests counts promotion requests that had no effect yet, and Promoted promotions that took effect.
+	Requests, Promoted int
+	// Failed counts failed statements by the cause of the refusal, or by the code if there is no cause.
 	Failed map[string]int
 }
 
