--- a/core/leadership/change_test.go
+++ b/core/leadership/change_test.go
@@ -14,6 +14,7 @@
 	e.revokeLeases(st)
 	e.fenceReplicas(st)
 	e.chooseSuccessor(st)
+	e.switchOver(st)
 	e.executePromotion(st)
 	e.executeDuplicate(st)
 }
@@ -30,7 +31,7 @@
 			best = m
 		}
 	}
-	if best == none || c.stage == revoking || c.stage == fencing || c.primary == int8(best) && c.stage == granting {
+	if best == none || c.stage == revoking || c.stage == fencing || c.stage == restricting || c.primary == int8(best) && c.stage == granting {
 		return
 	}
 	if c.stage != ordered && st.nodes[best].term <= max(1, st.recordedTerm) && !e.promotionsSettled(st, best) {
@@ -49,6 +50,7 @@
 	}
 	st.forgetEarlierOrders()
 	c.primary, c.stage, c.target, c.rechecked = int8(best), granting, none, false
+	c.handoverEnd, c.restricted = none, [hostCount]bool{}
 	c.fenced, c.fencedLength = [memberCount]bool{}, [memberCount]int8{}
 	st.recordedOrder, st.recordedTerm = none, max(st.recordedTerm, st.nodes[best].term)
 	e.add("adopt "+memberName(best), st, "")
@@ -117,8 +119,8 @@
 	for h := range st.hosts {
 		if c.leased[h] && st.hosts[h].partition == st.hosts[c.host].partition {
 			next := st
-			next.hosts[h].lease, next.hosts[h].revokedPrimary = none, c.primary
-			next.coordinator.leased[h] = false
+			next.hosts[h].lease, next.hosts[h].target, next.hosts[h].revokedPrimary = none, none, c.primary
+			next.coordinator.leased[h], next.coordinator.restricted[h] = false, false
 			e.add("revoke", next, "")
 		}
 	}
@@ -132,12 +134,12 @@
 // fenceReplicas fences a reachable replica and records the length of its log.
 func (e *explorer) fenceReplicas(st modelState) {
 	c := &st.coordinator
-	if c.stage != fencing {
+	if c.stage != fencing || e.safeguards.knowMembers && st.nodes[memberCount-1].unknown && st.nodes[memberCount-1].up {
 		return
 	}
 	for m := range st.nodes {
 		n := &st.nodes[m]
-		if int8(m) == c.primary || c.fenced[m] || c.rechecked || !n.up || !st.coordinatorReaches(m) || n.leads {
+		if int8(m) == c.primary || n.unknown || c.fenced[m] || c.rechecked || !n.up || !st.coordinatorReaches(m) || n.leads {
 			continue
 		}
 		next := st
@@ -197,7 +199,7 @@
 func (st *modelState) allFenced() bool {
 	c := &st.coordinator
 	for m := range st.nodes {
-		if int8(m) != c.primary && st.nodes[m].up && st.coordinatorReaches(m) && !c.fenced[m] {
+		if int8(m) != c.primary && st.nodes[m].up && !st.nodes[m].unknown && st.coordinatorReaches(m) && !c.fenced[m] {
 			return false
 		}
 	}
@@ -210,7 +212,10 @@
 	if st.duplicateOrder != target && e.safeguards.renewToken {
 		st.duplicateOrder = none // the platform refuses it once it has seen the token of this order
 	}
-	c.stage, c.target, c.memberLeft, c.suspectsHidden, st.platformOrder = ordered, target, false, false, target
+	if c.stage != restricting {
+		c.memberLeft = false
+	}
+	c.stage, c.target, c.suspectsHidden, st.platformOrder = ordered, target, false, target
 	if st.faultsLeft.recordings > 0 {
 		next := st
 		next.faultsLeft.recordings--
@@ -250,7 +255,7 @@
 	for m := range st.nodes {
 		n := &st.nodes[m]
 		departed := !c.fenced[m] && !n.listed && !n.up && st.coordinatorReaches(m)
-		if int8(m) == c.primary || departed {
+		if int8(m) == c.primary || departed || n.unknown {
 			continue
 		}
 		out = append(out, group.Standby{
--- a/core/leadership/checker_test.go
+++ b/core/leadership/checker_test.go
@@ -58,9 +58,9 @@
 // rest, the role changes hands, or promotion orders are executed late or twice, in any order. No read may miss an
 // acknowledged write, and no promoted member may lack one.
 func TestProtocolInvariants(t *testing.T) {
-	cases := []faultBounds{{1, 0, 0, 0, 0, 0, 0, 0}, {0, 1, 0, 0, 0, 0, 0, 0}, {0, 0, 1, 0, 0, 0, 0, 0}, {0, 0, 0, 1, 0, 0, 0, 0}, {0, 0, 0, 0, 1, 0, 0, 0}, {0, 0, 1, 0, 0, 1, 0, 0}, {1, 0, 1, 0, 0, 1, 0, 0}, {0, 0, 0, 1, 0, 0, 1, 0}, {0, 0, 0, 0, 0, 0, 0, 1}}
+	cases := []faultBounds{{1, 0, 0, 0, 0, 0, 0, 0, 0, 0}, {0, 1, 0, 0, 0, 0, 0, 0, 0, 0}, {0, 0, 1, 0, 0, 0, 0, 0, 0, 0}, {0, 0, 0, 1, 0, 0, 0, 0, 0, 0}, {0, 0, 0, 0, 1, 0, 0, 0, 0, 0}, {0, 0, 1, 0, 0, 1, 0, 0, 0, 0}, {1, 0, 1, 0, 0, 1, 0, 0, 0, 0}, {0, 0, 0, 1, 0, 0, 1, 0, 0, 0}, {0, 0, 0, 0, 0, 0, 0, 1, 0, 0}, {switchovers: 1}, {joins: 1, switchovers: 1}, {switchovers: 2}}
 	if *allFaults {
-		cases = []faultBounds{{1, 1, 1, 0, 0, 0, 0, 0}, {2, 1, 0, 0, 0, 0, 0, 0}, {1, 0, 0, 1, 0, 0, 0, 0}, {1, 0, 0, 0, 1, 0, 0, 0}, {0, 1, 0, 0, 1, 0, 0, 0}, {0, 1, 1, 0, 0, 1, 0, 0}, {2, 0, 1, 0, 0, 1, 0, 0}, {1, 0, 0, 1, 0, 0, 1, 0}}
+		cases = []faultBounds{{1, 1, 1, 0, 0, 0, 0, 0, 0, 0}, {2, 1, 0, 0, 0, 0, 0, 0, 0, 0}, {1, 0, 0, 1, 0, 0, 0, 0, 0, 0}, {1, 0, 0, 0, 1, 0, 0, 0, 0, 0}, {0, 1, 0, 0, 1, 0, 0, 0, 0, 0}, {0, 1, 1, 0, 0, 1, 0, 0, 0, 0}, {2, 0, 1, 0, 0, 1, 0, 0, 0, 0}, {1, 0, 0, 1, 0, 0, 1, 0, 0, 0}, {crashes: 1, switchovers: 1}, {joins: 1, expirations: 1, switchovers: 1}}
 	}
 	for _, b := range cases {
 		v, n := explore(allSafeguards(), b)
@@ -78,24 +78,31 @@
 		bounds  faultBounds
 		disable func(*safeguards)
 	}{
-		{"failover waits for leases", faultBounds{1, 0, 0, 0, 0, 0, 0, 0}, func(s *safeguards) { s.waitForLeases = false }},
-		{"leases end with the role", faultBounds{1, 0, 1, 0, 0, 0, 0, 0}, func(s *safeguards) { s.boundByRole = false }},
-		{"replicas are fenced", faultBounds{0, 0, 0, 0, 0, 0, 0, 0}, func(s *safeguards) { s.fenceReplicas = false }},
-		{"fenced replicas are rechecked", faultBounds{0, 1, 0, 0, 0, 0, 0, 0}, func(s *safeguards) { s.recheckReplicas = false }},
-		{"successor has the floor", faultBounds{0, 1, 0, 0, 0, 0, 0, 0}, func(s *safeguards) { s.requireFloor = false }},
-		{"restarts are detected", faultBounds{0, 1, 0, 0, 0, 0, 0, 0}, func(s *safeguards) { s.detectRestarts = false }},
-		{"promotion orders are recorded", faultBounds{1, 0, 1, 0, 0, 0, 0, 0}, func(s *safeguards) { s.recordOrder = false }},
-		{"writes without a lease are confirmed", faultBounds{1, 0, 0, 0, 0, 0, 0, 0}, func(s *safeguards) { s.confirmWrites = false }},
-		{"failover waits for a coordinator whose role was removed", faultBounds{1, 0, 0, 1, 0, 0, 0, 0}, func(s *safeguards) { s.waitForFormerCoordinator = false }},
-		{"record is remembered over a restore of the store", faultBounds{1, 0, 0, 0, 1, 0, 0, 0}, func(s *safeguards) { s.rememberRecord = false }},
-		{"failover waits for a coordinator missing from the restored store", faultBounds{1, 0, 0, 0, 1, 0, 0, 0}, func(s *safeguards) { s.waitForFormerCoordinator = false }},
-		{"leases wait for an unrecorded promotion", faultBounds{0, 0, 1, 0, 0, 1, 0, 0}, func(s *safeguards) { s.settlePromotions = false }},
-		{"fences are not released", faultBounds{0, 0, 0, 1, 0, 0, 0, 0}, func(s *safeguards) { s.keepFences = false }},
-		{"failover after a restart waits for a coordinator whose role was removed", faultBounds{0, 0, 0, 1, 0, 0, 1, 0}, func(s *safeguards) { s.waitAfterRestart = false }},
-		{"hidden primary is ruled out", faultBounds{1, 0, 1, 0, 0, 1, 0, 0}, func(s *safeguards) { s.ruleOutHidden = false }},
-		{"fences exceed the term of a hidden primary", faultBounds{1, 0, 1, 0, 0, 1, 0, 0}, func(s *safeguards) { s.fenceAboveHidden = false }},
-		{"a promotion after one without an answer has a higher token", faultBounds{0, 0, 0, 0, 0, 0, 0, 1}, func(s *safeguards) { s.renewToken = false }},
-		{"all other members confirm the primary", faultBounds{2, 1, 0, 0, 0, 0, 0, 0}, func(s *safeguards) { s.proveByAll = false }},
+		{"failover waits for leases", faultBounds{1, 0, 0, 0, 0, 0, 0, 0, 0, 0}, func(s *safeguards) { s.waitForLeases = false }},
+		{"leases end with the role", faultBounds{1, 0, 1, 0, 0, 0, 0, 0, 0, 0}, func(s *safeguards) { s.boundByRole = false }},
+		{"replicas are fenced", faultBounds{0, 0, 0, 0, 0, 0, 0, 0, 0, 0}, func(s *safeguards) { s.fenceReplicas = false }},
+		{"fenced replicas are rechecked", faultBounds{0, 1, 0, 0, 0, 0, 0, 0, 0, 0}, func(s *safeguards) { s.recheckReplicas = false }},
+		{"successor has the floor", faultBounds{0, 1, 0, 0, 0, 0, 0, 0, 0, 0}, func(s *safeguards) { s.requireFloor = false }},
+		{"restarts are detected", faultBounds{0, 1, 0, 0, 0, 0, 0, 0, 0, 0}, func(s *safeguards) { s.detectRestarts = false }},
+		{"promotion orders are recorded", faultBounds{1, 0, 1, 0, 0, 0, 0, 0, 0, 0}, func(s *safeguards) { s.recordOrder = false }},
+		{"writes without a lease are confirmed", faultBounds{1, 0, 0, 0, 0, 0, 0, 0, 0, 0}, func(s *safeguards) { s.confirmWrites = false }},
+		{"failover waits for a coordinator whose role was removed", faultBounds{1, 0, 0, 1, 0, 0, 0, 0, 0, 0}, func(s *safeguards) { s.waitForFormerCoordinator = false }},
+		{"record is remembered over a restore of the store", faultBounds{1, 0, 0, 0, 1, 0, 0, 0, 0, 0}, func(s *safeguards) { s.rememberRecord = false }},
+		{"failover waits for a coordinator missing from the restored store", faultBounds{1, 0, 0, 0, 1, 0, 0, 0, 0, 0}, func(s *safeguards) { s.waitForFormerCoordinator = false }},
+		{"leases wait for an unrecorded promotion", faultBounds{0, 0, 1, 0, 0, 1, 0, 0, 0, 0}, func(s *safeguards) { s.settlePromotions = false }},
+		{"fences are not released", faultBounds{0, 0, 0, 1, 0, 0, 0, 0, 0, 0}, func(s *safeguards) { s.keepFences = false }},
+		{"failover after a restart waits for a coordinator whose role was removed", faultBounds{0, 0, 0, 1, 0, 0, 1, 0, 0, 0}, func(s *safeguards) { s.waitAfterRestart = false }},
+		{"hidden primary is ruled out", faultBounds{1, 0, 1, 0, 0, 1, 0, 0, 0, 0}, func(s *safeguards) { s.ruleOutHidden = false }},
+		// The receipt of all members shows the violation as well, so that one of the two suffices here.
+		{"fences exceed the term of a hidden primary", faultBounds{1, 0, 1, 0, 0, 1, 0, 0, 0, 0}, func(s *safeguards) { s.fenceAboveHidden, s.confirmByAll = false, false }},
+		{"a promotion after one without an answer has a higher token", faultBounds{0, 0, 0, 0, 0, 0, 0, 1, 0, 0}, func(s *safeguards) { s.renewToken = false }},
+		{"the switchover target has what is acknowledged in a switchover", faultBounds{joins: 1, switchovers: 1}, func(s *safeguards) { s.confirmByTarget = false }},
+		{"the switchover target has what is acknowledged after a restart", faultBounds{crashes: 1, switchovers: 1}, func(s *safeguards) { s.confirmByTarget = false }},
+		{"all members have what is acknowledged without a lease", faultBounds{joins: 1, switchovers: 1}, func(s *safeguards) { s.confirmByAll = false }},
+		{"the switchover target has what was acknowledged under full leases", faultBounds{joins: 1, switchovers: 1}, func(s *safeguards) { s.sampleAfterRestriction = false }},
+		{"a failover knows all members", faultBounds{joins: 1}, func(s *safeguards) { s.knowMembers = false }},
+		{"leases that name another target end", faultBounds{crashes: 1, switchovers: 2}, func(s *safeguards) { s.recallOtherTargets = false }},
+		{"all other members confirm the primary", faultBounds{2, 1, 0, 0, 0, 0, 0, 0, 0, 0}, func(s *safeguards) { s.proveByAll = false }},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			guards := allSafeguards()
--- a/core/leadership/faults_test.go
+++ b/core/leadership/faults_test.go
@@ -3,6 +3,7 @@
 // injectFaults adds the faults that may occur.
 func (e *explorer) injectFaults(st modelState) {
 	e.partition(st)
+	e.join(st)
 	for m := range st.nodes {
 		e.crash(st, m)
 		e.restart(st, m)
@@ -51,6 +52,21 @@
 	e.add("heal", st, "")
 }
 
+// join starts a new member, which receives the log at once, and later makes it known to the hosts.
+func (e *explorer) join(st modelState) {
+	n := &st.nodes[memberCount-1]
+	switch {
+	case !n.unknown:
+	case n.up:
+		n.unknown, n.listed = false, true
+		e.add("list the new member", st, "")
+	case st.faultsLeft.joins > 0:
+		st.faultsLeft.joins--
+		n.up = true
+		e.add("join", st, "")
+	}
+}
+
 // crash ends a member's process.
 func (e *explorer) crash(st modelState, m int) {
 	if st.faultsLeft.crashes == 0 || !st.nodes[m].up {
@@ -65,13 +81,13 @@
 // fence is lost.
 func (e *explorer) restart(st modelState, m int) {
 	n := &st.nodes[m]
-	if n.up {
+	if n.up || n.unknown {
 		return
 	}
 	if n.listed {
 		next := st
 		next.nodes[m].listed = false
-		if int8(m) != st.coordinator.primary || st.coordinator.stage == ordered {
+		if int8(m) != st.coordinator.primary || st.coordinator.stage == ordered || st.coordinator.stage == restricting {
 			next.coordinator.floor, next.coordinator.memberLeft = none, true
 		}
 		e.add("unlist "+memberName(m), next, "")
--- a/core/leadership/grants.go
+++ b/core/leadership/grants.go
@@ -29,10 +29,16 @@
 	byHost map[string]grantEnds
 }
 
-// grantEnds holds the latest times at which the leases of a host end.
-type grantEnds struct {
-	// anyUntil is the end of a lease of either kind, and fullUntil that of a full one.
-	fullUntil, anyUntil time.Time
+// grantEnds holds the latest times at which the leases of a host end, by their targets. The target of a full lease is empty.
+type grantEnds map[string]time.Time
+
+// last returns the latest end, or the zero time.
+func (e grantEnds) last() time.Time {
+	var out time.Time
+	for _, until := range e {
+		out = later(out, until)
+	}
+	return out
 }
 
 // GrantLimits is the state of the coordinator that limits a lease it may grant.
@@ -44,8 +50,8 @@
 	// RoleUntil is when the role may pass to another host. No lease outlasts it, so a new coordinator need not
 	// know the leases of its predecessor.
 	RoleUntil time.Time
-	// InSwitchover is true during a switchover. The lease then covers writes only, see Lease.WritesOnly.
-	InSwitchover bool
+	// Target is the switchover target, or empty outside a switchover; see Lease.Target.
+	Target string
 }
 
 // Grant records a lease for a host and returns its duration. It returns zero, and records nothing, if the lease
@@ -62,12 +68,10 @@
 	if g.byHost == nil {
 		g.byHost = map[string]grantEnds{}
 	}
-	until, ends := now.Add(granted+maxClockDrift), g.byHost[host]
-	ends.anyUntil = later(ends.anyUntil, until)
-	if !limits.InSwitchover {
-		ends.fullUntil = later(ends.fullUntil, until)
+	if g.byHost[host] == nil {
+		g.byHost[host] = grantEnds{}
 	}
-	g.byHost[host] = ends
+	g.byHost[host][limits.Target] = later(g.byHost[host][limits.Target], now.Add(granted+maxClockDrift))
 	return granted
 }
 
@@ -81,28 +85,31 @@
 // Revoke records that a host no longer relies on its leases.
 func (g *Grants) Revoke(host string) { delete(g.byHost, host) }
 
-// Downgrade records that a host keeps its lease for writes only.
-func (g *Grants) Downgrade(host string) {
+// Restrict records that a host relies on its leases only as far as they name the target.
+func (g *Grants) Restrict(host, target string) {
 	if ends, ok := g.byHost[host]; ok {
-		ends.fullUntil = time.Time{}
-		g.byHost[host] = ends
+		g.byHost[host] = grantEnds{target: ends.last()}
 	}
 }
 
 // Outstanding returns the sorted hosts whose leases of either kind may still be valid.
 func (g *Grants) Outstanding(now time.Time) []string {
-	return g.outstanding(now, func(ends grantEnds) time.Time { return ends.anyUntil })
+	return g.outstanding(now, grantEnds.last)
 }
 
-// OutstandingFull returns the sorted hosts whose full leases may still be valid.
-func (g *Grants) OutstandingFull(now time.Time) []string {
-	return g.outstanding(now, func(ends grantEnds) time.Time { return ends.fullUntil })
+// Unrestricted returns the sorted hosts with leases that may still be valid and don't name the target.
+func (g *Grants) Unrestricted(now time.Time, target string) []string {
+	return g.outstanding(now, func(ends grantEnds) time.Time {
+		others := maps.Clone(ends)
+		delete(others, target)
+		return others.last()
+	})
 }
 
 // outstanding removes expired leases and returns the sorted hosts for which end is after now.
 func (g *Grants) outstanding(now time.Time, end func(grantEnds) time.Time) []string {
 	var out []string
-	maps.DeleteFunc(g.byHost, func(_ string, ends grantEnds) bool { return !now.Before(ends.anyUntil) })
+	maps.DeleteFunc(g.byHost, func(_ string, ends grantEnds) bool { return !now.Before(ends.last()) })
 	for _, host := range slices.Sorted(maps.Keys(g.byHost)) {
 		if now.Before(end(g.byHost[host])) {
 			out = append(out, host)
@@ -115,7 +122,7 @@
 func (g *Grants) LastEnd() time.Time {
 	var out time.Time
 	for _, ends := range g.byHost {
-		out = later(out, ends.anyUntil)
+		out = later(out, ends.last())
 	}
 	return out
 }
--- a/core/leadership/leadership_test.go
+++ b/core/leadership/leadership_test.go
@@ -68,47 +68,119 @@
 	}
 }
 
-// In a switchover, the host keeps its lease for writes. Its reads need another proof, and a failover by another
-// coordinator must wait for this lease too.
-func TestDowngradedLease(t *testing.T) {
+// In a switchover, the host keeps its lease under which only the target may be promoted. Its reads need another proof, its
+// writes the target's receipt, and a failover by another coordinator must wait for this lease too.
+func TestRestrictedLease(t *testing.T) {
 	var g Grants
-	g.Grant("h", timeAt(0), GrantLimits{LastAnsweredRequest: timeAt(0), RoleUntil: timeAt(5000)})
-	g.Downgrade("h")
-	if len(g.OutstandingFull(timeAt(500))) > 0 || len(g.Outstanding(timeAt(500))) != 1 {
-		t.Errorf("full %v, outstanding %v", g.OutstandingFull(timeAt(500)), g.Outstanding(timeAt(500)))
-	}
-	g.Grant("h", timeAt(500), GrantLimits{LastAnsweredRequest: timeAt(500), RoleUntil: timeAt(5000), InSwitchover: true})
-	if len(g.OutstandingFull(timeAt(600))) > 0 || len(g.Outstanding(timeAt(1400))) != 1 {
-		t.Errorf("full %v, outstanding %v", g.OutstandingFull(timeAt(600)), g.Outstanding(timeAt(1400)))
-	}
-	l := newLease("m", 1, 0, time.Second).Downgraded()
-	if l.CoversReads("m", timeAt(500)) || !l.CoversWrites("m", timeAt(500)) || l.CoversWrites("m", timeAt(1000)) {
+	limits := GrantLimits{LastAnsweredRequest: timeAt(0), RoleUntil: timeAt(5000)}
+	g.Grant("h", timeAt(0), limits)
+	g.Restrict("h", "b")
+	if len(g.Unrestricted(timeAt(500), "b")) > 0 || len(g.Outstanding(timeAt(500))) != 1 {
+		t.Errorf("unrestricted %v, outstanding %v", g.Unrestricted(timeAt(500), "b"), g.Outstanding(timeAt(500)))
+	}
+	limits.LastAnsweredRequest, limits.Target = timeAt(500), "b"
+	g.Grant("h", timeAt(500), limits)
+	if len(g.Unrestricted(timeAt(600), "b")) > 0 || len(g.Outstanding(timeAt(1400))) != 1 {
+		t.Errorf("unrestricted %v, outstanding %v", g.Unrestricted(timeAt(600), "b"), g.Outstanding(timeAt(1400)))
+	}
+	if len(g.Unrestricted(timeAt(600), "c")) != 1 {
+		t.Error("a lease that names another target counts as restricted")
+	}
+	limits.Target = ""
+	g.Grant("h", timeAt(600), limits)
+	if len(g.Unrestricted(timeAt(700), "b")) != 1 {
+		t.Error("a full lease that was granted later counts as restricted")
+	}
+	l := newLease("m", 1, 0, time.Second).Restricted("b")
+	if l.CoversReads("m", timeAt(500)) {
 		t.Errorf("%+v", l)
 	}
 	if full := l.Extend(newLease("m", 1, 300, time.Second)); !full.CoversReads("m", timeAt(400)) || full.CoversReads("m", timeAt(200)) {
-		t.Errorf("full lease after a downgraded one: %+v", full)
+		t.Errorf("full lease after a restricted one: %+v", full)
+	}
+	if other := l.Extend(newLease("m", 1, 300, time.Second).Restricted("c")); other.WriteProof("m", 1, timeAt(200), timeAt(200)) != (ProvenByAll{}) {
+		t.Errorf("a lease that names another target continues the one before: %+v", other)
+	}
+}
+
+func TestWriteProof(t *testing.T) {
+	full, restricted := newLease("m", 1, 0, time.Second), newLease("m", 1, 0, time.Second).Restricted("b")
+	for _, c := range []struct {
+		name              string
+		lease             Lease
+		member            string
+		term              group.Term
+		acknowledged, now int
+		want              WriteProof
+	}{
+		{"full lease", full, "m", 1, 500, 500, ProvenByLease{}},
+		{"full lease that ended meanwhile", full, "m", 1, 500, 1500, ProvenByLease{}},
+		{"full lease granted after the acknowledgement", newLease("m", 1, 600, time.Second), "m", 1, 500, 700, ProvenByLease{}},
+		{"restricted lease", restricted, "m", 1, 500, 500, ProvenByTarget{"b"}},
+		{"restricted lease granted after the acknowledgement", newLease("m", 1, 600, time.Second).Restricted("b"), "m", 1, 500, 700, ProvenByAll{}},
+		{"lease restricted to the primary itself", full.Restricted("m"), "m", 1, 500, 500, ProvenByLease{}},
+		{"restricted lease that had ended", restricted, "m", 1, 1000, 1000, ProvenByAll{}},
+		{"lease in another term", full, "m", 2, 500, 500, ProvenByAll{}},
+		{"lease on another member", full, "n", 1, 500, 500, ProvenByAll{}},
+		{"no lease", Lease{}, "", 0, 500, 500, ProvenByAll{}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if got := c.lease.WriteProof(c.member, c.term, timeAt(c.acknowledged), timeAt(c.now)); got != c.want {
+				t.Errorf("%#v, want %#v", got, c.want)
+			}
+		})
 	}
 }
 
-func TestWriteConfirmed(t *testing.T) {
-	follows := ProbeResult{Member: "b", Answered: true, Term: 1}
+func TestConfirmByTarget(t *testing.T) {
+	at := func(term group.Term, lsn group.LSN) group.Position { return group.Position{Term: term, LSN: lsn} }
+	for _, c := range []struct {
+		name   string
+		target ProbeResult
+		want   Confirmation
+	}{
+		{"has the write", ProbeResult{Answered: true, Term: 1, Received: at(1, 7)}, Confirmed},
+		{"is behind", ProbeResult{Answered: true, Term: 1, Received: at(1, 6)}, Unconfirmed},
+		{"does not answer", ProbeResult{Term: 1, Received: at(1, 7)}, Unconfirmed},
+		{"leads with the write", ProbeResult{Answered: true, Leads: true, Term: 2, Received: at(1, 7)}, Confirmed},
+		{"leads without the write", ProbeResult{Answered: true, Leads: true, Term: 2, Received: at(1, 6)}, Unconfirmable},
+		{"leads and has written", ProbeResult{Answered: true, Leads: true, Term: 2, Received: at(2, 9)}, Unconfirmable},
+		{"follows another primary", ProbeResult{Answered: true, Term: 2, Received: at(1, 7)}, Unconfirmable},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if got := ConfirmByTarget(at(1, 7), c.target); got != c.want {
+				t.Errorf("%v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+func TestConfirmByAll(t *testing.T) {
+	written := group.Position{Term: 1, LSN: 7}
+	follower := func(id string) ProbeResult {
+		return ProbeResult{Member: id, Answered: true, Term: 1, Received: written}
+	}
+	follows, behind, fenced, formerlyFenced := follower("b"), follower("c"), follower("c"), follower("c")
+	behind.Received.LSN, fenced.FenceTerm, formerlyFenced.FenceTerm = 6, 2, 1
 	for _, c := range []struct {
 		name    string
 		answers []ProbeResult
-		want    bool
+		want    Confirmation
 	}{
-		{"both follow", []ProbeResult{follows, {Member: "c", Answered: true, Term: 1}}, true},
-		{"one does not answer", []ProbeResult{follows, {Member: "c"}}, false},
-		{"one has ended", []ProbeResult{follows, {Member: "c", ProcessEnded: true}}, false},
-		{"both have ended", []ProbeResult{{Member: "b", ProcessEnded: true}, {Member: "c", ProcessEnded: true}}, false},
-		{"one is fenced", []ProbeResult{follows, {Member: "c", Answered: true, Term: 1, FenceTerm: 2}}, false},
-		{"one was fenced in an earlier term", []ProbeResult{follows, {Member: "c", Answered: true, Term: 1, FenceTerm: 1}}, true},
-		{"one leads", []ProbeResult{follows, {Member: "c", Answered: true, Leads: true, Term: 2}}, false},
-		{"only the primary answers", []ProbeResult{{Member: "a", Answered: true, Leads: true, Term: 1}}, false},
+		{"both follow", []ProbeResult{follows, follower("c")}, Confirmed},
+		{"one lacks the write", []ProbeResult{follows, behind}, Unconfirmed},
+		{"one does not answer", []ProbeResult{follows, {Member: "c"}}, Unconfirmed},
+		{"one has ended", []ProbeResult{follows, {Member: "c", ProcessEnded: true}}, Unconfirmed},
+		{"both have ended", []ProbeResult{{Member: "b", ProcessEnded: true}, {Member: "c", ProcessEnded: true}}, Unconfirmed},
+		{"one is fenced", []ProbeResult{follows, fenced}, Unconfirmed},
+		{"one was fenced in an earlier term", []ProbeResult{follows, formerlyFenced}, Confirmed},
+		{"one leads", []ProbeResult{follows, {Member: "c", Answered: true, Leads: true, Term: 2}}, Unconfirmable},
+		{"one knows a later term", []ProbeResult{follows, {Member: "c", Answered: true, Term: 2, Received: written}}, Unconfirmable},
+		{"only the primary answers", []ProbeResult{{Member: "a", Answered: true, Leads: true, Term: 1}}, Unconfirmed},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			if got := WriteConfirmed("a", 1, []string{"a", "b", "c"}, c.answers); got != c.want {
-				t.Errorf("%v", got)
+			if got := ConfirmByAll("a", written, []string{"a", "b", "c"}, c.answers); got != c.want {
+				t.Errorf("%v, want %v", got, c.want)
 			}
 		})
 	}
--- a/core/leadership/model_test.go
+++ b/core/leadership/model_test.go
@@ -17,10 +17,15 @@
 // safeguards are the rules on which the protocol relies. The checker disables them one by one.
 type safeguards struct {
 	waitForLeases, boundByRole, confirmWrites, fenceReplicas, requireFloor, detectRestarts, recordOrder, proveByAll, recheckReplicas, waitForFormerCoordinator, rememberRecord, settlePromotions, keepFences, waitAfterRestart, ruleOutHidden, fenceAboveHidden, renewToken bool
+	// Those of a switchover.
+	confirmByTarget, confirmByAll, sampleAfterRestriction, recallOtherTargets bool
+	// An assumption: a failover knows of every member that receives the log. It holds as far as the platform lists a new
+	// member before that member acknowledges a write.
+	knowMembers bool
 }
 
 func allSafeguards() safeguards {
-	return safeguards{true, true, true, true, true, true, true, true, true, true, true, true, true, true, true, true, true}
+	return safeguards{true, true, true, true, true, true, true, true, true, true, true, true, true, true, true, true, true, true, true, true, true, true}
 }
 
 // none is the index of no member or host, and the length of no log.
@@ -35,6 +40,8 @@
 	length          int8
 	// listed is false once the platform no longer lists the member.
 	listed bool
+	// unknown is true for a member that has not joined yet, or that no host knows of yet.
+	unknown bool
 }
 
 // hostState is a host that serves clients.
@@ -43,6 +50,8 @@
 	// lease is the member on which the host has a lease, or none. revokedPrimary is the member of the lease that was
 	// last revoked, to which the host sends nothing until it gets another lease, or none.
 	lease, revokedPrimary int8
+	// target is the switchover target that the lease names, or none.
+	target int8
 	// fromFormerCoordinator is true if the lease comes from a former coordinator.
 	fromFormerCoordinator bool
 }
@@ -63,6 +72,8 @@
 	revoking
 	fencing
 	ordered
+	// restricting is the stage of a switchover in which leases are restricted to the target.
+	restricting
 )
 
 // coordinatorState is the state of the coordinator.
@@ -83,6 +94,10 @@
 	memberLeft bool
 	// restarted is true if an earlier process of this host held the role.
 	restarted bool
+	// restricted hosts have no other leases than those that name the target. handoverEnd is the length of the primary's
+	// log after all were restricted, or none.
+	restricted  [hostCount]bool
+	handoverEnd int8
 	// suspectsHidden is true while the coordinator promotes the primary again to rule out a hidden one.
 	suspectsHidden bool
 }
@@ -135,8 +150,12 @@
 
 // faultBounds bounds how often the network is partitioned, a member crashes, the role expires, the role's entry is
 // removed early, the store is restored from an older copy, an order can't be recorded, the coordinator's process restarts, and
-// an order without an answer is executed twice.
-type faultBounds struct{ partitions, crashes, expirations, removals, restores, recordings, processes, duplicates int8 }
+// an order without an answer is executed twice. joins bounds how often a new member joins, and switchovers how often the
+// coordinator begins to hand over a primary that serves.
+type faultBounds struct {
+	partitions, crashes, expirations, removals, restores, recordings, processes, duplicates int8
+	joins, switchovers                                                                      int8
+}
 
 func newModelState(b faultBounds) modelState {
 	st := modelState{platformOrder: none, duplicateOrder: none, recordedOrder: none, faultsLeft: b}
@@ -144,9 +163,12 @@
 		st.nodes[i] = node{up: true, leads: i == 0, term: 1, listed: true}
 	}
 	for i := range st.hosts {
-		st.hosts[i] = hostState{lease: none, revokedPrimary: none}
+		st.hosts[i] = hostState{lease: none, revokedPrimary: none, target: none}
+	}
+	if b.joins > 0 {
+		st.nodes[memberCount-1] = node{unknown: true}
 	}
-	st.coordinator = coordinatorState{floor: none, target: none}
+	st.coordinator = coordinatorState{floor: none, target: none, handoverEnd: none}
 	return st
 }
 
@@ -197,6 +219,15 @@
 // logPosition returns the position of the end of a log.
 func logPosition(length int8) group.Position { return group.Position{Term: 1, LSN: group.LSN(length)} }
 
+// end returns the position of the end of a log.
+func (st *modelState) end(n *node) group.Position {
+	p := logPosition(n.length)
+	if n.length > 0 {
+		p.Term = group.Term(st.writes[n.log[n.length-1]].term)
+	}
+	return p
+}
+
 // coordinatorReaches reports whether the coordinator and the member are on the same side of a partition.
 func (st *modelState) coordinatorReaches(m int) bool {
 	return st.hosts[st.coordinator.host].partition == st.nodes[m].partition
@@ -207,9 +238,12 @@
 	var out []ProbeResult
 	for i := range st.nodes {
 		n := &st.nodes[i]
+		if n.unknown {
+			continue
+		}
 		out = append(out, ProbeResult{
 			Member: memberName(i), Answered: n.up && n.partition == st.hosts[host].partition, ProcessEnded: !n.up && n.partition == st.hosts[host].partition,
-			Leads: n.leads, Term: group.Term(n.term), FenceTerm: group.Term(n.fenceTerm), Received: logPosition(n.length),
+			Leads: n.leads, Term: group.Term(n.term), FenceTerm: group.Term(n.fenceTerm), Received: st.end(n),
 		})
 	}
 	return out
@@ -217,5 +251,13 @@
 
 func memberName(i int) string { return string(rune('a' + i)) }
 
-// memberNames returns all members of the group.
-func memberNames() []string { return []string{"a", "b", "c"} }
+// knownMembers returns the members that the hosts know of.
+func (st *modelState) knownMembers() []string {
+	var out []string
+	for i := range st.nodes {
+		if !st.nodes[i].unknown {
+			out = append(out, memberName(i))
+		}
+	}
+	return out
+}
--- a/core/leadership/proof.go
+++ b/core/leadership/proof.go
@@ -52,23 +52,6 @@
 	return anyAnswered
 }
 
-// WriteConfirmed reports whether the results of the other members prove that a failover keeps every write that the
-// primary acknowledged in the term before they were probed. A coordinator that replaces the primary first fences
-// all replicas and then determines the position that the new primary must have. If all replicas follow and none has
-// a fence of a later term, no replacement has started.
-//
-// Every other member must have answered, even one whose process has ended: it may have been promoted before it
-// ended. The promotion removed the fences of the other replicas. If a partition then separated the new primary from
-// the other members, these receive from the old primary again and look as if nothing had happened.
-func WriteConfirmed(primary string, term group.Term, members []string, results []ProbeResult) bool {
-	for _, r := range results {
-		if r.Member != primary && (!r.Answered || r.FenceTerm > term) {
-			return false
-		}
-	}
-	return PrimaryConfirmed(primary, term, members, results)
-}
-
 // minMembersForProof is the smallest group in which NoPromotionPending can prove anything. A switchover fences all
 // replicas but its target, so a group of two members has no fence.
 const minMembersForProof = 3
@@ -105,5 +88,5 @@
 			return false
 		}
 	}
-	return WriteConfirmed(primary, term, members, results)
+	return noReplacementSeen(primary, term, members, results)
 }
--- a/core/leadership/steps_test.go
+++ b/core/leadership/steps_test.go
@@ -1,6 +1,9 @@
 package leadership
 
 import (
+	"slices"
+	"time"
+
 	"pearlatch/core/group"
 )
 
@@ -73,8 +76,7 @@
 func (e *explorer) answerWrite(st modelState, id int) {
 	it := &st.writes[id]
 	host, m := &st.hosts[it.host], it.member
-	keeps := host.lease == m && st.nodes[m].term == it.term || WriteConfirmed(memberName(int(m)), group.Term(it.term), memberNames(), st.probeResults(it.host))
-	if e.safeguards.confirmWrites && !keeps {
+	if e.safeguards.confirmWrites && !e.writeKept(&st, host, it, m) {
 		it.state = inDoubt
 		e.add("report write in doubt", st, "")
 		return
@@ -87,15 +89,40 @@
 	e.add("acknowledge", st, violation)
 }
 
+// writeKept reports whether the host has the proof that a write which the member has acknowledged is kept.
+func (e *explorer) writeKept(st *modelState, host *hostState, it *write, m int8) bool {
+	var lease Lease
+	at := time.Unix(0, 0)
+	if host.lease != none {
+		lease = Lease{Member: memberName(int(host.lease)), Term: group.Term(st.nodes[host.lease].term), Until: at.Add(time.Second)}
+	}
+	if host.target != none {
+		lease = lease.Restricted(memberName(int(host.target)))
+	}
+	primary, written := memberName(int(m)), group.Position{Term: group.Term(it.term), LSN: 1}
+	results := st.probeResults(it.host)
+	switch proof := lease.WriteProof(primary, written.Term, at, at).(type) {
+	case ProvenByTarget:
+		target := slices.IndexFunc(results, func(r ProbeResult) bool { return r.Member == proof.Target })
+		return !e.safeguards.confirmByTarget || ConfirmByTarget(written, results[target]) == Confirmed
+	case ProvenByAll:
+		if !e.safeguards.confirmByAll {
+			return noReplacementSeen(primary, written.Term, st.knownMembers(), results)
+		}
+		return ConfirmByAll(primary, written, st.knownMembers(), results) == Confirmed
+	}
+	return true
+}
+
 // readLatest reads the latest data, under a lease or with the confirmation of the other members.
 func (e *explorer) readLatest(st modelState, h, m int) {
 	host, n := &st.hosts[h], &st.nodes[m]
 	answers := st.probeResults(int8(h))
-	proven := PrimaryConfirmed(memberName(m), group.Term(n.term), memberNames(), answers)
+	proven := PrimaryConfirmed(memberName(m), group.Term(n.term), st.knownMembers(), answers)
 	if !e.safeguards.proveByAll {
 		proven = confirmedBySome(memberName(m), group.Term(n.term), answers)
 	}
-	if host.lease != int8(m) && !(n.leads && proven) {
+	if (host.lease != int8(m) || host.target != none) && !(n.leads && proven) {
 		return
 	}
 	if st.missingWrite(n) != "" {
@@ -147,20 +174,15 @@
 func (e *explorer) leaseSteps(st modelState) {
 	c := &st.coordinator
 	for h := range st.hosts {
-		if c.stage == granting && c.primary != none && st.hosts[h].partition == st.hosts[c.host].partition && st.hosts[h].lease != c.primary {
-			next := st
-			next.hosts[h].lease, next.hosts[h].revokedPrimary, next.hosts[h].fromFormerCoordinator = c.primary, none, false
-			next.coordinator.leased[h] = true
-			e.add("grant", next, "")
-		}
+		e.grantLease(st, h)
 		if st.hosts[h].lease != none {
 			next := st
-			next.hosts[h].lease, next.hosts[h].fromFormerCoordinator = none, false
+			next.hosts[h].lease, next.hosts[h].target, next.hosts[h].fromFormerCoordinator = none, none, false
 			e.add("lease ends on host", next, "")
 		}
 		if c.leased[h] && st.hosts[h].lease == none {
 			next := st
-			next.coordinator.leased[h] = false
+			next.coordinator.leased[h], next.coordinator.restricted[h] = false, false
 			e.add("lease ends for coordinator", next, "")
 		}
 	}
@@ -171,6 +193,29 @@
 	e.formerCoordinatorSteps(st)
 }
 
+// grantLease grants a lease to a host, during a switchover one that names the target.
+func (e *explorer) grantLease(st modelState, h int) {
+	c, host := &st.coordinator, &st.hosts[h]
+	target := int8(none)
+	if c.stage == restricting || c.stage == ordered && c.handoverEnd != none {
+		target = c.target
+	} else if c.stage != granting {
+		return
+	}
+	if c.primary == none || host.partition != st.hosts[c.host].partition || host.lease == c.primary && host.target == target {
+		return
+	}
+	host.lease, host.target, host.revokedPrimary, host.fromFormerCoordinator = c.primary, target, none, false
+	if !c.leased[h] {
+		c.restricted[h] = target != none
+	}
+	if target == none {
+		c.restricted[h] = false
+	}
+	c.leased[h] = true
+	e.add("grant", st, "")
+}
+
 // removeRole gives the role to the other host before the coordinator's validity of it ends. The coordinator is not
 // told.
 func (e *explorer) removeRole(st modelState) {
@@ -182,7 +227,7 @@
 	for h := range st.hosts {
 		st.hosts[h].fromFormerCoordinator = st.hosts[h].lease != none
 	}
-	st.coordinator = coordinatorState{host: 1 - st.coordinator.host, primary: none, floor: st.coordinator.floor, target: none}
+	st.coordinator = coordinatorState{host: 1 - st.coordinator.host, primary: none, floor: st.coordinator.floor, target: none, handoverEnd: none}
 	e.add("role is removed", st, "")
 }
 
@@ -194,7 +239,7 @@
 		return
 	}
 	st.faultsLeft.processes--
-	st.coordinator = coordinatorState{host: c.host, primary: none, floor: c.floor, target: none, restarted: true}
+	st.coordinator = coordinatorState{host: c.host, primary: none, floor: c.floor, target: none, handoverEnd: none, restarted: true}
 	e.add("coordinator's process restarts", st, "")
 }
 
@@ -220,7 +265,7 @@
 			floor = none // the floor of the record is valid only for the members that it names
 		}
 	}
-	st.coordinator = coordinatorState{host: 1 - st.coordinator.host, primary: none, floor: floor, target: none}
+	st.coordinator = coordinatorState{host: 1 - st.coordinator.host, primary: none, floor: floor, target: none, handoverEnd: none}
 	if !e.safeguards.rememberRecord {
 		st.recordedOrder, st.recordedTerm = none, 0
 	}
@@ -265,14 +310,14 @@
 	for h := range st.hosts {
 		if s := &st.hosts[h]; s.partition == st.hosts[f.host].partition && s.lease != f.primary {
 			next := st
-			next.hosts[h].lease, next.hosts[h].revokedPrimary, next.hosts[h].fromFormerCoordinator = f.primary, none, true
+			next.hosts[h].lease, next.hosts[h].target, next.hosts[h].revokedPrimary, next.hosts[h].fromFormerCoordinator = f.primary, none, none, true
 			e.add("former coordinator grants lease", next, "")
 		}
 	}
 	f.active = false
 	for h := range st.hosts {
 		if st.hosts[h].fromFormerCoordinator {
-			st.hosts[h].lease, st.hosts[h].fromFormerCoordinator = none, false
+			st.hosts[h].lease, st.hosts[h].target, st.hosts[h].fromFormerCoordinator = none, none, false
 		}
 	}
 	e.add("former coordinator's validity ends", st, "")
@@ -290,6 +335,6 @@
 			floor = none // the floor of the record is valid only for the members that it names
 		}
 	}
-	st.coordinator = coordinatorState{host: 1 - st.coordinator.host, primary: none, floor: floor, target: none}
+	st.coordinator = coordinatorState{host: 1 - st.coordinator.host, primary: none, floor: floor, target: none, handoverEnd: none}
 	e.add("role expires", st, "")
 }
--- a/internal/gateway/coordinator.go
+++ b/internal/gateway/coordinator.go
@@ -187,7 +187,8 @@
 }
 
 // resign hands the role back in the background, while the host keeps running for a while. The full leases on the primary
-// end first, since the next coordinator does not know them; it waits until the leases for writes have ended.
+// end first, since the next coordinator does not know them. Writes need no proof meanwhile: the next coordinator promotes
+// no member until the restricted leases have ended.
 func (d *coordinator) resign(ctx context.Context) {
 	d.mu.Lock()
 	already := d.resigning
@@ -198,7 +199,7 @@
 	}
 	go func() {
 		w := &groupMonitor{coordinator: d}
-		ended := w.endLeases(ctx, true)
+		ended := w.endLeases(ctx, Revocation{Planned: true, Target: d.onlySuccessor()})
 		d.host.quotas.StopGranting(d.group.name)
 		w.handBack(ended)
 		d.loseRole("stopping")
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -184,7 +184,8 @@
 // verifyPrimaryFirst makes sure that the member believed to be the primary still is, so that its
 // reply includes everything that was acknowledged before the statement arrived. Members may have to
 // be asked, and connections to the primary are scarce, so none is held meanwhile. It returns false
-// if the time to wait is over. It returns true without a check if no primary is known or the
+// if the time to wait is over. Writes also wait while the switchover target receives nothing: they would be lost once it
+// leads. It returns true without a check if no primary is known or the
 // statement is to be rerouted.
 func (s *Session) verifyPrimaryFirst(ctx context.Context, op *operation) bool {
 	if !op.needsPrimaryCheck {
@@ -197,7 +198,7 @@
 	defer cancel()
 	for !op.need.Forwardable || !g.primaryUnreachable() {
 		primary := g.primaryMember().ID
-		if primary == "" || g.verifyPrimary(checkCtx, primary, op.earliestPrimaryCheck()) {
+		if primary == "" || !(op.writes && g.handoverStalls(checkCtx)) && g.verifyPrimary(checkCtx, primary, op.earliestPrimaryCheck()) {
 			return true
 		}
 		if !pause.For(checkCtx, verifyRetryInterval) {
@@ -267,7 +268,7 @@
 func (s *Session) handleReply(op *operation, p *pooledConn, sentAt time.Time, reply Reply) (Reply, *retry) {
 	g := op.group
 	g.noteAnswer(p.member, sentAt)
-	g.noteApplied(p.member, reply.Position)
+	g.noteApplied(p.member, sentAt, reply.Position)
 	g.observePosition(p.member, sentAt, reply.Position)
 	if reply.Failure == nil {
 		g.noteSuccess(p.member)
@@ -275,7 +276,7 @@
 			s.advanceLastWrite(reply.Position)
 		}
 		g.release(p)
-		if op.writes && !g.confirmWrite(p.member.ID, reply.Position.Term) {
+		if op.writes && !g.confirmWrite(p.member.ID, reply.Position, op.deadline) {
 			return failureReply(InDoubt, p.member.ID+" may have been replaced as it acknowledged the write"), nil
 		}
 		return reply, nil
--- a/internal/gateway/failover.go
+++ b/internal/gateway/failover.go
@@ -16,7 +16,7 @@
 	// next answers show which one is the primary. Otherwise a primary that was marked by mistake would never be trusted
 	// again.
 	defer w.group.clearAllReplacements()
-	if !w.revokeLeases(ctx, false) {
+	if !w.revokeLeases(ctx, "") {
 		w.log("failover_off", "why", "the coordinator role is not certain")
 		return
 	}
--- a/internal/gateway/fakefleet_test.go
+++ b/internal/gateway/fakefleet_test.go
@@ -295,12 +295,12 @@
 	return h.GrantLease(r), nil
 }
 
-func (p *fakePeers) RevokeLease(ctx context.Context, to netip.AddrPort, groupName, memberID string, planned bool) error {
+func (p *fakePeers) RevokeLease(ctx context.Context, to netip.AddrPort, r Revocation) error {
 	h, err := p.reach(ctx, to)
 	if err != nil {
 		return err
 	}
-	h.RevokeLease(groupName, memberID, planned)
+	h.RevokeLease(r)
 	return nil
 }
 
--- a/internal/gateway/fences.go
+++ b/internal/gateway/fences.go
@@ -52,7 +52,7 @@
 // outlast the promotion; finishChange ends them by another one, with no hidden primaries.
 func (w *groupMonitor) reinstate(ctx context.Context, primary controlResult, replicas []controlResult, hidden group.Term) bool {
 	defer w.group.clearAllReplacements()
-	if !w.revokeLeases(ctx, false) {
+	if !w.revokeLeases(ctx, "") {
 		return false
 	}
 	term := max(highestTerm(replicas), w.group.highestSeenTerm()) + 1
--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -75,8 +75,15 @@
 	// lease is this host's lease on the primary. leaseSignal requests one at once, and primaryNeededAt
 	// is when a statement last needed the primary.
 	lease leadership.Lease
-	// writeLease is the write lease on the previous primary during a switchover.
-	writeLease leadership.Lease
+	// formerLease is the restricted lease on the primary before the last switchover.
+	formerLease leadership.Lease
+	// targetProbe is the probe of the switchover target in progress, or nil.
+	targetProbe *targetProbe
+	// lateTarget is the switchover target that lacks the write at lateWrite, which the primary has acknowledged, and
+	// targetLateSince when that was first seen. It is empty if there is none.
+	lateTarget      string
+	lateWrite       group.Position
+	targetLateSince time.Time
 	// leaseRevokedAt is when the coordinator last revoked a lease. Leases requested before that are
 	// void.
 	leaseRevokedAt time.Time
@@ -384,13 +391,28 @@
 	m.lagUntil = now.Add(pause)
 }
 
-// noteApplied records up to which position the member has applied the log.
-func (g *Group) noteApplied(m *member, p group.Position) {
+// noteApplied records up to which position the member has applied the log, according to its answer to a request that was sent
+// at the given time.
+func (g *Group) noteApplied(m *member, sentAt time.Time, p group.Position) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if p.Compare(m.applied) > 0 {
 		m.applied = p
 	}
+	if p != (group.Position{}) && sentAt.After(m.appliedAsOf) {
+		m.appliedAsOf = sentAt
+	}
+}
+
+// appliedSince returns up to which position the member has applied the log, or false if no answer to a request that was sent
+// after the given time shows it.
+func (g *Group) appliedSince(id string, since time.Time) (group.Position, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if m := g.members[id]; m != nil && m.appliedAsOf.After(since) {
+		return m.applied, true
+	}
+	return group.Position{}, false
 }
 
 // noteAnswer records that the member has just answered a statement that was sent at the given time, and
--- a/internal/gateway/leadership_test.go
+++ b/internal/gateway/leadership_test.go
@@ -315,11 +315,12 @@
 		if granted.Granted == 0 {
 			t.Fatal("no lease was granted")
 		}
-		for _, planned := range []bool{true, false} {
-			h.RevokeLease(testGroup, "a", planned)
+		for _, r := range []Revocation{{Planned: true, Target: "b"}, {Planned: true}, {}} {
+			r.Group, r.Member = testGroup, "a"
+			h.RevokeLease(r)
 			g.applyLease(requestedAt, granted)
 			if g.hasLease("a", h.now()) {
-				t.Errorf("the late lease is valid, planned: %v", planned)
+				t.Errorf("the late lease is valid after %+v", r)
 			}
 		}
 	})
--- a/internal/gateway/lease_client.go
+++ b/internal/gateway/lease_client.go
@@ -40,9 +40,12 @@
 
 // LeaseReply is the coordinator's reply to a LeaseRequest.
 type LeaseReply struct {
-	// Granted is the duration of the lease, or zero if none is granted. WritesOnly is as in leadership.Lease.
-	Granted    time.Duration
-	WritesOnly bool
+	// Granted is the duration of the lease, or zero if none is granted.
+	Granted time.Duration
+	// Restricted is true during a switchover, and Target is as in leadership.Lease. Coordinators of earlier versions don't name
+	// the target.
+	Restricted bool
+	Target     string
 	// Member is the primary and Term its term.
 	Member string
 	Term   group.Term
@@ -90,7 +93,7 @@
 	if err == nil {
 		g.applySample(requestedAt, reply)
 	}
-	if err != nil || reply.Granted <= 0 {
+	if err != nil || reply.Granted <= 0 || reply.Restricted && reply.Target == "" {
 		g.dropExpiredLease(requestedAt, err)
 		return false
 	}
@@ -180,22 +183,23 @@
 		return
 	}
 	hadLease := g.lease.CoversReads(r.Member, requestedAt)
-	if g.lease.WritesOnly && g.lease.Member != r.Member {
+	if g.lease.Target != "" && g.lease.Member != r.Member {
 		// Writes that the previous primary acknowledged before its successor took over may still be in flight.
-		g.writeLease = g.lease
+		g.formerLease = g.lease
 	}
 	g.primaryTerm = r.Term
 	g.lease = g.lease.Extend(leadership.Lease{
-		Member: r.Member, Term: r.Term, WritesOnly: r.WritesOnly, From: requestedAt, Until: requestedAt.Add(r.Granted),
+		Member: r.Member, Term: r.Term, Target: r.Target, From: requestedAt, Until: requestedAt.Add(r.Granted),
 	})
 	m.beingReplaced, m.refusedTerm = false, min(m.refusedTerm, r.Term-1)
-	if !hadLease && !r.WritesOnly {
+	if !hadLease && r.Target == "" {
 		g.log("lease", "member", r.Member, "term", r.Term, "for_ms", r.Granted.Milliseconds())
 	}
-	if !r.WritesOnly {
+	if r.Target == "" {
+		g.lateTarget = ""
 		g.noteOutageEnd()
-		// With a write lease, the switchover target may already be the primary while the coordinator does not
-		// know it yet. Only a read lease therefore identifies the primary.
+		// With a restricted lease, the switchover target may already be the primary while the coordinator does not
+		// know it yet. Only a full lease therefore identifies the primary.
 		g.setPrimary(r.Member, "leased")
 	}
 	g.dispatch()
@@ -213,39 +217,44 @@
 	g.lease = leadership.Lease{}
 }
 
-// leaseCoversWrites reports whether a read or write lease guarantees that writes acknowledged by the member in
-// the term by the given time are kept.
-func (g *Group) leaseCoversWrites(id string, term group.Term, at time.Time) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.lease.Term == term && g.lease.CoversWrites(id, at) || g.writeLease.Term == term && g.writeLease.CoversWrites(id, at)
-}
-
-// hasLease reports whether the host has a read lease on the member at the given time.
+// hasLease reports whether the host has a full lease on the member at the given time.
 func (g *Group) hasLease(id string, at time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.lease.CoversReads(id, at)
 }
 
-// RevokeLease revokes the host's lease on a group's primary, which the coordinator is about to replace. planned is
-// true for a switchover: the primary then serves until it is replaced, and the lease is only restricted to writes.
-func (h *Host) RevokeLease(groupName, memberID string, planned bool) {
-	if g := h.existingGroup(groupName); g != nil { // a host without a Group has no lease
-		g.revokeLease(memberID, planned)
+// Revocation is the coordinator's request to a host to give up its lease on a primary that is about to be replaced.
+type Revocation struct {
+	Group, Member string
+	// Planned is true for a switchover. The primary then serves until it is replaced, and the lease is only restricted to
+	// Target, which coordinators of earlier versions don't name.
+	Planned bool
+	Target  string
+}
+
+// RevokeLease carries out a revocation.
+func (h *Host) RevokeLease(r Revocation) {
+	if g := h.existingGroup(r.Group); g != nil { // a host without a Group has no lease
+		g.revokeLease(r)
 	}
 }
 
-func (g *Group) revokeLease(id string, planned bool) {
+func (g *Group) revokeLease(r Revocation) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.log("lease_recalled", "member", id, "planned", planned)
+	id := r.Member
+	g.log("lease_recalled", "member", id, "planned", r.Planned, "target", r.Target)
 	// A lease that was granted just before may still be in flight. The coordinator no longer waits for it
 	// once this call is answered, so applyLease must ignore it.
 	g.leaseRevokedAt = g.now()
-	if planned {
+	if r.Planned {
 		g.switchoverAt = g.leaseRevokedAt
-		g.lease = g.lease.Downgraded()
+		if r.Target == "" {
+			g.lease = leadership.Lease{}
+			return
+		}
+		g.lease = g.lease.Restricted(r.Target)
 		return
 	}
 	if g.lease.Member == id {
--- a/internal/gateway/lease_grants.go
+++ b/internal/gateway/lease_grants.go
@@ -23,8 +23,8 @@
 	heardAt time.Time
 	// position is the end of its log at that time, or zero.
 	position group.Position
-	// inSwitchover is true during a switchover.
-	inSwitchover bool
+	// target is the switchover target, or empty outside a switchover.
+	target string
 }
 
 // GrantLease grants a host a lease on the primary of a group if this host is the group's coordinator and knows
@@ -48,7 +48,7 @@
 	position, sampled := d.group.newestSample()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.held || d.primaryStatus.member == "" || d.primaryStatus.inSwitchover {
+	if !d.held || d.primaryStatus.member == "" || d.primaryStatus.target != "" {
 		return LeaseReply{}
 	}
 	return LeaseReply{Member: d.primaryStatus.member, Term: d.primaryStatus.term, Position: position, Age: d.host.now().Sub(sampled)}
@@ -69,13 +69,13 @@
 	if answered && sentAt.After(s.heardAt) {
 		s.heardAt = sentAt
 	}
-	granted := d.grants.Grant(host, now, leadership.GrantLimits{LastAnsweredRequest: s.heardAt, RoleUntil: d.soleHolderUntil(), InSwitchover: s.inSwitchover})
+	granted := d.grants.Grant(host, now, leadership.GrantLimits{LastAnsweredRequest: s.heardAt, RoleUntil: d.soleHolderUntil(), Target: s.target})
 	if granted == 0 && now.Sub(d.lastWokenAt) >= probeInterval {
 		// The primary may not have been probed recently because no statement needed it.
 		d.lastWokenAt = now
 		d.group.wakeCoordinator()
 	}
-	return LeaseReply{Granted: granted, WritesOnly: s.inSwitchover, Member: s.member, Term: s.term, Position: position, Age: now.Sub(sampled)}
+	return LeaseReply{Granted: granted, Restricted: s.target != "", Target: s.target, Member: s.member, Term: s.term, Position: position, Age: now.Sub(sampled)}
 }
 
 // leasedPrimary returns the member on which leases are granted, or the empty string.
@@ -85,6 +85,17 @@
 	return d.primaryStatus.member
 }
 
+// onlySuccessor returns the only member that this coordinator may have had promoted while the leases on the primary are valid:
+// the target of a switchover, else the primary itself.
+func (d *coordinator) onlySuccessor() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.primaryStatus.target != "" {
+		return d.primaryStatus.target
+	}
+	return d.primaryStatus.member
+}
+
 // setPrimaryStatus replaces what is known of the primary, on which leases are granted.
 func (d *coordinator) setPrimaryStatus(s primaryStatus) {
 	d.mu.Lock()
@@ -103,21 +114,23 @@
 
 // revokeLeases ends all leases on the primary, so that another member can be promoted. It stops granting leases,
 // asks the hosts to give back theirs, and waits until the leases of hosts that don't answer have expired. In a
-// switchover (planned is true), write leases may remain. It returns false if ctx ends or this host may no longer promote.
-func (w *groupMonitor) revokeLeases(ctx context.Context, planned bool) bool {
-	return w.endLeases(ctx, planned) && w.mayPromote()
+// switchover (target is not empty), leases that name the target may remain. It returns false if ctx ends or this host may no
+// longer promote.
+func (w *groupMonitor) revokeLeases(ctx context.Context, target string) bool {
+	return w.endLeases(ctx, Revocation{Planned: target != "", Target: target}) && w.mayPromote()
 }
 
-// endLeases is revokeLeases for a host that need not promote. It returns false if ctx ends.
-func (w *groupMonitor) endLeases(ctx context.Context, planned bool) bool {
+// endLeases carries out the revocation at all hosts. It returns false if ctx ends.
+func (w *groupMonitor) endLeases(ctx context.Context, r Revocation) bool {
 	started := w.host.now()
-	id := w.stopLeaseGrants(planned)
+	id := w.stopLeaseGrants(r)
+	r.Group, r.Member = w.group.name, id
 	var wait sync.WaitGroup
-	for _, host := range w.leaseHolders(planned) {
-		wait.Go(func() { w.revokeHostLease(ctx, host, id, planned) })
+	for _, host := range w.leaseHolders(r) {
+		wait.Go(func() { w.revokeHostLease(ctx, host, r) })
 	}
 	wait.Wait()
-	for holders := w.leaseHolders(planned); len(holders) > 0; holders = w.leaseHolders(planned) {
+	for holders := w.leaseHolders(r); len(holders) > 0; holders = w.leaseHolders(r) {
 		remaining := w.lastGrantEnd().Sub(w.host.now())
 		w.log("leases_awaited", "member", id, "hosts", holders, "for_ms", remaining.Milliseconds())
 		if !pause.For(ctx, remaining) {
@@ -133,28 +146,27 @@
 	return true
 }
 
-// stopLeaseGrants prevents further grants of leases on the primary. In a switchover (planned is true) only read
-// leases are stopped. It returns the primary.
-func (w *groupMonitor) stopLeaseGrants(planned bool) string {
+// stopLeaseGrants prevents further grants of leases on the primary that the revocation would end. It returns the primary.
+func (w *groupMonitor) stopLeaseGrants(r Revocation) string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	id := w.primaryStatus.member
 	if id == "" {
 		return w.primary.ID
 	}
-	if w.primaryStatus.inSwitchover = planned; !planned {
+	if w.primaryStatus.target = r.Target; !r.Planned {
 		w.primaryStatus = primaryStatus{}
 	}
 	return id
 }
 
-// leaseHolders returns the hosts whose leases a change of primary must wait for: all lease holders, or in a
-// switchover (planned is true) only those with read leases.
-func (w *groupMonitor) leaseHolders(planned bool) []string {
+// leaseHolders returns the hosts whose leases the revocation must end: all lease holders, or in a switchover only those with
+// leases that don't name the target.
+func (w *groupMonitor) leaseHolders(r Revocation) []string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if planned {
-		return w.grants.OutstandingFull(w.host.now())
+	if r.Planned && r.Target != "" {
+		return w.grants.Unrestricted(w.host.now(), r.Target)
 	}
 	return w.grants.Outstanding(w.host.now())
 }
@@ -166,12 +178,12 @@
 	return w.grants.LastEnd()
 }
 
-// revokeHostLease asks a host to give back its lease, or in a switchover to restrict it to writes, and records
+// revokeHostLease asks a host to give back its lease, or in a switchover to restrict it to the target, and records
 // that it did. The lease stays outstanding if the host does not answer.
-func (w *groupMonitor) revokeHostLease(ctx context.Context, host, member string, planned bool) {
+func (w *groupMonitor) revokeHostLease(ctx context.Context, host string, r Revocation) {
 	h := w.host
 	if host == h.settings.Host {
-		w.group.revokeLease(member, planned)
+		w.group.revokeLease(r)
 	} else {
 		addr, ok := h.fleet.Address(host)
 		if !ok || h.ports.Peers == nil {
@@ -179,15 +191,15 @@
 		}
 		call, cancel := context.WithTimeout(ctx, leaseRevokeTimeout)
 		defer cancel()
-		if err := h.ports.Peers.RevokeLease(call, addr, w.group.name, member, planned); err != nil {
-			w.log("lease_not_returned", "peer", host, "member", member, "err", err)
+		if err := h.ports.Peers.RevokeLease(call, addr, r); err != nil {
+			w.log("lease_not_returned", "peer", host, "member", r.Member, "err", err)
 			return
 		}
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if planned {
-		w.grants.Downgrade(host)
+	if r.Planned {
+		w.grants.Restrict(host, r.Target)
 		return
 	}
 	w.grants.Revoke(host)
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -22,6 +22,8 @@
 	// the member is not used for statements that need a later one.
 	applied  group.Position
 	lagUntil time.Time
+	// appliedAsOf is when the latest request was sent whose answer is included in applied.
+	appliedAsOf time.Time
 	// behindAt is when it last refused a statement because it lagged by more than the routes accept.
 	behindAt time.Time
 	// dropped is true once the member was dropped, because its address belongs to another member, it
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -26,7 +26,7 @@
 	RequestLease(ctx context.Context, to netip.AddrPort, r LeaseRequest) (LeaseReply, error)
 	// RevokeLease asks the host to give up its lease on the primary of a group. The lease has ended if the error is nil.
 	// planned is true for a switchover.
-	RevokeLease(ctx context.Context, to netip.AddrPort, groupName, memberID string, planned bool) error
+	RevokeLease(ctx context.Context, to netip.AddrPort, r Revocation) error
 	quotas.Peers
 	follow.Peers
 }
--- a/internal/gateway/primary_check.go
+++ b/internal/gateway/primary_check.go
@@ -49,29 +49,6 @@
 	return false
 }
 
-// confirmWrite reports whether a write that the member has acknowledged in the term is certainly kept. While this
-// host has a lease, no replacement of the member has begun. Without a lease the other members are asked: a primary on
-// the wrong side of a partition, with a replica that could not be fenced, acknowledges writes that the next primary
-// lacks.
-func (g *Group) confirmWrite(id string, term group.Term) bool {
-	now := g.now()
-	ctx, cancel := context.WithTimeout(context.Background(), 2*primaryCheckTimeout)
-	defer cancel()
-	for ctx.Err() == nil {
-		if g.leaseCoversWrites(id, term, now) {
-			return true
-		}
-		p := g.sharedCheck(id)
-		if !p.wait(ctx) {
-			return false
-		}
-		if !p.started.Before(now) {
-			return term > 0 && leadership.WriteConfirmed(id, term, p.members, p.answers)
-		}
-	}
-	return false
-}
-
 // isKnownPrimary reports whether the member is known to be the primary since the given time without a new check.
 func (g *Group) isKnownPrimary(id string, since time.Time) bool {
 	return g.hasLease(id, g.now()) || g.wasPrimarySince(id, since)
--- a/internal/gateway/record_test.go
+++ b/internal/gateway/record_test.go
@@ -97,7 +97,7 @@
 				exec(h2, Write{})
 				time.Sleep(time.Second)
 				s.updateMember("a", func(m *fakeMember) { m.silent = silent })
-				h2.RevokeLease(testGroup, "a", false)
+				h2.RevokeLease(Revocation{Group: testGroup, Member: "a"})
 				stop1()
 				awaitWrite(t, h2, 6*time.Second)
 				if replaced := s.primaryID() != "a"; replaced != silent {
--- a/internal/gateway/switchover.go
+++ b/internal/gateway/switchover.go
@@ -3,14 +3,19 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"pearlatch/core/group"
+	"pearlatch/core/leadership"
 	"pearlatch/internal/pause"
 )
 
 // switchOver replaces a primary that still serves, but is leaving, missing from the store or overloaded. The primary continues
-// to serve meanwhile. All replicas but the switchover target are fenced, so that every later write is acknowledged by the
-// target. It returns false if it requested no promotion. The fences then stay until finishChange ends them.
+// to serve meanwhile. It returns false if it requested no promotion. The fences then stay until finishChange ends them.
+//
+// All replicas but the switchover target are fenced, so that the target is the one that acknowledges. A replica that joins or
+// restarts has no fence, so the fences prove nothing: writes acknowledged before the leases were restricted are covered by
+// awaitLeasedWrites, and later ones by the target's receipt, see leadership.WriteProof.
 //
 // It does nothing while an earlier coordinator may still switch over to another target.
 func (w *groupMonitor) switchOver(ctx context.Context, primary controlResult, replicas []controlResult) bool {
@@ -41,10 +46,11 @@
 	ready := w.allKnown(fenced) && w.hasReceived(target, primary.status.Received) && w.awaitCatchUp(ctx, target, nil, fenced)
 	// The primary is demoted once the leases have ended, so that it serves until then.
 	demote := !ready && countFailed(fenced) > 0
-	if (ready || demote) && !w.revokeLeases(ctx, true) {
+	if (ready || demote) && !w.revokeLeases(ctx, target.ID) {
 		return false
 	}
 	revoked := w.host.now()
+	ready = ready && w.awaitLeasedWrites(ctx, target, revoked)
 	if !ready && !(demote && w.demoteForSwitchover(ctx, term, target, fenced)) {
 		w.log("heir_behind", "member", target.ID, "answers", formatResults(fenced))
 		return false
@@ -57,6 +63,41 @@
 	return true
 }
 
+// awaitLeasedWrites waits until the target has received every write that the primary may have acknowledged under a full lease.
+// These leases ended before the given time. It returns false if the primary or the target does not answer, the target is still
+// behind after maxCatchUpRounds, or ctx ends.
+func (w *groupMonitor) awaitLeasedWrites(ctx context.Context, target Member, ended time.Time) bool {
+	end, ok := w.endOfPrimary(ended)
+	if !ok {
+		w.log("primary_end_unknown", "member", w.primary.ID, "target", target.ID)
+		return false
+	}
+	for range maxCatchUpRounds {
+		answer := w.group.controlAll([]Member{target}, Probe{}, controlTimeout)
+		if leadership.ReadyToLead(end, toProbeResults(answer)[0]) {
+			w.log("heir_ready", "member", target.ID, "position", answer[0].status.Received, "primary", w.primary.ID, "end", end)
+			return true
+		}
+		if !pause.For(ctx, promotionPollInterval) {
+			return false
+		}
+	}
+	return false
+}
+
+// endOfPrimary returns a position of the primary's log that includes every write which it acknowledged before the given time.
+// A primary that is too busy for probes is judged by its answers to statements.
+func (w *groupMonitor) endOfPrimary(since time.Time) (group.Position, bool) {
+	s, err := w.group.control(w.primary, Probe{}, controlTimeout)
+	if err == nil {
+		return s.Received, s.IsPrimary
+	}
+	if !isOccupied(err) {
+		return group.Position{}, false
+	}
+	return w.group.appliedSince(w.primary.ID, since)
+}
+
 // allKnown reports whether each fenced replica has answered or need not: awaitCatchUp waits in vain otherwise.
 func (w *groupMonitor) allKnown(fenced []controlResult) bool {
 	return !slices.ContainsFunc(w.successorCandidates(fenced), func(r group.Standby) bool { return !r.Answered })
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -307,7 +307,7 @@
 			continue
 		}
 		s.finishCommit(p, sentAt, reply)
-		if t.sentWrite && reply.Failure == nil && !g.confirmWrite(p.member.ID, reply.Position.Term) {
+		if t.sentWrite && reply.Failure == nil && !g.confirmWrite(p.member.ID, reply.Position, op.deadline) {
 			return failureReply(InDoubt, p.member.ID+" may have been replaced as it acknowledged the commit")
 		}
 		return reply
--- a/io/peer/gateway_client.go
+++ b/io/peer/gateway_client.go
@@ -89,8 +89,8 @@
 }
 
 // RevokeLease implements gateway.Peers.
-func (c *GatewayClient) RevokeLease(ctx context.Context, to netip.AddrPort, groupName, memberID string, planned bool) error {
-	reply, err := c.askOnLink(ctx, to, &linkRequest{revokeLease: &revokeLeaseRequest{groupName, memberID, planned}})
+func (c *GatewayClient) RevokeLease(ctx context.Context, to netip.AddrPort, r gateway.Revocation) error {
+	reply, err := c.askOnLink(ctx, to, &linkRequest{revokeLease: (*revokeLeaseRequest)(&r)})
 	if err == nil && !reply.leaseRevoked {
 		err = errors.Errorf("host %s did not give up its lease", to)
 	}
--- a/io/peer/gateway_codec_test.go
+++ b/io/peer/gateway_codec_test.go
@@ -55,9 +55,13 @@
 		"link_reply":      &linkReply{lane: 4, peerReplyMessage: reply},
 		"link_reply_load": &linkReply{lane: 4, peerReplyMessage: loaded},
 		"lease_request":   &leaseRequest{Group: "lessons", Host: "h1", Healthy: true, Answered: "i-7f", AnswerAge: 12 * time.Millisecond},
-		"recall_request":  &recallRequest{from: "h1-2a", serial: 7},
-		"recall_reply":    &recallReply{running: true, process: "h2-1f", reply: &reply},
-		"member_request":  &memberRequest{group: "lessons", member: "i-7f"},
+		"lease_reply": &leaseReply{
+			Granted: 950 * time.Millisecond, Restricted: true, Target: "i-80", Member: "i-7f", Term: 3, Position: position, Age: 12 * time.Millisecond,
+		},
+		"lease_revocation": &linkRequest{lane: 5, revokeLease: &revokeLeaseRequest{Group: "lessons", Member: "i-7f", Planned: true, Target: "i-80"}},
+		"recall_request":   &recallRequest{from: "h1-2a", serial: 7},
+		"recall_reply":     &recallReply{running: true, process: "h2-1f", reply: &reply},
+		"member_request":   &memberRequest{group: "lessons", member: "i-7f"},
 		"member_reply": &memberReply{
 			IsPrimary: true, Received: position, Term: 3, Fenced: 4, Lag: 12 * time.Millisecond, Running: 2, Connections: 17,
 		},
--- a/io/peer/lease_messages.go
+++ b/io/peer/lease_messages.go
@@ -40,7 +40,8 @@
 
 func (m *leaseReply) fields(w *fieldWriter) {
 	w.duration("granted_us", m.Granted)
-	w.bool("writes_only", m.WritesOnly)
+	w.bool("writes_only", m.Restricted)
+	w.str("target", m.Target)
 	w.str("member", m.Member)
 	w.uint("term", uint64(m.Term))
 	w.message("position", (*positionMessage)(&m.Position))
@@ -52,7 +53,9 @@
 	case "granted_us":
 		return r.duration(&m.Granted)
 	case "writes_only":
-		return r.bool(&m.WritesOnly)
+		return r.bool(&m.Restricted)
+	case "target":
+		return r.str(&m.Target)
 	case "member":
 		return r.str(&m.Member)
 	case "term":
@@ -66,27 +69,26 @@
 	return false
 }
 
-// revokeLeaseRequest asks a host to give up its lease on a primary.
-type revokeLeaseRequest struct {
-	group, member string
-	// planned is true for a switchover.
-	planned bool
-}
+// revokeLeaseRequest is a gateway.Revocation on the wire.
+type revokeLeaseRequest gateway.Revocation
 
 func (m *revokeLeaseRequest) fields(w *fieldWriter) {
-	w.str("group", m.group)
-	w.str("member", m.member)
-	w.bool("planned", m.planned)
+	w.str("group", m.Group)
+	w.str("member", m.Member)
+	w.bool("planned", m.Planned)
+	w.str("target", m.Target)
 }
 
 func (m *revokeLeaseRequest) field(name string, r *fieldReader) bool {
 	switch name {
 	case "group":
-		return r.str(&m.group)
+		return r.str(&m.Group)
 	case "member":
-		return r.str(&m.member)
+		return r.str(&m.Member)
 	case "planned":
-		return r.bool(&m.planned)
+		return r.bool(&m.Planned)
+	case "target":
+		return r.str(&m.Target)
 	}
 	return false
 }
--- a/io/peer/link_server.go
+++ b/io/peer/link_server.go
@@ -51,7 +51,7 @@
 			granted := h.GrantLease(gateway.LeaseRequest(*in.lease))
 			l.send(&linkReply{lane: in.lane, lease: (*leaseReply)(&granted)})
 		case in.revokeLease != nil:
-			h.RevokeLease(in.revokeLease.group, in.revokeLease.member, in.revokeLease.planned)
+			h.RevokeLease(gateway.Revocation(*in.revokeLease))
 			l.send(&linkReply{lane: in.lane, leaseRevoked: true})
 		case in.quota != nil:
 			reply := h.Quotas().HandleRequest(quotas.Request(*in.quota))
