A statement is sent once its connection holds the session's values

Cause: setupCommands noted values and prepared names as set when the commands were sent, together with the statement, of which alone the answer was read. A member that is rolled back answers RESET and SET with BUSY, and the connection keeps other values than noted.

Change: what a connection holds changes only with the member's success. Values are confirmed before a statement is sent, which costs a round trip where the connection holds others; BEGIN and the definition of a prepared statement go along as before. An unknown connection is reset first. The proof that the primary leads is looked at after that round trip. A statement whose values or definition the member refuses has not run, and says so.

fakeConn: a member that refuses with BUSY leaves the transaction open, as the members do, and knows no undefined statements.

Tried: names that are never given twice on a connection; giving each once between two resets suffices, since an unknown connection runs nothing before a reset has succeeded.

--- a/internal/gateway/conn_setup.go
+++ b/internal/gateway/conn_setup.go
@@ -1,47 +1,87 @@
 package gateway
 
 import (
-	"maps"
-	"strconv"
+	"time"
+
+	"pearlatch/core/connstate"
 )
 
-// maxPreparedPerConn bounds the number of prepared statements on a connection.
-const maxPreparedPerConn = 64
-
-// preparedName returns the name of a connection's n-th prepared statement.
-func preparedName(n int) string { return "p" + strconv.Itoa(n) }
-
-// setupCommands returns the commands that set the session's values on the connection and define a
-// prepared statement, each only if necessary, and the name of the statement on the connection. It
-// updates values and prepared as if the commands had been carried out. The first command is a reset
-// if the connection holds a value that the session does not set, or maxPreparedPerConn prepared
-// statements.
-func (p *pooledConn) setupCommands(values map[string]string, statement *PreparedStatement) (out []Command, name string) {
-	reset := len(p.prepared) >= maxPreparedPerConn
-	for k := range p.values {
-		if _, ok := values[k]; !ok {
-			reset = true
+// connState is what a pooled connection holds of the sessions that use it.
+type connState = connstate.State[PreparedStatement]
+
+// setupCommand is a command that changes what a connection holds.
+type setupCommand = connstate.Command[PreparedStatement]
+
+// toCommand converts a setup command for the member.
+func toCommand(c setupCommand) Command {
+	switch c := c.(type) {
+	case connstate.Assign[PreparedStatement]:
+		return Assign{c.Name, c.Value}
+	case connstate.Define[PreparedStatement]:
+		return Define{c.Name, c.Statement}
+	}
+	return Reset{}
+}
+
+// recordSetup records the member's answers to the commands. It returns the first failure among them, or nil.
+func (g *Group) recordSetup(p *pooledConn, commands []setupCommand, replies []Reply) *Failure {
+	var failure *Failure
+	for i, c := range commands {
+		f := replies[i].Failure
+		p.state.Record(c, f == nil)
+		if f != nil && failure == nil {
+			failure = f
+			g.log("conn_setup_refused", "member", p.member.ID, "command", setupName(c), "code", f.Code.String(), "detail", f.Detail)
 		}
 	}
-	if reset {
-		out = append(out, Reset{})
-		clear(p.values)
-		clear(p.prepared)
+	return failure
+}
+
+// setupName returns the name of a setup command for a log line, without the value.
+func setupName(c setupCommand) string {
+	switch c := c.(type) {
+	case connstate.Assign[PreparedStatement]:
+		return "set " + c.Name
+	case connstate.Define[PreparedStatement]:
+		return "prepare"
 	}
-	for k, v := range values {
-		if old, ok := p.values[k]; !ok || old != v {
-			out = append(out, Assign{k, v})
-		}
+	return "reset"
+}
+
+// setUp makes the connection hold just the values, and awaits the member's answers: a statement that is sent together with
+// a command runs even if that command is refused. The error is that of a connection that failed.
+func (g *Group) setUp(p *pooledConn, values map[string]string, timeout time.Duration) (*Failure, error) {
+	return g.runSetup(p, p.state.Setup(values), timeout)
+}
+
+// runSetup sends the commands and awaits the answers.
+func (g *Group) runSetup(p *pooledConn, setup []setupCommand, timeout time.Duration) (*Failure, error) {
+	if len(setup) == 0 {
+		return nil, nil
 	}
-	maps.Copy(p.values, values)
+	replies, err := p.conn.Do(timeout, toCommands(setup)...)
+	if err != nil {
+		return nil, err
+	}
+	return g.recordSetup(p, setup, replies), nil
+}
+
+func toCommands(setup []setupCommand) []Command {
+	out := make([]Command, len(setup))
+	for i, c := range setup {
+		out[i] = toCommand(c)
+	}
+	return out
+}
+
+// prepareCommands returns the definition that the statement needs on the connection, if any, and its name there.
+func (p *pooledConn) prepareCommands(statement *PreparedStatement) (define []setupCommand, name string) {
 	if statement == nil {
-		return out, ""
+		return nil, ""
 	}
-	name, ok := p.prepared[*statement]
-	if !ok {
-		name = preparedName(len(p.prepared))
-		p.prepared[*statement] = name
-		out = append(out, Define{name, *statement})
+	name, d := p.state.Prepare(*statement)
+	if d != nil {
+		define = []setupCommand{*d}
 	}
-	return out, name
+	return define, name
 }
--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -25,10 +25,7 @@
 	conn     Conn
 	poolConn *pool.Conn
 	member   *member
-	// values and prepared are the session values and prepared statements that the connection holds
-	// since its last reset. prepared maps each statement to its name.
-	values   map[string]string
-	prepared map[PreparedStatement]string
+	state    connState
 }
 
 var (
@@ -185,7 +182,7 @@
 		g.dialFailed(m, account, err)
 		return nil
 	}
-	p := &pooledConn{conn: conn, member: m, values: map[string]string{}, prepared: map[PreparedStatement]string{}}
+	p := &pooledConn{conn: conn, member: m}
 	p.poolConn = g.pool.Opened(m.poolMember, account, g.now())
 	if p.poolConn == nil {
 		g.closeAsync(p)
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"pearlatch/core/connstate"
 	"pearlatch/core/group"
 	"pearlatch/internal/pause"
 )
@@ -108,6 +109,9 @@
 	switch {
 	case r.failure == nil:
 		return busyReply(op)
+	case r.failure.Code == UnknownPrepared:
+		// The caller's statement is known to its session. The member refused to prepare it.
+		return Reply{Failure: op.refusal(Busy, "the statement could not be prepared: "+r.failure.Detail)}
 	case r.failure.Code.NotRun():
 		return Reply{Failure: op.refusal(r.failure.Code, r.failure.Detail)}
 	}
@@ -118,22 +122,28 @@
 // be retried.
 func (s *Session) attempt(r Request, op *operation, p *pooledConn) (Reply, *retry) {
 	g := op.group
+	if op.writes && g.connNeedsCheck(p, g.now()) && !s.checkConn(op, p) {
+		return Reply{}, &retry{}
+	}
+	if next := s.setUpConn(op, p); next != nil {
+		return Reply{}, next
+	}
 	if next := s.releaseUnlessPrimary(op, p); next != nil {
 		return Reply{}, next
 	}
 	sentAt := g.now()
 	remaining := op.deadline.Sub(sentAt)
-	if op.writes && g.connNeedsCheck(p, sentAt) && !s.checkConn(op, p) {
-		return Reply{}, &retry{}
-	}
-	setup, name := p.setupCommands(s.values, op.prepared)
-	commands := append(setup, RunStatement{Request: r, After: op.need.MinPosition, Name: name})
+	define, name := p.prepareCommands(op.prepared)
+	commands := append(toCommands(define), RunStatement{Request: r, After: op.need.MinPosition, Name: name})
 	done := func(bool) {}
 	if op.writes {
 		done = g.beginWrite()
 	}
 	replies, err := p.conn.Do(g.callTimeout(p.member, remaining, op.writes), commands...)
 	done(err == nil && replies[len(replies)-1].Failure == nil)
+	if err == nil {
+		g.recordSetup(p, define, replies)
+	}
 	if err != nil {
 		g.discard(p, err)
 		op.need.Avoid = p.member.ID
@@ -239,16 +249,34 @@
 // checkConn reports whether the connection still works. A connection that does not is discarded;
 // one that does is reset.
 func (s *Session) checkConn(op *operation, p *pooledConn) bool {
-	_, err := p.conn.Do(connCheckTimeout, Reset{})
-	if err != nil {
+	if _, err := op.group.runSetup(p, []setupCommand{connstate.Reset[PreparedStatement]{}}, connCheckTimeout); err != nil {
 		op.group.discard(p, err)
 		return false
 	}
-	clear(p.values)
-	clear(p.prepared)
 	return true
 }
 
+// setUpConn sets the session's values on the connection. If it can't, it frees the connection and returns a retry: the
+// statement has not been sent.
+func (s *Session) setUpConn(op *operation, p *pooledConn) *retry {
+	g := op.group
+	failure, err := g.setUp(p, s.values, g.callTimeout(p.member, op.deadline.Sub(g.now()), false))
+	if err != nil {
+		g.discard(p, err)
+		op.need.Avoid = p.member.ID
+		return &retry{}
+	}
+	if failure == nil {
+		return nil
+	}
+	op.need.Avoid = p.member.ID
+	if failure.Code == Busy {
+		g.noteOverload(p.member)
+	}
+	g.release(p)
+	return &retry{failure: &Failure{Busy, "the session values could not be set: " + failure.Error()}, delay: busyRetryInterval}
+}
+
 // handleBrokenConn handles the failure of the connection that a statement was sent on. A write is
 // in doubt; a read is retried.
 func (s *Session) handleBrokenConn(r Request, op *operation, p *pooledConn, err error) (Reply, *retry) {
@@ -292,7 +320,10 @@
 	case NotPrimary:
 		g.notePrimaryRefusal(p.member.ID)
 	case UnknownPrepared:
-		clear(p.prepared)
+		if op.prepared != nil {
+			p.state.Forget(*op.prepared)
+		}
+		next.delay = busyRetryInterval
 	case Failed, TimedOut:
 		if op.writes || op.need.Avoid != "" {
 			g.release(p)
--- a/internal/gateway/fakeconn_test.go
+++ b/internal/gateway/fakeconn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"syscall"
 	"time"
 
@@ -133,7 +134,7 @@
 			return out, err
 		}
 		r.State = c.state
-		if r.Failure != nil && c.state == InTransaction {
+		if r.Failure != nil && r.Failure.Code != Busy && c.state == InTransaction {
 			c.state, r.State = InFailedTransaction, InFailedTransaction
 		}
 		out = append(out, r)
@@ -141,7 +142,27 @@
 	return out, nil
 }
 
+// run runs a command unless the member refuses it. A refusal with Failed comes after the command was carried out.
 func (c *fakeConn) run(timeout time.Duration, command Command) (Reply, error) {
+	c.site.mu.Lock()
+	refuses := c.site.refuses
+	c.site.mu.Unlock()
+	if refuses == nil {
+		return c.carryOut(timeout, command)
+	}
+	f := refuses(command)
+	switch {
+	case f == nil:
+		return c.carryOut(timeout, command)
+	case f.Code == Failed:
+		if _, err := c.carryOut(timeout, command); err != nil {
+			return Reply{}, err
+		}
+	}
+	return Reply{Failure: f, Position: c.applied()}, nil
+}
+
+func (c *fakeConn) carryOut(timeout time.Duration, command Command) (Reply, error) {
 	switch command := command.(type) {
 	case RunStatement:
 		return c.runStatement(timeout, command)
@@ -204,6 +225,7 @@
 	}
 	c.m.runs = append(c.m.runs, f.Request.ID)
 	c.site.ranFor[f.Request.ID] = c.account
+	c.site.ranUnder = append(c.site.ranUnder, statementRun{f.Request.ID, maps.Clone(c.values), c.prepared[f.Name]})
 	broken := c.m.breaksAfter > 0
 	if broken {
 		c.m.breaksAfter--
@@ -236,6 +258,8 @@
 	switch {
 	case c.m.full:
 		return &Failure{Busy, c.m.id}
+	case f.Name != "" && c.prepared[f.Name] == (PreparedStatement{}):
+		return &Failure{UnknownPrepared, f.Name}
 	case f.After.Compare(c.m.applied) > 0:
 		return &Failure{Lagging, c.m.id}
 	case !c.m.isPrimary && (writes || c.state == InTransaction && c.readWrite):
--- a/internal/gateway/fakesite_test.go
+++ b/internal/gateway/fakesite_test.go
@@ -63,6 +63,13 @@
 	work            time.Duration
 }
 
+// statementRun is what a connection held when a statement ran on it.
+type statementRun struct {
+	id       string
+	values   map[string]string
+	prepared PreparedStatement
+}
+
 // fakeSite is a group of fake members with the platform's store and promotions.
 type fakeSite struct {
 	mu        sync.Mutex
@@ -97,6 +104,10 @@
 	droppedWrites      []group.Position // those of them that a promoted member did not hold
 	// ranFor maps a statement's ID to the account of the connection on which it ran.
 	ranFor map[string]string
+	// refuses, if set, returns the failure with which members refuse a command, or nil.
+	refuses func(Command) *Failure
+	// ranUnder lists what the connections of the statements that ran held.
+	ranUnder []statementRun
 }
 
 func newFakeSite(ids ...string) *fakeSite {
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -182,10 +182,14 @@
 }
 
 func (s *Session) set(st Set) {
-	if s.values == nil {
-		s.values = map[string]string{}
+	// A forwarded request may still be encoded from the former map.
+	values := map[string]string{st.Name: st.Value}
+	for k, v := range s.values {
+		if k != st.Name {
+			values[k] = v
+		}
 	}
-	s.values[st.Name] = st.Value
+	s.values = values
 }
 
 func (s *Session) prepare(st Prepare) {
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -171,15 +171,16 @@
 func (s *Session) beginOnConn(p *pooledConn) *retry {
 	t := s.tx
 	op, g := &t.op, t.op.group
-	if next := s.releaseUnlessPrimary(op, p); next != nil {
-		return next
-	}
 	if !t.readOnly && g.connNeedsCheck(p, g.now()) && !s.checkConn(op, p) {
 		return &retry{}
 	}
-	setup, _ := p.setupCommands(s.values, nil)
+	if next := s.releaseUnlessPrimary(op, p); next != nil {
+		return next
+	}
 	sentAt := g.now()
-	commands := append(setup, OpenTransaction{ReadOnly: t.readOnly, After: op.need.MinPosition})
+	setup := p.state.Setup(s.values)
+	// No statement of the caller runs before all answers are read.
+	commands := append(toCommands(setup), OpenTransaction{ReadOnly: t.readOnly, After: op.need.MinPosition})
 	replies, err := p.conn.Do(g.callTimeout(p.member, op.deadline.Sub(sentAt), false), commands...)
 	if err != nil {
 		g.discard(p, err)
@@ -187,6 +188,16 @@
 		return &retry{}
 	}
 	reply := replies[len(replies)-1]
+	if f := g.recordSetup(p, setup, replies); f != nil {
+		op.need.Avoid = p.member.ID
+		if reply.State == Idle {
+			g.release(p)
+		} else {
+			t.conn = p
+			t.rollback(s)
+		}
+		return &retry{delay: busyRetryInterval}
+	}
 	if reply.Failure != nil || reply.State != InTransaction {
 		if reply.Failure == nil {
 			reply.Failure = &Failure{Busy, "the transaction did not begin"}
@@ -207,28 +218,30 @@
 func (s *Session) tryInTransaction(r Request, writes bool) (Reply, *retry) {
 	t := s.tx
 	p, op, g := t.conn, &t.op, t.op.group
-	setup, name := p.setupCommands(s.values, op.prepared)
+	if failure, err := s.setUpInTransaction(p); err != nil {
+		return s.transactionBroken(r, p, err)
+	} else if failure != nil {
+		return s.restartTransaction("the session values could not be set: " + failure.Error())
+	}
 	sentAt := g.now()
+	define, name := p.prepareCommands(op.prepared)
 	t.sentWrite = t.sentWrite || writes
-	commands := append(setup, RunStatement{Request: r, Name: name})
+	commands := append(toCommands(define), RunStatement{Request: r, Name: name})
 	replies, err := p.conn.Do(g.callTimeout(p.member, op.deadline.Sub(sentAt), true), commands...)
 	if err != nil {
-		t.conn = nil
-		g.discard(p, err)
-		s.host.logAttempt(s, r, op, p.member.ID, "broken", err)
-		if t.answeredCount == 0 {
-			// The member rolls back the transaction of a lost connection.
-			op.need.Avoid = p.member.ID
-			return Reply{}, &retry{}
-		}
-		return s.failTransaction(Reply{Failure: op.notRun(Aborted, "the connection to "+p.member.ID+" failed")}), nil
+		return s.transactionBroken(r, p, err)
 	}
 	g.noteAnswer(p.member, sentAt)
+	g.recordSetup(p, define, replies)
 	reply := replies[len(replies)-1]
 	if reply.Failure == nil {
 		t.answeredCount++
 		return reply, nil
 	}
+	if reply.Failure.Code == UnknownPrepared && op.prepared != nil {
+		p.state.Forget(*op.prepared)
+		return s.restartTransaction("the statement could not be prepared: " + reply.Failure.Detail)
+	}
 	if reply.Failure.Code == Busy && reply.State == InTransaction {
 		g.noteOverload(p.member)
 		return Reply{}, &retry{delay: busyRetryInterval}
@@ -243,6 +256,39 @@
 	return s.failTransaction(reply), nil
 }
 
+// setUpInTransaction sets the session's values on the connection of the open transaction.
+func (s *Session) setUpInTransaction(p *pooledConn) (*Failure, error) {
+	g, op := s.tx.op.group, &s.tx.op
+	setup, ok := p.state.SetupInTransaction(s.values)
+	if !ok {
+		return &Failure{Busy, "the values of the connection are not known"}, nil
+	}
+	return g.runSetup(p, setup, g.callTimeout(p.member, op.deadline.Sub(g.now()), true))
+}
+
+// transactionBroken handles the failure of the transaction's connection. The member rolls the transaction back.
+func (s *Session) transactionBroken(r Request, p *pooledConn, err error) (Reply, *retry) {
+	t := s.tx
+	t.conn = nil
+	t.op.group.discard(p, err)
+	s.host.logAttempt(s, r, &t.op, p.member.ID, "broken", err)
+	if t.answeredCount == 0 {
+		t.op.need.Avoid = p.member.ID
+		return Reply{}, &retry{}
+	}
+	return s.failTransaction(Reply{Failure: t.op.notRun(Aborted, "the connection to "+p.member.ID+" failed")}), nil
+}
+
+// restartTransaction rolls the transaction back, and retries it if no statement of it has been answered.
+func (s *Session) restartTransaction(reason string) (Reply, *retry) {
+	t := s.tx
+	if t.answeredCount > 0 {
+		return s.failTransaction(Reply{Failure: t.op.notRun(Aborted, reason)}), nil
+	}
+	t.rollback(s)
+	return Reply{}, &retry{delay: busyRetryInterval}
+}
+
 // commit commits the transaction on its member or on the host where it runs.
 func (s *Session) commit(ctx context.Context, r Request, arrived time.Time) Reply {
 	if s.state != InTransaction {
@@ -288,6 +334,15 @@
 func (s *Session) sendCommit(ctx context.Context, r Request) Reply {
 	t := s.tx
 	p, op, g := t.conn, &t.op, t.op.group
+	// The session may have set values since its last statement.
+	if failure, err := s.setUpInTransaction(p); err != nil {
+		t.conn = nil
+		g.discard(p, err)
+		return Reply{Failure: op.notRun(Aborted, "the connection to "+p.member.ID+" failed before the commit was sent")}
+	} else if failure != nil {
+		t.rollback(s)
+		return Reply{Failure: op.notRun(Aborted, "the session values could not be set: "+failure.Error())}
+	}
 	for {
 		sentAt := g.now()
 		done := g.beginWrite()
