pearlatch serve: a refused DISCARD ALL is an error

What callers would see: a session that gets the settings of the session before on its connection.

Cause: reset skipped to ReadyForQuery and took an ErrorResponse on the way for success.

--- a/io/upstream/answer.go
+++ b/io/upstream/answer.go
@@ -215,9 +215,9 @@
 // connection can be used again. It returns errReadOnly, or another error if the
 // connection cannot be used again.
 func (x *Exchange) drainRefusal(a *answer) error {
-	status, err := x.conn.skipToReady()
+	status, _, err := x.conn.skipToReady()
 	if a.stage == stageUnit && err == nil {
-		status, err = x.conn.skipToReady()
+		status, _, err = x.conn.skipToReady()
 	}
 	if err != nil || status != postgres.StatusIdle {
 		// Inside BEGIN READ ONLY the caller itself must see the error.
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -169,28 +169,38 @@
 	if _, err := c.net.Write(discardAll); err != nil {
 		return errors.Wrap(err, "reset session")
 	}
-	status, err := c.skipToReady()
-	if err != nil {
+	status, refusal, err := c.skipToReady()
+	switch {
+	case err != nil:
 		return errors.Wrap(err, "reset session")
-	}
-	if status != postgres.StatusIdle {
+	case refusal != nil:
+		return errors.Wrap(refusal, "reset session")
+	case status != postgres.StatusIdle:
 		return errors.New("reset session: a transaction is open")
 	}
 	c.prepared, c.preparedOrder, c.dirty = map[string]bool{}, nil, false
 	return c.net.SetDeadline(time.Time{})
 }
 
-// skipToReady discards messages up to ReadyForQuery and returns its transaction
-// status.
-func (c *conn) skipToReady() (byte, error) {
+// skipToReady discards messages up to ReadyForQuery. It returns the transaction
+// status and the first error that the member answered with, or nil.
+func (c *conn) skipToReady() (status byte, refusal, err error) {
 	var buf []byte
 	for {
-		var err error
 		if buf, err = postgres.ReadFrame(c.r, buf[:0]); err != nil {
-			return 0, err
+			return 0, nil, err
 		}
-		if f := postgres.Frame(buf); f.Type() == postgres.TypeReadyForQuery {
-			return f.Body()[0], nil
+		switch f := postgres.Frame(buf); f.Type() {
+		case postgres.TypeErrorResponse:
+			var m pgproto3.ErrorResponse
+			if err := m.Decode(f.Body()); err != nil {
+				return 0, nil, errors.Wrap(err, "decode error response")
+			}
+			if refusal == nil {
+				refusal = errors.Errorf("member %d answered SQLSTATE %s: %s", c.member, m.Code, m.Message)
+			}
+		case postgres.TypeReadyForQuery:
+			return f.Body()[0], refusal, nil
 		}
 	}
 }
--- a/io/upstream/conn_test.go
+++ b/io/upstream/conn_test.go
@@ -1,9 +1,13 @@
 package upstream
 
 import (
+	"bufio"
+	"net"
 	"testing"
 	"time"
 
+	"github.com/jackc/pgx/v5/pgproto3"
+
 	"pearlatch/core/group"
 )
 
@@ -25,6 +29,36 @@
 	}
 }
 
+// Guards against a connection that passes to another session although the member
+// has refused to reset the state of the session before.
+func TestRefusedResetIsAnError(t *testing.T) {
+	for name, answer := range map[string][]pgproto3.BackendMessage{
+		"error":   {&pgproto3.ErrorResponse{Severity: "ERROR", Code: "57P03", Message: "starting up"}, &pgproto3.ReadyForQuery{TxStatus: 'I'}},
+		"success": {&pgproto3.CommandComplete{CommandTag: []byte("DISCARD ALL")}, &pgproto3.ReadyForQuery{TxStatus: 'I'}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			near, far := net.Pipe()
+			defer near.Close()
+			go func() {
+				defer far.Close()
+				backend := pgproto3.NewBackend(far, far)
+				if _, err := backend.Receive(); err != nil {
+					return
+				}
+				for _, m := range answer {
+					backend.Send(m)
+				}
+				_ = backend.Flush()
+			}()
+			c := &conn{net: near, r: bufio.NewReader(near), dirty: true, prepared: map[string]bool{"p": true}}
+			err := c.reset()
+			if (err != nil) != (name == "error") || c.dirty != (err != nil) {
+				t.Errorf("reset returned %v, the connection counts as dirty: %v", err, c.dirty)
+			}
+		})
+	}
+}
+
 func TestParseStatus(t *testing.T) {
 	row := []string{"t", "7:host-2", "t", "5", "6", "0/2000", "0/1000"}
 	got, err := parseStatus(row)
