--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -25,7 +25,8 @@
 	conn     Conn
 	poolConn *pool.Conn
 	member   *member
-	state    connState
+	// state is what the connection holds of the sessions that use it.
+	state connState
 }
 
 var (
