--- a/internal/gateway/conn_setup_test.go
+++ b/internal/gateway/conn_setup_test.go
@@ -68,50 +68,63 @@
 	return r
 }
 
+// randomRefusals returns a function that refuses commands at random: any command before it runs, or one that prepares the
+// connection after it has run.
+func randomRefusals(seed uint64) func(Command) *Failure {
+	var mu sync.Mutex
+	random := rand.New(rand.NewPCG(seed, 1))
+	return func(c Command) *Failure {
+		mu.Lock()
+		defer mu.Unlock()
+		draw := random.IntN(100)
+		switch c.(type) {
+		case RunStatement, Abort:
+		default:
+			if draw >= 12 && draw < 16 {
+				return &Failure{Failed, "refused after it ran"}
+			}
+		}
+		if draw < 12 {
+			return &Failure{Busy, "refused"}
+		}
+		return nil
+	}
+}
+
+// setRefusals makes the members refuse commands, or none if refuses is nil.
+func (s *fakeSite) setRefusals(refuses func(Command) *Failure) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refuses = refuses
+}
+
+// run runs n statements and closes the session.
+func (c *stateCaller) run(n int) {
+	for range n {
+		c.step()
+		time.Sleep(time.Duration(c.rand.IntN(8)) * time.Millisecond)
+	}
+	c.session.Close()
+}
+
 // Guards against statements that run with another session's values, without their own, or as another prepared statement, after a
 // member has refused a command that prepares the connection.
 func TestStatementsRunUnderTheirSessionsState(t *testing.T) {
 	for seed := range uint64(12) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			withHost(t, freshness.MaxAge{Age: time.Second}, func(s *fakeSite, h *Host) {
-				var mu sync.Mutex
-				random := rand.New(rand.NewPCG(seed, 1))
-				setRefusals := func(refuses func(Command) *Failure) {
-					s.mu.Lock()
-					defer s.mu.Unlock()
-					s.refuses = refuses
-				}
-				setRefusals(func(c Command) *Failure {
-					mu.Lock()
-					defer mu.Unlock()
-					_, runs := c.(RunStatement)
-					_, aborts := c.(Abort)
-					switch draw := random.IntN(100); {
-					case draw < 12:
-						return &Failure{Busy, "refused"}
-					case draw < 16 && !runs && !aborts:
-						return &Failure{Failed, "refused after it ran"}
-					}
-					return nil
-				})
+				s.setRefusals(randomRefusals(seed))
 				var wait sync.WaitGroup
 				callers := make([]*stateCaller, 8)
 				for i := range callers {
-					c := &stateCaller{
+					callers[i] = &stateCaller{
 						name: fmt.Sprint("c", i), rand: rand.New(rand.NewPCG(seed, uint64(i)+2)), session: openSession(t, h),
 						values: map[string]string{}, prepared: map[string]PreparedStatement{},
 					}
-					callers[i] = c
-					wait.Go(func() {
-						for range 120 {
-							c.step()
-							time.Sleep(time.Duration(c.rand.IntN(8)) * time.Millisecond)
-						}
-						c.session.Close()
-					})
+					wait.Go(func() { callers[i].run(120) })
 				}
 				wait.Wait()
-				setRefusals(nil)
+				s.setRefusals(nil)
 				wantExpectedState(t, s, callers)
 			})
 		})
