A switchover from a demoted primary waits for the end of its log

Cause: if a replica does not answer its fence, the primary is demoted and the target must reach its end. awaitCatchUp accepted a target without that end as well, if it holds all that the fenced replicas hold. A replica that had joined and was not listed when the round began held more.

Change: after a demotion only the demoted primary's end counts. If the target does not reach it, the old primary leads again, as before.

--- a/internal/gateway/switchover.go
+++ b/internal/gateway/switchover.go
@@ -43,7 +43,7 @@
 		}
 	}
 	fenced := w.group.controlAll(others, Fence{Term: term}, controlTimeout)
-	ready := w.allKnown(fenced) && w.hasReceived(target, primary.status.Received) && w.awaitCatchUp(ctx, target, nil, fenced)
+	ready := w.allKnown(fenced) && w.hasReceived(target, primary.status.Received) && w.awaitCatchUp(ctx, target, fenced)
 	// The primary is demoted once the leases have ended, so that it serves until then.
 	demote := !ready && countFailed(fenced) > 0
 	if (ready || demote) && !w.revokeLeases(ctx, target.ID) {
@@ -51,7 +51,7 @@
 	}
 	revoked := w.host.now()
 	ready = ready && w.awaitLeasedWrites(ctx, target, revoked)
-	if !ready && !(demote && w.demoteForSwitchover(ctx, term, target, fenced)) {
+	if !ready && !(demote && w.demoteForSwitchover(ctx, term, target)) {
 		w.log("heir_behind", "member", target.ID, "answers", formatResults(fenced))
 		return false
 	}
@@ -64,14 +64,19 @@
 }
 
 // awaitLeasedWrites waits until the target has received every write that the primary may have acknowledged under a full lease.
-// These leases ended before the given time. It returns false if the primary or the target does not answer, the target is still
-// behind after maxCatchUpRounds, or ctx ends.
+// These leases ended before the given time. It returns false if the primary does not answer or awaitEnd does.
 func (w *groupMonitor) awaitLeasedWrites(ctx context.Context, target Member, ended time.Time) bool {
 	end, ok := w.endOfPrimary(ended)
 	if !ok {
 		w.log("primary_end_unknown", "member", w.primary.ID, "target", target.ID)
 		return false
 	}
+	return w.awaitEnd(ctx, target, end)
+}
+
+// awaitEnd waits until the target has received the log of the primary up to its end. It returns false if the target does not
+// answer or is still behind after maxCatchUpRounds, or ctx ends.
+func (w *groupMonitor) awaitEnd(ctx context.Context, target Member, end group.Position) bool {
 	for range maxCatchUpRounds {
 		answer := w.group.controlAll([]Member{target}, Probe{}, controlTimeout)
 		if leadership.ReadyToLead(end, toProbeResults(answer)[0]) {
@@ -113,10 +118,9 @@
 // maxCatchUpRounds bounds the wait, in polls, for the target to receive what other members have.
 const maxCatchUpRounds = 10
 
-// awaitCatchUp waits until the target holds everything that the fenced replicas hold. If end is not nil, it is the end of a
-// demoted primary's log, which the target must also reach. It returns false if the target does not answer, is still behind
-// after maxCatchUpRounds, or ctx ends.
-func (w *groupMonitor) awaitCatchUp(ctx context.Context, target Member, end *group.Position, fenced []controlResult) bool {
+// awaitCatchUp waits until the target holds everything that the fenced replicas hold. It returns false if the target does not
+// answer, is still behind after maxCatchUpRounds, or ctx ends.
+func (w *groupMonitor) awaitCatchUp(ctx context.Context, target Member, fenced []controlResult) bool {
 	for range maxCatchUpRounds {
 		s, err := w.group.control(target, Probe{}, controlTimeout)
 		if err != nil {
@@ -125,7 +129,7 @@
 		all := append(w.successorCandidates(fenced), group.Standby{
 			Member: target.ID, Answered: true, Received: s.Received, Complete: w.group.coversDeparted(s.Received),
 		})
-		best, ok := group.Successor(end, all)
+		best, ok := group.Successor(nil, all)
 		if ok && best.Member == target.ID {
 			return true
 		}
@@ -139,13 +143,14 @@
 // demoteForSwitchover demotes the primary if a replica doesn't answer, since it is then unknown what that replica has
 // acknowledged. It reports whether the target has received everything that the demoted primary holds. If it has not, the
 // old primary is promoted again.
-func (w *groupMonitor) demoteForSwitchover(ctx context.Context, term group.Term, target Member, fenced []controlResult) bool {
+func (w *groupMonitor) demoteForSwitchover(ctx context.Context, term group.Term, target Member) bool {
 	s, err := w.group.control(w.primary, Demote{Term: term}, controlTimeout)
 	if err != nil || s.IsPrimary {
 		return false
 	}
 	w.log("primary_demoted", "member", w.primary.ID, "position", s.Received)
-	if w.awaitCatchUp(ctx, target, &s.Received, fenced) {
+	// The logs of the fenced replicas don't suffice: a replica that isn't listed yet may have acknowledged.
+	if w.awaitEnd(ctx, target, s.Received) {
 		return true
 	}
 	w.promote(ctx, w.primary.ID, successorChoice{})
--- a/internal/gateway/switchover_test.go
+++ b/internal/gateway/switchover_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"slices"
 	"strings"
 	"sync"
@@ -11,11 +12,11 @@
 	"pearlatch/core/group"
 )
 
-// addReplica starts a replica that the platform does not list yet. It receives the log from the next commit on.
+// addReplica starts a replica of the member a that the platform does not list yet. It receives the log from the next commit on.
 func (s *fakeSite) addReplica(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := s.primaryLocked()
+	p := s.member("a")
 	s.members = append(s.members, &fakeMember{id: id, term: p.term, received: p.received, applied: p.applied, work: workTime})
 }
 
@@ -162,3 +163,25 @@
 		w.wantAllKept(t, s)
 	})
 }
+
+// Guards against a target that is behind the end of a demoted primary, and counts as complete since it holds all that the listed
+// replicas hold: a replica that is not listed yet has acknowledged more.
+func TestSwitchoverTargetReachesDemotedPrimary(t *testing.T) {
+	withHost(t, freshness.Latest{}, func(s *fakeSite, h *Host) {
+		exec(h, Write{})
+		for _, id := range []string{"b", "c"} {
+			s.updateMember(id, func(m *fakeMember) { m.receivesNothing = true })
+		}
+		s.addReplica("d")
+		if r := exec(h, Write{}); r.Failure != nil {
+			t.Fatalf("the write that only d receives failed: %v", r.Failure)
+		}
+		w := &groupMonitor{coordinator: h.coordinatorOf(testGroup)}
+		w.roundAcquiredAt = w.acquiredTime()
+		w.primary, _ = w.group.lookupMember("a")
+		target, _ := w.group.lookupMember("b")
+		if w.demoteForSwitchover(context.Background(), 2, target) {
+			t.Error("b counts as complete without the write")
+		}
+	})
+}
