--- a/io/upstream/conn_test.go
+++ b/io/upstream/conn_test.go
@@ -39,8 +39,8 @@
 		t.Run(name, func(t *testing.T) {
 			near, far := net.Pipe()
 			defer near.Close()
+			defer far.Close()
 			go func() {
-				defer far.Close()
 				backend := pgproto3.NewBackend(far, far)
 				if _, err := backend.Receive(); err != nil {
 					return
