--- a/core/leadership/checker_test.go
+++ b/core/leadership/checker_test.go
@@ -71,8 +71,8 @@
 	}
 }
 
-// Each safeguard is necessary: without it the checker finds a violated invariant. The cases that leave out confirmByAll as well are
-// safeguards of writes without a lease, which the receipt of all members protects a second time within these bounds.
+// Each safeguard is necessary: without it the checker finds a violated invariant. Where confirmByAll would prevent the same
+// violation, the case leaves out both.
 func TestCheckerDetectsMissingSafeguard(t *testing.T) {
 	for _, c := range []struct {
 		name    string
--- a/core/leadership/confirmation.go
+++ b/core/leadership/confirmation.go
@@ -65,7 +65,7 @@
 )
 
 // ConfirmByTarget evaluates a probe of the switchover target that was sent after the write at the position was acknowledged.
-// The log of a target that leads may have grown past the position in its own term without the write.
+// A position of a later term in its log proves nothing: the target may have been promoted without the write.
 func ConfirmByTarget(written group.Position, target ProbeResult) Confirmation {
 	replaced := target.Leads || target.Term > written.Term
 	switch {
--- a/core/leadership/model_test.go
+++ b/core/leadership/model_test.go
@@ -19,8 +19,7 @@
 	waitForLeases, boundByRole, confirmWrites, fenceReplicas, requireFloor, detectRestarts, recordOrder, proveByAll, recheckReplicas, waitForFormerCoordinator, rememberRecord, settlePromotions, keepFences, waitAfterRestart, ruleOutHidden, fenceAboveHidden, renewToken bool
 	// Those of a switchover.
 	confirmByTarget, confirmByAll, sampleAfterRestriction, recallOtherTargets bool
-	// An assumption: a failover knows of every member that receives the log. It holds as far as the platform lists a new
-	// member before that member acknowledges a write.
+	// Not enforced by the hosts: the platform lists a new member before it acknowledges a write.
 	knowMembers bool
 }
 
--- a/internal/gateway/conn_setup_test.go
+++ b/internal/gateway/conn_setup_test.go
@@ -91,14 +91,12 @@
 	}
 }
 
-// setRefusals makes the members refuse commands, or none if refuses is nil.
 func (s *fakeSite) setRefusals(refuses func(Command) *Failure) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.refuses = refuses
 }
 
-// run runs n statements and closes the session.
 func (c *stateCaller) run(n int) {
 	for range n {
 		c.step()
