Log what is left when a host begins and ends to drain

A host that stops said how many sessions it had at SIGTERM and nothing after that, so that three causes of a cut request could not be told apart: the process exits while requests are in progress; it exits with every request answered, and closing the connection discards the answer; the member's connection breaks. The lines draining and drained count idle sessions, open transactions, running requests and what is left of other hosts.

--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -78,7 +78,7 @@
 	}()
 	_ = level.Info(logger).Log("event", "start", "metrics", s.Metrics, "host", s.Gateway.Host, "zone", s.Gateway.Zone)
 	<-stopped.Done()
-	drainGateway(h, accept, s.Gateway.ShutdownGrace)
+	drainGateway(h, accept, s.Gateway.ShutdownGrace, logger)
 	cancel()
 	select {
 	case <-done:
@@ -207,10 +207,17 @@
 
 // drainGateway waits until the platform has stopped sending callers to this host. It then ends sessions as they
 // become idle, and transactions at half of the grace.
-func drainGateway(h *gateway.Host, callers *platform.CallerServer, grace time.Duration) {
+func drainGateway(h *gateway.Host, callers *platform.CallerServer, grace time.Duration, logger log.Logger) {
 	started := time.Now()
+	logRemaining := func(event string) {
+		n := callers.Counts()
+		_ = level.Info(logger).Log("event", event, "took_ms", time.Since(started).Milliseconds(), "idle", n.Idle,
+			"in_transaction", n.InTransaction, "running", n.Running, "forwarded", h.ForwardedCount())
+	}
+	defer logRemaining("drained")
 	h.Stop()
 	time.Sleep(min(readinessDelay, grace/3))
+	logRemaining("draining")
 	for time.Since(started) < grace-graceMarginDelay {
 		if callers.Drain()+int(h.ForwardedCount()) == 0 {
 			return
