Soak: transactions that outlast the time of a stopping host, and shutdowns in series

Four callers of each database now run transactions of up to eleven statements with pauses of 200 ms on average; half of them don't look for the end of their session before a statement. A fault that stops hosts lasts until their processes have ended, and a host that still runs two seconds after its grace is a finding. Other signals arrive during a shutdown. One schedule in four has planned operations only: shutdowns in series and overlapping, reloads, configurations, leaving members. The statements of long transactions take ten times as long as others.

Other callers are judged as before.

--- a/internal/site/history.go
+++ b/internal/site/history.go
@@ -8,15 +8,18 @@
 
 // History collects what callers asked, and which promises were broken.
 type History struct {
-	mu     sync.Mutex
-	asked  map[string]bool
-	broken []string
+	mu sync.Mutex
+	// asked and received hold the requests that callers sent, and those that members received.
+	asked, received map[string]bool
+	broken          []string
 	// kinds counts the broken promises by the name that they begin with.
 	kinds map[string]int
 }
 
 // NewHistory returns an empty history.
-func NewHistory() *History { return &History{asked: map[string]bool{}, kinds: map[string]int{}} }
+func NewHistory() *History {
+	return &History{asked: map[string]bool{}, received: map[string]bool{}, kinds: map[string]int{}}
+}
 
 // Issue notes that a caller is about to send a request.
 func (h *History) Issue(id string) {
@@ -25,6 +28,20 @@
 	h.asked[id] = true
 }
 
+// receive notes that a member has received a request.
+func (h *History) receive(id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.received[id] = true
+}
+
+// Received reports whether a member has received the request.
+func (h *History) Received(id string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.received[id]
+}
+
 func (h *History) issued(id string) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/site/session.go
+++ b/internal/site/session.go
@@ -25,6 +25,8 @@
 	owner    string
 	// writes holds the requests that wrote in the transaction.
 	writes []string
+	// long is true once the transaction has used LongItem.
+	long   bool
 	values map[string]string
 	shapes map[string]gateway.PreparedStatement
 }
@@ -145,7 +147,7 @@
 	case o.After.Compare(applied) > 0:
 		return refuse(gateway.Lagging, m.id)
 	}
-	s.state, s.readOnly, s.owner, s.writes = gateway.InTransaction, o.ReadOnly, "", nil
+	s.state, s.readOnly, s.owner, s.writes, s.long = gateway.InTransaction, o.ReadOnly, "", nil, false
 	return gateway.Reply{}
 }
 
@@ -161,17 +163,37 @@
 	defer m.change(func() { m.executing = max(0, m.executing-1) })
 	m.group.mu.Lock()
 	work := time.Duration(float64(m.group.site.options.Work) * m.work)
+	if s.isLong(f) {
+		work *= longWorkFactor
+	}
 	m.group.mu.Unlock()
 	time.Sleep(work)
 	return s.execute(f)
 }
 
+// LongItem is the name of an item whose statements, and the commit after them, take longWorkFactor times as long as others.
+const LongItem = "long"
+
+const longWorkFactor = 10
+
+// isLong reports whether the statement uses LongItem, or commits a transaction that has. The group's mu must be held.
+func (s *session) isLong(f gateway.RunStatement) bool {
+	_, ends := f.Request.Statement.(gateway.Commit)
+	s.long = s.long || slices.Contains(strings.Fields(f.Request.Text), LongItem)
+	long := s.long
+	if ends || s.state != gateway.InTransaction {
+		s.long = false
+	}
+	return long
+}
+
 // admit refuses what the member can't run, and notes what must not come at all.
 func (s *session) admit(f gateway.RunStatement) *gateway.Failure {
 	m, site := s.member, s.member.group.site
 	m.group.mu.Lock()
 	defer m.group.mu.Unlock()
 	caller, _, _ := strings.Cut(f.Request.ID, "-")
+	site.history.receive(f.Request.ID)
 	if !site.history.issued(f.Request.ID) {
 		site.history.Broken("UNASKED: member %s got %q, which no caller sent", m.id, f.Request.ID)
 	}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -284,6 +284,9 @@
 // Ready returns where a host says whether it takes callers.
 func (s *Site) Ready(i int) netip.AddrPort { return s.at(hostsNet, i+1, readyPort) }
 
+// ShutdownGrace is how long hosts may take to stop.
+const ShutdownGrace = 4 * time.Second
+
 // Settings returns the settings of a host.
 func (s *Site) Settings(i int) string {
 	seeds := fmt.Sprintf("[%q, %q]", s.peerProxies[0].Addr(), s.peerProxies[min(1, len(s.peerProxies)-1)].Addr())
@@ -298,11 +301,11 @@
 store: %q
 promotions: %q
 member_drain: 7s
-grace: 4s
+grace: %s
 lease_floor: 1s
 promotion_tokens: %v
 `, i, s.zone(i), s.Callers(i), s.Ready(i), s.at(hostsNet, i+1, peersPort), s.peerProxies[i].Addr(), seeds,
-		s.at(hostsNet, i+1, metricsPort), s.storeProxy.Addr(), s.promoteProxy.Addr(), s.options.ChecksTokens)
+		s.at(hostsNet, i+1, metricsPort), s.storeProxy.Addr(), s.promoteProxy.Addr(), ShutdownGrace, s.options.ChecksTokens)
 }
 
 // Proxies returns what a host reaches: the store, the promotions, the members and the other hosts.
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -48,6 +48,9 @@
 	values    map[string]string
 	prepared  map[string]string
 	lastWrite group.Position
+	// ignoresNotices is true if the caller sends statements of an open transaction without looking for the end of its
+	// session before.
+	ignoresNotices bool
 }
 
 // runOperations runs operations until ctx ends, and opens a new session whenever one has ended.
@@ -102,6 +105,8 @@
 	began time.Time
 	reply gateway.Reply
 	err   error
+	// ended is when err occurred.
+	ended time.Time
 }
 
 func (a answer) served() bool { return a.err == nil && a.reply.Failure == nil }
@@ -123,6 +128,7 @@
 	a := answer{id: c.nextID(), began: time.Now()}
 	a.reply, a.err = c.conn.Do(statementTimeout, a.id, text)
 	if a.err != nil {
+		a.ended = time.Now()
 		c.run.recordInterrupted(c, a)
 	}
 	return a
@@ -253,14 +259,9 @@
 	var writes []string
 	for range 1 + c.random.IntN(4) {
 		time.Sleep(jitter(c.random, meanStatementDelay))
-		a, ok := c.transactionStatement(first.began, &writes)
-		if a.err != nil {
-			return false
-		}
+		a, ok := c.statementOn("1a", first.began, &writes)
 		if !ok {
-			c.run.countOutcome(a)
-			c.ledger.recordRefusedIf(a.refused(), writes)
-			return c.execute("ROLLBACK").err == nil
+			return c.failedTransaction(a, writes)
 		}
 	}
 	switch c.random.IntN(8) {
@@ -277,15 +278,26 @@
 	return a.err == nil
 }
 
-// transactionStatement runs a read or a write in a transaction that began at the given time, and adds the identifier
+// failedTransaction ends a transaction with a statement that was not served, with the given answer. It returns false if the
+// session can't be used any further.
+func (c *caller) failedTransaction(a answer, writes []string) bool {
+	if a.err != nil {
+		return false
+	}
+	c.run.countOutcome(a)
+	c.ledger.recordRefusedIf(a.refused(), writes)
+	return a.reply.State == gateway.Idle || c.execute("ROLLBACK").err == nil
+}
+
+// statementOn runs a read or a write of an item in a transaction that began at the given time, and adds the identifier
 // of a write to writes. It reports whether the statement was served.
-func (c *caller) transactionStatement(began time.Time, writes *[]string) (answer, bool) {
+func (c *caller) statementOn(item string, began time.Time, writes *[]string) (answer, bool) {
 	if c.writes() && c.random.IntN(3) == 0 {
-		a := c.execute("WRITE 1a " + c.name)
+		a := c.execute("WRITE " + item + " " + c.name)
 		*writes = append(*writes, a.id)
 		return a, a.served()
 	}
-	a := c.execute("READ 1a")
+	a := c.execute("READ " + item)
 	if a.served() {
 		c.checkRead(a, began, "")
 	}
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -90,8 +90,11 @@
 )
 
 // Schedule returns the faults of a seed, all of which begin within the given duration. In some schedules the store is
-// restored from an older copy, up to maxRestores times.
+// restored from an older copy, up to maxRestores times. One in shutdownScheduleInterval has planned operations only.
 func Schedule(seed uint64, within time.Duration) []Fault {
+	if planned := rand.New(rand.NewPCG(seed, 3)); planned.IntN(shutdownScheduleInterval) == 0 {
+		return shutdownSchedule(planned, within)
+	}
 	faults := scheduleWithoutRestores(seed, within)
 	random := rand.New(rand.NewPCG(seed, 2))
 	for range random.IntN(maxRestores + 1) {
@@ -103,6 +106,21 @@
 // maxRestores bounds how often the store is restored from a copy in a schedule.
 const maxRestores = 2
 
+const shutdownScheduleInterval = 4
+
+// shutdownSchedule returns shutdowns of hosts beside other planned operations, in series and overlapping.
+func shutdownSchedule(random *rand.Rand, within time.Duration) []Fault {
+	faults := make([]Fault, minFaults+random.IntN(maxFaults-minFaults+1))
+	for i := range faults {
+		kind := Kind(random.IntN(int(Configure) + 1))
+		if i < minFaults {
+			kind = Kind(random.IntN(int(StopHostsInTurn) + 1))
+		}
+		faults[i] = randomFault(random, kind, within)
+	}
+	return faults
+}
+
 // scheduleWithoutRestores returns the faults of a seed in which the store keeps everything that it has acknowledged.
 func scheduleWithoutRestores(seed uint64, within time.Duration) []Fault {
 	random := rand.New(rand.NewPCG(seed, 1))
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"sync"
 	"syscall"
 	"time"
 
@@ -36,12 +37,19 @@
 	p := r.processes[h]
 	switch f.Kind {
 	case StopHost:
-		p.signal(syscall.SIGTERM, f.For)
+		stopped := p.terminate(f.For)
+		pause.For(ctx, f.For/2)
+		p.signalDuringShutdown([]syscall.Signal{0, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT}[random.IntN(4)], stopped)
+		r.awaitEnd(ctx, p, stopped)
 	case StopHostsInTurn:
+		var ends sync.WaitGroup
 		for range 2 + random.IntN(2) {
-			r.processes[random.IntN(len(r.processes))].signal(syscall.SIGTERM, 0)
+			p := r.processes[random.IntN(len(r.processes))]
+			stopped := p.terminate(0)
+			ends.Go(func() { r.awaitEnd(ctx, p, stopped) })
 			pause.For(ctx, f.For/3)
 		}
+		ends.Wait()
 	case Reload:
 		r.reloadSettings(ctx, p, f, random)
 	case KillHost:
@@ -63,6 +71,24 @@
 	}
 }
 
+// maxShutdown is how long a host may take to stop: the grace of the site's hosts, and the time that a loaded machine takes
+// to notice the end.
+const maxShutdown = site.ShutdownGrace + 2*time.Second
+
+// awaitEnd waits until the process that was told to stop has ended. It records a finding if that takes longer than
+// maxShutdown without an unplanned fault.
+func (r *run) awaitEnd(ctx context.Context, p *hostProcess, ended <-chan struct{}) {
+	began := time.Now()
+	select {
+	case <-ended:
+	case <-ctx.Done():
+	case <-time.After(maxShutdown):
+		if r.quietAt(began) {
+			r.site.History().Broken("EXIT: host %d still runs %s after SIGTERM", p.index, maxShutdown)
+		}
+	}
+}
+
 // reloadSettings rewrites a host's settings file with half of its text, invalid text or the same text, and restores it
 // at the end. If another fault restarts the host meanwhile, the host must refuse invalid settings with an error that names
 // the file, and serve once it was started again with valid ones.
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -189,6 +189,29 @@
 	_ = p.command.Process.Signal(s) // it may have ended just now
 }
 
+// terminate sends SIGTERM as signal does. It returns the channel that is closed when the current process ends, or nil if
+// there is none.
+func (p *hostProcess) terminate(downtime time.Duration) <-chan struct{} {
+	p.signal(syscall.SIGTERM, downtime)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.exited
+}
+
+// signalDuringShutdown sends another signal, unless it is zero, to the process that closes ended when it ends.
+func (p *hostProcess) signalDuringShutdown(s syscall.Signal, ended <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s == 0 || ended != p.exited || p.termAt.IsZero() || p.failed {
+		return
+	}
+	select {
+	case <-p.exited:
+	default:
+		_ = p.command.Process.Signal(s) // it may have ended just now
+	}
+}
+
 // hangUpOnceStarted sends SIGHUP to a process that has just been started, as soon as it has written its first line. It
 // can't handle signals before, and has not read its settings yet. It sends nothing if the process ends.
 func (p *hostProcess) hangUpOnceStarted(incarnation int) {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -202,10 +202,20 @@
 			}
 			callers.Go(func() { c.runOperations(ctx) })
 		}
+		for i := range longCallers {
+			c := &caller{
+				run: r, name: fmt.Sprintf("%s.long%d", d.name, i), database: d.name, class: d.class, ledger: d.ledger,
+				random: rand.New(rand.NewPCG(seed, uint64(longCallerStream+n*longCallers+i))), ignoresNotices: i%2 == 1,
+			}
+			callers.Go(func() { c.runLongTransactions(ctx) })
+		}
 	}
 	return &callers
 }
 
+// longCallerStream is the first random stream of callers with long transactions.
+const longCallerStream = 1 << 32
+
 // addUnplannedFaults adds change to the number of current unplanned faults.
 func (r *run) addUnplannedFaults(change int) {
 	r.mu.Lock()
@@ -244,14 +254,22 @@
 }
 
 // recordInterrupted records a request that ended without an answer as a finding, if the host was shutting down and no
-// unplanned fault can be the cause. A planned shutdown must not interrupt requests. Timeouts are left out.
+// unplanned fault can be the cause. A planned shutdown must not interrupt requests. Timeouts are left out, and so are
+// requests of a caller that ignores notices if they met a closed connection: they ended within lossSlack, and no member
+// received them.
 func (r *run) recordInterrupted(c *caller, a answer) {
 	incarnation, stopping := r.processes[c.host].current()
+	if c.ignoresNotices && a.ended.Sub(a.began) <= lossSlack && !r.site.History().Received(a.id) {
+		return
+	}
 	if incarnation == c.incarnation && stopping && !isTimeout(a.err) && r.quietAt(a.began) {
 		r.site.History().Broken("LOST: request %s was cut by host %d, which stops: %v", a.id, c.host, a.err)
 	}
 }
 
+// lossSlack is how soon after a request its connection may end without an answer, if the request has not been passed on.
+const lossSlack = 200 * time.Millisecond
+
 func (r *run) openDescriptors() int {
 	n := 0
 	for _, p := range r.processes {
