A host that stops answers each request that it has read

What callers saw: a host received SIGTERM while transactions were open that went on for longer than its grace. It passed their statements on for as long as they came and exited 0.8 s before the end of the grace, with the statements of that moment unanswered; among them were COMMITs that took effect.

Cause: draining had one state, "no new sessions". A session with an open transaction counted as busy until its caller ended it, nothing ended the transaction at half of the grace, nothing kept later statements from being passed on, and the end of the wait was the end of the process.

Change: core/shutdown holds a schedule of phases within the grace and a table of what happens to a session in each. Until half of the grace open transactions go on; single statements and new transactions are refused once sessions end (a third of the grace, 2.3 s at most). At half, transactions are rolled back and their callers told (ABORTED); what waits is refused at once, and nothing is passed on to a member or another host any more. What was passed on is awaited until 0.8 s before the end of the grace, for five sixths of a grace below 4.8 s, and then answered by what is certain: unknown for a commit or a single write, not kept for other statements of a transaction. This holds for sessions of callers, for statements that other hosts forward, and for statements that this host forwards. The process exits once the replies to other hosts are written, too. Messages that arrive in part, and callers that don't read, no longer hold it up beyond that.

Why it works: the last answer does not depend on what a statement waits for. It is written beside the session's goroutine, so that no wait anywhere on the path of a statement can keep a request from being answered. The alternative, a deadline in the context of each wait, costs no second writer, but each wait on members, hosts and the store would have to honor it, and one that is missed leaves the fault.

--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -42,6 +42,9 @@
 		s.runHere(&op)
 	}
 	for {
+		if !s.host.passesOn() {
+			return s.refuseStopping(r)
+		}
 		if f := op.outageRefusal(Busy); f != nil && !op.need.Forwardable {
 			return Reply{Failure: f}
 		}
@@ -66,6 +69,9 @@
 		if !op.group.now().Before(op.waitUntil()) {
 			return next.finalReply(op)
 		}
+		if next.hasRun() && !s.host.passesOn() {
+			return Reply{Failure: next.failure}
+		}
 		s.host.metrics.Retry(op.group.name, next.reason())
 		next.sleep(ctx)
 	}
@@ -105,6 +111,9 @@
 	return r.failure.Code.String()
 }
 
+// hasRun reports whether the statement may have run.
+func (r *retry) hasRun() bool { return r.failure != nil && !r.failure.Code.NotRun() }
+
 func (r *retry) finalReply(op operation) Reply {
 	switch {
 	case r.failure == nil:
@@ -131,6 +140,10 @@
 	if next := s.releaseUnlessPrimary(op, p); next != nil {
 		return Reply{}, next
 	}
+	if !s.host.passesOn() {
+		g.release(p)
+		return Reply{}, &retry{}
+	}
 	sentAt := g.now()
 	remaining := op.deadline.Sub(sentAt)
 	define, name := p.prepareCommands(op.prepared)
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -162,6 +162,9 @@
 // stream.
 func (s *Session) forward(ctx context.Context, server membership.Host, r *PeerRequest, deadline time.Time) (*PeerReply, Stream, error) {
 	h := s.host
+	if !h.passesOn() {
+		return nil, nil, errNotRun
+	}
 	callCtx, cancel := context.WithTimeout(ctx, openStreamTimeout)
 	defer cancel()
 	stream, err := h.ports.Peers.OpenStream(callCtx, server.Peer)
@@ -181,6 +184,7 @@
 // declined.
 func (s *Session) send(ctx context.Context, server membership.Host, stream Stream, r *PeerRequest, deadline time.Time) (*PeerReply, error) {
 	h := s.host
+	ctx = context.WithoutCancel(ctx) // a request that was sent is awaited
 	r.To = h.fleet.ProcessID(server.ID)
 	callCtx, cancel := context.WithTimeout(ctx, deadline.Sub(h.now())+peerReplyMargin)
 	defer cancel()
@@ -352,6 +356,9 @@
 func (s *Session) continueRemote(ctx context.Context, r Request, arrived time.Time) Reply {
 	t := s.tx
 	server := t.remote.server
+	if !s.host.passesOn() {
+		return s.refuseStopping(r)
+	}
 	req := s.newPeerRequest(r, arrived, &t.op)
 	req.Continues = true
 	reply, err := s.send(ctx, server, t.remote.stream, req, t.op.deadline)
--- a/internal/gateway/forwarded_session.go
+++ b/internal/gateway/forwarded_session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"pearlatch/core/account"
@@ -72,6 +73,8 @@
 		// The transaction was rolled back since its stream was closed or it was idle for too long.
 		// The statement must not run outside it.
 		return NoTransaction
+	case r.Continues && !fs.host.passesOn():
+		return NoTransaction // it is about to be rolled back
 	case r.Continues:
 		return Accepted
 	case fs.host.stopping.Load():
@@ -157,6 +160,21 @@
 	return out
 }
 
+// UnknownReply returns the reply to an accepted request whose outcome can't be awaited. The other host repeats elsewhere
+// what can't have taken effect.
+func (fs *ForwardedSession) UnknownReply(r *PeerRequest) *PeerReply {
+	inTransaction := r.Continues || r.Begin != nil
+	_, writes := r.Request.Statement.(Write)
+	writes = writes || r.Prepared != nil && r.Prepared.Writes
+	reply := unknownReply(r.Request.Statement, inTransaction, writes, r.Begin != nil && r.Begin.ReadOnly)
+	fs.host.AnsweredUnknown(r.Request.ID, reply)
+	out := &PeerReply{Process: fs.host.processID, Reply: reply}
+	if reply.Failure.Code != InDoubt {
+		out.Declined = HostStopping
+	}
+	return out
+}
+
 // Expire rolls back a transaction whose host has sent nothing for too long. That host may have
 // failed without closing the stream, and the transaction holds a connection.
 func (fs *ForwardedSession) Expire() {
@@ -196,5 +214,15 @@
 	return OutcomeUnknown{h.processID}
 }
 
+// BeginReply counts a reply that is owed to another host in PendingReplies until done is called. Only the first call of
+// done has an effect.
+func (h *Host) BeginReply() (done func()) {
+	h.pendingReplies.Add(1)
+	return sync.OnceFunc(func() { h.pendingReplies.Add(-1) })
+}
+
+// PendingReplies returns the number of replies that are owed to other hosts and have not been sent.
+func (h *Host) PendingReplies() int64 { return h.pendingReplies.Load() }
+
 // ForwardedCount returns the number of running requests and open transactions of other hosts.
 func (h *Host) ForwardedCount() int64 { return h.forwardedCount.Load() }
--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -136,6 +136,8 @@
 	requestSerial atomic.Uint64
 	// forwardedCount is the number of open requests and transactions of other hosts.
 	forwardedCount atomic.Int64
+	// pendingReplies is the number of replies to other hosts that have not been sent.
+	pendingReplies atomic.Int64
 
 	// storeRead is closed on the first update from the store, configured once the first configuration is set.
 	storeRead, configured chan struct{}
@@ -144,6 +146,9 @@
 
 	sessions atomic.Int64
 	stopping atomic.Bool
+	// phase is the shutdown.Phase that was entered last.
+	phase    atomic.Uint32
+	shutdown shutdownState
 	// stopped is closed by Stop, ended when Run returns.
 	stopped, ended chan struct{}
 	// synced is true once a configuration and the members known by then have been applied.
@@ -160,7 +165,7 @@
 		stopped: make(chan struct{}), ended: make(chan struct{}), coordinators: map[string]*coordinator{}, processID: fmt.Sprintf("%s-%08x", s.Host, rand.Uint32()),
 	}
 	h.storeView = follow.NewStoreView(h.isLaterValue, now)
-	h.coordinatorLease.host = h
+	h.coordinatorLease.host, h.shutdown = h, newShutdownState()
 	h.fleet = fleet.New(membership.Host{ID: s.Host, Zone: s.Zone, Peer: s.Peer, Cores: s.Cores})
 	h.feeder = follow.NewFeeder(h.storeView, h.fleet, h.stopping.Load)
 	h.follower = follow.New(follow.Settings{Self: s.Peer, Seeds: s.Seeds, HostsPrefix: h.hostsPrefix()}, follow.Ports{
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -75,16 +75,16 @@
 	return s.host.route(s.database, s.caller)
 }
 
-// ReplyUndelivered records that the reply to the latest request could not be delivered to the
-// caller.
-func (s *Session) ReplyUndelivered() {
-	s.host.log("answer_undelivered", "request", s.lastRequestID, "database", s.database)
+// ReplyUndelivered records that the reply to a request could not be delivered to the caller.
+func (s *Session) ReplyUndelivered(id string) {
+	s.host.log("answer_undelivered", "request", id, "database", s.database)
 }
 
 // State returns the transaction status of the session.
 func (s *Session) State() State { return s.state }
 
-// Do runs a statement and returns the reply for the caller.
+// Do runs a statement and returns the reply for the caller. If ctx ends while the statement waits, it is refused; one that
+// has been passed on is awaited.
 func (s *Session) Do(ctx context.Context, r Request) Reply { return s.do(ctx, r, s.host.now()) }
 
 func (s *Session) do(ctx context.Context, r Request, arrived time.Time) Reply {
@@ -102,6 +102,11 @@
 	if s.state == InFailedTransaction {
 		return s.doInFailedTransaction(r)
 	}
+	if !s.host.ShutdownPhase().Admits(s.state == InTransaction || s.origin != nil) {
+		reply := s.refuseStopping(r)
+		s.recordOutcome(r, arrived, reply)
+		return reply
+	}
 	var reply Reply
 	switch st := r.Statement.(type) {
 	case Begin:
@@ -122,6 +127,7 @@
 		reply = failureReply(Malformed, "not a statement")
 	}
 	reply.State = s.state
+	s.nameShutdown(reply.Failure)
 	s.recordOutcome(r, arrived, reply)
 	return reply
 }
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -105,6 +105,9 @@
 		s.runHere(&t.op)
 	}
 	for {
+		if !s.host.passesOn() {
+			return s.refuseStopping(r)
+		}
 		if t.conn == nil {
 			err := s.beginOnMember(ctx)
 			if errors.Is(err, errReroute) {
@@ -223,6 +226,9 @@
 	} else if failure != nil {
 		return s.restartTransaction("the session values could not be set: " + failure.Error())
 	}
+	if !s.host.passesOn() {
+		return s.refuseStopping(r), nil
+	}
 	sentAt := g.now()
 	define, name := p.prepareCommands(op.prepared)
 	t.sentWrite = t.sentWrite || writes
@@ -317,6 +323,9 @@
 // reply is then the reply to the commit.
 func (s *Session) beginForCommit(ctx context.Context, r Request, arrived time.Time) (Reply, bool) {
 	for s.tx.conn == nil {
+		if !s.host.passesOn() {
+			return s.refuseStopping(r), true
+		}
 		err := s.beginOnMember(ctx)
 		if errors.Is(err, errReroute) {
 			if reply, ok := s.rerouteInTransaction(ctx, r, arrived); ok {
@@ -344,6 +353,9 @@
 		return Reply{Failure: op.notRun(Aborted, "the session values could not be set: "+failure.Error())}
 	}
 	for {
+		if !s.host.passesOn() {
+			return s.refuseStopping(r)
+		}
 		sentAt := g.now()
 		done := g.beginWrite()
 		replies, err := p.conn.Do(g.callTimeout(p.member, op.deadline.Sub(sentAt), true), RunStatement{Request: r})
--- a/internal/process/gateway.go
+++ b/internal/process/gateway.go
@@ -78,11 +78,12 @@
 	}()
 	_ = level.Info(logger).Log("event", "start", "metrics", s.Metrics, "host", s.Gateway.Host, "zone", s.Gateway.Zone)
 	<-stopped.Done()
-	drainGateway(h, accept, s.Gateway.ShutdownGrace, logger)
+	drain := newDrain(h, accept, s.Gateway.ShutdownGrace, logger)
+	drain.run()
 	cancel()
 	select {
 	case <-done:
-	case <-time.After(finishTimeout):
+	case <-time.After(min(finishTimeout, drain.remaining())):
 	}
 	_ = level.Info(logger).Log("event", "stop", "host", s.Gateway.Host)
 	return nil
@@ -192,36 +193,3 @@
 		_ = level.Error(logger).Log("event", "listener_ended", "what", name, "err", err)
 	}
 }
-
-const (
-	// readinessDelay is how long the platform may take to notice that a host is not ready: two probes a second apart,
-	// and the network delay.
-	readinessDelay = 2300 * time.Millisecond
-	// graceMarginDelay is the time left between the end of draining and the end of the shutdown grace.
-	graceMarginDelay = 800 * time.Millisecond
-	// finishTimeout bounds the wait for the host to hand back what it holds in the store.
-	finishTimeout = 300 * time.Millisecond
-	// drainPollInterval is the time between two checks for remaining sessions.
-	drainPollInterval = 50 * time.Millisecond
-)
-
-// drainGateway waits until the platform has stopped sending callers to this host. It then ends sessions as they
-// become idle, and transactions at half of the grace.
-func drainGateway(h *gateway.Host, callers *platform.CallerServer, grace time.Duration, logger log.Logger) {
-	started := time.Now()
-	logRemaining := func(event string) {
-		n := callers.Counts()
-		_ = level.Info(logger).Log("event", event, "took_ms", time.Since(started).Milliseconds(), "idle", n.Idle,
-			"in_transaction", n.InTransaction, "running", n.Running, "forwarded", h.ForwardedCount())
-	}
-	defer logRemaining("drained")
-	h.Stop()
-	time.Sleep(min(readinessDelay, grace/3))
-	logRemaining("draining")
-	for time.Since(started) < grace-graceMarginDelay {
-		if callers.Drain()+int(h.ForwardedCount()) == 0 {
-			return
-		}
-		time.Sleep(drainPollInterval)
-	}
-}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -84,15 +84,36 @@
 	}
 }
 
-// The store is restored from older copies while hosts are killed and the configuration changes.
+// The store is restored from older copies while hosts are killed and the configuration changes, and hosts are stopped.
 func TestSeedsWithStoreRestores(t *testing.T) {
 	for _, seed := range []uint64{
 		2, // two restores
+		// Hosts that were stopped exited while statements of transactions ran.
+		30102, 30103,
 	} {
 		runSchedule(t, seed, Schedule(seed, DefaultOptions().Faults))
 	}
 }
 
+// Guards against a host that stops and exits while requests of open transactions are in progress. Their callers got no
+// answer, also to a COMMIT that took effect.
+func TestStoppingHostAnswersEachRequest(t *testing.T) {
+	o := DefaultOptions()
+	o.Site.Hosts, o.Site.Groups, o.Site.Slots, o.Site.Work = 3, 1, 16, 30*time.Millisecond
+	o.Program, o.Folder = []string{os.Args[0]}, t.TempDir()
+	var faults []Fault
+	for i := range uint64(4) {
+		faults = append(faults, Fault{Kind: StopHost, At: time.Duration(i) * time.Second, For: time.Second, Seed: i})
+	}
+	report, err := Run(context.Background(), o, 1, faults)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range report.Findings {
+		t.Error(f)
+	}
+}
+
 // A host that ends while its settings are invalid must have refused exactly these: a crash, another exit code, or an
 // error that doesn't name the file must remain a finding.
 func TestOtherEndsAreNotRefusedSettings(t *testing.T) {
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -18,15 +18,21 @@
 // that doesn't read. Its methods may be called from several goroutines. Use newLinkWriter.
 type linkWriter struct {
 	stream drpc.Stream
-	queue  chan drpc.Message
+	queue  chan queuedMessage
 	once   sync.Once
 	// closed is closed when sending fails or close is called.
 	closed chan struct{}
 }
 
+// queuedMessage is a message and, if it is not nil, the channel that is closed once it has been sent.
+type queuedMessage struct {
+	drpc.Message
+	sent chan struct{}
+}
+
 // newLinkWriter returns a writer on the stream. It calls onError when sending fails.
 func newLinkWriter(stream drpc.Stream, onError func()) *linkWriter {
-	w := &linkWriter{stream: stream, queue: make(chan drpc.Message, linkQueueSize), closed: make(chan struct{})}
+	w := &linkWriter{stream: stream, queue: make(chan queuedMessage, linkQueueSize), closed: make(chan struct{})}
 	go w.run(onError)
 	return w
 }
@@ -35,11 +41,14 @@
 	for {
 		select {
 		case m := <-w.queue:
-			if err := w.stream.MsgSend(m, encoding{}); err != nil {
+			if err := w.stream.MsgSend(m.Message, encoding{}); err != nil {
 				w.close()
 				onError()
 				return
 			}
+			if m.sent != nil {
+				close(m.sent)
+			}
 		case <-w.closed:
 			return
 		}
@@ -47,7 +56,22 @@
 }
 
 // send queues a message. It never blocks. The error is errLinkFull if the queue is full.
-func (w *linkWriter) send(m drpc.Message) error {
+func (w *linkWriter) send(m drpc.Message) error { return w.enqueue(queuedMessage{Message: m}) }
+
+// sendAndWait queues a message and waits until it has been sent or the writer is closed.
+func (w *linkWriter) sendAndWait(m drpc.Message) error {
+	q := queuedMessage{m, make(chan struct{})}
+	if err := w.enqueue(q); err != nil {
+		return err
+	}
+	select {
+	case <-q.sent:
+	case <-w.closed:
+	}
+	return nil
+}
+
+func (w *linkWriter) enqueue(m queuedMessage) error {
 	select {
 	case <-w.closed:
 		return errors.New("the link has ended")
--- a/io/peer/link_server.go
+++ b/io/peer/link_server.go
@@ -24,6 +24,11 @@
 // servedStream is a stream with a running request or an open transaction.
 type servedStream struct {
 	session *gateway.ForwardedSession
+	// request is the running request. answered is true once the reply to it has been determined.
+	request  *gateway.PeerRequest
+	answered bool
+	// replySent is to be called once the reply has been sent or can't be sent.
+	replySent func()
 	// running is true while a request runs. closed is true once the stream is closed; a request that is still running is
 	// finished first.
 	running, closed bool
@@ -37,6 +42,9 @@
 	l := &servedLink{host: h, streams: map[uint64]*servedStream{}}
 	l.writer = newLinkWriter(stream, func() { _ = stream.Close() })
 	defer l.closeAll()
+	// The functions also run if the host has stopped that far before the link was opened.
+	defer context.AfterFunc(h.PassingOn(), l.endTransactions)()
+	defer context.AfterFunc(h.Answering(), l.answerUnknown)()
 	for {
 		in := new(linkRequest)
 		if err := stream.MsgRecv(in, encoding{}); err != nil {
@@ -87,34 +95,82 @@
 		l.send(&linkReply{lane: in.lane, peerReplyMessage: peerReplyMessage(*declined)})
 		return
 	}
-	s.running = true
-	go l.run(in, s)
+	s.running, s.request, s.answered, s.replySent = true, &in.PeerRequest, false, l.host.BeginReply()
+	go l.run(in, s, s.replySent)
 }
 
 // send queues a reply. It closes the link if the queue is full.
-func (l *servedLink) send(m *linkReply) {
-	if err := l.writer.send(m); errors.Is(err, errLinkFull) {
+func (l *servedLink) send(m *linkReply) { l.closeIfFull(l.writer.send(m)) }
+
+func (l *servedLink) closeIfFull(err error) {
+	if errors.Is(err, errLinkFull) {
 		l.writer.close()
 		_ = l.writer.stream.Close()
 	}
 }
 
 // run runs a request, sends the reply, and forgets a stream without an open transaction.
-func (l *servedLink) run(in *linkRequest, s *servedStream) {
-	reply := s.session.Run(context.Background(), &in.PeerRequest)
+func (l *servedLink) run(in *linkRequest, s *servedStream, replySent func()) {
+	defer replySent()
+	reply := s.session.Run(l.host.PassingOn(), &in.PeerRequest)
 	l.mu.Lock()
-	s.running = false
+	answered := s.answered
+	s.running, s.answered = false, true
 	open := s.session.HasOpenTransaction()
 	switch {
 	case s.closed:
 		go s.session.Close()
+	case open && !l.host.ShutdownPhase().PassesOn():
+		l.closeStreamLocked(in.lane, s)
 	case open:
 		s.idleTimer = time.AfterFunc(s.session.IdleTimeout(), func() { l.expire(in.lane, s) })
 	default:
 		delete(l.streams, in.lane)
 	}
 	l.mu.Unlock()
-	l.send(&linkReply{lane: in.lane, peerReplyMessage: peerReplyMessage(*reply)})
+	if !answered {
+		l.reply(in.lane, reply)
+	}
+}
+
+// reply sends the reply to a request. While the host stops it returns once the reply has been sent, so that the process
+// does not exit before.
+func (l *servedLink) reply(lane uint64, reply *gateway.PeerReply) {
+	m := &linkReply{lane: lane, peerReplyMessage: peerReplyMessage(*reply)}
+	if !l.host.Stopping() {
+		l.send(m)
+		return
+	}
+	l.closeIfFull(l.writer.sendAndWait(m))
+}
+
+// endTransactions closes the streams whose transactions wait for their next statement. The other streams are closed after
+// the running statement.
+func (l *servedLink) endTransactions() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, s := range l.streams {
+		if !s.running {
+			l.closeStreamLocked(id, s)
+		}
+	}
+}
+
+// answerUnknown replies to the requests in progress.
+func (l *servedLink) answerUnknown() {
+	unanswered := map[uint64]servedStream{}
+	l.mu.Lock()
+	for id, s := range l.streams {
+		if s.running && !s.answered {
+			s.answered = true
+			unanswered[id] = *s
+		}
+	}
+	l.mu.Unlock()
+	for id, s := range unanswered {
+		l.reply(id, s.session.UnknownReply(s.request))
+		s.replySent()
+	}
 }
 
 // expire rolls back a transaction on which no request has arrived for too long.
--- a/io/peer/link_test.go
+++ b/io/peer/link_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"pearlatch/core/freshness"
+	"pearlatch/core/shutdown"
 	"pearlatch/internal/follow"
 	"pearlatch/internal/gateway"
 )
@@ -261,3 +262,36 @@
 		t.Errorf("a statement without a transaction ran in an open one: %+v, %v", out, err)
 	}
 }
+
+// Guards against a stopping host that keeps transactions of other hosts open, or exits without a reply to a statement of
+// theirs that still runs.
+func TestStoppingHostEndsForwardedWork(t *testing.T) {
+	s := &stubBackend{}
+	h := serveStub(t, s)
+	c := newClient()
+	idle, running := openStream(t, c, h.addr), openStream(t, c, h.addr)
+	mustDo(t, idle, begin("1"))
+	s.mu.Lock()
+	s.hold = make(chan struct{})
+	s.mu.Unlock()
+	defer close(s.hold)
+	replies := make(chan *gateway.PeerReply, 1)
+	go func() {
+		out, err := running.Do(context.Background(), request("2", gateway.Write{}))
+		if err != nil {
+			t.Error(err)
+		}
+		replies <- out
+	}()
+	eventually(t, "the statement runs", func() bool { return h.ForwardedCount() == 2 })
+	h.EnterShutdown(shutdown.EndingTransactions)
+	eventually(t, "the transaction ended", func() bool { return h.ForwardedCount() == 1 })
+	if out, err := idle.Do(t.Context(), continuation("3", gateway.Commit{})); err != nil || out.Declined != gateway.NoTransaction {
+		t.Errorf("the commit was answered with %+v, %v", out, err)
+	}
+	h.EnterShutdown(shutdown.AnsweringUnknown)
+	if out := <-replies; out == nil || out.Reply.Failure == nil || out.Reply.Failure.Code != gateway.InDoubt {
+		t.Errorf("the running write was answered with %+v", out)
+	}
+	eventually(t, "all replies are sent", func() bool { return h.PendingReplies() == 0 })
+}
