--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -42,10 +42,7 @@
 		s.runHere(&op)
 	}
 	for {
-		if !s.host.passesOn() {
-			return s.refuseStopping(r)
-		}
-		if f := op.outageRefusal(Busy); f != nil && !op.need.Forwardable {
+		if f := s.refusalHere(&op); f != nil {
 			return Reply{Failure: f}
 		}
 		if !s.verifyPrimaryFirst(ctx, &op) {
@@ -66,17 +63,30 @@
 		if next == nil {
 			return reply
 		}
-		if !op.group.now().Before(op.waitUntil()) {
+		if !s.mayRetry(&op, next) {
 			return next.finalReply(op)
 		}
-		if next.hasRun() && !s.host.passesOn() {
-			return Reply{Failure: next.failure}
-		}
 		s.host.metrics.Retry(op.group.name, next.reason())
 		next.sleep(ctx)
 	}
 }
 
+// refusalHere returns the refusal of a statement that this host does not pass on to a member, or nil.
+func (s *Session) refusalHere(op *operation) *Failure {
+	if !s.host.passesOn() {
+		return &Failure{Busy, stoppingDetail}
+	}
+	if f := op.outageRefusal(Busy); f != nil && !op.need.Forwardable {
+		return f
+	}
+	return nil
+}
+
+// mayRetry reports whether a statement is to be tried again. A read that may have run is not refused as one that has not.
+func (s *Session) mayRetry(op *operation, r *retry) bool {
+	return op.group.now().Before(op.waitUntil()) && (s.host.passesOn() || !r.hasRun())
+}
+
 // runOnOtherHost runs a statement of a group that other hosts serve: a read on the local replica
 // if that can answer it, otherwise on a serving host. It returns false if no host took it.
 func (s *Session) runOnOtherHost(ctx context.Context, r Request, op *operation) (Reply, bool) {
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -105,9 +105,6 @@
 		s.runHere(&t.op)
 	}
 	for {
-		if !s.host.passesOn() {
-			return s.refuseStopping(r)
-		}
 		if t.conn == nil {
 			err := s.beginOnMember(ctx)
 			if errors.Is(err, errReroute) {
@@ -143,6 +140,9 @@
 	t := s.tx
 	op := &t.op
 	for {
+		if !s.host.passesOn() {
+			return &Failure{Aborted, rolledBackDetail}
+		}
 		if f := op.outageRefusal(Aborted); f != nil && !op.need.Forwardable {
 			return f
 		}
@@ -323,9 +323,6 @@
 // reply is then the reply to the commit.
 func (s *Session) beginForCommit(ctx context.Context, r Request, arrived time.Time) (Reply, bool) {
 	for s.tx.conn == nil {
-		if !s.host.passesOn() {
-			return s.refuseStopping(r), true
-		}
 		err := s.beginOnMember(ctx)
 		if errors.Is(err, errReroute) {
 			if reply, ok := s.rerouteInTransaction(ctx, r, arrived); ok {
