Comments that had to be read twice; one begin for both kinds of the soak's transactions

Tests of platform, internal/gateway and of stopping hosts in internal/soak pass; no behavior of a host changes.

--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -71,7 +71,7 @@
 	}
 }
 
-// refusalHere returns the refusal of a statement that this host does not pass on to a member, or nil.
+// refusalHere returns a failure if the host is stopping or the primary is not expected back in time, or nil.
 func (s *Session) refusalHere(op *operation) *Failure {
 	if !s.host.passesOn() {
 		return &Failure{Busy, stoppingDetail}
--- a/internal/gateway/forwarded_session.go
+++ b/internal/gateway/forwarded_session.go
@@ -214,8 +214,7 @@
 	return OutcomeUnknown{h.processID}
 }
 
-// BeginReply counts a reply that is owed to another host in PendingReplies until done is called. Only the first call of
-// done has an effect.
+// BeginReply adds a reply to PendingReplies, and done removes it. Further calls of done have no effect.
 func (h *Host) BeginReply() (done func()) {
 	h.pendingReplies.Add(1)
 	return sync.OnceFunc(func() { h.pendingReplies.Add(-1) })
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -6,7 +6,7 @@
 	"pearlatch/core/shutdown"
 )
 
-// shutdownState is the progress of a host's shutdown.
+// shutdownState holds the contexts that end with phases of the shutdown.
 type shutdownState struct {
 	// passingOn ends when requests are no longer passed on to members and other hosts, and answering when those in
 	// progress are answered as unknown.
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -16,7 +16,7 @@
 	return s.Do(s.host.PassingOn(), Request{ID: "late", Statement: st})
 }
 
-// Guards against a commit that a stopping host passes on although its caller may not be told the outcome.
+// Guards against a stopping host that passes on a commit after half of the grace.
 func TestCommitAfterHalfOfTheGraceIsRefused(t *testing.T) {
 	withHost(t, freshness.Latest{}, func(s *fakeSite, h *Host) {
 		c := openSession(t, h)
@@ -94,7 +94,7 @@
 	})
 }
 
-// Guards against a transaction of another host's caller that a stopping host continues, or keeps open, after half of the grace.
+// Guards against a stopping host that commits a forwarded transaction after half of the grace.
 func TestForwardedTransactionEndsAtHalfOfTheGrace(t *testing.T) {
 	withFleet(t, 30, 20, freshness.Latest{}, func(_ *fakeSite, f *fakeFleet) {
 		serving, _ := f.serving()
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -245,14 +245,18 @@
 	}
 }
 
+// begin begins a transaction, a read-only one if callers of the database don't write.
+func (c *caller) begin() answer {
+	if !c.writes() {
+		return c.execute("BEGIN READ")
+	}
+	return c.execute("BEGIN")
+}
+
 // transaction runs a transaction. Some are rolled back, and some are abandoned by closing the session. It returns
 // false if the session can't be used any further.
 func (c *caller) transaction() bool {
-	begin := "BEGIN"
-	if !c.writes() {
-		begin = "BEGIN READ"
-	}
-	first := c.execute(begin)
+	first := c.begin()
 	if !first.served() {
 		return first.err == nil
 	}
--- a/internal/soak/long_transaction.go
+++ b/internal/soak/long_transaction.go
@@ -34,11 +34,7 @@
 // longTransaction runs a transaction of long statements with pauses. It returns false if the session can't be used any
 // further.
 func (c *caller) longTransaction(ctx context.Context) bool {
-	begin := "BEGIN"
-	if !c.writes() {
-		begin = "BEGIN READ"
-	}
-	first := c.execute(begin)
+	first := c.begin()
 	if !first.served() {
 		return first.err == nil
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -254,9 +254,10 @@
 }
 
 // recordInterrupted records a request that ended without an answer as a finding, if the host was shutting down and no
-// unplanned fault can be the cause. A planned shutdown must not interrupt requests. Timeouts are left out, and so are
-// requests of a caller that ignores notices if they met a closed connection: they ended within lossSlack, and no member
-// received them.
+// unplanned fault can be the cause. A planned shutdown must not interrupt requests. Timeouts are left out.
+//
+// A caller that ignores notices may send a request on a connection that the host has closed. Its requests count only if a
+// member received them or the connection ended later than lossSlack.
 func (r *run) recordInterrupted(c *caller, a answer) {
 	incarnation, stopping := r.processes[c.host].current()
 	if c.ignoresNotices && a.ended.Sub(a.began) <= lossSlack && !r.site.History().Received(a.id) {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -84,7 +84,7 @@
 	}
 }
 
-// The store is restored from older copies while hosts are killed and the configuration changes, and hosts are stopped.
+// Repeats seeds of complete schedules, each with the situation that it produces.
 func TestSeedsWithStoreRestores(t *testing.T) {
 	for _, seed := range []uint64{
 		2, // two restores
