Members' answers are judged, and reported if they may belong to another request

Cause: no log line or metric told the hypotheses on MIXED apart: nothing said that a connection held bytes that nobody asked for, or that an answer repeats one.

Every connection to a member reports an answer that is not accepted as 'answer_not_matched' (member, request, command, outcome, signature, code, state, position) and in unexpected_answers_total{group,outcome}; unread data on a connection that is about to be used is the outcome 'unasked'. Nothing is decided by it yet. A reply without a signature has an empty one, as the field's comment said ('-' was passed on as a signature), and the bare end of a reply is a reply of its own.

The fakes sign each answer uniquely, as members do; they gave the same signature for all.

--- a/internal/gateway/conn_setup_test.go
+++ b/internal/gateway/conn_setup_test.go
@@ -69,8 +69,8 @@
 }
 
 // randomRefusals returns a function that refuses commands at random: any command before it runs, or one that prepares the
-// connection after it has run.
-func randomRefusals(seed uint64) func(Command) *Failure {
+// connection after it has run. percent is the share that is refused.
+func randomRefusals(seed uint64, percent int) func(Command) *Failure {
 	var mu sync.Mutex
 	random := rand.New(rand.NewPCG(seed, 1))
 	return func(c Command) *Failure {
@@ -80,11 +80,11 @@
 		switch c.(type) {
 		case RunStatement, Abort:
 		default:
-			if draw >= 12 && draw < 16 {
+			if draw >= percent && draw < percent+percent/3 {
 				return &Failure{Failed, "refused after it ran"}
 			}
 		}
-		if draw < 12 {
+		if draw < percent {
 			return &Failure{Busy, "refused"}
 		}
 		return nil
@@ -111,7 +111,7 @@
 	for seed := range uint64(12) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			withHost(t, freshness.MaxAge{Age: time.Second}, func(s *fakeSite, h *Host) {
-				s.setRefusals(randomRefusals(seed))
+				s.setRefusals(randomRefusals(seed, 12))
 				var wait sync.WaitGroup
 				callers := make([]*stateCaller, 8)
 				for i := range callers {
--- a/internal/gateway/fakeconn_test.go
+++ b/internal/gateway/fakeconn_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -47,6 +49,8 @@
 	closed    bool
 	// severed, if set, reports whether the network path to the member is cut.
 	severed func() bool
+	// signed counts the signatures given on the connection.
+	signed atomic.Int64
 	// beforeRelease, if set, is called before a fence is released.
 	beforeRelease func()
 }
@@ -142,6 +146,9 @@
 	return out, nil
 }
 
+// Receive fails, since the member answers each command once.
+func (c *fakeConn) Receive() (Reply, error) { return Reply{}, errors.New("no answer is to come") }
+
 // run runs a command unless the member refuses it. A refusal with Failed comes after the command was carried out.
 func (c *fakeConn) run(timeout time.Duration, command Command) (Reply, error) {
 	c.site.mu.Lock()
@@ -210,6 +217,12 @@
 	refused := c.refuse(f)
 	work := c.m.work
 	c.site.mu.Unlock()
+	switch _, ends := f.Request.Statement.(Commit); {
+	case ends && c.state != InTransaction:
+		c.state, refused = Idle, &Failure{Malformed, "no transaction is open"}
+	case c.state == InFailedTransaction:
+		refused = &Failure{Malformed, "the transaction has failed"}
+	}
 	if refused != nil {
 		return Reply{Failure: refused, Position: c.applied()}, nil
 	}
@@ -225,7 +238,7 @@
 	}
 	c.m.runs = append(c.m.runs, f.Request.ID)
 	c.site.ranFor[f.Request.ID] = c.account
-	c.site.ranUnder = append(c.site.ranUnder, statementRun{f.Request.ID, maps.Clone(c.values), c.prepared[f.Name]})
+	c.site.ranUnder = append(c.site.ranUnder, statementRun{f.Request.ID, maps.Clone(c.values), c.prepared[f.Name], c.state == InTransaction})
 	broken := c.m.breaksAfter > 0
 	if broken {
 		c.m.breaksAfter--
@@ -244,13 +257,18 @@
 	switch f.Request.Statement.(type) {
 	case Commit:
 		c.state = Idle
-		return c.commit(timeout, c.readWrite)
+		return c.commit(timeout, f.Request.ID, c.readWrite)
 	case Write:
 		if c.state == Idle {
-			return c.commit(timeout, true)
+			return c.commit(timeout, f.Request.ID, true)
 		}
 	}
-	return Reply{Rows: []string{row}, Signature: "by " + c.m.id, Position: c.applied()}, nil
+	return Reply{Rows: []string{row}, Signature: c.sign(f.Request.ID), Position: c.applied()}, nil
+}
+
+// sign returns a signature that names the member and the request and is unique.
+func (c *fakeConn) sign(id string) string {
+	return fmt.Sprint("by ", c.m.id, " ", c.signed.Add(1), " ", id)
 }
 
 func (c *fakeConn) refuse(f RunStatement) *Failure {
@@ -271,7 +289,7 @@
 // commit appends a record to the member's log and fails after the timeout if no replica receives it. A write is refused
 // if the member is no longer the primary: it may have been replaced since it began to run the statement, and would
 // otherwise acknowledge a write as a replica, in the new primary's term.
-func (c *fakeConn) commit(timeout time.Duration, writes bool) (Reply, error) {
+func (c *fakeConn) commit(timeout time.Duration, id string, writes bool) (Reply, error) {
 	c.site.mu.Lock()
 	defer c.site.mu.Unlock()
 	m := c.m
@@ -297,5 +315,5 @@
 		return Reply{}, context.DeadlineExceeded
 	}
 	c.site.acknowledgedWrites = append(c.site.acknowledgedWrites, m.received)
-	return Reply{Signature: "by " + m.id, Position: m.received}, nil
+	return Reply{Signature: c.sign(id), Position: m.received}, nil
 }
--- a/internal/gateway/fakesite_test.go
+++ b/internal/gateway/fakesite_test.go
@@ -68,6 +68,8 @@
 	id       string
 	values   map[string]string
 	prepared PreparedStatement
+	// inTransaction is true if a transaction was open.
+	inTransaction bool
 }
 
 // fakeSite is a group of fake members with the platform's store and promotions.
--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -153,12 +153,13 @@
 
 func newGroup(name string, h *Host) *Group {
 	g := &Group{
-		name: name, zone: h.settings.Zone, dialer: h.ports.Dialer, logger: log.With(h.logger, "group", name),
+		name: name, zone: h.settings.Zone, logger: log.With(h.logger, "group", name),
 		now: h.now, metrics: h.metrics, usage: &h.usage, knownRevision: &h.knownRevision, maxDrain: h.settings.MemberDrain - drainMargin,
 		members: map[string]*member{}, maxConnections: 1, hostCount: 1, controlConns: map[string]*controlconn.Slot[Conn]{},
 		probeSignal: make(chan struct{}, 1), leaseSignal: make(chan struct{}, 1),
 		conns: map[*pool.Conn]*pooledConn{}, waiting: map[*pool.Waiter]chan assignment{},
 	}
+	g.dialer = verifyingDialer{h.ports.Dialer, g.reportAnswer}
 	g.pool = pool.New(poolView{g})
 	g.loads = loads.New(name, h.fleet, h.now, g.logger, h.metrics.Registry)
 	return g
--- a/internal/gateway/leadership_test.go
+++ b/internal/gateway/leadership_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -461,7 +462,7 @@
 		for range 200 {
 			if r := exec(other, Write{}); r.Failure != nil {
 				failed[r.Failure.Code]++
-			} else if r.Signature == "by a" {
+			} else if strings.HasPrefix(r.Signature, "by a ") {
 				t.Errorf("a acknowledged a write at %v that %s lacks", r.Position, ordered)
 				return
 			}
--- a/internal/gateway/ports.go
+++ b/internal/gateway/ports.go
@@ -43,6 +43,8 @@
 type Conn interface {
 	// Do sends the commands together and returns a reply to each, up to and including the first that failed to arrive.
 	Do(timeout time.Duration, commands ...Command) ([]Reply, error)
+	// Receive returns one more reply, within the timeout of the last Do. It is called if a reply belongs to none of the commands.
+	Receive() (Reply, error)
 	// Control sends a control command and returns the member's status.
 	Control(timeout time.Duration, o ControlCommand) (Status, error)
 	// Alive reports whether the connection is open, as far as is known: it is false once the member's close has arrived.
--- a/internal/gateway/reply.go
+++ b/internal/gateway/reply.go
@@ -79,6 +79,8 @@
 	Rows []string
 	// Signature is the member's proof that it ran the statement. It is empty if no member ran it.
 	Signature string
+	// Bare is true if the member sent the end of a reply without a result before it.
+	Bare bool
 	// Failure is nil if the statement succeeded.
 	Failure *Failure
 	State   State
--- a/internal/hostmetrics/recorder.go
+++ b/internal/hostmetrics/recorder.go
@@ -48,6 +48,11 @@
 	m.Count(fmt.Sprintf("early_refusals_total{group=%q}", group), 1)
 }
 
+// UnexpectedAnswer counts an answer of a member that was not accepted at once for the command that waited.
+func (m Recorder) UnexpectedAnswer(group, outcome string) {
+	m.Count(fmt.Sprintf("unexpected_answers_total{group=%q,outcome=%q}", group, outcome), 1)
+}
+
 // IdleSlots adds slot time during which slots were idle while statements waited that they could run.
 func (m Recorder) IdleSlots(group string, total time.Duration) {
 	m.Count(fmt.Sprintf("idle_slot_microseconds_total{group=%q}", group), total.Microseconds())
--- a/io/peer/stubsite_test.go
+++ b/io/peer/stubsite_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/pkg/errors"
 
 	"pearlatch/core/freshness"
 	"pearlatch/core/group"
@@ -138,7 +139,7 @@
 			c.backend.held.Add(1)
 			<-hold
 		}
-		r.Rows, r.Signature = []string{c.name + " " + command.Request.ID}, "s"
+		r.Rows, r.Signature = []string{c.name + " " + command.Request.ID}, c.name+" "+command.Request.ID
 		if _, ends := command.Request.Statement.(gateway.Commit); ends {
 			c.open = false
 		}
@@ -149,6 +150,10 @@
 	return r
 }
 
+func (c *stubConn) Receive() (gateway.Reply, error) {
+	return gateway.Reply{}, errors.New("no answer is to come")
+}
+
 func (c *stubConn) Control(time.Duration, gateway.ControlCommand) (gateway.Status, error) {
 	return gateway.Status{IsPrimary: c.isPrimary, Term: 1, Received: group.Position{Term: 1, LSN: 5}}, nil
 }
