Answers that come twice are told from the answers to later requests

Cause: answers name no request, order alone matches them. A member's second answer that arrives after the next request was sent passes by the look for unread bytes and takes the place of that request's answer.

Change: a connection to a member passes on an answer only if core/answer knows by its values that it belongs to the command. A signature seen before on the connection marks a copy, which is skipped while the right answer is awaited; rows that differ under the same signature, or a signature that nobody awaits, end the connection. An answer without a signature (ERR, DONE -) may be a copy if the connection has carried the same before. Then the states in which the member answers BEGIN READ, ROLLBACK and a prepared statement show whether an answer is still to come: a late success takes the place of a refused write's copy, and what can't be shown is unknown to the caller. A commit that may have been refused is sent again on its connection, where it takes effect at most once. A status that was seen before counts only if what follows it comes in its turn. A connection that failed so does not make its member suspect.

Weighed: closing the connection after each answer that may be a copy needs no further commands; it costs a connection (12 to 27 ms of a slot) for every second refusal on a connection, when members are busiest, and answers writes as unknown. Confirming costs a round trip without a slot.

--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -250,13 +250,13 @@
 	m.poolMember.RecordSuccess()
 }
 
-// discard closes a connection instead of returning it to the pool. err is the failure of the member,
-// or nil if it did not fail.
+// discard closes a connection instead of returning it to the pool. err is the failure of the connection, or nil if it did
+// not fail.
 func (g *Group) discard(p *pooledConn, err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.pool.Discard(p.poolConn, g.now())
-	if err != nil {
+	if err != nil && !isUnproven(err) {
 		g.markSuspect(p.member, g.now(), err)
 	}
 	g.dispatch()
--- a/internal/gateway/fakesite_test.go
+++ b/internal/gateway/fakesite_test.go
@@ -371,9 +371,14 @@
 
 // startHost starts a host on the site. The returned function stops it and waits until it has ended.
 func startHost(s *fakeSite, name string, class freshness.Class) (*Host, func()) {
+	return startHostDialing(s, s, name, class)
+}
+
+// startHostDialing is startHost for a host that dials members with d.
+func startHostDialing(s *fakeSite, d Dialer, name string, class freshness.Class) (*Host, func()) {
 	settings := Settings{Host: name, Zone: "z", MemberDrain: 7 * time.Second, ShutdownGrace: 6 * time.Second, PromotionTokens: !s.ignoresTokens}
 	h := NewHost(settings, Ports{
-		Dialer: s, Store: s, Promoter: s, Decode: fakeDecoder{class},
+		Dialer: d, Store: s, Promoter: s, Decode: fakeDecoder{class},
 		Keys: Keys{Config: "config", MembersPrefix: "members/", OwnPrefix: "own/"},
 	}, testLogger(), time.Now)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -391,10 +396,16 @@
 // withHost runs a test on a site with three members and one host, once the host knows
 // the primary and is the coordinator.
 func withHost(t *testing.T, class freshness.Class, test func(s *fakeSite, h *Host)) {
+	t.Helper()
+	withHostDialing(t, class, func(s *fakeSite) Dialer { return s }, test)
+}
+
+// withHostDialing is withHost for a host that dials members with the dialer that dialer returns.
+func withHostDialing(t *testing.T, class freshness.Class, dialer func(*fakeSite) Dialer, test func(s *fakeSite, h *Host)) {
 	t.Helper()
 	synctest.Test(t, func(*testing.T) {
 		s := newFakeSite("a", "b", "c")
-		h, stop := startHost(s, "h1", class)
+		h, stop := startHostDialing(s, dialer(s), "h1", class)
 		defer time.Sleep(10 * time.Second) // lets the timers of promotions and store watches end
 		defer stop()
 		time.Sleep(3 * time.Second)
--- /dev/null
+++ b/internal/gateway/member_conn_test.go
@@ -0,0 +1,138 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// scriptedConn is a connection on which the given answers arrive, whatever is sent.
+type scriptedConn struct {
+	Conn
+	arrived []memberAnswer
+}
+
+func (c *scriptedConn) take() (memberAnswer, error) {
+	if len(c.arrived) == 0 {
+		return memberAnswer{}, context.DeadlineExceeded
+	}
+	a := c.arrived[0]
+	c.arrived = c.arrived[1:]
+	return a, nil
+}
+
+func (c *scriptedConn) Do(_ time.Duration, commands ...Command) ([]Reply, error) {
+	var out []Reply
+	for range commands {
+		r, err := c.Receive()
+		if err != nil {
+			return out, err
+		}
+		out = append(out, r)
+	}
+	return out, nil
+}
+
+func (c *scriptedConn) Receive() (Reply, error) {
+	a, err := c.take()
+	return a.asReply(), err
+}
+
+func (c *scriptedConn) Control(time.Duration, ControlCommand) (Status, error) {
+	a, err := c.take()
+	if err != nil || a.status == nil {
+		return Status{}, errors.New("no status")
+	}
+	return *a.status, nil
+}
+
+func newScriptedConn(answers ...memberAnswer) *memberConn {
+	return &memberConn{Conn: &scriptedConn{arrived: answers}, report: func(answerEvent) {}}
+}
+
+func replyOf(r Reply) memberAnswer { return memberAnswer{reply: r} }
+
+var (
+	busyAnswer   = replyOf(Reply{Failure: &Failure{Busy, "full"}})
+	openedAnswer = replyOf(Reply{State: InTransaction})
+	doneAnswer   = replyOf(Reply{})
+	ranAnswer    = replyOf(Reply{Signature: "s2"})
+)
+
+// Guards against a write that is answered as refused, and so repeated, although it ran: the refusal is a copy of an earlier one.
+func TestRepeatedRefusalIsNotPassedOn(t *testing.T) {
+	write := RunStatement{Request: Request{ID: "2", Statement: Write{}}}
+	for name, test := range map[string]struct {
+		answers []memberAnswer
+		want    string // the signature, a code, or "unknown"
+	}{
+		"the write was refused":       {[]memberAnswer{busyAnswer, openedAnswer, doneAnswer, doneAnswer}, "Busy"},
+		"the write ran":               {[]memberAnswer{busyAnswer, ranAnswer, openedAnswer, doneAnswer, doneAnswer}, "s2"},
+		"the write failed otherwise":  {[]memberAnswer{busyAnswer, replyOf(Reply{Failure: &Failure{Failed, ""}}), openedAnswer, doneAnswer, doneAnswer}, "unknown"},
+		"nothing follows the refusal": {[]memberAnswer{busyAnswer}, "unknown"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newScriptedConn(append([]memberAnswer{busyAnswer}, test.answers...)...)
+			for _, want := range []string{"Busy", test.want} {
+				got := "unknown"
+				if replies, err := c.Do(time.Second, write); err == nil {
+					got = replies[0].Signature
+					if f := replies[0].Failure; f != nil {
+						got = f.Code.String()
+					}
+				}
+				if got != want {
+					t.Errorf("the answer is %q, want %q", got, want)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a fence that is taken for set, or a primary for confirmed, by the copy of a status of before.
+func TestRepeatedStatusIsNotPassedOn(t *testing.T) {
+	before, after := &Status{IsPrimary: true, Term: 3}, &Status{Term: 4}
+	status := func(s *Status) memberAnswer { return memberAnswer{status: s} }
+	for name, test := range map[string]struct {
+		answers []memberAnswer
+		served  bool
+	}{
+		"another status":           {[]memberAnswer{status(after)}, true},
+		"the same status":          {[]memberAnswer{status(before), openedAnswer, doneAnswer}, true},
+		"a copy":                   {[]memberAnswer{status(before), status(after), openedAnswer, doneAnswer}, false},
+		"a busy member":            {[]memberAnswer{status(before), busyAnswer, busyAnswer}, true},
+		"a transaction stays open": {[]memberAnswer{status(before), openedAnswer, openedAnswer}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newScriptedConn(append([]memberAnswer{status(before)}, test.answers...)...)
+			if _, err := c.Control(time.Second, Probe{}); err != nil {
+				t.Fatal(err)
+			}
+			if s, err := c.Control(time.Second, Probe{}); (err == nil) != test.served {
+				t.Errorf("%+v, %v", s, err)
+			}
+		})
+	}
+}
+
+// Guards against a commit that is answered as refused, or given up, while an earlier sending of it may have taken effect.
+func TestRepeatedRefusalOfCommitIsUnproven(t *testing.T) {
+	busy := replyOf(Reply{Failure: &Failure{Busy, "full"}, State: InTransaction})
+	c := newScriptedConn(openedAnswer, busy, busy, ranAnswer)
+	commit := RunStatement{Request: Request{ID: "1", Statement: Commit{}}}
+	if _, err := c.Do(time.Second, OpenTransaction{}); err != nil {
+		t.Fatal(err)
+	}
+	if replies, err := c.Do(time.Second, commit); err != nil || replies[0].Failure == nil {
+		t.Fatalf("the first refusal: %v, %v", replies, err)
+	}
+	var unproven *unprovenBusy
+	if _, err := c.Do(time.Second, commit); !errors.As(err, &unproven) || !isUnproven(err) {
+		t.Fatalf("the second refusal: %v", err)
+	}
+	if replies, err := c.Do(time.Second, commit); err != nil || replies[0].Signature != "s2" {
+		t.Errorf("the answer: %v, %v", replies, err)
+	}
+}
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -23,6 +23,9 @@
 	answeredCount int
 	// sentWrite is true once a write has been sent to the member.
 	sentWrite bool
+	// commitRepeated is true once the commit was sent again although an earlier one may have taken effect. Its connection then
+	// owes an answer.
+	commitRepeated bool
 }
 
 func (s *Session) beginAdmitted(ctx context.Context, st Begin, arrived time.Time) Reply {
@@ -357,6 +360,14 @@
 		done := g.beginWrite()
 		replies, err := p.conn.Do(g.callTimeout(p.member, op.deadline.Sub(sentAt), true), RunStatement{Request: r})
 		done(err == nil && replies[0].Failure == nil)
+		if busy := (*unprovenBusy)(nil); errors.As(err, &busy) && g.now().Before(op.deadline) {
+			t.commitRepeated = true
+			pause.For(ctx, busyRetryInterval)
+			continue
+		}
+		if err == nil && t.commitRepeated && replies[0].Failure != nil {
+			err = errors.Wrap(errUnprovenAnswer, replies[0].Failure.Error())
+		}
 		if err != nil {
 			g.discard(p, err)
 			s.host.logAttempt(s, r, op, p.member.ID, "broken", err)
@@ -389,9 +400,12 @@
 	if reply.Failure != nil && reply.Failure.Code == NotPrimary {
 		g.notePrimaryRefusal(p.member.ID)
 	}
-	if reply.State != Idle {
+	switch {
+	case t.commitRepeated:
+		g.discard(p, nil)
+	case reply.State != Idle:
 		t.rollback(s)
-		return
+	default:
+		g.release(p)
 	}
-	g.release(p)
 }
