A refused setting keeps its connection; retries after unproven answers pause

Cause: the setting that confirms a setup was to succeed, so that a value which members refuse for good (ERR each time) ended its connection at each try, and the statement was tried at once on ever new connections until its deadline.

Change: the last command of a confirmation may be refused, as the state in which it is answered is what counts; a try whose connection ended for unproven answers is followed by the pause that follows a full queue.

Failed before: TestRefusedSettingKeepsConnection. go test ./core/answer ./internal/gateway pass, TestAnswersThatComeTwiceAreNotPassedOn 10 times.

--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -287,7 +287,7 @@
 	if err != nil {
 		g.discard(p, err)
 		op.need.Avoid = p.member.ID
-		return &retry{}
+		return &retry{delay: unprovenDelay(err)}
 	}
 	if failure == nil {
 		return nil
@@ -300,6 +300,15 @@
 	return &retry{failure: &Failure{Busy, "the session values could not be set: " + failure.Error()}, delay: busyRetryInterval}
 }
 
+// unprovenDelay returns the delay before a command is tried again after its connection failed with err. A member that answers at
+// once must not be asked again at once on ever new connections.
+func unprovenDelay(err error) time.Duration {
+	if isUnproven(err) {
+		return busyRetryInterval
+	}
+	return 0
+}
+
 // handleBrokenConn handles the failure of the connection that a statement was sent on. A write is
 // in doubt; a read is retried.
 func (s *Session) handleBrokenConn(r Request, op *operation, p *pooledConn, err error) (Reply, *retry) {
@@ -307,7 +316,7 @@
 	if op.writes {
 		return failureReply(InDoubt, "the connection to "+p.member.ID+" failed after the write was sent"), nil
 	}
-	return Reply{}, &retry{failure: &Failure{TimedOut, "no answer from " + p.member.ID}}
+	return Reply{}, &retry{failure: &Failure{TimedOut, "no answer from " + p.member.ID}, delay: unprovenDelay(err)}
 }
 
 // busyRetryInterval is the pause before a member with a full queue is asked again: the duration of
--- a/internal/gateway/member_conn.go
+++ b/internal/gateway/member_conn.go
@@ -234,7 +234,7 @@
 			return err
 		}
 		a := toAnswer(reply)
-		if !answer.Confirms(a, state) {
+		if !answer.Confirms(a, state, i == len(idleConfirmed)-1) {
 			c.reportAnswer(command, "shifted", reply)
 			return errors.Wrapf(errUnprovenAnswer, "a confirmation was answered in state %s", reply.State)
 		}
--- a/internal/gateway/member_conn_test.go
+++ b/internal/gateway/member_conn_test.go
@@ -117,6 +117,16 @@
 	}
 }
 
+// Guards against ever new connections to a member that refuses a session's value for good.
+func TestRefusedSettingKeepsConnection(t *testing.T) {
+	refused := replyOf(Reply{Failure: &Failure{Failed, "no such value"}})
+	c := newScriptedConn(refused, openedAnswer, doneAnswer, refused)
+	replies, err := c.Do(time.Second, Assign{"v", "x"})
+	if err != nil || replies[0].Failure == nil || c.state != Idle {
+		t.Errorf("%v, %v", replies, err)
+	}
+}
+
 // Guards against a commit that is answered as refused, or given up, while an earlier sending of it may have taken effect.
 func TestRepeatedRefusalOfCommitIsUnproven(t *testing.T) {
 	busy := replyOf(Reply{Failure: &Failure{Busy, "full"}, State: InTransaction})
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -191,7 +191,7 @@
 	if err != nil {
 		g.discard(p, err)
 		op.need.Avoid = p.member.ID
-		return &retry{}
+		return &retry{delay: unprovenDelay(err)}
 	}
 	reply := replies[len(replies)-1]
 	if f := g.recordSetup(p, setup, replies); f != nil {
@@ -283,7 +283,7 @@
 	s.host.logAttempt(s, r, &t.op, p.member.ID, "broken", err)
 	if t.answeredCount == 0 {
 		t.op.need.Avoid = p.member.ID
-		return Reply{}, &retry{}
+		return Reply{}, &retry{delay: unprovenDelay(err)}
 	}
 	return s.failTransaction(Reply{Failure: t.op.notRun(Aborted, "the connection to "+p.member.ID+" failed")}), nil
 }
