--- a/internal/gateway/member_conn.go
+++ b/internal/gateway/member_conn.go
@@ -253,7 +253,7 @@
 	last := &out[len(out)-1]
 	if last.State != Idle {
 		c.reportAnswer(command, "unproven", *last)
-		if isCommit(command) && last.Failure != nil && last.Failure.Code == Busy && last.State == InTransaction {
+		if isCommit(command) && last.isBusyInTransaction() {
 			return &unprovenBusy{last.Failure}
 		}
 		return errors.Wrapf(errUnprovenAnswer, "%v within a transaction", last.Failure)
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -5,8 +5,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-
-	"pearlatch/internal/pause"
 )
 
 // transaction is an open transaction. It takes a connection only with its first statement, so that
@@ -251,7 +249,7 @@
 		p.state.Forget(*op.prepared)
 		return s.restartTransaction("the statement could not be prepared: " + reply.Failure.Detail)
 	}
-	if reply.Failure.Code == Busy && reply.State == InTransaction {
+	if reply.isBusyInTransaction() {
 		g.noteOverload(p.member)
 		return Reply{}, &retry{delay: busyRetryInterval}
 	}
@@ -297,115 +295,3 @@
 	t.rollback(s)
 	return Reply{}, &retry{delay: busyRetryInterval}
 }
-
-// commit commits the transaction on its member or on the host where it runs.
-func (s *Session) commit(ctx context.Context, r Request, arrived time.Time) Reply {
-	if s.state != InTransaction {
-		return failureReply(Malformed, "no transaction is open")
-	}
-	t := s.tx
-	t.op.deadline = arrived.Add(t.op.route.Timeout)
-	t.op.prepared = nil
-	if t.runsElsewhere() {
-		if reply, ok := s.forwardInTransaction(ctx, r, arrived); ok {
-			s.tx, s.state = nil, Idle
-			return reply
-		}
-		s.runHere(&t.op)
-	}
-	reply, answered := s.beginForCommit(ctx, r, arrived)
-	if !answered {
-		reply = s.sendCommit(ctx, r)
-	}
-	s.tx, s.state = nil, Idle
-	return reply
-}
-
-// beginForCommit begins on a member a transaction that has run no statement yet, so that its
-// commit can be sent. It returns true if the begin failed or another host has answered the commit. The
-// reply is then the reply to the commit.
-func (s *Session) beginForCommit(ctx context.Context, r Request, arrived time.Time) (Reply, bool) {
-	for s.tx.conn == nil {
-		err := s.beginOnMember(ctx)
-		if errors.Is(err, errReroute) {
-			if reply, ok := s.rerouteInTransaction(ctx, r, arrived); ok {
-				return reply, true
-			}
-			continue
-		}
-		if err != nil {
-			return Reply{Failure: asFailure(err)}, true
-		}
-	}
-	return Reply{}, false
-}
-
-func (s *Session) sendCommit(ctx context.Context, r Request) Reply {
-	t := s.tx
-	p, op, g := t.conn, &t.op, t.op.group
-	// The session may have set values since its last statement.
-	if failure, err := s.setUpInTransaction(p); err != nil {
-		t.conn = nil
-		g.discard(p, err)
-		return Reply{Failure: op.notRun(Aborted, "the connection to "+p.member.ID+" failed before the commit was sent")}
-	} else if failure != nil {
-		t.rollback(s)
-		return Reply{Failure: op.notRun(Aborted, "the session values could not be set: "+failure.Error())}
-	}
-	for {
-		if !s.host.passesOn() {
-			return s.refuseStopping(r)
-		}
-		sentAt := g.now()
-		done := g.beginWrite()
-		replies, err := p.conn.Do(g.callTimeout(p.member, op.deadline.Sub(sentAt), true), RunStatement{Request: r})
-		done(err == nil && replies[0].Failure == nil)
-		if busy := (*unprovenBusy)(nil); errors.As(err, &busy) && g.now().Before(op.deadline) {
-			t.commitRepeated = true
-			pause.For(ctx, busyRetryInterval)
-			continue
-		}
-		if err == nil && t.commitRepeated && replies[0].Failure != nil {
-			err = errors.Wrap(errUnprovenAnswer, replies[0].Failure.Error())
-		}
-		if err != nil {
-			g.discard(p, err)
-			s.host.logAttempt(s, r, op, p.member.ID, "broken", err)
-			if !t.sentWrite {
-				return Reply{Failure: op.notRun(Aborted, "the connection failed; nothing was written")}
-			}
-			return failureReply(InDoubt, "the connection to "+p.member.ID+" failed after the commit was sent")
-		}
-		reply := replies[0]
-		if reply.Failure != nil && reply.Failure.Code == Busy && reply.State == InTransaction && g.now().Before(op.deadline) {
-			pause.For(ctx, busyRetryInterval)
-			continue
-		}
-		s.finishCommit(p, sentAt, reply)
-		if t.sentWrite && reply.Failure == nil && !g.confirmWrite(p.member.ID, reply.Position, op.deadline) {
-			return failureReply(InDoubt, p.member.ID+" may have been replaced as it acknowledged the commit")
-		}
-		return reply
-	}
-}
-
-// finishCommit releases the connection after a member's reply to a commit, or rolls back if the
-// transaction is still open.
-func (s *Session) finishCommit(p *pooledConn, sentAt time.Time, reply Reply) {
-	t, g := s.tx, s.tx.op.group
-	g.observePosition(p.member, sentAt, reply.Position)
-	if reply.Failure == nil && t.sentWrite {
-		s.advanceLastWrite(reply.Position)
-	}
-	if reply.Failure != nil && reply.Failure.Code == NotPrimary {
-		g.notePrimaryRefusal(p.member.ID)
-	}
-	switch {
-	case t.commitRepeated:
-		g.discard(p, nil)
-	case reply.State != Idle:
-		t.rollback(s)
-	default:
-		g.release(p)
-	}
-}
