Members: give up the address of an odd entry once the member's own entry is back

A host kept the first address, zone and slots that it had read for an incarnation of a member. If another writer had replaced the member's entry before the host started (or before the member was dropped and listed again), the host never followed the member's own entry: writes were refused with "no connection to the primary in time" for good, also where the member at the odd address answers that it is another one.

Without a reported start time the new address counts as a restart, as a change of the start time does. Zone and slots follow the entry.

Pool.Add inserts in place of sorting all members again.

--- a/core/pool/member.go
+++ b/core/pool/member.go
@@ -85,6 +85,9 @@
 // ID returns the member's identifier.
 func (m *Member) ID() string { return m.id }
 
+// SetSlots sets how many statements the member runs at once.
+func (m *Member) SetSlots(n int) { m.slots = n }
+
 // ObserveLatency records the duration of a statement.
 func (m *Member) ObserveLatency(d time.Duration) { m.latency = placement.UpdateLatency(m.latency, d) }
 
--- a/core/pool/pool.go
+++ b/core/pool/pool.go
@@ -67,8 +67,8 @@
 func (p *Pool) Add(id string, slots int) *Member {
 	m := &Member{id: id, slots: slots, opening: map[string]int{}}
 	p.members[id] = m
-	p.sorted = append(p.sorted, m)
-	slices.SortFunc(p.sorted, func(a, b *Member) int { return cmp.Compare(a.id, b.id) })
+	i, _ := slices.BinarySearchFunc(p.sorted, id, func(o *Member, id string) int { return cmp.Compare(o.id, id) })
+	p.sorted = slices.Insert(p.sorted, i, m)
 	return m
 }
 
--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -190,7 +190,7 @@
 		return nil
 	}
 	g.conns[p.poolConn] = p
-	m.silentSince = time.Time{}
+	m.silentSince, m.reached = time.Time{}, true
 	return p
 }
 
--- a/internal/gateway/fakesite_test.go
+++ b/internal/gateway/fakesite_test.go
@@ -369,11 +369,18 @@
 
 // startHost starts a host on the site. The returned function stops it and waits until it has ended.
 func startHost(s *fakeSite, name string, class freshness.Class) (*Host, func()) {
+	return startHostWith(s, name, class, func(*Ports) {})
+}
+
+// startHostWith is like startHost, and calls change with the host's external dependencies first.
+func startHostWith(s *fakeSite, name string, class freshness.Class, change func(*Ports)) (*Host, func()) {
 	settings := Settings{Host: name, Zone: "z", MemberDrain: 7 * time.Second, ShutdownGrace: 6 * time.Second, PromotionTokens: !s.ignoresTokens}
-	h := NewHost(settings, Ports{
+	ports := Ports{
 		Dialer: s, Store: s, Promoter: s, Decode: fakeDecoder{class},
 		Keys: Keys{Config: "config", MembersPrefix: "members/", OwnPrefix: "own/"},
-	}, testLogger(), time.Now)
+	}
+	change(&ports)
+	h := NewHost(settings, ports, testLogger(), time.Now)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
--- a/internal/gateway/group.go
+++ b/internal/gateway/group.go
@@ -186,11 +186,11 @@
 	g.dispatch()
 }
 
-// dropRestarted drops a member that was restarted under the same ID, so that it can be added as a new
-// one. The restart has lost its state, including a fence that kept it from receiving the log, and its
+// dropRestarted drops a member that was restarted under the same ID or is to be reached at another address, so that it
+// can be added as a new one. The restart has lost its state, including a fence that kept it from receiving the log, and its
 // connections are closed. g.mu must be held.
 func (g *Group) dropRestarted(m *member) {
-	g.log("member_reborn", "member", m.ID, "born", m.Incarnation, "leads", m.ID == g.primaryID)
+	g.log("member_reborn", "member", m.ID, "born", m.Incarnation, "addr", m.Addr, "leads", m.ID == g.primaryID)
 	g.dropMember(m)
 	delete(g.members, m.ID)
 	g.noteDeparture(g.now())
--- a/internal/gateway/member.go
+++ b/internal/gateway/member.go
@@ -14,6 +14,8 @@
 	Member
 	// poolMember holds this host's connections to the member.
 	poolMember *pool.Member
+	// reached is true once a connection was opened to the member's address, where the member confirmed its ID.
+	reached bool
 	// Until suspectUntil the member is used only if no other member can serve.
 	suspectUntil time.Time
 	// silentSince is when the member first failed to answer since its last answer, or zero.
@@ -165,7 +167,7 @@
 // updateMember adds or updates a listed member. g.mu must be held.
 func (g *Group) updateMember(listed Member) {
 	m := g.members[listed.ID]
-	if m != nil && m.Incarnation != listed.Incarnation {
+	if m != nil && (m.Incarnation != listed.Incarnation || m.moved(listed)) {
 		g.dropRestarted(m)
 		m = nil
 	}
@@ -176,8 +178,9 @@
 		g.log("member_listed", "member", listed.ID, "addr", listed.Addr, "leads", listed.IsPrimary)
 	}
 	before := m.Member
-	// All other fields of an incarnation are constant, so they are read without the lock.
-	m.IsPrimary, m.Leaving = listed.IsPrimary, listed.Leaving
+	// The ID, group, address and incarnation are constant, so they are read without the lock.
+	m.IsPrimary, m.Leaving, m.Zone, m.Slots = listed.IsPrimary, listed.Leaving, listed.Zone, listed.Slots
+	m.poolMember.SetSlots(listed.Slots)
 	if !m.missingSince.IsZero() {
 		m.missingSince = time.Time{}
 		g.log("member_back", "member", listed.ID)
@@ -195,6 +198,12 @@
 	}
 }
 
+// moved reports whether the member is to be reached at another address than before. An incarnation does not move, so
+// that an address at which it has been reached is kept. Otherwise the known address may be that of another writer's entry.
+func (m *member) moved(listed Member) bool {
+	return m.Addr != listed.Addr && (!m.reached || m.dropped || m.Incarnation == 0)
+}
+
 // markMissing records that the platform no longer lists the member. g.mu must be held.
 func (g *Group) markMissing(m *member) {
 	if !m.missingSince.IsZero() {
