--- a/internal/gateway/fakesite_test.go
+++ b/internal/gateway/fakesite_test.go
@@ -371,16 +371,18 @@
 
 // startHost starts a host on the site. The returned function stops it and waits until it has ended.
 func startHost(s *fakeSite, name string, class freshness.Class) (*Host, func()) {
-	return startHostDialing(s, s, name, class)
+	return startHostWith(s, name, class, func(*Ports) {})
 }
 
-// startHostDialing is startHost for a host that dials members with d.
-func startHostDialing(s *fakeSite, d Dialer, name string, class freshness.Class) (*Host, func()) {
+// startHostWith is like startHost, and calls change with the host's external dependencies first.
+func startHostWith(s *fakeSite, name string, class freshness.Class, change func(*Ports)) (*Host, func()) {
 	settings := Settings{Host: name, Zone: "z", MemberDrain: 7 * time.Second, ShutdownGrace: 6 * time.Second, PromotionTokens: !s.ignoresTokens}
-	h := NewHost(settings, Ports{
-		Dialer: d, Store: s, Promoter: s, Decode: fakeDecoder{class},
+	ports := Ports{
+		Dialer: s, Store: s, Promoter: s, Decode: fakeDecoder{class},
 		Keys: Keys{Config: "config", MembersPrefix: "members/", OwnPrefix: "own/"},
-	}, testLogger(), time.Now)
+	}
+	change(&ports)
+	h := NewHost(settings, ports, testLogger(), time.Now)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -405,7 +407,7 @@
 	t.Helper()
 	synctest.Test(t, func(*testing.T) {
 		s := newFakeSite("a", "b", "c")
-		h, stop := startHostDialing(s, dialer(s), "h1", class)
+		h, stop := startHostWith(s, "h1", class, func(p *Ports) { p.Dialer = dialer(s) })
 		defer time.Sleep(10 * time.Second) // lets the timers of promotions and store watches end
 		defer stop()
 		time.Sleep(3 * time.Second)
