A ReadyForQuery without a status fails the connection, not the process

A member's ReadyForQuery of length 4 was read as Body()[0]: "index out of range [0] with length 0" in the goroutine of the caller's session, which ends the whole process. The same in the reset of a connection and in the ledger's queries. Before: TestReadyWithoutStatusIsAnError panics at answer.go:150. Now the status must be one byte, I, T or E; otherwise the connection counts as failed, as after any unreadable answer.

--- a/io/postgres/frame.go
+++ b/io/postgres/frame.go
@@ -72,6 +72,17 @@
 // Body returns the message without its header.
 func (f Frame) Body() []byte { return f[HeaderSize:] }
 
+// ReadyStatus returns the transaction status in a ReadyForQuery message.
+func (f Frame) ReadyStatus() (byte, error) {
+	if body := f.Body(); len(body) == 1 {
+		switch status := body[0]; status {
+		case StatusIdle, StatusInTransaction, StatusFailed:
+			return status, nil
+		}
+	}
+	return 0, errors.Errorf("ReadyForQuery with status %q", f.Body())
+}
+
 // ReadFrame reads a message and appends it to buf. In the returned buffer, the
 // message starts at len(buf). On error, it returns buf unchanged.
 func ReadFrame(r *bufio.Reader, buf []byte) ([]byte, error) {
--- a/io/upstream/answer.go
+++ b/io/upstream/answer.go
@@ -147,7 +147,11 @@
 		}
 		switch frame.Type() {
 		case postgres.TypeReadyForQuery:
-			return x.handleReady(ctx, a, frame.Body()[0])
+			status, err := frame.ReadyStatus()
+			if err != nil {
+				return statement.Outcome{}, errors.Wrap(errConnFailed, err.Error())
+			}
+			return x.handleReady(ctx, a, status)
 		case postgres.TypeCopyInResponse:
 			return statement.Outcome{CopyIn: true}, nil
 		case postgres.TypeErrorResponse:
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -200,7 +200,8 @@
 				refusal = errors.Errorf("member %d answered SQLSTATE %s: %s", c.member, m.Code, m.Message)
 			}
 		case postgres.TypeReadyForQuery:
-			return f.Body()[0], refusal, nil
+			status, err := f.ReadyStatus()
+			return status, refusal, err
 		}
 	}
 }
--- a/io/upstream/ledger.go
+++ b/io/upstream/ledger.go
@@ -207,8 +207,8 @@
 				out.value, hasValue = string(row.Values[0]), true
 			}
 		case postgres.TypeReadyForQuery:
-			out.status = f.Body()[0]
-			return out, nil
+			out.status, err = f.ReadyStatus()
+			return out, err
 		}
 	}
 }
