A cancel request never reaches a connection that is back in the pool

pearlatch serve marked a connection as unusable after it had read which one the exchange uses, without a lock over both steps. If the exchange ended in between, the connection went back to the pool and was canceled all the same: the member would end the statement of the caller who used it next.

Now the connection is marked under the mutex that its release takes first, and a deadline that passes after the answer does nothing. The release closes a marked connection.

--- a/io/upstream/answer.go
+++ b/io/upstream/answer.go
@@ -106,9 +106,13 @@
 func (x *Exchange) enforceDeadline(ctx context.Context, u *statement.Unit) func() {
 	c := x.conn
 	stop := context.AfterFunc(ctx, func() { _ = c.net.SetDeadline(time.Unix(1, 0)) })
-	timeout := time.AfterFunc(time.Until(u.Deadline), func() { x.cancelAtDeadline(c) })
+	answered := false // guarded by x.mu
+	timeout := time.AfterFunc(time.Until(u.Deadline), func() { x.cancelAtDeadline(c, &answered) })
 	return func() {
 		timeout.Stop()
+		x.mu.Lock()
+		answered = true
+		x.mu.Unlock()
 		if !stop() {
 			// The connection now has a deadline in the past, which would fail the
 			// next exchange that uses it.
@@ -117,13 +121,22 @@
 	}
 }
 
-// cancelAtDeadline cancels a statement whose deadline has passed. Cancel marks the
-// connection unusable, so that the deadline set here affects no other exchange.
-func (x *Exchange) cancelAtDeadline(c *conn) {
+// cancelAtDeadline cancels a statement whose deadline has passed, unless it has been
+// answered meanwhile.
+func (x *Exchange) cancelAtDeadline(c *conn, answered *bool) {
+	x.mu.Lock()
+	if *answered {
+		x.mu.Unlock()
+		return
+	}
+	// Marked before the exchange can release it, so that the deadline and the cancel
+	// request affect no other exchange.
+	x.owner.pool.markUnusable(c)
 	_ = c.net.SetDeadline(time.Now().Add(deadlineCloseDelay))
+	x.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), deadlineCloseDelay)
 	defer cancel()
-	_ = x.Cancel(ctx)
+	_ = x.cancelOn(ctx, c)
 }
 
 // deadlineCloseDelay is the time between a statement's deadline and the I/O
--- a/io/upstream/exchange.go
+++ b/io/upstream/exchange.go
@@ -24,6 +24,7 @@
 	owner   *Owner
 	request *statement.Request
 
+	// mu is locked before pool.mu.
 	mu   sync.Mutex
 	conn *conn
 
@@ -202,10 +203,19 @@
 func (x *Exchange) Cancel(ctx context.Context) error {
 	x.mu.Lock()
 	c := x.conn
+	if c != nil {
+		// Under x.mu, so that the connection is marked before it is released.
+		x.owner.pool.markUnusable(c)
+	}
 	x.mu.Unlock()
 	if c == nil {
 		return nil
 	}
-	x.owner.pool.markUnusable(c)
+	return x.cancelOn(ctx, c)
+}
+
+// cancelOn sends the member a cancel request for the connection, which must have been
+// marked unusable.
+func (x *Exchange) cancelOn(ctx context.Context, c *conn) error {
 	return x.owner.pool.dialer.cancel(ctx, x.owner.options.Group.Members[c.member], c)
 }
