Callers without a password can't make pearlatch serve allocate by a length

Until a caller is authenticated, its messages were read without a bound on their length: five bytes, "p" and the length 512 MiB, made the process allocate 512 MiB (TestLongMessageBeforeAuthenticationIsRefused on the old code, memory profile: 524,288 kB in iobufpool.Get), and up to 2 GiB were possible, on each connection for StartupTimeout. Messages of the password exchange are now limited to 8 KiB; SCRAM's have a few hundred bytes. The startup packet was limited already, to 10,000 bytes.

--- a/io/postgres/auth.go
+++ b/io/postgres/auth.go
@@ -12,6 +12,9 @@
 	scramIterations = 4096
 	scramSaltSize   = 16
 	scramMechanism  = "SCRAM-SHA-256"
+	// maxAuthMessageSize is the size limit of a message from a caller that is not
+	// authenticated, in bytes. SCRAM messages have a few hundred.
+	maxAuthMessageSize = 8 << 10
 )
 
 // Verifier holds the SCRAM credentials with which a server checks a password
@@ -66,6 +69,8 @@
 }
 
 func exchangeSCRAM(backend *pgproto3.Backend, conv *scram.ServerConversation) error {
+	backend.SetMaxBodyLen(maxAuthMessageSize)
+	defer backend.SetMaxBodyLen(0)
 	backend.Send(&pgproto3.AuthenticationSASL{AuthMechanisms: []string{scramMechanism}})
 	first, err := receiveSASL[*pgproto3.SASLInitialResponse](backend, pgproto3.AuthTypeSASL)
 	if err != nil {
