A message's memory is allocated as it arrives, not by its length

postgres.ReadFrame allocated what the header of a message said, up to 64 MiB, before a byte of it had arrived: an authenticated caller of pearlatch serve, or a member, could take 64 MiB with five bytes on each connection (TestFramesWithWrongLengths on the old code: "at the limit", a capacity of 67,117,056 for nothing). Above 64 KiB the buffer now doubles with what has arrived. The other lengths of the table (negative, zero, too short, above the limit, cut off) were refused before, and messages in parts, with zero bytes and line ends, were read whole (TestFramesInParts): no change.

--- a/io/postgres/frame.go
+++ b/io/postgres/frame.go
@@ -95,13 +95,20 @@
 		return buf, errors.Errorf("message of type %q has length %d", header[0], size-1)
 	}
 	start := len(buf)
-	buf = grow(buf, size)
-	if _, err := io.ReadFull(r, buf[start:]); err != nil {
-		return buf[:start], err
+	for end := start + size; len(buf) < end; {
+		read := len(buf)
+		buf = grow(buf, min(end-read, max(minReadSize, read-start)))
+		if _, err := io.ReadFull(r, buf[read:]); err != nil {
+			return buf[:start], err
+		}
 	}
 	return buf, nil
 }
 
+// minReadSize is the size in bytes up to which a message is read at once. The space for
+// the rest of a longer one is allocated as it arrives.
+const minReadSize = 64 << 10
+
 // grow extends buf by n bytes.
 func grow(buf []byte, n int) []byte {
 	if cap(buf)-len(buf) >= n {
