--- a/io/postgres/frame.go
+++ b/io/postgres/frame.go
@@ -72,6 +72,17 @@
 // Body returns the message without its header.
 func (f Frame) Body() []byte { return f[HeaderSize:] }
 
+// ReadyStatus returns the transaction status in a ReadyForQuery message.
+func (f Frame) ReadyStatus() (byte, error) {
+	if body := f.Body(); len(body) == 1 {
+		switch status := body[0]; status {
+		case StatusIdle, StatusInTransaction, StatusFailed:
+			return status, nil
+		}
+	}
+	return 0, errors.Errorf("ReadyForQuery with status %q", f.Body())
+}
+
 // ReadFrame reads a message and appends it to buf. In the returned buffer, the
 // message starts at len(buf). On error, it returns buf unchanged.
 func ReadFrame(r *bufio.Reader, buf []byte) ([]byte, error) {
@@ -84,13 +95,20 @@
 		return buf, errors.Errorf("message of type %q has length %d", header[0], size-1)
 	}
 	start := len(buf)
-	buf = grow(buf, size)
-	if _, err := io.ReadFull(r, buf[start:]); err != nil {
-		return buf[:start], err
+	for end := start + size; len(buf) < end; {
+		read := len(buf)
+		buf = grow(buf, min(end-read, max(minReadSize, read-start)))
+		if _, err := io.ReadFull(r, buf[read:]); err != nil {
+			return buf[:start], err
+		}
 	}
 	return buf, nil
 }
 
+// minReadSize is the size in bytes up to which a message is read at once. The space for
+// the rest of a longer one is allocated as it arrives.
+const minReadSize = 64 << 10
+
 // grow extends buf by n bytes.
 func grow(buf []byte, n int) []byte {
 	if cap(buf)-len(buf) >= n {
