--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -124,7 +125,8 @@
 	case Deallocate:
 		reply = s.deallocate(st)
 	default:
-		reply = failureReply(Malformed, "not a statement")
+		unknown, _ := r.Statement.(Unknown)
+		reply = failureReply(Malformed, cmp.Or(unknown.Reason, "not a statement"))
 	}
 	reply.State = s.state
 	s.nameShutdown(reply.Failure)
--- a/internal/gateway/statement.go
+++ b/internal/gateway/statement.go
@@ -35,7 +35,10 @@
 	// Deallocate removes a prepared statement from the caller's session.
 	Deallocate struct{ Name string }
 	// Unknown is any other statement.
-	Unknown struct{}
+	Unknown struct {
+		// Reason says why a statement is refused that is one by its text. It is empty for other texts.
+		Reason string
+	}
 )
 
 func (Begin) isStatement()      {}
