--- a/internal/eventlog/logger_test.go
+++ b/internal/eventlog/logger_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"encoding/json"
+	"errors"
 	"io"
 	"strings"
 	"sync"
@@ -79,3 +81,16 @@
 		}
 	})
 }
+
+// Guards against a text of a caller that ends a log line, so that the rest of it looks like a line of the host.
+func TestTextWithLineEndIsOneLine(t *testing.T) {
+	var out syncBuffer
+	l := New(&out, time.Now)
+	if err := l.Log(EventField, "e", "request", "x\r\n{\"event\":\"y\"}\x00\xff\u2028", "a\nb", errors.New("x\ny")); err != nil {
+		t.Fatal(err)
+	}
+	l.Close()
+	if got := out.String(); strings.Count(got, "\n") != 1 || !json.Valid([]byte(got)) {
+		t.Errorf("logged %q, want one line", got)
+	}
+}
--- a/io/peer/gateway_codec_test.go
+++ b/io/peer/gateway_codec_test.go
@@ -152,6 +152,32 @@
 	}
 }
 
+// Guards against a text of a caller or member that reaches it changed by way of another host.
+func TestTextsOfAnyBytesRoundTrip(t *testing.T) {
+	text := "x\nQUERY 9 WRITE k y\r\n\r "
+	for b := range 256 {
+		text += string([]byte{byte(b)})
+	}
+	for in, out := range map[message]message{
+		&peerRequestMessage{PeerRequest: gateway.PeerRequest{
+			Group: text, Database: text, Account: text, Values: map[string]string{text: text}, Prepared: &gateway.PreparedStatement{Text: text},
+			Route:   gateway.Route{Name: text, Class: freshness.Latest{}},
+			Request: gateway.Request{ID: text, Text: text, Statement: gateway.Execute{Name: text, Arguments: text}},
+		}}: &peerRequestMessage{},
+		&peerReplyMessage{Reply: gateway.Reply{
+			Rows: []string{text, "", text}, Signature: text, Failure: &gateway.Failure{Detail: text},
+		}}: &peerReplyMessage{},
+	} {
+		encoded, err := encoding{}.Marshal(in)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := (encoding{}).Unmarshal(encoded, out); err != nil || !reflect.DeepEqual(in, out) {
+			t.Errorf("%T is decoded as %+v, %v; want %+v", in, out, err, in)
+		}
+	}
+}
+
 func TestStatementsRoundTrip(t *testing.T) {
 	for _, s := range []gateway.Statement{
 		gateway.Read{}, gateway.Write{}, gateway.Execute{Name: "n", Arguments: "a b"}, gateway.Commit{}, gateway.Rollback{},
