Soak: members that answer twice, texts with line feeds, and what members ran compared with what callers sent

Users saw MIXED (members may answer twice) and UNASKED (a WRITE with a line feed ran in part); the soak saw neither, since no stand-in answered twice, callers sent letters only, and both sides shared one reader.

Members and callers of the soak use platformtest. New fault repeat_answers, drawn from a random stream of its own: schedules of earlier seeds keep their faults, and two in three of those with unplanned faults get one or two more. TestSeedsWithStoreRestores plays its schedules without them, as before. repeated_answers and unusual_texts in a site file apply throughout a run.

The history keeps digests of the text, the session's values and the transaction of each statement that callers send. Members compare: another text or no such statement is UNASKED, other values or another transaction PINNED, with the last messages of the connection. Callers compare whole rows, of writes too, and signatures of commits without writes; an answer that isn't the protocol's, or that no request asked for, is MIXED. Members answer statements in a failed transaction and unknown prepared statements as the protocol has it. Some writes run by prepared statements.

--- a/internal/site/member.go
+++ b/internal/site/member.go
@@ -41,6 +41,9 @@
 	work float64
 	// lose is the share of answers that get lost.
 	lose float64
+	// repeat is the share of answers that are sent again, those to START only if repeatStart is true.
+	repeat      float64
+	repeatStart bool
 
 	sessions  map[*session]bool
 	executing int
--- a/internal/site/session.go
+++ b/internal/site/session.go
@@ -12,6 +12,7 @@
 	"pearlatch/core/group"
 	"pearlatch/internal/gateway"
 	"pearlatch/platform"
+	"pearlatch/platform/platformtest"
 )
 
 // session is a connection to a member.
@@ -23,17 +24,23 @@
 	// readOnly tells the transaction's kind, and owner whose it is.
 	readOnly bool
 	owner    string
+	// transaction is the request that began the caller's transaction, once a statement has run in it.
+	transaction string
 	// writes holds the requests that wrote in the transaction.
 	writes []string
 	// long is true once the transaction has used LongItem.
 	long   bool
 	values map[string]string
 	shapes map[string]gateway.PreparedStatement
+	// recent holds the latest messages and answers, shortened, the newest last.
+	recent []string
 }
 
 var (
-	_ platform.MemberServer  = (*Member)(nil)
-	_ platform.MemberSession = (*session)(nil)
+	_ platform.MemberServer   = (*Member)(nil)
+	_ platform.MemberSession  = (*session)(nil)
+	_ platformtest.Recorder   = (*session)(nil)
+	_ platformtest.Positioned = (*session)(nil)
 )
 
 // errBroken ends a connection without an answer.
@@ -113,6 +120,10 @@
 func (s *session) run(c gateway.Command) (gateway.Reply, error) {
 	switch c := c.(type) {
 	case gateway.RunStatement:
+		if d, ok := c.Request.Statement.(gateway.Deallocate); ok {
+			s.member.change(func() { delete(s.shapes, d.Name) })
+			return gateway.Reply{}, nil
+		}
 		return s.forward(c)
 	case gateway.OpenTransaction:
 		return s.open(c), nil
@@ -121,7 +132,7 @@
 	defer s.member.group.mu.Unlock()
 	switch c := c.(type) {
 	case gateway.Abort:
-		s.state, s.owner, s.writes = gateway.Idle, "", nil
+		s.endTransaction()
 	case gateway.Assign:
 		s.values[c.Name] = c.Value
 	case gateway.Define:
@@ -142,15 +153,23 @@
 	m.group.mu.Lock()
 	defer m.group.mu.Unlock()
 	switch applied := m.catchUp(time.Now()); {
+	case s.state != gateway.Idle:
+		return refuse(gateway.Malformed, "a transaction is open")
 	case !o.ReadOnly && !m.leads:
 		return refuse(gateway.NotPrimary, m.id)
 	case o.After.Compare(applied) > 0:
 		return refuse(gateway.Lagging, m.id)
 	}
-	s.state, s.readOnly, s.owner, s.writes, s.long = gateway.InTransaction, o.ReadOnly, "", nil, false
+	s.endTransaction()
+	s.state, s.readOnly, s.long = gateway.InTransaction, o.ReadOnly, false
 	return gateway.Reply{}
 }
 
+// endTransaction ends the transaction, if any. The group's mu must be held.
+func (s *session) endTransaction() {
+	s.state, s.owner, s.transaction, s.writes = gateway.Idle, "", "", nil
+}
+
 // forward runs a caller's statement.
 func (s *session) forward(f gateway.RunStatement) (gateway.Reply, error) {
 	m := s.member
@@ -194,24 +213,35 @@
 	defer m.group.mu.Unlock()
 	caller, _, _ := strings.Cut(f.Request.ID, "-")
 	site.history.receive(f.Request.ID)
-	if !site.history.issued(f.Request.ID) {
-		site.history.Broken("UNASKED: member %s got %q, which no caller sent", m.id, f.Request.ID)
-	}
+	s.checkAsked(f)
 	if s.state == gateway.InTransaction {
 		if s.owner != "" && s.owner != caller {
 			site.history.Broken("PINNED: request %s came inside a transaction of %s on member %s", f.Request.ID, s.owner, m.id)
 		}
 		s.owner = caller
 	}
+	_, ends := f.Request.Statement.(gateway.Commit)
 	switch {
+	case s.state == gateway.InFailedTransaction && ends:
+		s.endTransaction()
+		return &gateway.Failure{Code: gateway.Aborted, Detail: m.id}
+	case s.state == gateway.InFailedTransaction || f.Request.Statement == gateway.Statement(gateway.Unknown{}):
+		return &gateway.Failure{Code: gateway.Malformed, Detail: m.id}
 	case f.After.Compare(m.catchUp(time.Now())) > 0:
 		return &gateway.Failure{Code: gateway.Lagging, Detail: m.id}
+	case f.Name != "" && !s.prepared(f.Name):
+		return &gateway.Failure{Code: gateway.UnknownPrepared, Detail: f.Name}
 	case !m.leads && s.needsPrimary(f):
 		return &gateway.Failure{Code: gateway.NotPrimary, Detail: m.id}
 	}
 	return nil
 }
 
+func (s *session) prepared(name string) bool {
+	_, ok := s.shapes[name]
+	return ok
+}
+
 // needsPrimary reports whether only the primary may run the statement.
 func (s *session) needsPrimary(f gateway.RunStatement) bool {
 	if s.state == gateway.InTransaction {
@@ -273,6 +303,7 @@
 	if !m.leads && s.needsPrimary(f) {
 		return refuse(gateway.NotPrimary, m.id), nil
 	}
+	s.checkSession(f)
 	if _, ends := f.Request.Statement.(gateway.Commit); ends {
 		return s.commit(f.Request.ID)
 	}
@@ -287,15 +318,16 @@
 }
 
 // row tells what the connection held as the statement ran.
-func (s *session) row(f gateway.RunStatement) string {
+func (s *session) row(f gateway.RunStatement) string { return Row(s.values, s.shapes[f.Name].Text) }
+
+// Row returns the row that statements return in a session with the values, by name, and the shape of the prepared statement,
+// if any.
+func Row(values map[string]string, shape string) string {
 	var b strings.Builder
-	for _, name := range slices.Sorted(maps.Keys(s.values)) {
-		fmt.Fprintf(&b, "%s=%s;", name, s.values[name])
-	}
-	if f.Name != "" {
-		b.WriteString(s.shapes[f.Name].Text)
+	for _, name := range slices.Sorted(maps.Keys(values)) {
+		b.WriteString(name + "=" + values[name] + ";")
 	}
-	return b.String()
+	return b.String() + shape
 }
 
 // commit ends the transaction, or the single write, and waits until a replica has received it. The
@@ -303,7 +335,7 @@
 func (s *session) commit(request string) (gateway.Reply, error) {
 	m, g := s.member, s.member.group
 	writes := s.writes
-	s.state, s.owner, s.writes = gateway.Idle, "", nil
+	s.endTransaction()
 	if len(writes) == 0 {
 		return gateway.Reply{Signature: sign(request, m.id, m.catchUp(time.Now()))}, nil
 	}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -16,6 +16,7 @@
 	"pearlatch/internal/gateway"
 	"pearlatch/internal/pause"
 	"pearlatch/platform"
+	"pearlatch/platform/platformtest"
 )
 
 // Options describe a site. DefaultOptions is a start.
@@ -38,6 +39,8 @@
 	EntryLapse, Replace time.Duration
 	// ChecksTokens is true if promotions with an older fencing token are refused.
 	ChecksTokens bool
+	// RepeatedAnswers is the share of their answers that all members send again later, at any time.
+	RepeatedAnswers float64
 }
 
 // DefaultOptions returns a small site: six hosts in three zones before two groups.
@@ -182,12 +185,13 @@
 }
 
 func acceptFor(lis net.Listener, m *Member) {
+	server := &platformtest.Server{Member: m, Deliver: m.deliver, Malformed: m.reportMalformed}
 	for {
 		nc, err := lis.Accept()
 		if err != nil {
 			return
 		}
-		go platform.ServeMember(nc, m)
+		go server.Serve(nc)
 	}
 }
 
--- a/internal/soak/await.go
+++ b/internal/soak/await.go
@@ -8,7 +8,7 @@
 
 	"pearlatch/core/freshness"
 	"pearlatch/internal/pause"
-	"pearlatch/platform"
+	"pearlatch/platform/platformtest"
 )
 
 // awaitServing waits until each host has served a read of each database, and a write where callers of the
@@ -45,7 +45,7 @@
 func (r *run) serves(ctx context.Context, host int, d database, name string) bool {
 	dialCtx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
-	conn, err := platform.DialCaller(dialCtx, r.site.Callers(host), d.name, name)
+	conn, err := platformtest.Dial(dialCtx, r.site.Callers(host), d.name, name)
 	if err != nil {
 		pause.For(ctx, pollInterval)
 		return false
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -4,17 +4,16 @@
 	"context"
 	"errors"
 	"fmt"
-	"maps"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"time"
 
 	"pearlatch/core/freshness"
 	"pearlatch/core/group"
 	"pearlatch/internal/gateway"
 	"pearlatch/internal/pause"
-	"pearlatch/platform"
+	"pearlatch/internal/site"
+	"pearlatch/platform/platformtest"
 )
 
 const (
@@ -39,15 +38,20 @@
 	class    freshness.Class
 	ledger   *ledger
 	random   *rand.Rand
+	texts    textSource
 
 	serial int
 	// conn is the current session or nil, host the index of its host, and incarnation the one of the host's process.
-	conn              *platform.CallerConn
+	conn              *platformtest.Caller
 	host, incarnation int
 	// values holds the settings of the session, and prepared the texts of its prepared statements, both by name.
 	values    map[string]string
 	prepared  map[string]string
 	lastWrite group.Position
+	// transactionID is the request that began the open transaction, or empty. inFirst is true until one of its statements
+	// was served.
+	transactionID string
+	inFirst       bool
 	// ignoresNotices is true if the caller sends statements of an open transaction without looking for the end of its
 	// session before.
 	ignoresNotices bool
@@ -76,11 +80,12 @@
 	c.incarnation, _ = c.run.processes[c.host].current()
 	dialCtx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
-	conn, err := platform.DialCaller(dialCtx, c.run.site.Callers(c.host), c.database, c.name)
+	conn, err := platformtest.Dial(dialCtx, c.run.site.Callers(c.host), c.database, c.name)
 	if err != nil {
 		return false
 	}
 	c.conn, c.values, c.prepared, c.lastWrite = conn, map[string]string{}, map[string]string{}, group.Position{}
+	c.transactionID = ""
 	return true
 }
 
@@ -91,12 +96,14 @@
 	}
 }
 
-// nextID returns the identifier of the next request, after recording it in the site's history as issued.
-func (c *caller) nextID() string {
-	c.serial++
-	id := fmt.Sprintf("%s-%d", c.name, c.serial)
-	c.run.site.History().Issue(id)
-	return id
+// terminated reports whether the session has ended while it was idle. What the host has sent without a request, other than a
+// notice of the end, is a finding.
+func (c *caller) terminated() bool {
+	ended := c.conn.Terminated()
+	if unasked := c.conn.Unasked(); unasked != "" {
+		c.run.site.History().Broken("MIXED: host %d sent %.*q after the answer to request %s-%d", c.host, maxQuoted, unasked, c.name, c.serial)
+	}
+	return ended
 }
 
 // answer is the outcome of a request: the reply of the host, or the error if there is none.
@@ -125,18 +132,36 @@
 
 // execute sends a statement and waits for its answer.
 func (c *caller) execute(text string) answer {
-	a := answer{id: c.nextID(), began: time.Now()}
+	return c.send(text, site.Statement{Text: text, Held: c.expectedRow("")})
+}
+
+// executePrepared runs a prepared statement with arguments.
+func (c *caller) executePrepared(name, arguments string) answer {
+	s := site.Statement{Text: arguments, Prepared: true, Held: c.expectedRow(c.prepared[name])}
+	return c.send("EXEC "+name+" "+arguments, s)
+}
+
+// send sends a statement, after recording it in the site's history, and waits for its answer.
+func (c *caller) send(text string, s site.Statement) answer {
+	c.serial++
+	a := answer{id: fmt.Sprintf("%s-%d", c.name, c.serial), began: time.Now()}
+	s.Transaction, s.First = c.transactionID, c.inFirst
+	c.run.site.History().Ask(a.id, s)
 	a.reply, a.err = c.conn.Do(statementTimeout, a.id, text)
 	if a.err != nil {
 		a.ended = time.Now()
 		c.run.recordInterrupted(c, a)
 	}
+	var malformed *platformtest.ProtocolError
+	if errors.As(a.err, &malformed) {
+		c.run.site.History().Broken("MIXED: request %s: %v", a.id, a.err)
+	}
 	return a
 }
 
 // runOperation runs a random operation. It returns false if the session can't be used any further.
 func (c *caller) runOperation() bool {
-	if c.conn.Terminated() {
+	if c.terminated() {
 		return false
 	}
 	var ok bool
@@ -162,37 +187,38 @@
 // changeSessionState sets a value in the session, or prepares a statement.
 func (c *caller) changeSessionState() bool {
 	if c.random.IntN(2) == 0 {
-		value := fmt.Sprint(c.name, ".", c.serial)
+		value := c.texts.next(fmt.Sprint(c.name, ".", c.serial))
 		if !c.execute("SET tz " + value).served() {
 			return false
 		}
 		c.values["tz"] = value
 		return true
 	}
-	shape := fmt.Sprint("shape-", c.random.IntN(3))
-	if !c.execute("PREPARE s1 READ " + shape).served() {
+	return c.prepare("s1", "READ", fmt.Sprint("shape-", c.random.IntN(3)))
+}
+
+// prepare prepares a statement with the shape or an unusual one. The kind is READ or WRITE.
+func (c *caller) prepare(name, kind, shape string) bool {
+	shape = c.texts.next(shape)
+	if !c.execute("PREPARE " + name + " " + kind + " " + shape).served() {
 		return false
 	}
-	c.prepared["s1"] = shape
+	c.prepared[name] = shape
 	return true
 }
 
 // expectedRow returns the row that a read must return in this session.
-func (c *caller) expectedRow(shape string) string {
-	var b strings.Builder
-	for _, name := range slices.Sorted(maps.Keys(c.values)) {
-		b.WriteString(name + "=" + c.values[name] + ";")
-	}
-	return b.String() + shape
-}
+func (c *caller) expectedRow(shape string) string { return site.Row(c.values, shape) }
 
 // read runs a read, in half of the cases by a prepared statement if there is one.
 func (c *caller) read() bool {
-	text, shape := "READ 1a", ""
-	if s, ok := c.prepared["s1"]; ok && c.random.IntN(2) == 0 {
-		text, shape = "EXEC s1 1a", s
+	var a answer
+	shape, ok := c.prepared["s1"]
+	if ok = ok && c.random.IntN(2) == 0; ok {
+		a = c.executePrepared("s1", "1a"+c.texts.next(""))
+	} else {
+		shape, a = "", c.execute("READ 1a"+c.texts.next(""))
 	}
-	a := c.execute(text)
 	c.run.countOutcome(a)
 	if a.served() {
 		c.checkRead(a, a.began, shape)
@@ -203,39 +229,67 @@
 // checkRead checks that the answer belongs to the read and to this session, and that the member had applied the
 // log up to the position that the freshness class requires. began is when the read, or its transaction, began.
 func (c *caller) checkRead(a answer, began time.Time, shape string) {
-	h := c.run.site.History()
-	e, ok := parseSignature(a.reply.Signature)
-	if !ok || e.request != a.id {
-		h.Broken("MIXED: request %s got the answer %q", a.id, a.reply.Signature)
+	e, ok := c.checkSignature(a)
+	if !ok {
 		return
 	}
-	if want := c.expectedRow(shape); len(a.reply.Rows) != 1 || a.reply.Rows[0] != want {
-		h.Broken("MIXED: request %s got %q, its session holds %q", a.id, a.reply.Rows, want)
-	}
+	c.checkRows(a, c.expectedRow(shape))
 	if required := c.ledger.requiredPosition(c.class, began, c.lastWrite); e.position.Compare(required) < 0 {
-		h.Broken("STALE: request %s (%s), begun at %s, read a log up to %s that lacks %s",
+		c.run.site.History().Broken("STALE: request %s (%s), begun at %s, read a log up to %s that lacks %s",
 			a.id, c.class, began.Format(time.StampMilli), e.position, required)
 	}
 }
 
-// write runs a single write.
+// maxQuoted bounds how much of a text a finding quotes, in bytes.
+const maxQuoted = 120
+
+// checkSignature checks that a member has signed the answer to this request, and returns what it signed. It returns false if
+// not.
+func (c *caller) checkSignature(a answer) (execution, bool) {
+	e, ok := parseSignature(a.reply.Signature)
+	if !ok || e.request != a.id {
+		c.run.site.History().Broken("MIXED: request %s got the answer %.*q", a.id, maxQuoted, a.reply.Signature)
+		return execution{}, false
+	}
+	return e, true
+}
+
+// checkRows checks that the answer has exactly these rows.
+func (c *caller) checkRows(a answer, want ...string) {
+	if !slices.Equal(a.reply.Rows, want) {
+		c.run.site.History().Broken("MIXED: request %s got the rows %.*q, want %.*q", a.id, maxQuoted, a.reply.Rows, maxQuoted, want)
+	}
+}
+
+// write runs a single write, sometimes by a prepared statement.
 func (c *caller) write() bool {
-	a := c.execute("WRITE 1a " + c.name)
+	data := "1a " + c.texts.next(c.name)
+	var a answer
+	if c.texts.random.IntN(4) > 0 {
+		a = c.execute("WRITE " + data)
+	} else {
+		if _, ok := c.prepared["s2"]; !ok && !c.prepare("s2", "WRITE", "shape-w") {
+			return false
+		}
+		a = c.executePrepared("s2", data)
+	}
 	c.run.countOutcome(a)
+	if a.served() {
+		c.checkRows(a)
+	}
 	c.recordOutcome(a, []string{a.id})
 	return a.err == nil
 }
 
-// recordOutcome records in the ledger what the answer says of writes, the requests with the given identifiers. Without
-// a definite answer it records nothing.
+// recordOutcome records in the ledger what the answer to a write or commit says of writes, the requests with the given
+// identifiers. Without a definite answer it records nothing.
 func (c *caller) recordOutcome(a answer, writes []string) {
 	switch {
 	case a.refused():
 		c.ledger.recordRefused(writes)
-	case a.served() && len(writes) > 0:
-		e, ok := parseSignature(a.reply.Signature)
-		if !ok || e.request != a.id {
-			c.run.site.History().Broken("MIXED: request %s got the answer %q", a.id, a.reply.Signature)
+	case a.served():
+		e, ok := c.checkSignature(a)
+		if !ok || len(writes) == 0 {
 			return
 		}
 		c.ledger.recordAcknowledged(writes, e.position)
@@ -245,18 +299,25 @@
 	}
 }
 
-// begin begins a transaction, a read-only one if callers of the database don't write.
+// begin begins a transaction, a read-only one if callers of the database don't write. It is the caller's transaction until
+// endTransaction is called.
 func (c *caller) begin() answer {
+	text := "BEGIN"
 	if !c.writes() {
-		return c.execute("BEGIN READ")
+		text = "BEGIN READ"
 	}
-	return c.execute("BEGIN")
+	a := c.execute(text)
+	c.transactionID, c.inFirst = a.id, true
+	return a
 }
 
+func (c *caller) endTransaction() { c.transactionID, c.inFirst = "", false }
+
 // transaction runs a transaction. Some are rolled back, and some are abandoned by closing the session. It returns
 // false if the session can't be used any further.
 func (c *caller) transaction() bool {
 	first := c.begin()
+	defer c.endTransaction()
 	if !first.served() {
 		return first.err == nil
 	}
@@ -297,12 +358,18 @@
 // of a write to writes. It reports whether the statement was served.
 func (c *caller) statementOn(item string, began time.Time, writes *[]string) (answer, bool) {
 	if c.writes() && c.random.IntN(3) == 0 {
-		a := c.execute("WRITE " + item + " " + c.name)
+		a := c.execute("WRITE " + item + " " + c.texts.next(c.name))
 		*writes = append(*writes, a.id)
+		if a.served() {
+			c.inFirst = false
+			c.checkSignature(a)
+			c.checkRows(a, c.expectedRow(""))
+		}
 		return a, a.served()
 	}
 	a := c.execute("READ " + item)
 	if a.served() {
+		c.inFirst = false
 		c.checkRead(a, began, "")
 	}
 	return a, a.served()
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -63,6 +64,8 @@
 	LateOrders
 	// StoreRestored restores the store from an older copy, after a short outage.
 	StoreRestored
+	// RepeatAnswers makes a member, or all members of a group, send a share of their answers again later.
+	RepeatAnswers
 	kinds
 )
 
@@ -82,7 +85,7 @@
 func (f Fault) newRand() *rand.Rand { return rand.New(rand.NewPCG(f.Seed, uint64(f.Kind))) }
 
 const (
-	// minFaults and maxFaults bound the number of faults of a schedule, restores of the store not included.
+	// minFaults and maxFaults bound the number of faults of a schedule, restores of the store and repeated answers not included.
 	minFaults, maxFaults = 2, 8
 	// minFaultDuration and maxFaultDuration bound how long a fault lasts: from less than a lease on a primary
 	// to more than a coordinator lease.
@@ -90,8 +93,29 @@
 )
 
 // Schedule returns the faults of a seed, all of which begin within the given duration. In some schedules the store is
-// restored from an older copy, up to maxRestores times. One in shutdownScheduleInterval has planned operations only.
+// restored from an older copy, up to maxRestores times, and members repeat answers, up to maxRepeats times. One in
+// shutdownScheduleInterval has planned operations only.
 func Schedule(seed uint64, within time.Duration) []Fault {
+	faults := scheduleWithoutRepeats(seed, within)
+	if onlyPlanned(faults) {
+		return faults
+	}
+	random := rand.New(rand.NewPCG(seed, 4))
+	for range random.IntN(maxRepeats + 1) {
+		faults = append(faults, randomFault(random, RepeatAnswers, within))
+	}
+	return faults
+}
+
+// maxRepeats bounds how often members repeat answers in a schedule.
+const maxRepeats = 2
+
+func onlyPlanned(faults []Fault) bool {
+	return !slices.ContainsFunc(faults, func(f Fault) bool { return !f.Kind.planned() })
+}
+
+// scheduleWithoutRepeats returns the faults of a seed in which members answer once.
+func scheduleWithoutRepeats(seed uint64, within time.Duration) []Fault {
 	if planned := rand.New(rand.NewPCG(seed, 3)); planned.IntN(shutdownScheduleInterval) == 0 {
 		return shutdownSchedule(planned, within)
 	}
@@ -131,7 +155,7 @@
 	return faults
 }
 
-// randomFault returns a fault of the kind k, or of a random kind other than StoreRestored if k is kinds.
+// randomFault returns a fault of the kind k, or of a random kind before StoreRestored if k is kinds.
 func randomFault(random *rand.Rand, k Kind, within time.Duration) Fault {
 	duration := minFaultDuration + time.Duration(random.Int64N(int64(maxFaultDuration-minFaultDuration)))
 	if k == kinds {
--- a/internal/soak/file.go
+++ b/internal/soak/file.go
@@ -63,6 +63,12 @@
 	s.Work = m.Duration("work", s.Work)
 	s.OpenTime = m.Duration("open_time", s.OpenTime)
 	s.PromoteTime = m.Duration("promote_time", s.PromoteTime)
+	if m.Has("repeated_answers") {
+		s.RepeatedAnswers = m.Float("repeated_answers", 1)
+	}
+	if m.Has("unusual_texts") {
+		o.UnusualTexts = m.Float("unusual_texts", 1)
+	}
 	if m.Has("checks_tokens") {
 		s.ChecksTokens = m.Bool("checks_tokens")
 	}
@@ -142,6 +148,7 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "seed: %d\nhosts: %d\navailability_zones: %d\ngroups: %d\nconnections: %d\nslots: %d\nchecks_tokens: %v\ncallers: %d\n",
 		p.Seed, s.Hosts, s.Zones, s.Groups, s.Connections, s.Slots, s.ChecksTokens, p.Options.Callers)
+	fmt.Fprintf(&b, "repeated_answers: %g\nunusual_texts: %g\n", s.RepeatedAnswers, p.Options.UnusualTexts)
 	if len(p.Faults) > 0 {
 		b.WriteString("faults:\n")
 	}
--- a/internal/soak/file_test.go
+++ b/internal/soak/file_test.go
@@ -13,7 +13,7 @@
 // A saved plan must parse to the same plan, so that a run can be repeated from its file.
 func TestPlanRoundTrip(t *testing.T) {
 	o := DefaultOptions()
-	o.Site.Hosts, o.Site.ChecksTokens, o.Callers = 9, false, 3
+	o.Site.Hosts, o.Site.ChecksTokens, o.Site.RepeatedAnswers, o.Callers, o.UnusualTexts = 9, false, 0.25, 3, 0
 	p := &Plan{Options: o, Seed: 7, Faults: Schedule(7, o.Faults)}
 	got, err := ParsePlan([]byte(p.Format()))
 	if err != nil {
--- a/internal/soak/flaw_test.go
+++ b/internal/soak/flaw_test.go
@@ -27,6 +27,8 @@
 	"lost answers are refusals":             flawedConns(func(c gateway.Conn) gateway.Conn { return falseRefusalConn{c} }),
 	"values are changed":                    flawedConns(func(c gateway.Conn) gateway.Conn { return changedValueConn{c} }),
 	"requests are renamed":                  flawedConns(func(c gateway.Conn) gateway.Conn { return renamedRequestConn{c} }),
+	"rows of the answer before are used":    flawedConns(func(c gateway.Conn) gateway.Conn { return &lateRowsConn{Conn: c} }),
+	"texts are cut at line feeds":           flawedConns(func(c gateway.Conn) gateway.Conn { return cutTextConn{c} }),
 	"callers share connections":             shareConns,
 	"another member is promoted":            func(p *gateway.Ports) { p.Promoter = wrongPromoter{p.Promoter, p.Store} },
 	"older configurations are used":         func(p *gateway.Ports) { p.Decode = &staleConfigDecoder{Decoder: p.Decode} },
@@ -57,6 +59,8 @@
 		{"lost answers are refusals", "REFUSED", []Fault{{Kind: LoseAnswers, For: 3 * time.Second, Seed: 1}, {Kind: LoseAnswers, For: 3 * time.Second, Seed: 5}}, 0},
 		{"values are changed", "MIXED", nil, 0},
 		{"requests are renamed", "UNASKED", nil, 0},
+		{"rows of the answer before are used", "MIXED", nil, 0},
+		{"texts are cut at line feeds", "UNASKED", nil, 0},
 		{"callers share connections", "PINNED", nil, 0},
 		{"another member is promoted", "LOST", []Fault{{Kind: DeafenMember, For: 7 * time.Second, Seed: deafReplicaSeed}, {Kind: CrashMember, At: time.Second, For: 5 * time.Second, Seed: crashedPrimarySeed}}, 0},
 		{"older configurations are used", "CONFIG", []Fault{{Kind: Configure, Seed: oddChangesSeed}}, 0},
@@ -107,12 +111,14 @@
 // playFlaw runs a soak with the faults on a small site whose hosts have a flaw, and returns the findings.
 func playFlaw(t *testing.T, flaw string, faults []Fault, work time.Duration) []string {
 	t.Helper()
-	o := DefaultOptions()
+	o := testOptions(t)
 	o.Site.Hosts, o.Site.Groups, o.Recovery = 3, 1, 5*time.Second
 	if work > 0 {
 		o.Site.Work = work
 	}
-	o.Program, o.Folder = []string{os.Args[0]}, t.TempDir()
+	if flaw == "texts are cut at line feeds" {
+		o.UnusualTexts = DefaultOptions().UnusualTexts
+	}
 	o.Environment = []string{flawVariable + "=" + flaw}
 	r, err := Run(context.Background(), o, 1, faults)
 	if err != nil {
@@ -205,6 +211,29 @@
 	return c.Conn.Do(timeout, mapStatements(commands, func(s *gateway.RunStatement) { s.Request.ID += "x" })...)
 }
 
+// lateRowsConn returns with each answer the rows of the one before.
+type lateRowsConn struct {
+	gateway.Conn
+	rows []string
+}
+
+func (c *lateRowsConn) Do(timeout time.Duration, commands ...gateway.Command) ([]gateway.Reply, error) {
+	replies, err := c.Conn.Do(timeout, commands...)
+	for i := range replies {
+		replies[i].Rows, c.rows = c.rows, replies[i].Rows
+	}
+	return replies, err
+}
+
+// cutTextConn cuts the texts of statements at the first line feed.
+type cutTextConn struct{ gateway.Conn }
+
+func (c cutTextConn) Do(timeout time.Duration, commands ...gateway.Command) ([]gateway.Reply, error) {
+	return c.Conn.Do(timeout, mapStatements(commands, func(s *gateway.RunStatement) {
+		s.Request.Text, _, _ = strings.Cut(s.Request.Text, "\n")
+	})...)
+}
+
 // shareConns makes a host use one connection to a member for several callers at a time.
 func shareConns(p *gateway.Ports) {
 	p.Dialer = &sharingDialer{Dialer: p.Dialer, spare: map[string]*sharedConn{}}
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -174,6 +174,8 @@
 	case LoseAnswers:
 		m.SetLose(0.02 + 0.3*random.Float64())
 		return func() { m.SetLose(0) }
+	case RepeatAnswers:
+		return startRepeats(g, m, random)
 	case LateOrders:
 		g.SetLate(time.Duration(1+random.IntN(5)) * time.Second)
 		return func() { g.SetLate(0) }
@@ -183,6 +185,30 @@
 	return func() {}
 }
 
+// usualRepeatShare is the share of answers that are repeated in most faults, and maxRepeatShare bounds it in the others.
+const usualRepeatShare, maxRepeatShare = 0.05, 0.5
+
+// startRepeats makes a member, or all members of its group, repeat answers, and returns the function that ends it.
+func startRepeats(g *site.Group, m *site.Member, random *rand.Rand) (end func()) {
+	members := []*site.Member{m}
+	if random.IntN(2) == 0 {
+		members = g.Members()
+	}
+	share := usualRepeatShare
+	if random.IntN(3) == 0 {
+		share = maxRepeatShare * random.Float64()
+	}
+	start := random.IntN(2) == 0
+	for _, m := range members {
+		m.SetRepeat(share, start)
+	}
+	return func() {
+		for _, m := range members {
+			m.SetRepeat(0, false)
+		}
+	}
+}
+
 const (
 	// defaultLag is the apply lag of replicas without a fault.
 	defaultLag = 10 * time.Millisecond
--- a/internal/soak/kind_string.go
+++ b/internal/soak/kind_string.go
@@ -33,12 +33,13 @@
 	_ = x[StoreForgets-22]
 	_ = x[LateOrders-23]
 	_ = x[StoreRestored-24]
-	_ = x[kinds-25]
+	_ = x[RepeatAnswers-25]
+	_ = x[kinds-26]
 }
 
-const _Kind_name = "StopHostStopHostsInTurnReloadLeaveMemberConfigureKillHostKillHostsFreezeHostCutHostDelayHostResetHostCrashMemberWipeMemberDarkenMemberCutMemberDeafenMemberLagMemberSlowMemberLoseAnswersStoreAwayStoreTurnsAwayStoreSlowStoreForgetsLateOrdersStoreRestoredkinds"
+const _Kind_name = "StopHostStopHostsInTurnReloadLeaveMemberConfigureKillHostKillHostsFreezeHostCutHostDelayHostResetHostCrashMemberWipeMemberDarkenMemberCutMemberDeafenMemberLagMemberSlowMemberLoseAnswersStoreAwayStoreTurnsAwayStoreSlowStoreForgetsLateOrdersStoreRestoredRepeatAnswerskinds"
 
-var _Kind_index = [...]uint16{0, 8, 23, 29, 40, 49, 57, 66, 76, 83, 92, 101, 112, 122, 134, 143, 155, 164, 174, 185, 194, 208, 217, 229, 239, 252, 257}
+var _Kind_index = [...]uint16{0, 8, 23, 29, 40, 49, 57, 66, 76, 83, 92, 101, 112, 122, 134, 143, 155, 164, 174, 185, 194, 208, 217, 229, 239, 252, 265, 270}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/internal/soak/long_transaction.go
+++ b/internal/soak/long_transaction.go
@@ -24,7 +24,7 @@
 		if c.conn == nil && !c.open(ctx) {
 			continue
 		}
-		if c.conn.Terminated() || !c.longTransaction(ctx) {
+		if c.terminated() || !c.longTransaction(ctx) {
 			c.close()
 		}
 	}
@@ -35,6 +35,7 @@
 // further.
 func (c *caller) longTransaction(ctx context.Context) bool {
 	first := c.begin()
+	defer c.endTransaction()
 	if !first.served() {
 		return first.err == nil
 	}
@@ -61,5 +62,5 @@
 
 // pauseInTransaction pauses before the next statement. It returns false if the session or the run has ended meanwhile.
 func (c *caller) pauseInTransaction(ctx context.Context) bool {
-	return pause.For(ctx, jitter(c.random, meanLongDelay)) && (c.ignoresNotices || !c.conn.Terminated())
+	return pause.For(ctx, jitter(c.random, meanLongDelay)) && (c.ignoresNotices || !c.terminated())
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -26,6 +26,8 @@
 	Environment []string
 	// Callers is the number of callers of each database.
 	Callers int
+	// UnusualTexts is the share of texts of callers that ordinary callers don't send, such as ones with line feeds.
+	UnusualTexts float64
 	// Faults is the duration within which faults begin, and Recovery the time after the last fault within which
 	// all hosts must serve again.
 	Faults, Recovery time.Duration
@@ -35,7 +37,9 @@
 
 // DefaultOptions returns the options of a soak that ends within half a minute.
 func DefaultOptions() Options {
-	return Options{Site: site.DefaultOptions(), Callers: 6, Faults: 6 * time.Second, Recovery: 40 * time.Second}
+	return Options{
+		Site: site.DefaultOptions(), Callers: 6, UnusualTexts: 0.1, Faults: 6 * time.Second, Recovery: 40 * time.Second,
+	}
 }
 
 // Report is the result of a run.
@@ -196,26 +200,33 @@
 	callers.Go(func() { r.configs.run(ctx) })
 	for n, d := range r.databases {
 		for i := range r.options.Callers {
-			c := &caller{
-				run: r, name: fmt.Sprintf("%s.%d", d.name, i), database: d.name, class: d.class, ledger: d.ledger,
-				random: rand.New(rand.NewPCG(seed, uint64(n*r.options.Callers+i))),
-			}
+			c := r.newCaller(d, fmt.Sprint(i), seed, uint64(n*r.options.Callers+i))
 			callers.Go(func() { c.runOperations(ctx) })
 		}
 		for i := range longCallers {
-			c := &caller{
-				run: r, name: fmt.Sprintf("%s.long%d", d.name, i), database: d.name, class: d.class, ledger: d.ledger,
-				random: rand.New(rand.NewPCG(seed, uint64(longCallerStream+n*longCallers+i))), ignoresNotices: i%2 == 1,
-			}
+			c := r.newCaller(d, fmt.Sprint("long", i), seed, uint64(longCallerStream+n*longCallers+i))
+			c.ignoresNotices = i%2 == 1
 			callers.Go(func() { c.runLongTransactions(ctx) })
 		}
 	}
 	return &callers
 }
 
+// newCaller returns a caller of a database with random streams of its own.
+func (r *run) newCaller(d database, name string, seed, stream uint64) *caller {
+	return &caller{
+		run: r, name: d.name + "." + name, database: d.name, class: d.class, ledger: d.ledger,
+		random: rand.New(rand.NewPCG(seed, stream)),
+		texts:  textSource{rand.New(rand.NewPCG(seed, textStream+stream)), r.options.UnusualTexts},
+	}
+}
+
 // longCallerStream is the first random stream of callers with long transactions.
 const longCallerStream = 1 << 32
 
+// textStream is the first random stream of the texts of callers.
+const textStream = 1 << 33
+
 // addUnplannedFaults adds change to the number of current unplanned faults.
 func (r *run) addUnplannedFaults(change int) {
 	r.mu.Lock()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -45,8 +45,21 @@
 // PEARLATCH_SOAK_FOLDER names a folder in which to keep the settings and logs of the hosts.
 func runSchedule(t *testing.T, seed uint64, faults []Fault) *Report {
 	t.Helper()
+	return runOptions(t, testOptions(t), seed, faults)
+}
+
+// testOptions returns options for hosts that run in this test binary. Texts are ordinary, since unusual ones are found to be
+// cut (issue 73).
+func testOptions(t *testing.T) Options {
 	o := DefaultOptions()
+	o.UnusualTexts = 0
 	o.Program, o.Folder = []string{os.Args[0]}, t.TempDir()
+	return o
+}
+
+// runOptions is runSchedule with other options.
+func runOptions(t *testing.T, o Options, seed uint64, faults []Fault) *Report {
+	t.Helper()
 	if folder := os.Getenv("PEARLATCH_SOAK_FOLDER"); folder != "" {
 		o.Folder = folder
 	}
@@ -91,16 +104,36 @@
 		// Hosts that were stopped exited while statements of transactions ran.
 		30102, 30103,
 	} {
-		runSchedule(t, seed, Schedule(seed, DefaultOptions().Faults))
+		runSchedule(t, seed, scheduleWithoutRepeats(seed, DefaultOptions().Faults))
+	}
+}
+
+// Guards against an answer that a member repeats and a host takes for the answer to another request, and against messages that
+// a host ends at a line feed.
+func TestPeerFaults(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		repeats float64
+		texts   float64
+		faults  []Fault
+	}{
+		{"repeated answers", 0, 0, []Fault{{Kind: RepeatAnswers, For: 5 * time.Second, Seed: 4}, {Kind: LoseAnswers, At: 2 * time.Second, For: 2 * time.Second, Seed: 1}}},
+		{"answers repeated by all", 0.05, 0, []Fault{{Kind: StopHost, At: time.Second, For: time.Second}}},
+		{"unusual texts", 0, 0.2, []Fault{{Kind: ResetHost, At: 3 * time.Second}, {Kind: StopHost, At: time.Second, For: time.Second}}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			o := testOptions(t)
+			o.Site.Hosts, o.Site.Groups, o.Site.RepeatedAnswers, o.UnusualTexts = 3, 1, c.repeats, c.texts
+			runOptions(t, o, 73, c.faults)
+		})
 	}
 }
 
 // Guards against a host that stops and exits while requests of open transactions are in progress. Their callers got no
 // answer, also to a COMMIT that took effect.
 func TestStoppingHostAnswersEachRequest(t *testing.T) {
-	o := DefaultOptions()
+	o := testOptions(t)
 	o.Site.Hosts, o.Site.Groups, o.Site.Slots, o.Site.Work = 3, 1, 16, 30*time.Millisecond
-	o.Program, o.Folder = []string{os.Args[0]}, t.TempDir()
 	var faults []Fault
 	for i := range uint64(4) {
 		faults = append(faults, Fault{Kind: StopHost, At: time.Duration(i) * time.Second, For: time.Second, Seed: i})
@@ -179,9 +212,8 @@
 // Guards against progress reports that omit hosts which have ended.
 func TestServeReportsFailures(t *testing.T) {
 	t.Parallel()
-	p := &Plan{Options: DefaultOptions(), Seed: 1}
+	p := &Plan{Options: testOptions(t), Seed: 1}
 	p.Options.Site.Hosts, p.Options.Site.Groups = 3, 1
-	p.Options.Program, p.Options.Folder = []string{os.Args[0]}, t.TempDir()
 	p.Options.Environment = []string{flawVariable + "=the process ends"}
 	ctx, stop := context.WithTimeout(context.Background(), time.Minute)
 	defer stop()
@@ -218,7 +250,7 @@
 func TestScheduleRepeats(t *testing.T) {
 	for seed := range uint64(50) {
 		a, b := Schedule(seed, 6e9), Schedule(seed, 6e9)
-		if len(a) < minFaults || len(a) > maxFaults+maxRestores {
+		if len(a) < minFaults || len(a) > maxFaults+maxRestores+maxRepeats {
 			t.Fatalf("seed %d: %d faults", seed, len(a))
 		}
 		for i := range a {
