--- a/internal/soak/flaw_test.go
+++ b/internal/soak/flaw_test.go
@@ -12,7 +12,6 @@
 	"testing"
 	"time"
 
-	"pearlatch/core/group"
 	"pearlatch/core/kv"
 	"pearlatch/internal/gateway"
 )
@@ -27,6 +26,8 @@
 	"lost answers are refusals":             flawedConns(func(c gateway.Conn) gateway.Conn { return falseRefusalConn{c} }),
 	"values are changed":                    flawedConns(func(c gateway.Conn) gateway.Conn { return changedValueConn{c} }),
 	"requests are renamed":                  flawedConns(func(c gateway.Conn) gateway.Conn { return renamedRequestConn{c} }),
+	"repeated answers are taken":            flawedConns(func(c gateway.Conn) gateway.Conn { return &gullibleConn{Conn: c} }),
+	"texts are cut at line feeds":           flawedConns(func(c gateway.Conn) gateway.Conn { return cutTextConn{c} }),
 	"callers share connections":             shareConns,
 	"another member is promoted":            func(p *gateway.Ports) { p.Promoter = wrongPromoter{p.Promoter, p.Store} },
 	"older configurations are used":         func(p *gateway.Ports) { p.Decode = &staleConfigDecoder{Decoder: p.Decode} },
@@ -57,6 +58,8 @@
 		{"lost answers are refusals", "REFUSED", []Fault{{Kind: LoseAnswers, For: 3 * time.Second, Seed: 1}, {Kind: LoseAnswers, For: 3 * time.Second, Seed: 5}}, 0},
 		{"values are changed", "MIXED", nil, 0},
 		{"requests are renamed", "UNASKED", nil, 0},
+		{"repeated answers are taken", "MIXED", []Fault{{Kind: RepeatAnswers, For: 4 * time.Second, Seed: 4}}, 0},
+		{"texts are cut at line feeds", "UNASKED", nil, 0},
 		{"callers share connections", "PINNED", nil, 0},
 		{"another member is promoted", "LOST", []Fault{{Kind: DeafenMember, For: 7 * time.Second, Seed: deafReplicaSeed}, {Kind: CrashMember, At: time.Second, For: 5 * time.Second, Seed: crashedPrimarySeed}}, 0},
 		{"older configurations are used", "CONFIG", []Fault{{Kind: Configure, Seed: oddChangesSeed}}, 0},
@@ -107,12 +110,14 @@
 // playFlaw runs a soak with the faults on a small site whose hosts have a flaw, and returns the findings.
 func playFlaw(t *testing.T, flaw string, faults []Fault, work time.Duration) []string {
 	t.Helper()
-	o := DefaultOptions()
+	o := testOptions(t)
 	o.Site.Hosts, o.Site.Groups, o.Recovery = 3, 1, 5*time.Second
 	if work > 0 {
 		o.Site.Work = work
 	}
-	o.Program, o.Folder = []string{os.Args[0]}, t.TempDir()
+	if flaw == "texts are cut at line feeds" {
+		o.UnusualTexts = DefaultOptions().UnusualTexts
+	}
 	o.Environment = []string{flawVariable + "=" + flaw}
 	r, err := Run(context.Background(), o, 1, faults)
 	if err != nil {
@@ -121,90 +126,6 @@
 	return r.Findings
 }
 
-// flawedConns returns a flaw that changes each connection to a member.
-func flawedConns(change func(gateway.Conn) gateway.Conn) func(*gateway.Ports) {
-	return func(p *gateway.Ports) { p.Dialer = flawedDialer{p.Dialer, change} }
-}
-
-type flawedDialer struct {
-	gateway.Dialer
-	change func(gateway.Conn) gateway.Conn
-}
-
-func (d flawedDialer) Dial(ctx context.Context, m gateway.Member, account string) (gateway.Conn, error) {
-	c, err := d.Dialer.Dial(ctx, m, account)
-	if err != nil {
-		return nil, err
-	}
-	return d.change(c), nil
-}
-
-// mapStatements returns a copy of commands with the statements of callers changed.
-func mapStatements(commands []gateway.Command, change func(*gateway.RunStatement)) []gateway.Command {
-	out := make([]gateway.Command, len(commands))
-	for i, c := range commands {
-		if s, ok := c.(gateway.RunStatement); ok {
-			change(&s)
-			c = s
-		}
-		out[i] = c
-	}
-	return out
-}
-
-// noPositionConn drops the position that a member must have applied before it runs a statement.
-type noPositionConn struct{ gateway.Conn }
-
-func (c noPositionConn) Do(timeout time.Duration, commands ...gateway.Command) ([]gateway.Reply, error) {
-	return c.Conn.Do(timeout, mapStatements(commands, func(s *gateway.RunStatement) { s.After = group.Position{} })...)
-}
-
-// doubleWriteConn sends each single write twice.
-type doubleWriteConn struct{ gateway.Conn }
-
-func (c doubleWriteConn) Do(timeout time.Duration, commands ...gateway.Command) ([]gateway.Reply, error) {
-	last, ok := commands[len(commands)-1].(gateway.RunStatement)
-	if _, writes := last.Request.Statement.(gateway.Write); ok && writes {
-		commands = append(commands, last)
-	}
-	return c.Conn.Do(timeout, commands...)
-}
-
-// falseRefusalConn reports a write whose answer was lost as refused.
-type falseRefusalConn struct{ gateway.Conn }
-
-func (c falseRefusalConn) Do(timeout time.Duration, commands ...gateway.Command) ([]gateway.Reply, error) {
-	replies, err := c.Conn.Do(timeout, commands...)
-	last, ok := commands[len(commands)-1].(gateway.RunStatement)
-	if _, writes := last.Request.Statement.(gateway.Write); err != nil && ok && writes {
-		for len(replies) < len(commands) {
-			replies = append(replies, gateway.Reply{Failure: &gateway.Failure{Code: gateway.Aborted}})
-		}
-		return replies, nil
-	}
-	return replies, err
-}
-
-// changedValueConn assigns other values to the connection than the session has.
-type changedValueConn struct{ gateway.Conn }
-
-func (c changedValueConn) Do(timeout time.Duration, commands ...gateway.Command) ([]gateway.Reply, error) {
-	for i, command := range commands {
-		if a, ok := command.(gateway.Assign); ok {
-			a.Value += "x"
-			commands[i] = a
-		}
-	}
-	return c.Conn.Do(timeout, commands...)
-}
-
-// renamedRequestConn changes the identifiers of requests.
-type renamedRequestConn struct{ gateway.Conn }
-
-func (c renamedRequestConn) Do(timeout time.Duration, commands ...gateway.Command) ([]gateway.Reply, error) {
-	return c.Conn.Do(timeout, mapStatements(commands, func(s *gateway.RunStatement) { s.Request.ID += "x" })...)
-}
-
 // shareConns makes a host use one connection to a member for several callers at a time.
 func shareConns(p *gateway.Ports) {
 	p.Dialer = &sharingDialer{Dialer: p.Dialer, spare: map[string]*sharedConn{}}
