--- a/internal/soak/flaw_test.go
+++ b/internal/soak/flaw_test.go
@@ -115,9 +115,6 @@
 	if work > 0 {
 		o.Site.Work = work
 	}
-	if flaw == "texts are cut at line feeds" {
-		o.UnusualTexts = DefaultOptions().UnusualTexts
-	}
 	o.Environment = []string{flawVariable + "=" + flaw}
 	r, err := Run(context.Background(), o, 1, faults)
 	if err != nil {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -48,11 +48,9 @@
 	return runOptions(t, testOptions(t), seed, faults)
 }
 
-// testOptions returns options for hosts that run in this test binary. Texts are ordinary, since unusual ones are found to be
-// cut (issue 73).
+// testOptions returns options for hosts that run in this test binary.
 func testOptions(t *testing.T) Options {
 	o := DefaultOptions()
-	o.UnusualTexts = 0
 	o.Program, o.Folder = []string{os.Args[0]}, t.TempDir()
 	return o
 }
