Hosts read the store's list when the missed changes are too long for a watch

Two hosts as processes (race detector, load 28 to 49) beside large odd entries that came and went stopped following the store for good: after one watch that took longer than its limit ("kv-watch?prefix=&after=321&wait_ms=1: context deadline exceeded") they followed each other ("the news comes from this host itself", "the news is old"), and the test of the store as the preferred source asked for all the missed changes again, each time more of them. A primary that left was not replaced: the next member was never seen.

The test of the store now asks for the changes of the hosts' entries alone, so that it shows whether the store answers. If the store answers such a watch but twice not the whole one, its list is read: pages of bounded length with each key once. A silent store starts the count again, so that its return doesn't make hosts list that need a few changes.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -60,6 +60,9 @@
 	// watch started.
 	watchFailed, storeSlow bool
 	watchedAt              time.Time
+	// watchTimeouts counts the watches that took too long since the last update from any source. The first one may be of a
+	// store that was silent.
+	watchTimeouts int
 }
 
 // Ports are the external dependencies of a Follower.
@@ -161,7 +164,7 @@
 	if f.failures > 0 {
 		f.log("source_regained", "source", s.String(), "failures", f.failures)
 	}
-	f.failures = 0
+	f.failures, f.watchTimeouts = 0, 0
 	f.view.SetPath(path)
 	f.selector.Updated(f.now(), rand.Float64())
 }
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -294,3 +294,48 @@
 		}
 	})
 }
+
+// longChanges is a store whose changes are too long for a watch: it fails with err, or takes longer than any limit.
+type longChanges struct{ err error }
+
+func (s longChanges) Watch(ctx context.Context, prefix string, after kv.Revision, _ time.Duration) (kv.Snapshot, error) {
+	if prefix != "" {
+		return kv.Snapshot{Revision: after}, nil
+	}
+	if s.err == nil {
+		<-ctx.Done()
+		return kv.Snapshot{}, fmt.Errorf("watch: %w", ctx.Err())
+	}
+	return kv.Snapshot{}, s.err
+}
+
+func (longChanges) List(context.Context, kv.Range) (kv.Page, error) {
+	return kv.Page{Snapshot: kv.Snapshot{Items: []kv.Item{{Key: "k", Revision: 9}}, Revision: 9}}, nil
+}
+
+// Guards against hosts that stop following the store for good: the changes that they missed, as of large values that were
+// written again and again, take longer than a watch may, and each watch asked for all of them again.
+func TestChangesTooLongForAWatchAreListed(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		store longChanges
+		calls int
+	}{{"rejected", longChanges{ErrTooLong}, 1}, {"not in time", longChanges{}, maxWatchTimeouts + 1}} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newTestFollower(newTestFleet("h0", 3), c.store, nil)
+				if err := f.apply(StoreUpdate{Update: kv.Update{Full: true, Snapshot: kv.Snapshot{Revision: 7}}}); err != nil {
+					t.Fatal(err)
+				}
+				for call := 1; call <= c.calls; call++ {
+					if err := f.followStore(t.Context()); (err == nil) != (call == c.calls) {
+						t.Errorf("call %d: %v", call, err)
+					}
+				}
+				if r := f.view.Revision(); r != 9 {
+					t.Errorf("revision %v, want the list of 9", r)
+				}
+			})
+		})
+	}
+}
--- a/internal/follow/preferred.go
+++ b/internal/follow/preferred.go
@@ -5,8 +5,6 @@
 	"math/rand/v2"
 	"slices"
 	"time"
-
-	"github.com/pkg/errors"
 )
 
 // testPreferred starts a test of the preferred source if one is due. It returns true once a test has shown that the source
@@ -34,10 +32,7 @@
 
 // sendsUpdates implements Source.
 func (StoreSource) sendsUpdates(ctx context.Context, f *Follower, storeTimeout time.Duration) bool {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	_, err := f.store.Watch(ctx, "", f.view.Revision(), catchUpTimeout)
-	return err == nil || errors.Is(err, ErrCompacted)
+	return f.watchShortly(ctx, storeTimeout) == nil
 }
 
 // sendsUpdates implements Source.
--- a/internal/follow/store.go
+++ b/internal/follow/store.go
@@ -28,14 +28,18 @@
 	catchUpTimeout = time.Millisecond
 	// slowStoreAge is the age of the view from which on a watch that does not wait is given more time.
 	slowStoreAge = 3 * time.Second
+	// maxWatchTimeouts is after how many watches that took too long, of a store that answers short ones, a list is read. If
+	// the missed changes are long, each watch asks for all of them again and takes longer than the one before. A list
+	// consists of pages of bounded length, and holds each key once.
+	maxWatchTimeouts = 2
 	// minWatchInterval is the shortest time between two watches. When all hosts start, their entries are written one by
 	// one. A watch for each entry cost five hosts 319 calls in two seconds. Callers don't notice that a host learns of
 	// the next change a tenth of a second later.
 	minWatchInterval = 100 * time.Millisecond
 )
 
-// followStore applies the store's changes by one watch, or by a full list if there is no view yet or the store no longer
-// keeps the changes.
+// followStore applies the store's changes by one watch, or by a full list if there is no view yet, the store no longer
+// keeps the changes or they are too long for a watch.
 func (f *Follower) followStore(ctx context.Context) error {
 	revision, wait, limit := f.view.Revision(), watchTimeout, watchTimeout+watchResponseDelay
 	if f.watchFailed || f.storeSlow || !f.view.IsRecent() {
@@ -47,15 +51,29 @@
 	if !pause.For(ctx, minWatchInterval-f.now().Sub(f.watchedAt)) {
 		return ctx.Err()
 	}
+	if f.watchTimeouts > 0 {
+		if err := f.watchShortly(ctx, limit); err != nil {
+			f.watchTimeouts = 1 // the store is silent
+			return err
+		}
+	}
+	if f.watchTimeouts >= maxWatchTimeouts {
+		f.log("store_changes_too_long", "revision", revision)
+		f.watchTimeouts = 0
+		return f.listAll(ctx)
+	}
 	f.watchedAt = f.now()
 	watchCtx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	s, err := f.store.Watch(watchCtx, "", revision, wait)
-	if errors.Is(err, ErrCompacted) {
-		f.log("store_history_gone", "revision", revision)
+	if needsList(err) {
+		f.log("store_history_gone", "revision", revision, "why", err)
 		return f.listAll(ctx)
 	}
 	f.watchFailed = err != nil
+	if errors.Is(err, context.DeadlineExceeded) {
+		f.watchTimeouts++
+	}
 	if err != nil {
 		return err
 	}
@@ -67,6 +85,18 @@
 	return err
 }
 
+// watchShortly asks for the missed changes of the hosts' entries alone, and returns an error unless the store answers
+// within the limit.
+func (f *Follower) watchShortly(ctx context.Context, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	_, err := f.store.Watch(ctx, f.settings.HostsPrefix, f.view.Revision(), catchUpTimeout)
+	if needsList(err) {
+		return nil
+	}
+	return err
+}
+
 // catchUpLimit returns how long a watch may take that does not wait for changes. It is short, since other hosts may have what
 // a store that does not answer keeps back, unless none of them has had it for long: the store may be slow.
 func (f *Follower) catchUpLimit() time.Duration {
--- a/internal/follow/update.go
+++ b/internal/follow/update.go
@@ -49,10 +49,16 @@
 	// List returns the first items of a range.
 	List(ctx context.Context, r kv.Range) (kv.Page, error)
 	// Watch waits up to wait for changes after the given revision. It returns them with the revision to continue from.
-	// ErrCompacted means that the store no longer keeps the changes. If the returned revision is of another epoch, the
+	// ErrCompacted means that the store no longer keeps the changes, and ErrTooLong that they must be listed. If the returned revision is of another epoch, the
 	// changes do not continue the previous ones.
 	Watch(ctx context.Context, prefix string, after kv.Revision, wait time.Duration) (kv.Snapshot, error)
 }
 
 // ErrCompacted means that the store no longer keeps the requested changes.
 var ErrCompacted = errors.New("the history asked for is no longer kept")
+
+// ErrTooLong means that the requested changes are too long for one response.
+var ErrTooLong = errors.New("the changes are too long for one response")
+
+// needsList reports whether a watch failed with an error after which it fails again, until the whole store has been read.
+func needsList(err error) bool { return errors.Is(err, ErrCompacted) || errors.Is(err, ErrTooLong) }
