--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -322,20 +322,23 @@
 		calls int
 	}{{"rejected", longChanges{ErrTooLong}, 1}, {"not in time", longChanges{}, maxWatchTimeouts + 1}} {
 		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				f := newTestFollower(newTestFleet("h0", 3), c.store, nil)
-				if err := f.apply(StoreUpdate{Update: kv.Update{Full: true, Snapshot: kv.Snapshot{Revision: 7}}}); err != nil {
-					t.Fatal(err)
-				}
-				for call := 1; call <= c.calls; call++ {
-					if err := f.followStore(t.Context()); (err == nil) != (call == c.calls) {
-						t.Errorf("call %d: %v", call, err)
-					}
-				}
-				if r := f.view.Revision(); r != 9 {
-					t.Errorf("revision %v, want the list of 9", r)
-				}
-			})
+			synctest.Test(t, func(t *testing.T) { testLongChanges(t, c.store, c.calls) })
 		})
 	}
 }
+
+// testLongChanges checks that the last of the calls of followStore, and no other, reads the list.
+func testLongChanges(t *testing.T, s Store, calls int) {
+	f := newTestFollower(newTestFleet("h0", 3), s, nil)
+	if err := f.apply(StoreUpdate{Update: kv.Update{Full: true, Snapshot: kv.Snapshot{Revision: 7}}}); err != nil {
+		t.Fatal(err)
+	}
+	for call := 1; call <= calls; call++ {
+		if err := f.followStore(t.Context()); (err == nil) != (call == calls) {
+			t.Errorf("call %d: %v", call, err)
+		}
+	}
+	if r := f.view.Revision(); r != 9 {
+		t.Errorf("revision %v, want the list of 9", r)
+	}
+}
