pearlatch serve: its own statements take only their own answers

Nothing in PostgreSQL's protocol names the request in its answer, so an answer that a member sends again, after the next statement was sent, is taken for the answer to that one. An error answer to BEGIN READ ONLY was dropped, so that the statement would run outside the read-only transaction.

Their command tags are known, so they are compared; any other answer fails the connection, and what may be repeated is repeated on another one. Not decided: a repeated answer to a caller's own statement that is sent without BEGIN (writes, statements in a transaction, reads on a replica). No part of it tells it from the right one.

--- a/io/postgres/frame.go
+++ b/io/postgres/frame.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/binary"
 	"io"
+	"strings"
 
 	"github.com/pkg/errors"
 )
@@ -83,6 +84,9 @@
 	return 0, errors.Errorf("ReadyForQuery with status %q", f.Body())
 }
 
+// CommandTag returns the tag in a CommandComplete message.
+func (f Frame) CommandTag() string { return strings.TrimSuffix(string(f.Body()), "\x00") }
+
 // ReadFrame reads a message and appends it to buf. In the returned buffer, the
 // message starts at len(buf). On error, it returns buf unchanged.
 func ReadFrame(r *bufio.Reader, buf []byte) ([]byte, error) {
--- a/io/upstream/answer.go
+++ b/io/upstream/answer.go
@@ -32,6 +32,8 @@
 	heldFrom   int
 	failed     bool // an ErrorResponse was read
 	repliesDue int  // replies still due, for statement.ExpectReplies
+	// wrapperDone is true once the BEGIN or COMMIT of the stage has succeeded.
+	wrapperDone bool
 }
 
 // wrapStage is the part of a wrapped read whose answer is being read.
@@ -148,23 +150,13 @@
 // what need not be held back.
 func (x *Exchange) readAnswer(ctx context.Context, a *answer) (statement.Outcome, error) {
 	for {
-		start := len(x.buf)
-		buf, err := postgres.ReadFrame(x.conn.r, x.buf)
+		frame, start, err := x.nextFrame(a)
 		if err != nil {
 			return statement.Outcome{}, errors.Wrap(errConnFailed, err.Error())
 		}
-		x.buf = buf
-		frame := postgres.Frame(buf[start:])
-		if x.dropExtraReply(a, frame, start) || x.dropWrapperMessage(a, frame, start) {
-			continue
-		}
 		switch frame.Type() {
 		case postgres.TypeReadyForQuery:
-			status, err := frame.ReadyStatus()
-			if err != nil {
-				return statement.Outcome{}, errors.Wrap(errConnFailed, err.Error())
-			}
-			return x.handleReady(ctx, a, status)
+			return x.handleReady(ctx, a, frame)
 		case postgres.TypeCopyInResponse:
 			return statement.Outcome{CopyIn: true}, nil
 		case postgres.TypeErrorResponse:
@@ -186,30 +178,76 @@
 	}
 }
 
+// nextFrame reads the next message that replies to the caller. The message starts at
+// x.buf[start].
+func (x *Exchange) nextFrame(a *answer) (f postgres.Frame, start int, err error) {
+	for dropped := true; dropped && err == nil; dropped, err = x.dropOwnReply(a, f, start) {
+		start = len(x.buf)
+		if x.buf, err = postgres.ReadFrame(x.conn.r, x.buf); err != nil {
+			return nil, start, err
+		}
+		f = postgres.Frame(x.buf[start:])
+	}
+	return f, start, err
+}
+
+// dropOwnReply drops the message if it replies to a message that the caller did not
+// send, and reports whether it did.
+func (x *Exchange) dropOwnReply(a *answer, f postgres.Frame, start int) (bool, error) {
+	if x.dropExtraReply(a, f, start) {
+		return true, nil
+	}
+	return x.dropWrapperMessage(a, f, start)
+}
+
 // dropWrapperMessage drops the message if it belongs to the BEGIN or COMMIT around
-// a wrapped read, and reports whether it did.
-func (x *Exchange) dropWrapperMessage(a *answer, f postgres.Frame, start int) bool {
+// a wrapped read, and reports whether it did. The error means that another message
+// arrived in its place.
+func (x *Exchange) dropWrapperMessage(a *answer, f postgres.Frame, start int) (bool, error) {
 	ready := f.Type() == postgres.TypeReadyForQuery
 	switch {
-	case a.stage == stageBegin:
-		if ready {
-			a.stage = stageUnit
-		}
-	case a.stage == stageUnit && ready:
+	case a.stage == stageUnwrapped, a.stage == stageUnit && !ready:
+		return false, nil
+	case a.stage == stageUnit:
 		a.stage = stageCommit
-	case a.stage == stageCommit && !ready:
+	case !ready:
+		if err := a.checkWrapperMessage(f); err != nil {
+			return false, err
+		}
+	case !a.wrapperDone:
+		return false, errors.New("ReadyForQuery in place of the answer to BEGIN or COMMIT")
+	case a.stage == stageBegin:
+		a.stage, a.wrapperDone = stageUnit, false
 	default:
-		return false
+		return false, nil
 	}
 	x.buf = x.buf[:start]
-	return true
+	return true, nil
+}
+
+// checkWrapperMessage checks that a message before ReadyForQuery belongs to the answer
+// to BEGIN or COMMIT: without that, an answer that belongs to another statement would
+// shift all that follow.
+func (a *answer) checkWrapperMessage(f postgres.Frame) error {
+	switch f.Type() {
+	case postgres.TypeNotice, postgres.TypeNotification, postgres.TypeParameterStatus:
+		return nil
+	case postgres.TypeCommandComplete:
+		tag := f.CommandTag()
+		if !a.wrapperDone && (a.stage == stageBegin && tag == "BEGIN" || a.stage == stageCommit && (tag == "COMMIT" || tag == "ROLLBACK")) {
+			a.wrapperDone = true
+			return nil
+		}
+		return errors.Errorf("command tag %q in place of the answer to BEGIN or COMMIT", tag)
+	}
+	return errors.Errorf("message of type %q in place of the answer to BEGIN or COMMIT", f.Type())
 }
 
 // dropExtraReply drops the message if it replies to a Parse or Close that the
 // caller did not send, and reports whether it did. These replies come first. An
 // error among them is passed on as the error of the whole unit.
 func (x *Exchange) dropExtraReply(a *answer, f postgres.Frame, start int) bool {
-	if a.extraReplies == 0 || f.Type() != postgres.TypeParseComplete && f.Type() != postgres.TypeCloseComplete {
+	if a.extraReplies == 0 || a.stage == stageBegin || f.Type() != postgres.TypeParseComplete && f.Type() != postgres.TypeCloseComplete {
 		return false
 	}
 	a.extraReplies--
@@ -232,9 +270,9 @@
 // connection can be used again. It returns errReadOnly, or another error if the
 // connection cannot be used again.
 func (x *Exchange) drainRefusal(a *answer) error {
-	status, _, err := x.conn.skipToReady()
+	status, err := x.conn.skipToReady()
 	if a.stage == stageUnit && err == nil {
-		status, _, err = x.conn.skipToReady()
+		status, err = x.conn.skipToReady()
 	}
 	if err != nil || status != postgres.StatusIdle {
 		// Inside BEGIN READ ONLY the caller itself must see the error.
@@ -307,7 +345,11 @@
 
 // handleReady returns the outcome of a unit at ReadyForQuery. When a transaction on
 // the primary has ended, everything that it wrote or read is confirmed first.
-func (x *Exchange) handleReady(ctx context.Context, a *answer, status byte) (statement.Outcome, error) {
+func (x *Exchange) handleReady(ctx context.Context, a *answer, f postgres.Frame) (statement.Outcome, error) {
+	status, err := f.ReadyStatus()
+	if err != nil {
+		return statement.Outcome{}, errors.Wrap(errConnFailed, err.Error())
+	}
 	out := statement.Outcome{Status: status}
 	if x.replica || status != postgres.StatusIdle {
 		return out, nil
--- a/io/upstream/conn.go
+++ b/io/upstream/conn.go
@@ -160,48 +160,31 @@
 // resetTimeout is the timeout of resetting a connection's session state.
 const resetTimeout = time.Second
 
-// discardAll is the simple query that resets the session state.
-var discardAll = encodeQuery("DISCARD ALL")
-
 // reset resets the session state, including prepared statements.
 func (c *conn) reset() error {
-	_ = c.net.SetDeadline(time.Now().Add(resetTimeout))
-	if _, err := c.net.Write(discardAll); err != nil {
-		return errors.Wrap(err, "reset session")
-	}
-	status, refusal, err := c.skipToReady()
+	result, err := c.exec(resetTimeout, "DISCARD ALL", "DISCARD ALL")
 	switch {
 	case err != nil:
 		return errors.Wrap(err, "reset session")
-	case refusal != nil:
-		return errors.Wrap(refusal, "reset session")
-	case status != postgres.StatusIdle:
+	case result.code != "":
+		return errors.Errorf("reset session: member %d answered SQLSTATE %s: %s", c.member, result.code, result.message)
+	case result.status != postgres.StatusIdle:
 		return errors.New("reset session: a transaction is open")
 	}
 	c.prepared, c.preparedOrder, c.dirty = map[string]bool{}, nil, false
-	return c.net.SetDeadline(time.Time{})
+	return nil
 }
 
-// skipToReady discards messages up to ReadyForQuery. It returns the transaction
-// status and the first error that the member answered with, or nil.
-func (c *conn) skipToReady() (status byte, refusal, err error) {
+// skipToReady discards messages up to ReadyForQuery, and returns the transaction
+// status.
+func (c *conn) skipToReady() (status byte, err error) {
 	var buf []byte
 	for {
 		if buf, err = postgres.ReadFrame(c.r, buf[:0]); err != nil {
-			return 0, nil, err
+			return 0, err
 		}
-		switch f := postgres.Frame(buf); f.Type() {
-		case postgres.TypeErrorResponse:
-			var m pgproto3.ErrorResponse
-			if err := m.Decode(f.Body()); err != nil {
-				return 0, nil, errors.Wrap(err, "decode error response")
-			}
-			if refusal == nil {
-				refusal = errors.Errorf("member %d answered SQLSTATE %s: %s", c.member, m.Code, m.Message)
-			}
-		case postgres.TypeReadyForQuery:
-			status, err := f.ReadyStatus()
-			return status, refusal, err
+		if f := postgres.Frame(buf); f.Type() == postgres.TypeReadyForQuery {
+			return f.ReadyStatus()
 		}
 	}
 }
--- a/io/upstream/ledger.go
+++ b/io/upstream/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/base64"
+	"slices"
 	"strings"
 	"time"
 
@@ -31,7 +32,7 @@
 // runOnce runs a unit under its request identifier. If a request with the identifier
 // has taken effect before, it passes on the recorded outcome instead.
 func (x *Exchange) runOnce(ctx context.Context, u *statement.Unit, sink Sink) (statement.Outcome, error) {
-	claimed, err := x.conn.exec("BEGIN; INSERT INTO pearlatch.requests (id) VALUES (" + quote(u.RequestID) + ")")
+	claimed, err := x.conn.exec(simpleTimeout, "BEGIN; INSERT INTO pearlatch.requests (id) VALUES ("+quote(u.RequestID)+")", "BEGIN", "INSERT 0 1")
 	if err != nil {
 		return statement.Outcome{}, errors.Wrap(errConnFailed, err.Error())
 	}
@@ -42,7 +43,7 @@
 	case postgres.NotRun(claimed.code):
 		return statement.Outcome{}, errors.Wrap(errConnFailed, claimed.message)
 	default:
-		_, _ = x.conn.exec("ROLLBACK")
+		_, _ = x.conn.exec(simpleTimeout, "ROLLBACK", "ROLLBACK")
 		return statement.Outcome{}, &statement.Refusal{
 			Code: claimed.code, Reason: "the request could not be entered into the ledger: " + claimed.message, NotRun: true,
 		}
@@ -85,7 +86,7 @@
 // deliverFailure rolls back the ledger's transaction and passes on the answer to a
 // request that failed. The request had no effect and no row, and may be repeated.
 func (x *Exchange) deliverFailure(answer []byte, sink Sink) (statement.Outcome, error) {
-	if _, err := x.conn.exec("ROLLBACK"); err != nil {
+	if _, err := x.conn.exec(simpleTimeout, "ROLLBACK", "ROLLBACK"); err != nil {
 		return statement.Outcome{}, errors.Wrap(errConnFailed, err.Error())
 	}
 	out := statement.Outcome{Status: postgres.StatusIdle}
@@ -98,8 +99,8 @@
 	if len(answer) <= maxOutcome {
 		outcome += base64.StdEncoding.EncodeToString(answer)
 	}
-	done, err := x.conn.exec("UPDATE pearlatch.requests SET outcome = " + quote(outcome) +
-		" WHERE id = " + quote(u.RequestID) + "; COMMIT")
+	done, err := x.conn.exec(simpleTimeout, "UPDATE pearlatch.requests SET outcome = "+quote(outcome)+
+		" WHERE id = "+quote(u.RequestID)+"; COMMIT", "UPDATE 1", "COMMIT")
 	if err != nil {
 		return errors.Wrap(errConnFailed, err.Error())
 	}
@@ -109,7 +110,7 @@
 		return errors.Wrap(errConnFailed, done.message)
 	}
 	if done.code != "" {
-		_, _ = x.conn.exec("ROLLBACK")
+		_, _ = x.conn.exec(simpleTimeout, "ROLLBACK", "ROLLBACK")
 		return &statement.Refusal{Code: done.code, Reason: "the request was rolled back: " + done.message}
 	}
 	return nil
@@ -130,10 +131,10 @@
 
 // replayOutcome passes on the recorded outcome of a request that took effect before.
 func (x *Exchange) replayOutcome(ctx context.Context, u *statement.Unit, sink Sink) (statement.Outcome, error) {
-	if _, err := x.conn.exec("ROLLBACK"); err != nil {
+	if _, err := x.conn.exec(simpleTimeout, "ROLLBACK", "ROLLBACK"); err != nil {
 		return statement.Outcome{}, errors.Wrap(errConnFailed, err.Error())
 	}
-	kept, err := x.conn.exec("SELECT outcome FROM pearlatch.requests WHERE id = " + quote(u.RequestID))
+	kept, err := x.conn.exec(simpleTimeout, "SELECT outcome FROM pearlatch.requests WHERE id = "+quote(u.RequestID), "SELECT")
 	if err != nil {
 		return statement.Outcome{}, errors.Wrap(errConnFailed, err.Error())
 	}
@@ -166,23 +167,26 @@
 type queryResult struct {
 	code, message string // of the first error, if any
 	value         string // first column of the first row
+	hasValue      bool
 	status        byte
 }
 
 // simpleTimeout is the timeout of a simple query that pearlatch runs itself.
 const simpleTimeout = 5 * time.Second
 
-// exec runs a simple query that pearlatch needs itself, and reads its whole answer. An
-// ErrorResponse is returned in the result, not as an error.
-func (c *conn) exec(sql string) (queryResult, error) {
+// exec runs a simple query that pearlatch needs itself, and reads its whole answer
+// within the timeout. An ErrorResponse is returned in the result, not as an error. If
+// there is none, the command tags of the answer must begin with the given ones, or the
+// answer belongs to another statement.
+func (c *conn) exec(timeout time.Duration, sql string, tags ...string) (queryResult, error) {
 	var out queryResult
-	_ = c.net.SetDeadline(time.Now().Add(simpleTimeout))
+	_ = c.net.SetDeadline(time.Now().Add(timeout))
 	defer func() { _ = c.net.SetDeadline(time.Time{}) }()
 	if _, err := c.net.Write(encodeQuery(sql)); err != nil {
 		return out, err
 	}
 	var buf []byte
-	hasValue := false
+	var got []string
 	for {
 		var err error
 		if buf, err = postgres.ReadFrame(c.r, buf[:0]); err != nil {
@@ -190,25 +194,41 @@
 		}
 		f := postgres.Frame(buf)
 		switch f.Type() {
-		case postgres.TypeErrorResponse:
-			var e pgproto3.ErrorResponse
-			if err := e.Decode(f.Body()); err != nil {
-				return out, err
-			}
-			if out.code == "" {
-				out.code, out.message = e.Code, e.Message
-			}
-		case postgres.TypeDataRow:
-			var row pgproto3.DataRow
-			if err := row.Decode(f.Body()); err != nil {
-				return out, err
-			}
-			if !hasValue && len(row.Values) > 0 {
-				out.value, hasValue = string(row.Values[0]), true
-			}
+		case postgres.TypeCommandComplete:
+			got = append(got, f.CommandTag())
 		case postgres.TypeReadyForQuery:
+			if out.code == "" && !slices.EqualFunc(got, tags, strings.HasPrefix) {
+				return out, errors.Errorf("command tags %q, want %q", got, tags)
+			}
 			out.status, err = f.ReadyStatus()
 			return out, err
+		default:
+			if err := out.add(f); err != nil {
+				return out, err
+			}
 		}
 	}
 }
+
+// add adds a message of the answer to the result.
+func (r *queryResult) add(f postgres.Frame) error {
+	switch f.Type() {
+	case postgres.TypeErrorResponse:
+		var e pgproto3.ErrorResponse
+		if err := e.Decode(f.Body()); err != nil {
+			return err
+		}
+		if r.code == "" {
+			r.code, r.message = e.Code, e.Message
+		}
+	case postgres.TypeDataRow:
+		var row pgproto3.DataRow
+		if err := row.Decode(f.Body()); err != nil {
+			return err
+		}
+		if !r.hasValue && len(row.Values) > 0 {
+			r.value, r.hasValue = string(row.Values[0]), true
+		}
+	}
+	return nil
+}
