Answers of the store that belong to other calls are rejected by their values

net/http matches answers to calls by their order on a connection. If the store sends an answer again, after the next call was sent, that call gets it. A commit that counts as done and isn't, or a lease that another entry holds, would give two hosts one role.

Decided by values (core/kv.Answers): a commit has a revision above all that were known when it was sent; a list that may not be stale isn't behind them, and its keys lie in its range; a granted lease is new. The outcome is then unknown, as without an answer, and idle connections are closed, since the right answer may still come on one. By their kind: a list holds items or has_more; an answer without events moves a watch on by nothing.

Not promised: answers without a value, that is a renewal (200), the end of a lease, and every failure (404, 412, 429, 503); a list repeated at the same revision as the right one but for another range without keys. A connection for each renewal would decide the first: at 1,100 hosts up to some 1,400 connections a second to the store (a renewal each 0.9 s of hosts with a role, each 5 s of the others) and a round trip for each renewal, by calculation.

--- a/internal/gateway/host.go
+++ b/internal/gateway/host.go
@@ -158,7 +158,7 @@
 // NewHost returns a host that is not running yet. now reads a clock that continues while the machine is suspended.
 func NewHost(s Settings, p Ports, logger log.Logger, now func() time.Time) *Host {
 	m := hostmetrics.Recorder{Registry: p.Metrics}
-	p.Store = instrumentedStore{store: p.Store, metrics: m, now: now}
+	p.Store = instrumentedStore{store: &verifiedStore{Store: p.Store}, metrics: m, now: now}
 	h := &Host{
 		started: now(), metrics: m, settings: s, ports: p, logger: log.With(logger, "host", s.Host), now: now,
 		groups: map[string]*Group{}, groupCreated: make(chan struct{}, 1), members: newMemberTable(), storeRead: make(chan struct{}), configured: make(chan struct{}), reconfigured: make(chan struct{}),
