A reply between hosts names the request that it answers

A stream between two hosts carries the statements of a transaction in turn, and a reply named the stream only.

Replies now carry the serial of their request, and one with another serial is dropped while the right one is awaited. Hosts of earlier versions skip the field, and their replies, which have none, are taken as before.

--- a/io/peer/link_client.go
+++ b/io/peer/link_client.go
@@ -86,7 +86,7 @@
 	if err != nil {
 		return nil, err
 	}
-	k := &link{addr: addr, stream: s, pending: map[uint64]chan *linkReply{}, lastReceived: time.Now()}
+	k := &link{addr: addr, stream: s, pending: map[uint64]pendingReply{}, lastReceived: time.Now()}
 	k.writer = newLinkWriter(s.drpc, k.shutdown)
 	go k.read()
 	return k, nil
@@ -99,14 +99,20 @@
 	writer *linkWriter
 
 	mu sync.Mutex
-	// pending holds a channel for each expected reply, by the identifier of the stream.
-	pending map[uint64]chan *linkReply
+	// pending holds the expected replies by the identifier of the stream.
+	pending map[uint64]pendingReply
 	// lastID is the identifier of the latest stream.
 	lastID uint64
 	// lastReceived is when the latest message arrived, or when the link was opened if there is none.
 	lastReceived time.Time
 }
 
+// pendingReply is an expected reply. serial is that of the forwarded request, or zero.
+type pendingReply struct {
+	serial  uint64
+	channel chan *linkReply
+}
+
 // read delivers replies to those who wait for them until the link fails.
 func (k *link) read() {
 	defer k.shutdown()
@@ -115,17 +121,26 @@
 		if err := k.stream.drpc.MsgRecv(in, encoding{}); err != nil {
 			return
 		}
-		k.mu.Lock()
-		k.lastReceived = time.Now()
-		waiter := k.pending[in.lane]
-		delete(k.pending, in.lane)
-		k.mu.Unlock()
-		if waiter != nil {
+		if waiter := k.take(in); waiter != nil {
 			waiter <- in
 		}
 	}
 }
 
+// take returns the channel of the request that the reply belongs to, or nil. A stream carries several requests in turn, so
+// that a reply which comes twice must not be taken for the reply to the next one.
+func (k *link) take(in *linkReply) chan<- *linkReply {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.lastReceived = time.Now()
+	waiter := k.pending[in.lane]
+	if in.serial != 0 && in.serial != waiter.serial {
+		return nil
+	}
+	delete(k.pending, in.lane)
+	return waiter.channel
+}
+
 // shutdown closes the link. Requests that wait for a reply fail.
 func (k *link) shutdown() {
 	k.writer.close()
@@ -180,7 +195,7 @@
 func (k *link) ask(ctx context.Context, m *linkRequest) (*linkReply, error) {
 	replies := make(chan *linkReply, 1)
 	k.mu.Lock()
-	k.pending[m.lane] = replies
+	k.pending[m.lane] = pendingReply{m.Serial, replies}
 	k.mu.Unlock()
 	if err := k.send(m); err != nil {
 		k.removePending(m.lane)
--- a/io/peer/link_messages.go
+++ b/io/peer/link_messages.go
@@ -69,7 +69,10 @@
 // is set.
 type linkReply struct {
 	// lane identifies the stream that the request came on.
-	lane     uint64
+	lane uint64
+	// serial is that of the forwarded request that is answered. It is zero in the other replies, and in those of hosts of
+	// earlier versions.
+	serial   uint64
 	recalled *recallReply
 	lease    *leaseReply
 	// leaseRevoked is true if the host has given up a lease.
@@ -93,6 +96,9 @@
 	case m.told != nil:
 		w.message("told", m.told)
 	default:
+		if m.serial != 0 {
+			w.uint("serial", m.serial)
+		}
 		m.peerReplyMessage.fields(w)
 	}
 }
@@ -101,6 +107,8 @@
 	switch name {
 	case "lane":
 		return r.uint(&m.lane)
+	case "serial":
+		return r.uint(&m.serial)
 	case "recalled":
 		m.recalled = &recallReply{}
 		r.message(m.recalled)
--- a/io/peer/link_server.go
+++ b/io/peer/link_server.go
@@ -92,7 +92,7 @@
 	}
 	if declined := s.session.Accept(&in.PeerRequest); declined != nil {
 		l.closeStreamLocked(in.lane, s)
-		l.send(&linkReply{lane: in.lane, peerReplyMessage: peerReplyMessage(*declined)})
+		l.send(&linkReply{lane: in.lane, serial: in.Serial, peerReplyMessage: peerReplyMessage(*declined)})
 		return
 	}
 	s.running, s.request, s.answered, s.replySent = true, &in.PeerRequest, false, l.host.BeginReply()
@@ -129,14 +129,14 @@
 	}
 	l.mu.Unlock()
 	if !answered {
-		l.reply(in.lane, reply)
+		l.reply(in.lane, in.Serial, reply)
 	}
 }
 
 // reply sends the reply to a request. While the host stops it returns once the reply has been sent, so that the process
 // does not exit before.
-func (l *servedLink) reply(lane uint64, reply *gateway.PeerReply) {
-	m := &linkReply{lane: lane, peerReplyMessage: peerReplyMessage(*reply)}
+func (l *servedLink) reply(lane, serial uint64, reply *gateway.PeerReply) {
+	m := &linkReply{lane: lane, serial: serial, peerReplyMessage: peerReplyMessage(*reply)}
 	if !l.host.Stopping() {
 		l.send(m)
 		return
@@ -168,7 +168,7 @@
 	}
 	l.mu.Unlock()
 	for id, s := range unanswered {
-		l.reply(id, s.session.UnknownReply(s.request))
+		l.reply(id, s.request.Serial, s.session.UnknownReply(s.request))
 		s.replySent()
 	}
 }
