The parts of an owner's answer name the unit that they answer

As between gateways: a stream between two hosts of pearlatch serve carries many exchanges in turn, also those of different callers, and the answers named nothing. Units are now numbered within their stream and answers repeat the number; parts with another one are dropped. Hosts of earlier versions skip the field and send none, and are served as before.

--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -52,6 +52,8 @@
 	conn      *drpcconn.Conn
 	drpc      drpc.Stream
 	idleSince time.Time
+	// units is the number of units that were sent, which is the serial of the latest.
+	units uint64
 }
 
 func (s *stream) close() { _ = s.conn.Close() }
@@ -285,7 +287,8 @@
 		}
 		x.stream = s
 	}
-	m := &unitMessage{version: Version, first: first, unit: *u, timeLeft: time.Until(u.Deadline)}
+	x.stream.units++
+	m := &unitMessage{version: Version, serial: x.stream.units, first: first, unit: *u, timeLeft: time.Until(u.Deadline)}
 	if first {
 		m.request = *x.request
 	}
@@ -310,6 +313,9 @@
 			x.Close()
 			return statement.Outcome{}, errors.Wrap(ErrLost, err.Error())
 		}
+		if in.serial != 0 && in.serial != s.units {
+			continue // the answer to an earlier unit, once more
+		}
 		if len(in.data) > 0 {
 			x.AnswerStarted = true
 			if err := sink(in.data); err != nil {
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -133,8 +133,9 @@
 		if err := stream.MsgRecv(&in, encoding{}); err != nil {
 			return err
 		}
+		answer.serial = in.serial
 		out, err := r.runUnit(stream, &x, &in, answer)
-		end := &answerMessage{end: true, outcome: out, data: answer.buffered}
+		end := &answerMessage{serial: in.serial, end: true, outcome: out, data: answer.buffered}
 		if err != nil {
 			end.refused, end.refusal = true, refusalOf(err)
 		}
@@ -159,6 +160,7 @@
 // sends buffered with the end of the answer.
 type answerWriter struct {
 	stream   drpc.Stream
+	serial   uint64 // of the unit that is answered
 	buffered []byte
 }
 
@@ -168,13 +170,13 @@
 		return nil
 	}
 	if len(w.buffered) > 0 {
-		if err := w.stream.MsgSend(&answerMessage{data: w.buffered}, encoding{}); err != nil {
+		if err := w.stream.MsgSend(&answerMessage{serial: w.serial, data: w.buffered}, encoding{}); err != nil {
 			return err
 		}
 		w.buffered = w.buffered[:0]
 		return w.write(b)
 	}
-	return w.stream.MsgSend(&answerMessage{data: b}, encoding{})
+	return w.stream.MsgSend(&answerMessage{serial: w.serial, data: b}, encoding{})
 }
 
 // runUnit runs a unit on the open exchange x. The first unit of an exchange opens it.
--- a/io/peer/unit.go
+++ b/io/peer/unit.go
@@ -10,6 +10,8 @@
 // unitMessage is a unit on its way to the owner of the group. The first unit of an exchange carries the request too.
 type unitMessage struct {
 	version uint64
+	// serial numbers the units of a stream from 1. The parts of the answer repeat it. Owners of earlier versions skip it.
+	serial uint64
 	// first is true if request is set.
 	first   bool
 	request statement.Request
@@ -22,6 +24,7 @@
 
 func (m *unitMessage) fields(w *fieldWriter) {
 	w.uint("version", m.version)
+	w.uint("serial", m.serial)
 	if m.first {
 		w.message("request", (*requestMessage)(m))
 	}
@@ -46,6 +49,8 @@
 	switch name {
 	case "version":
 		return r.uint(&m.version)
+	case "serial":
+		return r.uint(&m.serial)
 	case "request":
 		m.first = true
 		r.message((*requestMessage)(m))
@@ -145,6 +150,8 @@
 
 // answerMessage is a part of the answer to a unit. The last part has end set, and the outcome or the refusal.
 type answerMessage struct {
+	// serial is that of the unit, or zero from an owner of an earlier version.
+	serial  uint64
 	data    []byte
 	end     bool
 	outcome statement.Outcome
@@ -154,6 +161,7 @@
 }
 
 func (m *answerMessage) fields(w *fieldWriter) {
+	w.uint("serial", m.serial)
 	w.bytes("data", m.data)
 	w.bool("end", m.end)
 	w.uint("status", uint64(m.outcome.Status))
@@ -167,6 +175,8 @@
 
 func (m *answerMessage) field(name string, r *fieldReader) bool {
 	switch name {
+	case "serial":
+		return r.uint(&m.serial)
 	case "data":
 		return r.bytes(&m.data)
 	case "end":
