pearlatch serve: a query text with a zero byte is refused where it enters

A Query message "SELECT 1\0DELETE FROM t\0" was classified by what stands before the zero byte, a read, and passed on whole (TestClassifiedTextIsTheOneSent on the old code). PostgreSQL itself refuses such a message; a member that reads on would run what was never classified, on a replica or unconfirmed. It is a protocol violation now, as a missing end was.

New, and passing before: FuzzReadUnit, 595,941 inputs in 15 s on the old code: no bytes of a caller end the process, and what is passed on consists of whole messages.

--- a/io/caller/builder.go
+++ b/io/caller/builder.go
@@ -154,10 +154,14 @@
 }
 
 func (b *unitBuilder) addQuery(f postgres.Frame) error {
-	sql, _, ok := cutString(f.Body())
+	sql, rest, ok := cutString(f.Body())
 	if !ok {
 		return &protocolError{reason: "Query without its end"}
 	}
+	if len(rest) > 0 {
+		// A member that reads on would run a text that was not classified.
+		return &protocolError{reason: "Query with a zero byte in its text"}
+	}
 	b.extended = false
 	b.applyTraits(statement.Classify(sql))
 	b.data = append(b.data, f...)
