--- a/io/peer/repeated_test.go
+++ b/io/peer/repeated_test.go
@@ -108,30 +108,3 @@
 		client.Close()
 	}
 }
-
-// Guards against texts that other hosts read otherwise than they were sent.
-func TestTextsOfAnyBytesBetweenHosts(t *testing.T) {
-	var all []byte
-	for i := range 256 {
-		all = append(all, byte(i))
-	}
-	for _, text := range []string{"", " ", " a  b ", "a\r\nROW b", "a\nDONE x\r", "\x00\x00", "\xff\xfe", "\u2028é\u00a0", string(all)} {
-		in := &linkRequest{lane: 1, peerRequestMessage: peerRequestMessage{version: peerRequestVersion, PeerRequest: gateway.PeerRequest{
-			Values: map[string]string{text: text}, Prepared: &gateway.PreparedStatement{Text: text}, Route: request("", nil).Route,
-			Request: gateway.Request{ID: text, Text: text, Statement: gateway.Execute{Name: text, Arguments: text}},
-		}}}
-		out := &linkReply{lane: 1, peerReplyMessage: peerReplyMessage{Process: text, Reply: gateway.Reply{
-			Rows: []string{text, "", text}, Signature: text, Failure: &gateway.Failure{Detail: text},
-		}}}
-		for _, m := range []message{in, out} {
-			encoded, err := encoding{}.Marshal(m)
-			got := reflect.New(reflect.TypeOf(m).Elem()).Interface().(message)
-			if err == nil {
-				err = encoding{}.Unmarshal(encoded, got)
-			}
-			if err != nil || !reflect.DeepEqual(got, m) {
-				t.Errorf("%q: %+v became %+v, %v", text, m, got, err)
-			}
-		}
-	}
-}
