etcd: answers that belong to other calls are rejected by their values

A swap now has a revision above the one that it replaced, a range holds only its keys, a renewal names its lease and a grant has one.

Revisions aren't compared over calls: etcd counts from a lower one after it was restored from a backup, and names no epoch. Not promised: an answer without keys, a renewal of the same lease, a refused swap.

--- a/io/etcd/etcd.go
+++ b/io/etcd/etcd.go
@@ -185,7 +185,7 @@
 
 // Get implements Store.
 func (e *Etcd) Get(ctx context.Context, key string) (Entry, error) {
-	out, err := call[rangeResponse](ctx, e, "/v3/kv/range", rangeRequest{Key: []byte(key)})
+	out, err := e.getRange(ctx, rangeRequest{Key: []byte(key)})
 	if err != nil || len(out.KVs) == 0 {
 		return Entry{}, err
 	}
@@ -194,7 +194,7 @@
 
 // Revision implements Store.
 func (e *Etcd) Revision(ctx context.Context, key string) (int64, error) {
-	out, err := call[rangeResponse](ctx, e, "/v3/kv/range", rangeRequest{Key: []byte(key), KeysOnly: true})
+	out, err := e.getRange(ctx, rangeRequest{Key: []byte(key), KeysOnly: true})
 	if err != nil || len(out.KVs) == 0 {
 		return 0, err
 	}
@@ -209,7 +209,7 @@
 func (e *Etcd) List(ctx context.Context, prefix string) (map[string]Entry, error) {
 	end := []byte(prefix)
 	end[len(end)-1]++ // prefixes end with '/', so the byte does not overflow
-	out, err := call[rangeResponse](ctx, e, "/v3/kv/range", rangeRequest{Key: []byte(prefix), RangeEnd: end})
+	out, err := e.getRange(ctx, rangeRequest{Key: []byte(prefix), RangeEnd: end})
 	if err != nil {
 		return nil, err
 	}
@@ -239,6 +239,9 @@
 	if !out.Succeeded {
 		return 0, ErrConflict
 	}
+	if got := int64(out.Header.Revision); got <= revision {
+		return 0, e.otherAnswer("written at revision %d in place of %d", got, revision)
+	}
 	return int64(out.Header.Revision), nil
 }
 
@@ -264,12 +267,18 @@
 // Grant implements Store.
 func (e *Etcd) Grant(ctx context.Context, seconds int64) (int64, error) {
 	out, err := call[leaseResponse](ctx, e, "/v3/lease/grant", leaseRequest{TTL: int64String(seconds)})
+	if err == nil && out.ID == 0 {
+		err = e.otherAnswer("no lease")
+	}
 	return int64(out.ID), err
 }
 
 // KeepAlive implements Store.
 func (e *Etcd) KeepAlive(ctx context.Context, lease int64) error {
 	out, err := call[keepAliveResponse](ctx, e, "/v3/lease/keepalive", leaseRequest{ID: int64String(lease)})
+	if err == nil && int64(out.Result.ID) != lease {
+		return e.otherAnswer("lease %d, want %d", out.Result.ID, lease)
+	}
 	if err == nil && out.Result.TTL <= 0 {
 		return errors.Errorf("platform: lease %d has lapsed", lease)
 	}
