Test of a COPY that breaks off: the primary crashes once the COPY has begun

Traced: the caller's driver sends data without waiting for the answer to COPY, the crash came after 3.2 MB, which fits into the sockets, and so before the host had taken the statement. The host waited for the next primary and the whole COPY ran there ("COPY 1638200", all rows, and another primary than before), which is right.

The data is now more than a socket holds that nobody reads, so that the crash comes during the COPY, with as much still to send as before (50 parts).

--- a/internal/lab/caller_test.go
+++ b/internal/lab/caller_test.go
@@ -420,7 +420,9 @@
 func TestCopyThatBreaksOffIsAnswered(t *testing.T) {
 	c := start(t, small())
 	conn := dial(t, c, 1, DeskRoute, "")
-	data := &brokenReader{rest: 100, crash: c.Groups[0].Primary().Crash}
+	// The crash comes after 32 MB. A socket that isn't read holds less, so the host has read some of it, which it does only
+	// once the COPY has begun on the member.
+	data := &brokenReader{rest: 550, crash: c.Groups[0].Primary().Crash}
 	if _, err := conn.PgConn().CopyFrom(testContext(t), data, "COPY items FROM STDIN"); err == nil {
 		t.Fatal("a COPY into a crashed primary succeeded")
 	}
