--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -98,11 +98,11 @@
 // Repeats seeds of complete schedules, each with the situation that it produces.
 func TestSeedsWithStoreRestores(t *testing.T) {
 	for _, seed := range []uint64{
-		2, // two restores
+		2, // two restores of the store
 		// Hosts that were stopped exited while statements of transactions ran.
 		30102, 30103,
 	} {
-		runSchedule(t, seed, scheduleWithoutRepeats(seed, DefaultOptions().Faults))
+		runSchedule(t, seed, Schedule(seed, DefaultOptions().Faults))
 	}
 }
 
