A begin's answer that may be a copy gives no position

The answer to a BEGIN may be a copy of that to an earlier BEGIN on the connection. The confirmation showed that the transaction is open, but the position of the copy was passed on as the primary's at the time of this BEGIN. Group.observePosition then took it for a sample, with which a replica that lacks later commits counts as fresh (STALE), and for the floor of a successor (LOST).

An answer that may be a copy now has no position, which observePosition ignores.

--- a/internal/gateway/member_conn.go
+++ b/internal/gateway/member_conn.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"pearlatch/core/answer"
+	"pearlatch/core/group"
 )
 
 // errUnprovenAnswer means that an answer arrived that can't be told from one to another request. The connection is of no
@@ -148,6 +149,9 @@
 		if err != nil {
 			return out, ambiguous, err
 		}
+		if reply.Failure == nil && reply.Signature == "" && c.answers.Uncertain() {
+			reply.Position = group.Position{} // that of a copy is one of before
+		}
 		out = append(out, reply)
 		c.state = reply.State
 		ambiguous = verdict == answer.Ambiguous || ambiguous && reply.Signature == ""
--- a/internal/gateway/member_conn_test.go
+++ b/internal/gateway/member_conn_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"pearlatch/core/group"
 )
 
 // scriptedConn is a connection on which the given answers arrive, whatever is sent.
@@ -146,3 +148,19 @@
 		t.Errorf("the answer: %v, %v", replies, err)
 	}
 }
+
+// begunAt is the answer to a BEGIN at a member whose log ends at the given number.
+func begunAt(n group.LSN) memberAnswer {
+	return replyOf(Reply{State: InTransaction, Position: group.Position{Term: 1, LSN: n}})
+}
+
+// Guards against a position of before that counts as the end of the primary's log: the answer to the BEGIN is a copy.
+func TestRepeatedBeginGivesNoPosition(t *testing.T) {
+	c := newScriptedConn(begunAt(5), doneAnswer, begunAt(5), begunAt(9), begunAt(9))
+	for i, want := range []group.LSN{5, 0, 0} {
+		replies, err := c.Do(time.Second, []Command{OpenTransaction{}, Abort{}, OpenTransaction{}}[i])
+		if err != nil || replies[0].Position.LSN != want {
+			t.Errorf("answer %d: %+v, %v, want the position %d", i, replies, err, want)
+		}
+	}
+}
