The answer to a repeated commit gives no position

A commit whose refusal may be a copy is sent again. The answer that arrives then may be that to the first sending, with the position of that time. finishCommit recorded it with the time of the last sending: commits of others in between were taken for later than that time, so that replicas without them counted as fresh (STALE) and the floor of a successor was too low (LOST).

The position is no longer recorded if the commit was sent again.

--- a/internal/gateway/commit.go
+++ b/internal/gateway/commit.go
@@ -131,7 +131,9 @@
 // transaction is still open.
 func (s *Session) finishCommit(p *pooledConn, sentAt time.Time, reply Reply) {
 	t, g := s.tx, s.tx.op.group
-	g.observePosition(p.member, sentAt, reply.Position)
+	if !t.commitRepeated { // else the answer may be that to a commit sent before sentAt
+		g.observePosition(p.member, sentAt, reply.Position)
+	}
 	if reply.Failure == nil && t.sentWrite {
 		s.advanceLastWrite(reply.Position)
 	}
--- a/internal/gateway/repeated_answer_test.go
+++ b/internal/gateway/repeated_answer_test.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"pearlatch/core/freshness"
+	"pearlatch/core/group"
 )
 
 // repeatingDialer opens connections to members that send some answers again at any later time.
@@ -270,3 +271,69 @@
 	}
 	return signed
 }
+
+// busyCommitConn answers the first two commits with the same refusal. The second one takes effect, and its own answer arrives for
+// the third.
+type busyCommitConn struct {
+	Conn
+	commits *int
+	// meanwhile runs after the second commit has taken effect.
+	meanwhile func()
+	late      []Reply
+}
+
+func (c *busyCommitConn) Do(timeout time.Duration, commands ...Command) ([]Reply, error) {
+	if !isCommit(commands[len(commands)-1]) {
+		return c.Conn.Do(timeout, commands...)
+	}
+	*c.commits++
+	switch *c.commits {
+	case 2:
+		late, err := c.Conn.Do(timeout, commands...)
+		if err != nil {
+			return nil, err
+		}
+		c.late = late
+		c.meanwhile()
+	case 3:
+		return c.late, nil
+	}
+	return []Reply{{Failure: &Failure{Busy, "full"}, State: InTransaction}}, nil
+}
+
+type busyCommitDialer struct {
+	Dialer
+	conn busyCommitConn
+}
+
+func (d *busyCommitDialer) Dial(ctx context.Context, m Member, account string) (Conn, error) {
+	c := d.conn
+	var err error
+	c.Conn, err = d.Dialer.Dial(ctx, m, account)
+	return &c, err
+}
+
+// Guards against a position of before that counts as the end of the primary's log: it comes with the answer to an earlier commit.
+func TestRepeatedCommitGivesNoPosition(t *testing.T) {
+	d := &busyCommitDialer{conn: busyCommitConn{commits: new(int)}}
+	var host *Host
+	var written group.Position
+	d.conn.meanwhile = func() {
+		if r := exec(host, Write{}); r.Failure != nil {
+			t.Errorf("the write: %v", r.Failure)
+		}
+		written, _ = host.group(testGroup).newestSample()
+	}
+	withHostDialing(t, freshness.MaxAge{Age: time.Second}, func(s *fakeSite) Dialer { d.Dialer = s; return d }, func(s *fakeSite, h *Host) {
+		host = h
+		session := openSession(t, h)
+		for _, st := range []Statement{Begin{}, Write{}, Commit{}} {
+			if r := execIn(session, st); r.Failure != nil {
+				t.Fatalf("%T: %v", st, r.Failure)
+			}
+		}
+		if newest, _ := h.group(testGroup).newestSample(); newest.Compare(written) < 0 || *d.conn.commits != 3 {
+			t.Errorf("the primary is taken to be at %v after %d commits, was at %v before", newest, *d.conn.commits, written)
+		}
+	})
+}
