An answer that was skipped is known when it comes again

An answer without a signature that was skipped as another command's was not recorded, although it may be the member's answer to an earlier command, whose place a copy had taken. When it came again in place of the answer to a BEGIN that the member refused, it was accepted without a confirmation, and the caller's statements ran outside the transaction (PINNED). The same for a SET within a transaction.

Judge now records what it skips, so that the second arrival is confirmed, and the refusal found.

--- a/core/answer/history.go
+++ b/core/answer/history.go
@@ -92,6 +92,7 @@
 	case len(a.Rows) > 0:
 		return Garbled
 	case e.Signed || a.State != e.State:
+		h.seen(a) // it may be the answer to an earlier request, whose place a copy took
 		return Repeated
 	}
 	h.uncertain = h.seen(a) || h.uncertain
--- a/internal/gateway/member_conn_test.go
+++ b/internal/gateway/member_conn_test.go
@@ -164,3 +164,21 @@
 		}
 	}
 }
+
+// Guards against statements that run outside their transaction: its BEGIN was refused, and an answer that was skipped before as
+// another command's came once more.
+func TestSkippedAnswerIsKnown(t *testing.T) {
+	signed := func(signature string, s State) memberAnswer { return replyOf(Reply{Signature: signature, State: s}) }
+	c := newScriptedConn(begunAt(5), doneAnswer,
+		begunAt(5), begunAt(6), begunAt(7), signed("s1", InTransaction), signed("s2", Idle), // a copy shifts the answers up to that with 7
+		begunAt(7), busyAnswer, signed("s3", Idle))
+	write, commit := RunStatement{Request: Request{ID: "1", Statement: Write{}}}, RunStatement{Request: Request{ID: "2", Statement: Commit{}}}
+	for _, command := range []Command{OpenTransaction{}, Abort{}, OpenTransaction{}, write, commit} {
+		if replies, err := c.Do(time.Second, command); err != nil || replies[0].Failure != nil {
+			t.Fatalf("%T: %+v, %v", command, replies, err)
+		}
+	}
+	if replies, err := c.Do(time.Second, OpenTransaction{}); err == nil && replies[0].Failure == nil {
+		t.Errorf("the BEGIN that was refused is answered with %+v", replies[0])
+	}
+}
