Transactions of a session with a refused value keep their connections

The answers to the settings and the BEGIN are read together. If the member refused a setting for the second time on a connection, the refusal could not be told from a copy within the transaction, and the connection was closed: a session with a value that the member refuses opened a connection every second attempt, until the deadline of each transaction.

On a connection whose values are not known since a setting was refused, beginOnConn now awaits the settings first, as single statements do, which keeps the connection. All other transactions are begun as before, without a further round trip.

--- a/core/connstate/state.go
+++ b/core/connstate/state.go
@@ -72,6 +72,9 @@
 	return s.unknown
 }
 
+// Unknown reports whether a Reset or Assign without success has left the connection with values that are not known.
+func (s *State[S]) Unknown() bool { return s.unknown }
+
 // assignments returns the commands that turn the held values into the given ones.
 func assignments[S comparable](held, values map[string]string) []Command[S] {
 	var out []Command[S]
--- a/internal/gateway/conn_setup_test.go
+++ b/internal/gateway/conn_setup_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -150,3 +151,42 @@
 		}
 	}
 }
+
+// Guards against ever new connections for the transactions of a session with a value that the member refuses for good.
+func TestRefusedValueKeepsConnections(t *testing.T) {
+	d := &countingDialer{}
+	withHostDialing(t, freshness.Latest{}, func(s *fakeSite) Dialer { d.Dialer = s; return d }, func(s *fakeSite, h *Host) {
+		s.setRefusals(func(c Command) *Failure {
+			if _, assigns := c.(Assign); assigns {
+				return &Failure{Malformed, "no such value"}
+			}
+			return nil
+		})
+		exec(h, Write{}) // opens a connection
+		before := d.opened.Load()
+		for range 5 {
+			session := openSession(t, h)
+			for _, st := range []Statement{Set{"v", "1"}, Begin{}} {
+				execIn(session, st)
+			}
+			if r := execIn(session, Write{}); r.Failure == nil || r.Failure.Code != Aborted {
+				t.Errorf("the write: %+v", r)
+			}
+			session.Close()
+		}
+		if n := d.opened.Load() - before; n > 2 {
+			t.Errorf("%d connections were opened", n)
+		}
+	})
+}
+
+// countingDialer counts the connections that it opens.
+type countingDialer struct {
+	Dialer
+	opened atomic.Int64
+}
+
+func (d *countingDialer) Dial(ctx context.Context, m Member, account string) (Conn, error) {
+	d.opened.Add(1)
+	return d.Dialer.Dial(ctx, m, account)
+}
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -181,6 +181,11 @@
 	if next := s.releaseUnlessPrimary(op, p); next != nil {
 		return next
 	}
+	if p.state.Unknown() { // what is refused again, along with a begin, could not be told from a copy
+		if next := s.setUpConn(op, p); next != nil {
+			return next
+		}
+	}
 	sentAt := g.now()
 	setup := p.state.Setup(s.values)
 	// No statement of the caller runs before all answers are read.
