--- a/internal/gateway/member_conn_test.go
+++ b/internal/gateway/member_conn_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"pearlatch/core/group"
 )
 
 // scriptedConn is a connection on which the given answers arrive, whatever is sent.
@@ -146,3 +148,37 @@
 		t.Errorf("the answer: %v, %v", replies, err)
 	}
 }
+
+// begunAt is the answer to a BEGIN at a member whose log ends at the given number.
+func begunAt(n group.LSN) memberAnswer {
+	return replyOf(Reply{State: InTransaction, Position: group.Position{Term: 1, LSN: n}})
+}
+
+// Guards against a position of before that counts as the end of the primary's log: the answer to the BEGIN is a copy.
+func TestRepeatedBeginGivesNoPosition(t *testing.T) {
+	c := newScriptedConn(begunAt(5), doneAnswer, begunAt(5), begunAt(9), begunAt(9))
+	for i, want := range []group.LSN{5, 0, 0} {
+		replies, err := c.Do(time.Second, []Command{OpenTransaction{}, Abort{}, OpenTransaction{}}[i])
+		if err != nil || replies[0].Position.LSN != want {
+			t.Errorf("answer %d: %+v, %v, want the position %d", i, replies, err, want)
+		}
+	}
+}
+
+// Guards against statements that run outside their transaction: its BEGIN was refused, and an answer that was skipped before as
+// another command's came once more.
+func TestSkippedAnswerIsKnown(t *testing.T) {
+	signed := func(signature string, s State) memberAnswer { return replyOf(Reply{Signature: signature, State: s}) }
+	c := newScriptedConn(begunAt(5), doneAnswer,
+		begunAt(5), begunAt(6), begunAt(7), signed("s1", InTransaction), signed("s2", Idle), // a copy shifts the answers up to that with 7
+		begunAt(7), busyAnswer, signed("s3", Idle))
+	write, commit := RunStatement{Request: Request{ID: "1", Statement: Write{}}}, RunStatement{Request: Request{ID: "2", Statement: Commit{}}}
+	for _, command := range []Command{OpenTransaction{}, Abort{}, OpenTransaction{}, write, commit} {
+		if replies, err := c.Do(time.Second, command); err != nil || replies[0].Failure != nil {
+			t.Fatalf("%T: %+v, %v", command, replies, err)
+		}
+	}
+	if replies, err := c.Do(time.Second, OpenTransaction{}); err == nil && replies[0].Failure == nil {
+		t.Errorf("the BEGIN that was refused is answered with %+v", replies[0])
+	}
+}
