--- a/internal/gateway/repeated_answer_test.go
+++ b/internal/gateway/repeated_answer_test.go
@@ -324,7 +324,7 @@
 		}
 		written, _ = host.group(testGroup).newestSample()
 	}
-	withHostDialing(t, freshness.MaxAge{Age: time.Second}, func(s *fakeSite) Dialer { d.Dialer = s; return d }, func(s *fakeSite, h *Host) {
+	withHostDialing(t, freshness.MaxAge{Age: time.Second}, func(s *fakeSite) Dialer { d.Dialer = s; return d }, func(_ *fakeSite, h *Host) {
 		host = h
 		session := openSession(t, h)
 		for _, st := range []Statement{Begin{}, Write{}, Commit{}} {
