A message between hosts that can't be encoded no longer ends their link

A link carries the streams of many callers. A request or reply above 65 MiB, as of a session with that much in values or of a read with that many rows, failed in the link's writer, which closed the link: transactions of other callers were rolled back and writes in flight became unknown. TestMessageAboveTheBoundKeepsTheLink on the old code:

request: the link to host 127.0.0.1:45413 has ended, want ErrNotSent reply: <nil>, the link has ended: the request was not sent; want InDoubt (the other transaction) the link has ended: the request was not sent

drpc encodes a message before it writes any of it, so the stream can go on. A request that can't be encoded is now ErrNotSent, which it is; a reply is replaced by INDOUBT with its state, which promises nothing. Other messages are dropped, and whoever asked times out.

--- a/io/peer/codec.go
+++ b/io/peer/codec.go
@@ -53,9 +53,15 @@
 	if n := len(out) - start; n > maxMessageSize {
 		w.setErr(errors.Errorf("%d bytes, and hosts read %d at most", n, maxMessageSize))
 	}
-	return out, errors.Wrapf(w.err, "encode %T", msg)
+	if w.err != nil {
+		return out, encodeError{errors.Wrapf(w.err, "encode %T", msg)}
+	}
+	return out, nil
 }
 
+// encodeError means that a message can't be encoded, so that nothing of it was sent. The stream can still be used.
+type encodeError struct{ error }
+
 // Unmarshal implements drpc.Encoding.
 func (encoding) Unmarshal(buf []byte, msg drpc.Message) error {
 	m, ok := msg.(message)
--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -24,10 +24,14 @@
 	closed chan struct{}
 }
 
-// queuedMessage is a message and, if it is not nil, the channel that is closed once it has been sent.
+// queuedMessage is a message to send.
 type queuedMessage struct {
 	drpc.Message
+	// sent is closed once the message has been sent. It may be nil.
 	sent chan struct{}
+	// replace is called if the message can't be encoded. It returns the message to send instead, or nil. It may be nil and
+	// must not block.
+	replace func(err error) drpc.Message
 }
 
 // newLinkWriter returns a writer on the stream. It calls onError when sending fails.
@@ -41,7 +45,7 @@
 	for {
 		select {
 		case m := <-w.queue:
-			if err := w.stream.MsgSend(m.Message, encoding{}); err != nil {
+			if err := w.write(m); err != nil {
 				w.close()
 				onError()
 				return
@@ -55,12 +59,28 @@
 	}
 }
 
+// write sends a message, or what replaces it: a message that can't be encoded must not end the link, which carries the streams
+// of many callers.
+func (w *linkWriter) write(m queuedMessage) error {
+	err := w.stream.MsgSend(m.Message, encoding{})
+	if !errors.As(err, new(encodeError)) {
+		return err
+	}
+	if m.replace == nil {
+		return nil
+	}
+	if other := m.replace(err); other != nil {
+		return w.stream.MsgSend(other, encoding{})
+	}
+	return nil
+}
+
 // send queues a message. It never blocks. The error is errLinkFull if the queue is full.
 func (w *linkWriter) send(m drpc.Message) error { return w.enqueue(queuedMessage{Message: m}) }
 
 // sendAndWait queues a message and waits until it has been sent or the writer is closed.
-func (w *linkWriter) sendAndWait(m drpc.Message) error {
-	q := queuedMessage{m, make(chan struct{})}
+func (w *linkWriter) sendAndWait(q queuedMessage) error {
+	q.sent = make(chan struct{})
 	if err := w.enqueue(q); err != nil {
 		return err
 	}
--- a/io/peer/link_client.go
+++ b/io/peer/link_client.go
@@ -143,8 +143,8 @@
 }
 
 // send queues a message. It closes the link if the queue is full.
-func (k *link) send(m drpc.Message) error {
-	err := k.writer.send(m)
+func (k *link) send(m queuedMessage) error {
+	err := k.writer.enqueue(m)
 	if errors.Is(err, errLinkFull) {
 		k.shutdown()
 	}
@@ -182,11 +182,19 @@
 	k.mu.Lock()
 	k.pending[m.lane] = replies
 	k.mu.Unlock()
-	if err := k.send(m); err != nil {
+	unsent := make(chan error, 1)
+	refuse := func(err error) drpc.Message {
+		unsent <- err
+		return nil
+	}
+	if err := k.send(queuedMessage{Message: m, replace: refuse}); err != nil {
 		k.removePending(m.lane)
 		return nil, errors.Wrap(gateway.ErrNotSent, err.Error())
 	}
 	select {
+	case err := <-unsent:
+		k.removePending(m.lane)
+		return nil, errors.Wrap(gateway.ErrNotSent, err.Error())
 	case reply := <-replies:
 		return reply, nil
 	case <-k.writer.closed:
@@ -219,7 +227,7 @@
 // Close implements gateway.Stream.
 func (s *linkStream) Close() {
 	// An error is ignored: the other host closes all streams of a link that has failed.
-	_ = s.link.send(&linkRequest{lane: s.id, closes: true})
+	_ = s.link.send(queuedMessage{Message: &linkRequest{lane: s.id, closes: true}})
 }
 
 // ReplaceIfSilent implements gateway.Stream.
--- a/io/peer/link_server.go
+++ b/io/peer/link_server.go
@@ -136,14 +136,22 @@
 // reply sends the reply to a request. While the host stops it returns once the reply has been sent, so that the process
 // does not exit before.
 func (l *servedLink) reply(lane uint64, reply *gateway.PeerReply) {
-	m := &linkReply{lane: lane, peerReplyMessage: peerReplyMessage(*reply)}
+	m := queuedMessage{Message: &linkReply{lane: lane, peerReplyMessage: peerReplyMessage(*reply)}}
+	m.replace = func(err error) drpc.Message { return unsendableReply(lane, reply, err) }
 	if !l.host.Stopping() {
-		l.send(m)
+		l.closeIfFull(l.writer.enqueue(m))
 		return
 	}
 	l.closeIfFull(l.writer.sendAndWait(m))
 }
 
+// unsendableReply returns the reply to a request whose own reply can't be sent. It promises nothing.
+func unsendableReply(lane uint64, reply *gateway.PeerReply, err error) *linkReply {
+	out := peerReplyMessage(*reply)
+	out.Reply = gateway.Reply{State: reply.Reply.State, Failure: &gateway.Failure{Code: gateway.InDoubt, Detail: "the reply can't be sent: " + err.Error()}}
+	return &linkReply{lane: lane, peerReplyMessage: out}
+}
+
 // endTransactions closes the streams whose transactions wait for their next statement. The other streams are closed after
 // the running statement.
 func (l *servedLink) endTransactions() {
--- a/io/peer/link_test.go
+++ b/io/peer/link_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/netip"
 	"strings"
@@ -295,3 +296,19 @@
 	}
 	eventually(t, "all replies are sent", func() bool { return h.PendingReplies() == 0 })
 }
+
+// Guards against a request or reply above the bound that ends the link, and with it the transactions of all other callers.
+func TestMessageAboveTheBoundKeepsTheLink(t *testing.T) {
+	h := serveStub(t, &stubBackend{})
+	c := newClient()
+	one, two := openStream(t, c, h.addr), openStream(t, c, h.addr)
+	mustDo(t, two, begin("2a"))
+	if _, err := one.Do(t.Context(), request(strings.Repeat("x", maxMessageSize), gateway.Write{})); !errors.Is(err, gateway.ErrNotSent) {
+		t.Errorf("request: %v, want ErrNotSent", err)
+	}
+	out, err := one.Do(t.Context(), request(strings.Repeat("x", maxMessageSize/2), gateway.Write{})) // its reply holds the id twice
+	if err != nil || out.Reply.Failure == nil || out.Reply.Failure.Code != gateway.InDoubt {
+		t.Errorf("reply: %.200v, %v; want InDoubt", out, err)
+	}
+	mustDo(t, two, continuation("2b", gateway.Commit{}))
+}
