Configuration of `pearlatch serve`: an error shows 64 characters of a value

TestOddDocuments: lists, mappings and blocks nested 200,000 deep, aliases and merges of themselves, numbers beyond integers and invalid UTF-8 are refused, as before. A number of one megabyte became an error of 1,048,627 bytes.

--- a/internal/yamlmap/yamlmap.go
+++ b/internal/yamlmap/yamlmap.go
@@ -202,7 +202,7 @@
 	}
 	n, err := strconv.Atoi(v)
 	if err != nil {
-		m.AddMistake(field, "%q is not a whole number", v)
+		m.AddMistake(field, "%.64q is not a whole number", v)
 		return missing
 	}
 	return n
@@ -216,7 +216,7 @@
 	}
 	x, err := strconv.ParseFloat(v, 64)
 	if err != nil || !(x >= 0 && x <= limit) {
-		m.AddMistake(field, "%q is not a number between 0 and %v", v, limit)
+		m.AddMistake(field, "%.64q is not a number between 0 and %v", v, limit)
 		return 0
 	}
 	return x
@@ -230,7 +230,7 @@
 	}
 	b, err := strconv.ParseBool(v)
 	if err != nil {
-		m.AddMistake(field, "%q is neither true nor false", v)
+		m.AddMistake(field, "%.64q is neither true nor false", v)
 	}
 	return b
 }
@@ -243,7 +243,7 @@
 	}
 	d, err := time.ParseDuration(v)
 	if err != nil {
-		m.AddMistake(field, "%q is not a duration such as 500ms or 2s", v)
+		m.AddMistake(field, "%.64q is not a duration such as 500ms or 2s", v)
 		return missing
 	}
 	if d <= 0 {
@@ -280,7 +280,7 @@
 	}
 	addr, err := netip.ParseAddrPort(v)
 	if err != nil {
-		m.AddMistake(field, "%q is not of the form IP:PORT", v)
+		m.AddMistake(field, "%.64q is not of the form IP:PORT", v)
 	}
 	return addr
 }
@@ -297,7 +297,7 @@
 			return e
 		}
 	}
-	m.AddMistake(field, "%q is none of %s", v, strings.Join(names, ", "))
+	m.AddMistake(field, "%.64q is none of %s", v, strings.Join(names, ", "))
 	return missing
 }
 
