A connection that a reply leaves in a transaction is not pooled

A single statement that a member refuses in the state E (its transaction failed), or a BEGIN refused in the state T or E, was followed by a release: the next caller's statements ran on that connection, were answered MALFORMED, or would run in the open transaction. expect takes the state of the connection as the one to expect, so that nothing noticed it.

Before: "a later write: Malformed: the transaction has failed", and InDoubt once. Now the connection is closed, which rolls back.

--- a/internal/gateway/connections.go
+++ b/internal/gateway/connections.go
@@ -227,6 +227,15 @@
 	g.dispatch()
 }
 
+// releaseAfter returns a connection to the pool after the reply, or closes it if that leaves a transaction open.
+func (g *Group) releaseAfter(p *pooledConn, r Reply) {
+	if r.State != Idle {
+		g.discard(p, nil)
+		return
+	}
+	g.release(p)
+}
+
 // markIdleInTransaction records that the connection belongs to a transaction that is between two
 // statements.
 func (g *Group) markIdleInTransaction(p *pooledConn) {
--- a/internal/gateway/execute.go
+++ b/internal/gateway/execute.go
@@ -335,7 +335,7 @@
 		if op.writes {
 			s.advanceLastWrite(reply.Position)
 		}
-		g.release(p)
+		g.releaseAfter(p, reply)
 		if op.writes && !g.confirmWrite(p.member.ID, reply.Position, op.deadline) {
 			return failureReply(InDoubt, p.member.ID+" may have been replaced as it acknowledged the write"), nil
 		}
@@ -358,15 +358,15 @@
 		next.delay = busyRetryInterval
 	case Failed, TimedOut:
 		if op.writes || op.need.Avoid != "" {
-			g.release(p)
+			g.releaseAfter(p, reply)
 			return reply, nil
 		}
 		op.need.Avoid = p.member.ID
 	default:
-		g.release(p)
+		g.releaseAfter(p, reply)
 		return reply, nil
 	}
-	g.release(p)
+	g.releaseAfter(p, reply)
 	return Reply{}, next
 }
 
