A member that falls silent within a confirmation is suspected

resolve turned every failure of a confirmation into errUnprovenAnswer, also a timeout or a closed connection. discard doesn't suspect the member after such an error, so that a primary that crashed right after a refusal was noticed only by later statements.

Before: "after Busy: full: context deadline exceeded: the answer may belong to another request, want the error of the connection". Only answers that are out of their turn are unproven now. What callers are told is the same.

--- a/internal/gateway/member_conn.go
+++ b/internal/gateway/member_conn.go
@@ -268,7 +268,7 @@
 		*last = late
 	}
 	if err := c.readConfirmation(in, command, states); err != nil {
-		return errors.Wrapf(errUnprovenAnswer, "after %v: %v", last.Failure, err)
+		return errors.Wrapf(err, "after %v", last.Failure)
 	}
 	c.reportAnswer(command, outcomeConfirmed, *last)
 	return nil
--- a/internal/gateway/member_conn_test.go
+++ b/internal/gateway/member_conn_test.go
@@ -182,3 +182,15 @@
 		t.Errorf("the BEGIN that was refused is answered with %+v", replies[0])
 	}
 }
+
+// Guards against a member that falls silent, or is gone, without being suspected: its connection fails within a confirmation.
+func TestSilenceInConfirmationIsNoUnprovenAnswer(t *testing.T) {
+	c := newScriptedConn(busyAnswer, busyAnswer, openedAnswer)
+	write := RunStatement{Request: Request{ID: "1", Statement: Write{}}}
+	if _, err := c.Do(time.Second, write); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Do(time.Second, write); !errors.Is(err, context.DeadlineExceeded) || isUnproven(err) {
+		t.Errorf("%v, want the error of the connection", err)
+	}
+}
