A control command takes no longer than its timeout

The confirmation of a status that was carried before had the whole timeout once more: a probe of 150 ms, or 400 ms, could take twice as long and hold up a check of the primary.

Before: "the confirmation has 1s left" of 1 s, 800 ms after the command was sent; now 200 ms.

--- a/internal/gateway/member_conn.go
+++ b/internal/gateway/member_conn.go
@@ -300,11 +300,12 @@
 // Control implements Conn. A status that the connection has carried before may be a copy, so it counts only once the answers to
 // further commands show that it has arrived in its turn. These commands may fail: a member that is busy is controlled as well.
 func (c *memberConn) Control(timeout time.Duration, o ControlCommand) (Status, error) {
+	deadline := time.Now().Add(timeout)
 	s, err := c.Conn.Control(timeout, o)
 	if err != nil && !isMemberFailure(err) || c.judgeControl(s, err) == answer.Accepted {
 		return s, err
 	}
-	in := c.send(timeout, OpenTransaction{ReadOnly: true}, Abort{})
+	in := c.send(max(time.Until(deadline), time.Millisecond), OpenTransaction{ReadOnly: true}, Abort{})
 	for range 2 {
 		reply, failure := in.next()
 		if failure != nil {
--- a/internal/gateway/member_conn_test.go
+++ b/internal/gateway/member_conn_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/pkg/errors"
@@ -194,3 +195,35 @@
 		t.Errorf("%v, want the error of the connection", err)
 	}
 }
+
+// slowConn takes most of a second for a status and keeps the time that it has for the confirmation.
+type slowConn struct {
+	Conn
+	left time.Duration
+}
+
+func (c *slowConn) Control(time.Duration, ControlCommand) (Status, error) {
+	time.Sleep(800 * time.Millisecond)
+	return Status{Term: 3}, nil
+}
+
+func (c *slowConn) Do(timeout time.Duration, _ ...Command) ([]Reply, error) {
+	c.left = timeout
+	return []Reply{openedAnswer.reply, doneAnswer.reply}, nil
+}
+
+// Guards against a control command that takes twice its timeout.
+func TestStatusIsConfirmedWithinTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		slow := &slowConn{}
+		c := &memberConn{Conn: slow, report: func(answerEvent) {}}
+		for range 2 {
+			if _, err := c.Control(time.Second, Probe{}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if slow.left != 200*time.Millisecond {
+			t.Errorf("the confirmation has %s left", slow.left)
+		}
+	})
+}
