Errors and log lines show no more than the beginning of a member's texts

An answer that is no message, and the signature of an answer that is not the command's, were quoted whole, up to 1 MiB in each of up to 100 log lines a second.

Before: errors of 65,557 to 131,155 bytes for texts of 65,536 bytes. Now they quote 64 bytes, log lines 200 bytes of a refusal.

--- a/internal/gateway/conn_setup.go
+++ b/internal/gateway/conn_setup.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"time"
 
 	"pearlatch/core/connstate"
@@ -31,7 +32,7 @@
 		p.state.Record(c, f == nil)
 		if f != nil && failure == nil {
 			failure = f
-			g.log("conn_setup_refused", "member", p.member.ID, "command", setupName(c), "code", f.Code.String(), "detail", f.Detail)
+			g.log("conn_setup_refused", "member", p.member.ID, "command", setupName(c), "code", f.Code.String(), "detail", fmt.Sprintf("%.200s", f.Detail))
 		}
 	}
 	return failure
--- a/internal/gateway/member_conn.go
+++ b/internal/gateway/member_conn.go
@@ -172,7 +172,7 @@
 			return reply, verdict, nil
 		case answer.Garbled:
 			c.reportAnswer(command, verdict.String(), reply)
-			return reply, verdict, errors.Wrapf(errUnprovenAnswer, "signature %q, %d rows", reply.Signature, len(reply.Rows))
+			return reply, verdict, errors.Wrapf(errUnprovenAnswer, "signature %.64q, %d rows", reply.Signature, len(reply.Rows))
 		}
 		c.reportAnswer(command, verdict.String(), reply)
 	}
@@ -369,5 +369,5 @@
 		code = e.reply.Failure.Code.String()
 	}
 	g.log("answer_not_matched", "member", memberID, "request", e.request, "command", e.command, "outcome", e.outcome,
-		"signature", e.reply.Signature, "code", code, "rows", len(e.reply.Rows), "state", e.reply.State.String(), "position", e.reply.Position)
+		"signature", fmt.Sprintf("%.64s", e.reply.Signature), "code", code, "rows", len(e.reply.Rows), "state", e.reply.State.String(), "position", e.reply.Position)
 }
