The test of repeated answers checks commits, and copies of any age

It checked single writes only, and copies of the last four answers. Commits must now run once at most, and not at all after a promise, unless the transaction wrote nothing.

--- a/internal/gateway/repeated_answer_test.go
+++ b/internal/gateway/repeated_answer_test.go
@@ -62,7 +62,7 @@
 // send adds an answer to those that arrived, after a copy of an earlier one in some cases.
 func (c *repeatingConn) send(a memberAnswer) {
 	if n := len(c.earlier); n > 0 && c.random.Float64() < repeatedShare {
-		c.arrived = append(c.arrived, c.earlier[max(0, n-1-c.random.IntN(4))])
+		c.arrived = append(c.arrived, c.earlier[c.random.IntN(n)])
 		c.dialer.mu.Lock()
 		c.dialer.copies++
 		c.dialer.mu.Unlock()
@@ -261,6 +261,9 @@
 			t.Errorf("REFUSED: write %s ran and was answered %v", a.run.id, f)
 		}
 	}
+	if _, commits := a.statement.(Commit); commits {
+		checkCommit(t, a, runs)
+	}
 	signed := false
 	switch a.statement.(type) {
 	case Read, Write, Execute, Commit:
@@ -272,6 +275,19 @@
 	return signed
 }
 
+// checkCommit checks what a caller was told of a commit. If the transaction wrote nothing, a promise is kept in any case.
+func checkCommit(t *testing.T, a answeredStatement, runs []statementRun) {
+	t.Helper()
+	if len(runs) > 1 {
+		t.Errorf("TWICE: commit %s ran %d times", a.run.id, len(runs))
+	}
+	f := a.reply.Failure
+	promised := f != nil && (f.Code == Aborted || f.Code.NotRun()) && !strings.Contains(f.Detail, "nothing was written")
+	if promised && len(runs) > 0 {
+		t.Errorf("REFUSED: commit %s ran and was answered %v", a.run.id, f)
+	}
+}
+
 // busyCommitConn answers the first two commits with the same refusal. The second one takes effect, and its own answer arrives for
 // the third.
 type busyCommitConn struct {
