--- a/internal/gateway/member_conn.go
+++ b/internal/gateway/member_conn.go
@@ -172,7 +172,7 @@
 			return reply, verdict, nil
 		case answer.Garbled:
 			c.reportAnswer(command, verdict.String(), reply)
-			return reply, verdict, errors.Wrapf(errUnprovenAnswer, "signature %q, %d rows", reply.Signature, len(reply.Rows))
+			return reply, verdict, errors.Wrapf(errUnprovenAnswer, "signature %.64q, %d rows", reply.Signature, len(reply.Rows))
 		}
 		c.reportAnswer(command, verdict.String(), reply)
 	}
@@ -268,7 +268,7 @@
 		*last = late
 	}
 	if err := c.readConfirmation(in, command, states); err != nil {
-		return errors.Wrapf(errUnprovenAnswer, "after %v: %v", last.Failure, err)
+		return errors.Wrapf(err, "after %v", last.Failure)
 	}
 	c.reportAnswer(command, outcomeConfirmed, *last)
 	return nil
@@ -300,11 +300,12 @@
 // Control implements Conn. A status that the connection has carried before may be a copy, so it counts only once the answers to
 // further commands show that it has arrived in its turn. These commands may fail: a member that is busy is controlled as well.
 func (c *memberConn) Control(timeout time.Duration, o ControlCommand) (Status, error) {
+	deadline := time.Now().Add(timeout)
 	s, err := c.Conn.Control(timeout, o)
 	if err != nil && !isMemberFailure(err) || c.judgeControl(s, err) == answer.Accepted {
 		return s, err
 	}
-	in := c.send(timeout, OpenTransaction{ReadOnly: true}, Abort{})
+	in := c.send(max(time.Until(deadline), time.Millisecond), OpenTransaction{ReadOnly: true}, Abort{})
 	for range 2 {
 		reply, failure := in.next()
 		if failure != nil {
@@ -368,5 +369,5 @@
 		code = e.reply.Failure.Code.String()
 	}
 	g.log("answer_not_matched", "member", memberID, "request", e.request, "command", e.command, "outcome", e.outcome,
-		"signature", e.reply.Signature, "code", code, "rows", len(e.reply.Rows), "state", e.reply.State.String(), "position", e.reply.Position)
+		"signature", fmt.Sprintf("%.64s", e.reply.Signature), "code", code, "rows", len(e.reply.Rows), "state", e.reply.State.String(), "position", e.reply.Position)
 }
