A commit is not sent again outside its transaction

Cause: after a BUSY that may be a copy the commit was sent again at once, although the first one may have taken effect.

Change: the state in which the member answers a prepared statement tells whether the transaction is still open; a late success is taken as the commit's answer. The double coincidence (copies of the BUSY and of an answer within the transaction) is left: the outcome is right then, the commit is sent once more.

TestRepeatedRefusalOfCommitIsUnproven tells the five ways apart; TestRepeatedCommitGivesNoPosition plays the double coincidence.

--- a/internal/gateway/member_conn.go
+++ b/internal/gateway/member_conn.go
@@ -20,8 +20,8 @@
 // isUnproven reports whether a connection failed for the answers on it, not for a member that is silent or gone.
 func isUnproven(err error) bool { return errors.Is(err, errUnprovenAnswer) }
 
-// unprovenBusy is the error of a commit that was refused for lack of a slot, or not: the refusal may be a copy of an earlier one.
-// The commit may be sent again on the connection, where it takes effect at most once.
+// unprovenBusy is the error of a commit that was refused for lack of a slot, as far as the connection can tell: the refusal may be a
+// copy of an earlier one. The commit may be sent again on the connection, where it takes effect at most once.
 type unprovenBusy struct{ failure *Failure }
 
 func (e *unprovenBusy) Error() string { return e.failure.Error() + ": " + errUnprovenAnswer.Error() }
@@ -255,11 +255,11 @@
 // replaces the last reply in out.
 func (c *memberConn) resolve(deadline time.Time, command Command, out []Reply) error {
 	last := &out[len(out)-1]
+	if isCommit(command) && last.isBusyInTransaction() {
+		return c.resolveCommit(deadline, command, last)
+	}
 	if last.State != Idle {
 		c.reportAnswer(command, "unproven", *last)
-		if isCommit(command) && last.isBusyInTransaction() {
-			return &unprovenBusy{last.Failure}
-		}
 		return errors.Wrapf(errUnprovenAnswer, "%v within a transaction", last.Failure)
 	}
 	in, states := c.sendConfirmation(deadline)
@@ -274,6 +274,22 @@
 	return nil
 }
 
+// resolveCommit finds out whether the transaction is open after a refusal of its commit that may be a copy. A commit must not be
+// sent again outside a transaction. If the commit took effect, its answer replaces the refusal in last.
+func (c *memberConn) resolveCommit(deadline time.Time, commit Command, last *Reply) error {
+	in, states := c.sendConfirmation(deadline)
+	if late, ok := c.takeLate(in, commit); ok {
+		c.reportAnswer(commit, "late", late)
+		*last, c.state = late, late.State
+		return c.readConfirmation(in, commit, []answer.State{answer.Idle})
+	}
+	if err := c.readConfirmation(in, commit, states); err != nil {
+		return errors.Wrapf(err, "after %v", last.Failure)
+	}
+	c.reportAnswer(commit, "unproven", *last)
+	return &unprovenBusy{last.Failure}
+}
+
 // takeLate removes the next answer from in and returns it if it is the success of the command.
 func (c *memberConn) takeLate(in *incoming, command Command) (Reply, bool) {
 	e := c.expect(command)
--- a/internal/gateway/member_conn_test.go
+++ b/internal/gateway/member_conn_test.go
@@ -130,23 +130,42 @@
 	}
 }
 
-// Guards against a commit that is answered as refused, or given up, while an earlier sending of it may have taken effect.
+// Guards against a commit that is answered as refused, given up or sent again outside its transaction, while an earlier sending of it
+// may have taken effect.
 func TestRepeatedRefusalOfCommitIsUnproven(t *testing.T) {
 	busy := replyOf(Reply{Failure: &Failure{Busy, "full"}, State: InTransaction})
-	c := newScriptedConn(openedAnswer, busy, busy, ranAnswer)
 	commit := RunStatement{Request: Request{ID: "1", Statement: Commit{}}}
-	if _, err := c.Do(time.Second, OpenTransaction{}); err != nil {
-		t.Fatal(err)
-	}
-	if replies, err := c.Do(time.Second, commit); err != nil || replies[0].Failure == nil {
-		t.Fatalf("the first refusal: %v, %v", replies, err)
-	}
-	var unproven *unprovenBusy
-	if _, err := c.Do(time.Second, commit); !errors.As(err, &unproven) || !isUnproven(err) {
-		t.Fatalf("the second refusal: %v", err)
-	}
-	if replies, err := c.Do(time.Second, commit); err != nil || replies[0].Signature != "s2" {
-		t.Errorf("the answer: %v, %v", replies, err)
+	for name, test := range map[string]struct {
+		answers []memberAnswer // to the second sending
+		want    string         // "again", the signature, or "unknown"
+	}{
+		"refused":                     {[]memberAnswer{busy, openedAnswer}, "again"},
+		"took effect":                 {[]memberAnswer{busy, ranAnswer, doneAnswer}, "s2"},
+		"answered otherwise":          {[]memberAnswer{busy, replyOf(Reply{Failure: &Failure{Failed, ""}, State: InFailedTransaction})}, "unknown"},
+		"no longer in a transaction":  {[]memberAnswer{busy, doneAnswer}, "unknown"},
+		"nothing follows the refusal": {[]memberAnswer{busy}, "unknown"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newScriptedConn(append([]memberAnswer{openedAnswer, busy}, test.answers...)...)
+			if _, err := c.Do(time.Second, OpenTransaction{}); err != nil {
+				t.Fatal(err)
+			}
+			if replies, err := c.Do(time.Second, commit); err != nil || replies[0].Failure == nil {
+				t.Fatalf("the first refusal: %v, %v", replies, err)
+			}
+			var unproven *unprovenBusy
+			replies, err := c.Do(time.Second, commit)
+			got := "unknown"
+			switch {
+			case errors.As(err, &unproven) && isUnproven(err):
+				got = "again"
+			case err == nil:
+				got = replies[0].Signature
+			}
+			if got != test.want {
+				t.Errorf("%q (%v), want %q", got, err, test.want)
+			}
+		})
 	}
 }
 
--- a/internal/gateway/repeated_answer_test.go
+++ b/internal/gateway/repeated_answer_test.go
@@ -300,7 +300,11 @@
 
 func (c *busyCommitConn) Do(timeout time.Duration, commands ...Command) ([]Reply, error) {
 	if !isCommit(commands[len(commands)-1]) {
-		return c.Conn.Do(timeout, commands...)
+		replies, err := c.Conn.Do(timeout, commands...)
+		if _, defines := commands[0].(Define); defines && *c.commits == 2 {
+			replies[0].State = InTransaction // a copy, too
+		}
+		return replies, err
 	}
 	*c.commits++
 	switch *c.commits {
