A copy of a status before two refusals for lack of a slot is not the member's status

A busy member refuses STATUS, and one that refuses anything the BEGIN READ after it. A copy of an earlier status in front of the two refusals was taken for confirmed by them: one copy was enough for 'replica, term 3' of a member that is a replica or primary in term 4, so that a replaced primary passes its check (STALE). The answer to the ROLLBACK was left on the connection.

Before: {IsPrimary:true Term:3}, <nil>, with 'busy, busy, done' after the copy. The second answer must not be a refusal for lack of a slot, which a ROLLBACK doesn't take. The case 'a busy member' of the test expected the opposite for the same two answers (BEGIN and ROLLBACK refused as busy), which can't be told apart: it now has a member that refuses the ROLLBACK for another reason. A member that refuses even ROLLBACK is fenced on a new connection, where its status is the first of its kind.

--- a/internal/gateway/member_conn.go
+++ b/internal/gateway/member_conn.go
@@ -322,12 +322,14 @@
 		return s, err
 	}
 	in := c.send(max(time.Until(deadline), time.Millisecond), OpenTransaction{ReadOnly: true}, Abort{})
-	for range 2 {
+	for i := range 2 {
 		reply, failure := in.next()
 		if failure != nil {
 			return Status{}, failure
 		}
-		if !answer.FollowsStatus(toAnswer(reply)) {
+		// A ROLLBACK takes no slot: if it seems to be refused for lack of one, that was the BEGIN, and the command before it as well.
+		misplaced := i == 1 && reply.Failure != nil && reply.Failure.Code == Busy
+		if misplaced || !answer.FollowsStatus(toAnswer(reply)) {
 			c.reportAnswer(Reset{}, "shifted", reply)
 			return Status{}, errors.Wrap(errUnprovenAnswer, "a status arrived out of its turn")
 		}
--- a/internal/gateway/member_conn_test.go
+++ b/internal/gateway/member_conn_test.go
@@ -105,7 +105,8 @@
 		"another status":           {[]memberAnswer{status(after)}, true},
 		"the same status":          {[]memberAnswer{status(before), openedAnswer, doneAnswer}, true},
 		"a copy":                   {[]memberAnswer{status(before), status(after), openedAnswer, doneAnswer}, false},
-		"a busy member":            {[]memberAnswer{status(before), busyAnswer, busyAnswer}, true},
+		"a busy member":            {[]memberAnswer{status(before), busyAnswer, replyOf(Reply{Failure: &Failure{Malformed, "no transaction"}})}, true},
+		"a copy, the member busy":  {[]memberAnswer{status(before), busyAnswer, busyAnswer, doneAnswer}, false}, // STATUS and BEGIN are refused
 		"a transaction stays open": {[]memberAnswer{status(before), openedAnswer, openedAnswer}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
