--- a/internal/gateway/member_conn.go
+++ b/internal/gateway/member_conn.go
@@ -12,11 +12,11 @@
 	"pearlatch/core/group"
 )
 
-// errUnprovenAnswer means that an answer arrived that can't be told from one to another request. The connection is of no
-// further use, and the outcome of the command is unknown.
+// errUnprovenAnswer means that an answer may belong to another request. The connection must not be used any more, and the
+// outcome of the command is unknown.
 var errUnprovenAnswer = errors.New("the answer may belong to another request")
 
-// isUnproven reports whether a connection failed for the answers on it, not for a member that is silent or gone.
+// isUnproven reports whether err is an errUnprovenAnswer. The member itself has answered then, so it is not suspect.
 func isUnproven(err error) bool { return errors.Is(err, errUnprovenAnswer) }
 
 // unprovenBusy is the error of a commit that was refused for lack of a slot, as far as the connection can tell: the refusal may be a
@@ -73,7 +73,7 @@
 	last := commands[len(commands)-1]
 	var confirmation []Command
 	if c.state == Idle && onlySetUp(commands) {
-		confirmation = []Command{OpenTransaction{ReadOnly: true}, Abort{}, last} // without waiting for an ambiguous answer
+		confirmation = []Command{OpenTransaction{ReadOnly: true}, Abort{}, last} // saves the round trip of a later confirmation
 	}
 	in := c.send(timeout, append(slices.Clone(commands), confirmation...)...)
 	out, ambiguous, err := c.match(in, commands)
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -21,8 +21,8 @@
 	answeredCount int
 	// sentWrite is true once a write has been sent to the member.
 	sentWrite bool
-	// commitRepeated is true once the commit was sent again although an earlier one may have taken effect. Its connection then
-	// owes an answer.
+	// commitRepeated is true once the commit was sent again although an earlier one may have taken effect. An answer may then
+	// still arrive on the connection, which is closed.
 	commitRepeated bool
 }
 
